--- /dev/null
+++ b/components/coordination/src/lib.rs
@@ -0,0 +1,5 @@
+//! The coordination layer: what entry hosts agree on.
+//!
+//! Members, configuration, slot leases and claims, each a state machine that
+//! takes messages and the time and returns what to send. No socket, clock or
+//! thread here: the transport layer runs these machines.
--- /dev/null
+++ b/components/protocol/src/lib.rs
@@ -0,0 +1,4 @@
+//! The protocol layer: typed messages between entry hosts and on the log, and their codecs.
+//!
+//! Everything that arrives is distrusted: a message that is cut, too long, of
+//! another version or of an unknown kind is an error and never a panic.
--- /dev/null
+++ b/components/stand_ins/src/lib.rs
@@ -0,0 +1,3 @@
+//! Small fakes of the platform and of backend servers, and the load tool.
+//!
+//! They are there to cause what fails. Nothing of an entry host depends on them.
--- /dev/null
+++ b/components/state/src/lib.rs
@@ -0,0 +1,15 @@
+//! The state layer: pure data and the decisions under load.
+//!
+//! Nothing here may open a socket, read a clock, start a thread or draw a
+//! random number by itself: time and randomness are passed in, so that every
+//! decision runs in a test as it runs in production.
+
+pub mod config;
+pub mod keys;
+pub mod moment;
+pub mod preset;
+
+pub use config::Config;
+pub use keys::{DataCentreKey, EndpointKey, HostKey, ServiceKey};
+pub use moment::Moment;
+pub use preset::Preset;
--- /dev/null
+++ b/components/state/src/moment.rs
@@ -0,0 +1,48 @@
+//! Monotonic time within one process.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use derives::key;
+
+/// A moment of a process's own monotonic clock, in microseconds since it started.
+///
+/// Moments of two processes can't be compared and never travel: between
+/// processes only durations, offsets and revisions do.
+#[key]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// Returns the moment `millis` milliseconds after the process started.
+    pub const fn from_millis(millis: u64) -> Moment {
+        Moment(millis * 1_000)
+    }
+
+    /// Returns how long ago `earlier` was, or zero where it is yet to come.
+    pub fn since(self, earlier: Moment) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns how long it takes until `later`, or zero where it has passed.
+    pub fn until(self, later: Moment) -> Duration {
+        later.since(self)
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Moment;
+
+    fn add(self, duration: Duration) -> Moment {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Moment(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Moment;
+
+    fn sub(self, duration: Duration) -> Moment {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Moment(self.0.saturating_sub(micros))
+    }
+}
--- /dev/null
+++ b/components/transport/src/lib.rs
@@ -0,0 +1,8 @@
+//! The transport layer: all input and output of an entry host.
+//!
+//! Decisions don't live here. This layer reads the clock, draws random
+//! numbers, moves bytes and runs the state machines of the layers below.
+
+pub mod claims;
+pub mod clock;
+pub mod dispatch;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line program.
+
+fn main() {}
