--- /dev/null
+++ b/components/stand_ins/src/backend.rs
@@ -0,0 +1,168 @@
+//! A backend server with every fault the brief names, to be caused at will.
+//!
+//! docs/backend-servers.md describes what it speaks.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use derives::value;
+use tokio::task::JoinHandle;
+
+use crate::history::{Event, History};
+
+mod answer;
+mod bearing;
+mod control;
+mod knobs;
+mod line;
+mod service;
+
+pub use answer::pattern;
+pub use bearing::{Bearing, Counts};
+pub use control::Control;
+pub use knobs::{Knobs, Report};
+
+/// Header field with a call's number, sent by callers and echoed by the backend server.
+pub const CALL_FIELD: &str = "stand-in-call";
+/// Header field of an answer with the time the work really took, in microseconds.
+pub const WORK_FIELD: &str = "stand-in-work-us";
+
+/// What a backend server is like.
+#[value]
+pub struct Options {
+    /// The data centre it stands in.
+    pub data_centre: String,
+    /// Calls it bears at once.
+    pub slots: u32,
+    /// Calls it bears at once while cold.
+    pub cold_slots: u32,
+    /// Whether it starts cold.
+    pub cold: bool,
+    /// Calls done well after which a cold one is warm.
+    pub warm_calls: u32,
+    /// Milliseconds after which a cold one is warm.
+    pub warm_ms: u64,
+    /// Milliseconds for which a cold one sheds all calls after too many came at once.
+    pub fall_ms: u64,
+    /// Milliseconds of one slot that a load report costs.
+    pub probe_ms: u64,
+    /// Connections it accepts at once.
+    pub connections: u32,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            data_centre: String::new(),
+            slots: 6,
+            cold_slots: 1,
+            cold: false,
+            warm_calls: 50,
+            warm_ms: 10_000,
+            fall_ms: 1_000,
+            probe_ms: 6,
+            connections: 250,
+        }
+    }
+}
+
+/// A running backend server. Dropping it closes its listener and all connections.
+pub struct Backend {
+    shared: Arc<Shared>,
+    accepting: JoinHandle<()>,
+}
+
+/// What the connections of one backend server share.
+struct Shared {
+    address: SocketAddr,
+    options: Options,
+    history: History,
+    bearing: Mutex<Bearing>,
+    knobs: Mutex<Knobs>,
+    lines: line::Lines,
+}
+
+impl Backend {
+    /// Starts a backend server on `listener` in the running tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the listener can't be used.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    pub fn start(listener: TcpListener, options: Options, history: History) -> io::Result<Backend> {
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        history.add(Event::Endpoint {
+            endpoint: address,
+            data_centre: options.data_centre.clone(),
+            slots: options.slots,
+        });
+        let shared = Arc::new(Shared {
+            address,
+            bearing: Mutex::new(Bearing::new(options.clone(), transport::clock::now())),
+            options,
+            history,
+            knobs: Mutex::default(),
+            lines: line::Lines::default(),
+        });
+        let accepting = tokio::spawn(service::accept(listener, Arc::clone(&shared)));
+        Ok(Backend { shared, accepting })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// Changes its faults.
+    pub fn set(&self, knobs: &Knobs) {
+        self.shared.set(knobs);
+    }
+
+    /// Returns what it counted so far.
+    pub fn counts(&self) -> Counts {
+        self.shared.bearing().counts()
+    }
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.accepting.abort();
+        self.shared.lines.cut();
+    }
+}
+
+impl Shared {
+    fn bearing(&self) -> MutexGuard<'_, Bearing> {
+        self.bearing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn knobs(&self) -> MutexGuard<'_, Knobs> {
+        self.knobs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self, knobs: &Knobs) {
+        let now = transport::clock::now();
+        if let Some(draining) = knobs.draining {
+            self.bearing().drain(draining);
+        }
+        if knobs.turn_cold || knobs.restart {
+            self.bearing().turn_cold(now);
+            self.history.add(Event::TurnedCold {
+                endpoint: self.address,
+            });
+        }
+        if knobs.restart {
+            self.lines.cut();
+        }
+        if knobs.silence {
+            self.lines.silence();
+        }
+        self.knobs().take(knobs);
+    }
+}
--- /dev/null
+++ b/components/stand_ins/src/backend/answer.rs
@@ -0,0 +1,98 @@
+//! The body of an answer: long, chunked or cut in the middle, in bounded memory.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::time::Sleep;
+
+const PIECE: usize = 16 * 1024;
+/// What is written before the cut has to reach the other end first.
+const CUT_DELAY: Duration = Duration::from_millis(20);
+
+/// Returns the text that fills the answer to call `call`, over and over.
+///
+/// A caller that compares finds an answer that is another call's, or not whole.
+pub fn pattern(call: u64) -> String {
+    format!("answer to call {call:016x}\n")
+}
+
+/// A body of `size` bytes.
+pub(super) struct Answer {
+    piece: Bytes,
+    left: u64,
+    chunked: bool,
+    cut_at: Option<u64>,
+    cutting: Option<Pin<Box<Sleep>>>,
+}
+
+impl Answer {
+    pub(super) fn new(call: u64, size: u64, chunked: bool, cut: bool) -> Answer {
+        let text = pattern(call);
+        let times = match size {
+            s if s <= text.len() as u64 => 1,
+            _ => PIECE / text.len(),
+        };
+        Answer {
+            piece: Bytes::from(text.repeat(times)),
+            left: size,
+            chunked,
+            cut_at: cut.then_some(size / 2),
+            cutting: None,
+        }
+    }
+
+    /// Returns a short text.
+    pub(super) fn text(text: impl Into<Bytes>) -> Answer {
+        let piece = text.into();
+        Answer {
+            left: piece.len() as u64,
+            piece,
+            chunked: false,
+            cut_at: None,
+            cutting: None,
+        }
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let end = self.cut_at.unwrap_or(0);
+        if self.left > end {
+            let room = usize::try_from(self.left - end).unwrap_or(usize::MAX);
+            let piece = self.piece.slice(..room.min(self.piece.len()));
+            self.left -= piece.len() as u64;
+            return Poll::Ready(Some(Ok(Frame::data(piece))));
+        }
+        if self.cut_at.is_none() {
+            return Poll::Ready(None);
+        }
+        let cutting = self
+            .cutting
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(CUT_DELAY)));
+        match cutting.as_mut().poll(context) {
+            Poll::Ready(()) => Poll::Ready(Some(Err(io::Error::other("cut as set")))),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == 0 && self.cut_at.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self.chunked {
+            true => SizeHint::default(),
+            false => SizeHint::with_exact(self.left),
+        }
+    }
+}
--- /dev/null
+++ b/components/stand_ins/src/backend/control.rs
@@ -0,0 +1,123 @@
+//! The control port: sets faults and gives the journal.
+
+use std::io::{self, Cursor};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+
+use tiny_http::{Method, Request, Response, Server};
+
+use super::{Backend, Knobs, Shared};
+use crate::history::{self, History};
+
+/// Serves the control port of some backend servers from a thread of its own.
+pub struct Control {
+    server: Arc<Server>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Control {
+    /// Starts serving `backends` and their common `history` on `listener`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the listener can't be used.
+    pub fn start(
+        listener: TcpListener,
+        backends: &[Backend],
+        history: History,
+    ) -> io::Result<Control> {
+        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let server = Arc::new(server);
+        let desk = Desk {
+            backends: backends.iter().map(|b| Arc::clone(&b.shared)).collect(),
+            history,
+        };
+        let thread = {
+            let server = Arc::clone(&server);
+            thread::spawn(move || {
+                for request in server.incoming_requests() {
+                    desk.serve(request);
+                }
+            })
+        };
+        Ok(Control {
+            server,
+            thread: Some(thread),
+        })
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        self.server.unblock();
+        if let Some(thread) = self.thread.take() {
+            // A panic there has been printed already.
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Desk {
+    backends: Vec<Arc<Shared>>,
+    history: History,
+}
+
+type Reply = Response<Cursor<Vec<u8>>>;
+
+impl Desk {
+    fn serve(&self, mut request: Request) {
+        let path = request.url().to_owned();
+        let reply = match request.method() {
+            Method::Get if path == "/journal" => self.journal(),
+            Method::Get => self.counts(&path),
+            Method::Post => self.set(&path, &mut request),
+            _ => refuse(405, "GET or POST"),
+        };
+        // The other end is a test or a person: it sees a broken answer itself.
+        let _ = request.respond(reply);
+    }
+
+    fn journal(&self) -> Reply {
+        let mut lines = Vec::new();
+        match history::write_lines(&self.history.sorted(), &mut lines) {
+            Ok(()) => Response::from_data(lines),
+            Err(error) => refuse(500, &error.to_string()),
+        }
+    }
+
+    fn counts(&self, path: &str) -> Reply {
+        let Some(shared) = self.find(path) else {
+            return refuse(404, "no such backend server; use /IP:PORT");
+        };
+        let counts = shared.bearing().counts();
+        Response::from_data(serde_json::to_vec(&counts).expect("counts are plain JSON"))
+    }
+
+    fn set(&self, path: &str, request: &mut Request) -> Reply {
+        let knobs: Knobs = match serde_json::from_reader(request.as_reader()) {
+            Ok(knobs) => knobs,
+            Err(error) => return refuse(400, &error.to_string()),
+        };
+        let chosen: Vec<&Arc<Shared>> = match path {
+            "/all" => self.backends.iter().collect(),
+            _ => self.find(path).into_iter().collect(),
+        };
+        if chosen.is_empty() {
+            return refuse(404, "no such backend server; use /IP:PORT or /all");
+        }
+        for shared in chosen {
+            shared.set(&knobs);
+        }
+        Response::from_data(b"set\n")
+    }
+
+    fn find(&self, path: &str) -> Option<&Arc<Shared>> {
+        let address: SocketAddr = path.strip_prefix('/')?.parse().ok()?;
+        self.backends.iter().find(|b| b.address == address)
+    }
+}
+
+fn refuse(status: u16, why: &str) -> Reply {
+    Response::from_string(format!("{why}\n")).with_status_code(status)
+}
--- /dev/null
+++ b/components/stand_ins/src/backend/line.rs
@@ -0,0 +1,106 @@
+//! Connections that can be cut or go silent for good.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// The connections of one backend server.
+#[derive(Default)]
+pub(super) struct Lines {
+    opened: AtomicU64,
+    silent_below: Arc<AtomicU64>,
+    cut_below: watch::Sender<u64>,
+}
+
+/// One connection.
+pub(super) struct Line {
+    stream: TcpStream,
+    number: u64,
+    silent_below: Arc<AtomicU64>,
+    cut_below: watch::Receiver<u64>,
+}
+
+impl Lines {
+    pub(super) fn open(&self, stream: TcpStream) -> Line {
+        Line {
+            stream,
+            number: self.opened.fetch_add(1, Ordering::SeqCst),
+            silent_below: Arc::clone(&self.silent_below),
+            cut_below: self.cut_below.subscribe(),
+        }
+    }
+
+    /// Makes all connections open now silent for good, without closing them.
+    pub(super) fn silence(&self) {
+        let next = self.opened.load(Ordering::SeqCst);
+        self.silent_below.store(next, Ordering::SeqCst);
+    }
+
+    /// Closes all connections open now.
+    pub(super) fn cut(&self) {
+        self.cut_below
+            .send_replace(self.opened.load(Ordering::SeqCst));
+    }
+}
+
+impl Line {
+    /// Returns what completes when this connection is to be closed.
+    pub(super) fn cut(&self) -> impl Future<Output = ()> + use<> {
+        let mut below = self.cut_below.clone();
+        let number = self.number;
+        async move {
+            // An error says that the backend server is gone, which closes its connections too.
+            let _ = below.wait_for(|below| number < *below).await;
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        self.number < self.silent_below.load(Ordering::SeqCst)
+    }
+}
+
+impl AsyncRead for Line {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if !self.is_silent() {
+            return polled;
+        }
+        buffer.set_filled(filled);
+        Poll::Pending
+    }
+}
+
+impl AsyncWrite for Line {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.is_silent() {
+            return Poll::Ready(Ok(bytes.len()));
+        }
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.is_silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/components/stand_ins/src/lib.rs
+++ b/components/stand_ins/src/lib.rs
@@ -1,3 +1,6 @@
 //! Small fakes of the platform and of backend servers, and the load tool.
 //!
 //! They are there to cause what fails. Nothing of an entry host depends on them.
+
+pub mod backend;
+pub mod history;
