protocol, transport: add peer messages and links between entry hosts

Cause: hosts have no way to talk to each other; slots, members and claims need one. Conclusion: kept; strangers, cut, oversized, damaged and foreign-version messages are refused and counted.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -3,3 +3,5 @@
 //! Members, configuration, slot leases and claims, each a state machine that
 //! takes messages and the time and returns what to send. No socket, clock or
 //! thread here: the transport layer runs these machines.
+
+pub mod members;
--- /dev/null
+++ b/components/protocol/src/heartbeat.rs
@@ -0,0 +1,183 @@
+//! The wire form of the failure detector's messages.
+
+use coordination::members::{Answer, Beat, Doubt, Heard, MemberMessage, News, Rumour};
+use state::HostKey;
+
+use crate::peer::ProtocolError;
+
+/// One message of the failure detector, as it travels.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireMember {
+    #[prost(oneof = "WireKind", tags = "1, 2, 3, 4, 5")]
+    kind: Option<WireKind>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum WireKind {
+    #[prost(message, tag = "1")]
+    Beat(WireBeat),
+    #[prost(message, tag = "2")]
+    Answer(WireAnswer),
+    #[prost(message, tag = "3")]
+    Doubt(WireDoubt),
+    #[prost(message, tag = "4")]
+    Heard(WireHeard),
+    #[prost(message, tag = "5")]
+    Rumour(WireRumour),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireBeat {
+    #[prost(fixed64, tag = "1")]
+    incarnation: u64,
+    #[prost(uint64, tag = "2")]
+    sequence: u64,
+    #[prost(uint64, tag = "3")]
+    epoch: u64,
+    #[prost(uint64, tag = "4")]
+    offset: u64,
+    #[prost(bool, tag = "5")]
+    asks: bool,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireAnswer {
+    #[prost(uint64, tag = "1")]
+    sequence: u64,
+    #[prost(uint64, tag = "2")]
+    offset: u64,
+    #[prost(uint64, optional, tag = "3")]
+    suspected: Option<u64>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireDoubt {
+    #[prost(fixed64, tag = "1")]
+    host: u64,
+    #[prost(fixed64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    epoch: u64,
+    #[prost(uint64, tag = "4")]
+    silent_ms: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireHeard {
+    #[prost(fixed64, tag = "1")]
+    host: u64,
+    #[prost(fixed64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    ago_ms: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireRumour {
+    #[prost(fixed64, tag = "1")]
+    host: u64,
+    #[prost(fixed64, tag = "2")]
+    incarnation: u64,
+    #[prost(oneof = "WireNews", tags = "3, 4, 5")]
+    news: Option<WireNews>,
+}
+
+#[derive(Clone, Copy, PartialEq, prost::Oneof)]
+enum WireNews {
+    #[prost(uint64, tag = "3")]
+    Suspected(u64),
+    #[prost(uint64, tag = "4")]
+    Alive(u64),
+    #[prost(uint64, tag = "5")]
+    Shown(u64),
+}
+
+impl From<&MemberMessage> for WireMember {
+    fn from(message: &MemberMessage) -> WireMember {
+        let kind = match message {
+            MemberMessage::Beat(b) => WireKind::Beat(WireBeat {
+                incarnation: b.incarnation,
+                sequence: b.sequence,
+                epoch: b.epoch,
+                offset: b.offset,
+                asks: b.asks,
+            }),
+            MemberMessage::Answer(a) => WireKind::Answer(WireAnswer {
+                sequence: a.sequence,
+                offset: a.offset,
+                suspected: a.suspected,
+            }),
+            MemberMessage::Doubt(d) => WireKind::Doubt(WireDoubt {
+                host: d.host.0,
+                incarnation: d.incarnation,
+                epoch: d.epoch,
+                silent_ms: d.silent_ms,
+            }),
+            MemberMessage::Heard(h) => WireKind::Heard(WireHeard {
+                host: h.host.0,
+                incarnation: h.incarnation,
+                ago_ms: h.ago_ms,
+            }),
+            MemberMessage::Rumour(r) => WireKind::Rumour(WireRumour {
+                host: r.host.0,
+                incarnation: r.incarnation,
+                news: Some(wire_news(r.news)),
+            }),
+        };
+        WireMember { kind: Some(kind) }
+    }
+}
+
+impl TryFrom<WireMember> for MemberMessage {
+    type Error = ProtocolError;
+
+    fn try_from(wire: WireMember) -> Result<MemberMessage, ProtocolError> {
+        let message = match wire.kind.ok_or(ProtocolError::Missing("member kind"))? {
+            WireKind::Beat(b) => MemberMessage::Beat(Beat {
+                incarnation: b.incarnation,
+                sequence: b.sequence,
+                epoch: b.epoch,
+                offset: b.offset,
+                asks: b.asks,
+            }),
+            WireKind::Answer(a) => MemberMessage::Answer(Answer {
+                sequence: a.sequence,
+                offset: a.offset,
+                suspected: a.suspected,
+            }),
+            WireKind::Doubt(d) => MemberMessage::Doubt(Doubt {
+                host: HostKey(d.host),
+                incarnation: d.incarnation,
+                epoch: d.epoch,
+                silent_ms: d.silent_ms,
+            }),
+            WireKind::Heard(h) => MemberMessage::Heard(Heard {
+                host: HostKey(h.host),
+                incarnation: h.incarnation,
+                ago_ms: h.ago_ms,
+            }),
+            WireKind::Rumour(r) => MemberMessage::Rumour(Rumour {
+                host: HostKey(r.host),
+                incarnation: r.incarnation,
+                news: news(r.news.ok_or(ProtocolError::Missing("news"))?),
+            }),
+        };
+        Ok(message)
+    }
+}
+
+fn wire_news(news: News) -> WireNews {
+    match news {
+        News::Suspected { epoch } => WireNews::Suspected(epoch),
+        News::Alive { epoch } => WireNews::Alive(epoch),
+        News::Shown { offset } => WireNews::Shown(offset),
+    }
+}
+
+fn news(wire: WireNews) -> News {
+    match wire {
+        WireNews::Suspected(epoch) => News::Suspected { epoch },
+        WireNews::Alive(epoch) => News::Alive { epoch },
+        WireNews::Shown(offset) => News::Shown { offset },
+    }
+}
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -2,3 +2,8 @@
 //!
 //! Everything that arrives is distrusted: a message that is cut, too long, of
 //! another version or of an unknown kind is an error and never a panic.
+
+pub mod heartbeat;
+pub mod peer;
+
+pub use peer::{PeerMessage, ProtocolError};
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod claims;
 pub mod clock;
 pub mod dispatch;
+pub mod peers;
--- /dev/null
+++ b/components/transport/src/peers/counters.rs
@@ -0,0 +1,44 @@
+//! What the links count, and events that a flood can't repeat without bound.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use crate::clock;
+
+/// Counts one message sent, with its bytes on the link.
+pub fn sent(bytes: usize) {
+    metrics::counter!("peer_messages_sent_total").increment(1);
+    metrics::counter!("peer_bytes_sent_total").increment(bytes as u64);
+}
+
+/// Counts one message received, with its bytes on the link.
+pub fn received(bytes: usize) {
+    metrics::counter!("peer_messages_received_total").increment(1);
+    metrics::counter!("peer_bytes_received_total").increment(bytes as u64);
+}
+
+/// Counts messages dropped, for `reason`.
+pub fn dropped(reason: &'static str, count: usize) {
+    if count > 0 {
+        metrics::counter!("peer_messages_dropped_total", "reason" => reason)
+            .increment(count as u64);
+    }
+}
+
+/// Counts a peer refused, for `reason`.
+pub fn refused(reason: &'static str) {
+    metrics::counter!("peer_refused_total", "reason" => reason).increment(1);
+}
+
+/// Lets one event through each second, so that a flood of bad peers is no flood of logs.
+#[derive(Default)]
+pub struct Throttle {
+    last: AtomicU64,
+}
+
+impl Throttle {
+    /// Returns whether the event may be logged now.
+    pub fn allows(&self) -> bool {
+        let second = clock::now().0 / 1_000_000 + 1;
+        self.last.swap(second, Ordering::Relaxed) != second
+    }
+}
--- /dev/null
+++ b/components/transport/src/peers/links.rs
@@ -0,0 +1,378 @@
+//! The running links of one entry host.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use derives::value;
+use futures_util::StreamExt;
+use protocol::PeerMessage;
+use protocol::peer::Hello;
+use rand::Rng;
+use state::config::Member;
+use state::{Config, HostKey};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore, watch};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::counters::{self, Throttle};
+use super::handshake::{self, MeetError, Met, Reader};
+use super::table::{Opened, Table};
+use super::{FULL_SET, IDLE_LIMIT, STRANGERS, socket};
+use crate::clock;
+
+/// How long a dial may take.
+const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How often missing links are looked for.
+const UPKEEP: Duration = Duration::from_millis(100);
+
+/// How long a replaced link may go on delivering what is under way.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// Takes the messages that peers send.
+pub trait Receive: Send + Sync {
+    /// Takes one message. Runs on the link's reader: it must not block.
+    fn receive(&self, from: HostKey, message: PeerMessage);
+}
+
+/// Who this process is.
+#[value]
+pub struct Identity {
+    /// The host's name.
+    pub name: String,
+    /// Drawn anew each time the process starts or joins anew.
+    pub incarnation: u64,
+    /// The data centre it stands in.
+    pub data_centre: String,
+}
+
+/// Sends messages to other members and hands in what they send.
+pub struct Links {
+    me: HostKey,
+    identity: Mutex<Identity>,
+    config: watch::Receiver<Arc<Config>>,
+    table: Mutex<Table>,
+    strangers: Arc<Semaphore>,
+    throttle: Throttle,
+    dial_now: Notify,
+    stop: CancellationToken,
+}
+
+impl Identity {
+    /// Returns the host's key.
+    pub fn key(&self) -> HostKey {
+        HostKey::named(&self.name)
+    }
+}
+
+impl Links {
+    /// Returns links that are not yet running.
+    pub fn new(identity: Identity, config: watch::Receiver<Arc<Config>>) -> Arc<Links> {
+        let me = identity.key();
+        Arc::new(Links {
+            me,
+            identity: Mutex::new(identity),
+            config,
+            table: Mutex::new(Table::new(me)),
+            strangers: Arc::new(Semaphore::new(STRANGERS)),
+            throttle: Throttle::default(),
+            dial_now: Notify::new(),
+            stop: CancellationToken::new(),
+        })
+    }
+
+    /// Starts accepting and dialling on the current runtime.
+    pub fn run(self: &Arc<Self>, listener: TcpListener, receive: Arc<dyn Receive>) {
+        tokio::spawn(Arc::clone(self).accept(listener, Arc::clone(&receive)));
+        tokio::spawn(Arc::clone(self).keep_up(receive));
+    }
+
+    /// Ends all links.
+    pub fn stop(&self) {
+        self.stop.cancel();
+        self.table().retain(|_| false);
+    }
+
+    /// Returns this host's key.
+    pub fn me(&self) -> HostKey {
+        self.me
+    }
+
+    /// Returns who this process is now.
+    pub fn identity(&self) -> Identity {
+        lock(&self.identity).clone()
+    }
+
+    /// Takes a new incarnation, with which this host is going to join anew.
+    pub fn renew(&self, incarnation: u64) {
+        lock(&self.identity).incarnation = incarnation;
+        self.table().retain(|_| false);
+    }
+
+    /// Returns whether there is a link to `host`.
+    pub fn is_linked(&self, host: HostKey) -> bool {
+        self.table().is_linked(host)
+    }
+
+    /// Returns how many links there are.
+    pub fn linked(&self) -> usize {
+        self.table().linked()
+    }
+
+    /// Ends the link to `host`, so that a new one is dialled.
+    ///
+    /// A link can go silent for good while new ones work.
+    pub fn hang_up(&self, host: HostKey) {
+        self.table().hang_up(host);
+    }
+
+    /// Sends a message without waiting; false where it was dropped.
+    ///
+    /// True does not mean that it arrives: links break. Senders repeat what
+    /// matters.
+    pub fn send(&self, to: HostKey, message: &PeerMessage) -> bool {
+        if !self.config.borrow().members.contains_key(&to) {
+            counters::dropped("no_member", 1);
+            return false;
+        }
+        let Some(route) = self.table().route(to, clock::now()) else {
+            counters::dropped("no_link", 1);
+            return false;
+        };
+        let queued = route.outbox.push(message.encode(), message.is_bulk());
+        if route.dial {
+            self.dial_now.notify_one();
+        }
+        queued
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener, receive: Arc<dyn Receive>) {
+        loop {
+            // A permit first: past the limit, newcomers wait in the kernel's queue.
+            let Ok(permit) = Arc::clone(&self.strangers).acquire_owned().await else {
+                return;
+            };
+            let accepted = tokio::select! {
+                () = self.stop.cancelled() => return,
+                accepted = listener.accept() => accepted,
+            };
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::error!("E0407 peer-accept-failed error={e:?}");
+                    tokio::time::sleep(UPKEEP).await;
+                    continue;
+                }
+            };
+            let links = Arc::clone(&self);
+            let receive = Arc::clone(&receive);
+            tokio::spawn(async move {
+                let met = links.admit(stream).await;
+                drop(permit);
+                match met {
+                    Ok(met) => {
+                        let dialer = met.peer;
+                        links.serve(met, dialer, receive).await;
+                    }
+                    Err(e) => links.report("", &e),
+                }
+            });
+        }
+    }
+
+    async fn admit(&self, stream: TcpStream) -> Result<Met, MeetError> {
+        socket::prepare(&stream)?;
+        handshake::answer(stream, self.hello(String::new()), || self.config()).await
+    }
+
+    /// Dials what is missing and hangs up what is no longer wanted.
+    async fn keep_up(self: Arc<Self>, receive: Arc<dyn Receive>) {
+        let mut config = self.config.clone();
+        let mut tick = interval(UPKEEP);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = self.stop.cancelled() => return,
+                _ = tick.tick() => {}
+                () = self.dial_now.notified() => {}
+                changed = config.changed() => if changed.is_err() { return },
+            }
+            self.upkeep(&receive);
+        }
+    }
+
+    fn upkeep(self: &Arc<Self>, receive: &Arc<dyn Receive>) {
+        let config = self.config();
+        let now = clock::now();
+        let mut table = self.table();
+        table.retain(|host| config.members.contains_key(&host));
+        metrics::gauge!("peer_links").set(table.linked() as f64);
+        if !config.members.contains_key(&self.me) {
+            return;
+        }
+        let mut wanted = table.wanted();
+        if config.members.len() <= FULL_SET {
+            // The smaller key dials, so that a pair makes one link, not two.
+            wanted.extend(config.members.range(self.me..).skip(1).map(|(h, _)| *h));
+        } else {
+            for host in table.idle(now - IDLE_LIMIT) {
+                table.hang_up(host);
+            }
+        }
+        wanted.retain(|host| table.start_dial(*host, now));
+        drop(table);
+        for host in wanted {
+            self.spawn_dial(&config, host, receive);
+        }
+    }
+
+    fn spawn_dial(self: &Arc<Self>, config: &Config, host: HostKey, receive: &Arc<dyn Receive>) {
+        let Some(member) = config.members.get(&host).cloned() else {
+            self.table().fail_dial(host, clock::now(), 0.0);
+            return;
+        };
+        let links = Arc::clone(self);
+        let receive = Arc::clone(receive);
+        tokio::spawn(async move { links.dial(host, member, receive).await });
+    }
+
+    async fn dial(self: Arc<Self>, host: HostKey, member: Member, receive: Arc<dyn Receive>) {
+        let error = match self.meet(&member).await {
+            Ok(met) => return self.serve(met, self.me, receive).await,
+            Err(error) => error,
+        };
+        let jitter = rand::rng().random();
+        self.table().fail_dial(host, clock::now(), jitter);
+        self.report(&member.name, &error);
+        if let MeetError::RefusedBy(refused) = error {
+            receive.receive(host, PeerMessage::Refused(refused));
+        }
+    }
+
+    async fn meet(&self, member: &Member) -> Result<Met, MeetError> {
+        let stream = timeout(DIAL_TIMEOUT, TcpStream::connect(member.peer))
+            .await
+            .map_err(|_| MeetError::Silent)??;
+        socket::prepare(&stream)?;
+        let hello = self.hello(member.name.clone());
+        handshake::greet(stream, &hello, || self.config()).await
+    }
+
+    /// Runs one link until it ends.
+    async fn serve(&self, met: Met, dialer: HostKey, receive: Arc<dyn Receive>) {
+        let Met {
+            peer,
+            hello,
+            reader,
+            writer,
+        } = met;
+        let Some(opened) = self.table().open(peer, dialer, clock::now()) else {
+            return;
+        };
+        log::info!(
+            "E0400 peer-linked host={} incarnation={}",
+            hello.name,
+            hello.incarnation
+        );
+        receive.receive(peer, PeerMessage::Hello(hello.clone()));
+        let stop = opened.stop.clone();
+        let error = tokio::select! {
+            error = self.read_all(peer, reader, &receive) => error,
+            error = write_all(writer, &opened) => error,
+            () = drained(&stop) => None,
+        };
+        if self.table().close(peer, opened.serial) {
+            let why = error.unwrap_or_else(|| "closed".into());
+            log::info!("E0401 peer-unlinked host={} why={why:?}", hello.name);
+        }
+    }
+
+    async fn read_all(
+        &self,
+        peer: HostKey,
+        mut reader: Reader,
+        receive: &Arc<dyn Receive>,
+    ) -> Option<String> {
+        while let Some(frame) = reader.next().await {
+            let frame = match frame {
+                Ok(frame) => frame.freeze(),
+                Err(e) => {
+                    let error = MeetError::Io(e);
+                    self.report("", &error);
+                    return Some(error.to_string());
+                }
+            };
+            counters::received(frame.len() + super::outbox::LENGTH_FIELD);
+            match PeerMessage::decode(frame) {
+                Ok(message) => receive.receive(peer, message),
+                Err(e) => {
+                    let error = MeetError::Protocol(e);
+                    self.report("", &error);
+                    return Some(error.to_string());
+                }
+            }
+        }
+        None
+    }
+
+    fn report(&self, host: &str, error: &MeetError) {
+        counters::refused(error.label());
+        if self.throttle.allows() {
+            log::warn!(
+                "E0402 peer-refused host={host} why={} error={error:?}",
+                error.label()
+            );
+        }
+    }
+
+    fn hello(&self, to: String) -> Hello {
+        let identity = self.identity();
+        let config = self.config();
+        Hello {
+            name: identity.name,
+            incarnation: identity.incarnation,
+            to,
+            revision: config.revision,
+            offset: config.offset,
+        }
+    }
+
+    fn config(&self) -> Arc<Config> {
+        Arc::clone(&self.config.borrow())
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        lock(&self.table)
+    }
+}
+
+async fn write_all(mut writer: OwnedWriteHalf, opened: &Opened) -> Option<String> {
+    let mut buffer = BytesMut::new();
+    loop {
+        tokio::select! {
+            biased;
+            () = opened.stop.cancelled() => break,
+            () = opened.outbox.batch(&mut buffer) => {}
+        }
+        if let Err(e) = writer.write_all(&buffer).await {
+            return Some(e.to_string());
+        }
+        buffer.clear();
+    }
+    // The peer reads to the end of what was sent; so does this host meanwhile.
+    let _ = writer.shutdown().await;
+    std::future::pending().await
+}
+
+async fn drained(stop: &CancellationToken) {
+    stop.cancelled().await;
+    tokio::time::sleep(DRAIN).await;
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/components/transport/tests/peer_links.rs
@@ -0,0 +1,269 @@
+//! Links between entry hosts, and peers that are refused.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use coordination::members::{Beat, MemberMessage};
+use protocol::PeerMessage;
+use protocol::peer::{ConfigOffer, Hello, RefusedReason};
+use rstest::rstest;
+use state::config::Member;
+use state::{Config, HostKey};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use transport::peers::{FULL_SET, Identity, Links, Receive};
+
+#[derive(Default)]
+struct Inbox(Mutex<Vec<(HostKey, PeerMessage)>>);
+
+impl Receive for Inbox {
+    fn receive(&self, from: HostKey, message: PeerMessage) {
+        self.0.lock().unwrap().push((from, message));
+    }
+}
+
+struct Host {
+    links: Arc<Links>,
+    inbox: Arc<Inbox>,
+    address: SocketAddr,
+    _config: watch::Sender<Arc<Config>>,
+}
+
+impl Host {
+    async fn has(&self, wanted: impl Fn(&PeerMessage) -> bool) {
+        until(|| self.inbox.0.lock().unwrap().iter().any(|(_, m)| wanted(m))).await;
+    }
+}
+
+async fn until(holds: impl Fn() -> bool) {
+    for _ in 0..1_500 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the condition did not come to hold in 15 s");
+}
+
+fn name(index: usize) -> String {
+    format!("entry-{index}")
+}
+
+/// Starts `count` hosts that are members together, with `absent` more that are not running.
+async fn hosts(count: usize, absent: usize) -> Vec<Host> {
+    let mut listeners = Vec::new();
+    for _ in 0..count + absent {
+        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+    }
+    let mut config = Config {
+        revision: 1,
+        offset: 9,
+        ..Config::default()
+    };
+    for (index, listener) in listeners.iter().enumerate() {
+        config
+            .members
+            .insert(HostKey::named(&name(index)), member(index, listener));
+    }
+    listeners.truncate(count);
+    let started = listeners.into_iter().enumerate();
+    started
+        .map(|(index, listener)| start(&name(index), 1, listener, config.clone()))
+        .collect()
+}
+
+fn member(index: usize, listener: &TcpListener) -> Member {
+    Member {
+        name: name(index),
+        incarnation: 1,
+        peer: listener.local_addr().unwrap(),
+        data_centre: "trent".into(),
+        joined: 1,
+    }
+}
+
+fn start(name: &str, incarnation: u64, listener: TcpListener, config: Config) -> Host {
+    let identity = Identity {
+        name: name.into(),
+        incarnation,
+        data_centre: "trent".into(),
+    };
+    let address = listener.local_addr().unwrap();
+    let (sender, receiver) = watch::channel(Arc::new(config));
+    let links = Links::new(identity, receiver);
+    let inbox = Arc::new(Inbox::default());
+    links.run(listener, Arc::clone(&inbox) as Arc<dyn Receive>);
+    Host {
+        links,
+        inbox,
+        address,
+        _config: sender,
+    }
+}
+
+fn beat(sequence: u64) -> PeerMessage {
+    let beat = Beat {
+        incarnation: 1,
+        sequence,
+        epoch: 0,
+        offset: 9,
+        asks: false,
+    };
+    PeerMessage::Member(MemberMessage::Beat(beat))
+}
+
+fn framed(body: &[u8]) -> Vec<u8> {
+    let mut frame = (body.len() as u32).to_be_bytes().to_vec();
+    frame.extend_from_slice(body);
+    frame
+}
+
+fn hello(name: &str, to: &str) -> PeerMessage {
+    PeerMessage::Hello(Hello {
+        name: name.into(),
+        incarnation: 1,
+        to: to.into(),
+        revision: 1,
+        offset: 9,
+    })
+}
+
+/// Reads one message from a raw connection; none when it is closed first.
+async fn read(stream: &mut TcpStream) -> Option<PeerMessage> {
+    let length = stream.read_u32().await.ok()?;
+    let mut body = vec![0; length as usize];
+    stream.read_exact(&mut body).await.ok()?;
+    PeerMessage::decode(body.into()).ok()
+}
+
+#[tokio::test]
+async fn full_set() {
+    let hosts = hosts(4, 0).await;
+    for host in &hosts {
+        until(|| host.links.linked() == 3).await;
+    }
+    assert!(hosts[0].links.send(hosts[3].links.me(), &beat(5)));
+    hosts[3].has(|m| *m == beat(5)).await;
+}
+
+// At letter 1's size nobody keeps a link to all the others: the first message
+// makes one. Both ends send at once, so two links are dialled; if each end kept
+// its own and dropped the other's, all messages would be lost for good.
+#[tokio::test]
+async fn double_dial() {
+    let hosts = hosts(2, FULL_SET).await;
+    let (a, b) = (&hosts[0], &hosts[1]);
+    assert_eq!(a.links.linked(), 0);
+    for sequence in 0..50 {
+        a.links.send(b.links.me(), &beat(sequence));
+        b.links.send(a.links.me(), &beat(sequence));
+        tokio::task::yield_now().await;
+    }
+    until(|| a.links.is_linked(b.links.me()) && b.links.is_linked(a.links.me())).await;
+    until(|| {
+        a.links.send(b.links.me(), &beat(99));
+        b.links.send(a.links.me(), &beat(99));
+        [a, b].iter().all(|h| {
+            h.inbox
+                .0
+                .lock()
+                .unwrap()
+                .iter()
+                .any(|(_, m)| *m == beat(99))
+        })
+    })
+    .await;
+}
+
+// A host that is paused for long is removed; resumed, it still believes itself
+// a member. It must reach nobody, and is told so, with the revision that it lacks.
+#[tokio::test]
+async fn no_member() {
+    let hosts = hosts(1, 0).await;
+    let mut stream = TcpStream::connect(hosts[0].address).await.unwrap();
+    stream
+        .write_all(&framed(&hello("removed", &name(0)).encode()))
+        .await
+        .unwrap();
+    let Some(PeerMessage::Refused(refused)) = read(&mut stream).await else {
+        panic!("no refusal came");
+    };
+    assert_eq!(refused.reason, RefusedReason::NoMember);
+    assert_eq!(refused.offset, 9);
+    assert_eq!(read(&mut stream).await, None);
+    assert!(hosts[0].inbox.0.lock().unwrap().is_empty());
+}
+
+// Something that is no entry host, or one of another release, writes to the
+// peer port. The link ends, and the members' links go on as if nothing happened.
+#[rstest]
+#[case::garbage(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n".to_vec())]
+#[case::oversized(vec![0x7f, 0xff, 0xff, 0xff, 1, 2, 3])]
+#[case::no_hello(framed(&beat(1).encode()))]
+#[case::version(framed(&[8, 9, 18, 0]))]
+#[case::damaged(framed(&[255; 40]))]
+#[tokio::test]
+async fn bad_first_message(#[case] bytes: Vec<u8>) {
+    let hosts = hosts(2, 0).await;
+    let mut stream = TcpStream::connect(hosts[0].address).await.unwrap();
+    stream.write_all(&bytes).await.unwrap();
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest).await;
+    until(|| hosts[0].links.linked() == 1).await;
+    assert!(hosts[1].links.send(hosts[0].links.me(), &beat(7)));
+    hosts[0].has(|m| *m == beat(7)).await;
+}
+
+// A member's link is cut in the middle of a message, or a fault in its release
+// makes it send rubbish. Its link ends; it may dial again.
+#[rstest]
+#[case::cut(framed(&beat(1).encode())[..6].to_vec())]
+#[case::oversized(vec![0x10, 0, 0, 0])]
+#[case::damaged(framed(&[255; 40]))]
+#[tokio::test]
+async fn bad_member(#[case] bytes: Vec<u8>) {
+    let hosts = hosts(1, 1).await;
+    let mut stream = TcpStream::connect(hosts[0].address).await.unwrap();
+    stream
+        .write_all(&framed(&hello(&name(1), &name(0)).encode()))
+        .await
+        .unwrap();
+    assert!(matches!(
+        read(&mut stream).await,
+        Some(PeerMessage::Hello(_))
+    ));
+    until(|| hosts[0].links.linked() == 1).await;
+    stream.write_all(&bytes).await.unwrap();
+    stream.shutdown().await.unwrap();
+    until(|| hosts[0].links.linked() == 0).await;
+}
+
+// A peer stops reading: its process hangs, or its host is overloaded. What is
+// meant for it must not pile up in this host's memory.
+#[tokio::test]
+async fn stuck_reader() {
+    let hosts = hosts(1, 1).await;
+    let mut stream = TcpStream::connect(hosts[0].address).await.unwrap();
+    stream
+        .write_all(&framed(&hello(&name(1), &name(0)).encode()))
+        .await
+        .unwrap();
+    let to = HostKey::named(&name(1));
+    until(|| hosts[0].links.is_linked(to)).await;
+    let body = Bytes::from(vec![0; 400_000]);
+    let offer = PeerMessage::Config(ConfigOffer {
+        revision: 1,
+        offset: 9,
+        body,
+    });
+    let mut taken = 0;
+    while hosts[0].links.send(to, &offer) {
+        taken += 1;
+        assert!(taken < 200, "80 MB wait for a peer that reads nothing");
+        tokio::task::yield_now().await;
+    }
+    assert!(taken > 0);
+}
