stand_ins: history checks and a fault-injecting proxy

Cause: promises could only be looked at, not checked, and no network fault could be caused between two processes. A refusal 'not run' is false, too, where an earlier call of the same key had run: that is what the caller would conclude from it.

--- a/components/stand_ins/src/backend.rs
+++ b/components/stand_ins/src/backend.rs
@@ -150,6 +150,10 @@
         let now = transport::clock::now();
         if let Some(draining) = knobs.draining {
             self.bearing().drain(draining);
+            self.history.add(Event::Draining {
+                endpoint: self.address,
+                draining,
+            });
         }
         if knobs.turn_cold || knobs.restart {
             self.bearing().turn_cold(now);
--- a/components/stand_ins/src/history.rs
+++ b/components/stand_ins/src/history.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+pub mod check;
 pub mod event;
 
 pub use event::{Ending, Event, Order, Outcome, Record};
--- /dev/null
+++ b/components/stand_ins/src/history/check/answers.rs
@@ -0,0 +1,177 @@
+//! Checks of what callers were told.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Check, Fault, Limits};
+use crate::history::{Event, Outcome, Record};
+
+/// Every call is answered in time, and a whole answer is the call's own.
+pub(super) fn own_answer(records: &[Record], limits: &Limits) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut open = BTreeMap::new();
+    let fault = |at, seen| Fault {
+        check: Check::OwnAnswer,
+        at,
+        seen,
+    };
+    for record in records {
+        match &record.event {
+            Event::Sent {
+                call, deadline_ms, ..
+            } => {
+                open.insert(*call, record.at + deadline_ms * 1_000 + limits.answer_slack);
+            }
+            Event::Answered { call, outcome, own } => {
+                match open.remove(call) {
+                    None => faults.push(fault(record.at, format!("call {call} answered twice"))),
+                    Some(end) if record.at > end => {
+                        faults.push(fault(record.at, format!("call {call} answered too late")));
+                    }
+                    Some(_) => {}
+                }
+                if *outcome == Outcome::Complete && !own {
+                    let seen = format!("call {call} got a part, or another call's answer");
+                    faults.push(fault(record.at, seen));
+                }
+            }
+            _ => {}
+        }
+    }
+    let unanswered = open.keys().map(|call| format!("call {call} not answered"));
+    let last = records.last().map_or(0, |r| r.at);
+    faults.extend(unanswered.map(|seen| fault(last, seen)));
+    faults
+}
+
+/// A call refused as not run never reached the work, nor had any other call of its key.
+pub(super) fn not_run(records: &[Record]) -> Vec<Fault> {
+    let keys: BTreeMap<u64, &String> = records.iter().filter_map(key_of).collect();
+    let mut started_calls = BTreeSet::new();
+    let mut started_keys = BTreeSet::new();
+    let mut refused = BTreeMap::new();
+    let mut faults = Vec::new();
+    for record in records {
+        match &record.event {
+            Event::Received {
+                call,
+                key,
+                started: true,
+                ..
+            } => {
+                started_calls.insert(*call);
+                started_keys.extend(key.as_ref());
+            }
+            Event::Answered {
+                call,
+                outcome: Outcome::NotRun,
+                ..
+            } => {
+                refused.insert(*call, record.at);
+                let key = keys.get(call).filter(|key| started_keys.contains(*key));
+                if let Some(key) = key {
+                    faults.push(Fault {
+                        check: Check::NotRun,
+                        at: record.at,
+                        seen: format!("call {call} told not run, but its key {key} had run"),
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+    let lies = refused
+        .into_iter()
+        .filter(|(c, _)| started_calls.contains(c));
+    faults.extend(lies.map(|(call, at)| Fault {
+        check: Check::NotRun,
+        at,
+        seen: format!("call {call} told not run, but it was started"),
+    }));
+    faults
+}
+
+/// Non-idempotent calls are started once, and so are all calls of one key together.
+pub(super) fn at_most_once(records: &[Record]) -> Vec<Fault> {
+    let mut once = BTreeSet::new();
+    let mut started_calls = BTreeSet::new();
+    let mut started_keys = BTreeSet::new();
+    let mut faults = Vec::new();
+    for record in records {
+        let twice = match &record.event {
+            Event::Sent {
+                call,
+                idempotent: false,
+                ..
+            } => {
+                once.insert(*call);
+                None
+            }
+            Event::Received {
+                call,
+                key,
+                started: true,
+                ..
+            } => {
+                let first = started_calls.insert(*call) || !once.contains(call);
+                let first_key = key.as_ref().is_none_or(|key| started_keys.insert(key));
+                match (first, first_key) {
+                    (false, _) => Some(format!("call {call} started twice")),
+                    (_, false) => Some(format!("call {call}: key {key:?} started twice")),
+                    _ => None,
+                }
+            }
+            _ => None,
+        };
+        faults.extend(twice.map(|seen| Fault {
+            check: Check::AtMostOnce,
+            at: record.at,
+            seen,
+        }));
+    }
+    faults
+}
+
+/// No call breaks at an entry host between its order to stop and its next start.
+pub(super) fn shutdown(records: &[Record]) -> Vec<Fault> {
+    let mut sent_to = BTreeMap::new();
+    let mut stopping = BTreeSet::new();
+    let mut faults = Vec::new();
+    for record in records {
+        match &record.event {
+            Event::Sent { call, host, .. } => {
+                sent_to.insert(*call, host);
+            }
+            Event::Stopping { host } => {
+                stopping.insert(host);
+            }
+            Event::Up { host } => {
+                stopping.remove(host);
+            }
+            Event::Answered {
+                call,
+                outcome: Outcome::Broken,
+                ..
+            } => {
+                let host = sent_to.get(call).filter(|host| stopping.contains(*host));
+                faults.extend(host.map(|host| Fault {
+                    check: Check::Shutdown,
+                    at: record.at,
+                    seen: format!("call {call} was cut off by {host}, which shut down"),
+                }));
+            }
+            _ => {}
+        }
+    }
+    faults
+}
+
+fn key_of(record: &Record) -> Option<(u64, &String)> {
+    match &record.event {
+        Event::Sent {
+            call,
+            key: Some(key),
+            ..
+        } => Some((*call, key)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/components/stand_ins/src/history/check/config.rs
@@ -0,0 +1,54 @@
+//! Checks of the configuration that entry hosts act on.
+
+use std::collections::BTreeMap;
+
+use super::{Check, Fault, Limits};
+use crate::history::{Event, Record};
+
+/// A change is in force everywhere in time, is the same everywhere, and never reverts.
+pub(super) fn configuration(records: &[Record], limits: &Limits) -> Vec<Fault> {
+    let mut accepted: Vec<(u64, u64)> = Vec::new();
+    let mut up: BTreeMap<&String, u64> = BTreeMap::new();
+    let mut shown: BTreeMap<&String, u64> = BTreeMap::new();
+    let mut presets = BTreeMap::new();
+    let mut faults = Vec::new();
+    for record in records {
+        let (host, revision, preset) = match &record.event {
+            Event::Ordered { revision, .. } => {
+                accepted.push((record.at, *revision));
+                continue;
+            }
+            Event::Up { host } => {
+                up.insert(host, record.at);
+                continue;
+            }
+            Event::Seen {
+                host,
+                revision,
+                preset,
+            } => (host, *revision, preset),
+            _ => continue,
+        };
+        let mut fault = |seen| {
+            faults.push(Fault {
+                check: Check::Configuration,
+                at: record.at,
+                seen,
+            });
+        };
+        let before = shown.insert(host, revision).unwrap_or(0);
+        if revision < before {
+            fault(format!("{host} went from revision {before} to {revision}"));
+        }
+        if presets.entry(revision).or_insert(preset) != &preset {
+            fault(format!("{host} has {preset:?} in force at {revision}"));
+        }
+        let since = up.get(host).copied().unwrap_or(0);
+        let due = |at: u64| at.max(since) + limits.in_force < record.at;
+        let missing = accepted.iter().find(|(at, r)| *r > revision && due(*at));
+        if let Some((_, missing)) = missing {
+            fault(format!("{host} is at {revision}, {missing} was accepted"));
+        }
+    }
+    faults
+}
--- a/components/stand_ins/src/history/event.rs
+++ b/components/stand_ins/src/history/event.rs
@@ -90,6 +90,13 @@
         /// The backend server.
         endpoint: SocketAddr,
     },
+    /// A backend server began to drain, or ended it.
+    Draining {
+        /// The backend server.
+        endpoint: SocketAddr,
+        /// Whether it drains.
+        draining: bool,
+    },
     /// An operator's command was accepted.
     Ordered {
         /// The command.
--- a/components/stand_ins/src/lib.rs
+++ b/components/stand_ins/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod backend;
 pub mod history;
+pub mod proxy;
--- /dev/null
+++ b/components/stand_ins/src/proxy.rs
@@ -0,0 +1,191 @@
+//! A TCP proxy that causes the faults of a network.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use derives::tag;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+const PIECE: usize = 16 * 1024;
+
+/// What the proxy does to the bytes that pass.
+#[tag]
+#[derive(Default)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    Pass,
+    /// Holds each piece back for so long, both ways.
+    Delay(Duration),
+    /// Reads what the one who connected sends, and forwards none of it.
+    LoseRequests,
+    /// Reads what the target sends, and forwards none of it.
+    LoseAnswers,
+    /// Closes all connections, and each new one at once.
+    Cut,
+    /// Forwards so many more bytes of each connection's answers, then closes it.
+    CutAnswers(u64),
+}
+
+/// A running proxy. Dropping it closes its listener and all connections.
+pub struct Proxy {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    accepting: JoinHandle<()>,
+}
+
+struct Shared {
+    target: SocketAddr,
+    fault: watch::Sender<Fault>,
+    opened: AtomicU64,
+    /// Connections with a lower number are silent for good.
+    silent_below: watch::Sender<u64>,
+}
+
+#[tag]
+enum Way {
+    Request,
+    Answer,
+}
+
+impl Proxy {
+    /// Starts a proxy towards `target` on a free port of the same IP number.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no port can be listened on.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    pub fn start(target: SocketAddr) -> io::Result<Proxy> {
+        let listener = TcpListener::bind((target.ip(), 0))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let shared = Arc::new(Shared {
+            target,
+            fault: watch::Sender::default(),
+            opened: AtomicU64::default(),
+            silent_below: watch::Sender::default(),
+        });
+        let accepting = tokio::spawn(accept(listener, Arc::clone(&shared)));
+        Ok(Proxy {
+            address,
+            shared,
+            accepting,
+        })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Does `fault` from now on, to open connections too.
+    pub fn set(&self, fault: Fault) {
+        self.shared.fault.send_replace(fault);
+    }
+
+    /// Makes all connections open now silent for good; new ones work.
+    ///
+    /// This is what a middle box does that has lost track of its connections.
+    pub fn silence(&self) {
+        let next = self.shared.opened.load(Ordering::SeqCst);
+        self.shared.silent_below.send_replace(next);
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.accepting.abort();
+        self.set(Fault::Cut);
+    }
+}
+
+async fn accept(listener: tokio::net::TcpListener, shared: Arc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let number = shared.opened.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(connection(stream, number, Arc::clone(&shared)));
+            }
+            Err(error) => {
+                log::warn!(
+                    "E0911 proxy-accept-failed target={} error={error}",
+                    shared.target
+                );
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn connection(near: TcpStream, number: u64, shared: Arc<Shared>) {
+    if *shared.fault.borrow() == Fault::Cut {
+        return;
+    }
+    let Ok(far) = TcpStream::connect(shared.target).await else {
+        return;
+    };
+    // Without it the kernel would add delays of its own.
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let mut fault = shared.fault.subscribe();
+    let requests = pump(near_read, far_write, Way::Request, number, &shared);
+    let answers = pump(far_read, near_write, Way::Answer, number, &shared);
+    tokio::select! {
+        // One side's closing closes both, as if there were no proxy: HTTP/1 has no half-closed use here.
+        _ = requests => {}
+        _ = answers => {}
+        _ = fault.wait_for(|f| *f == Fault::Cut) => {}
+    }
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    way: Way,
+    number: u64,
+    shared: &Shared,
+) -> io::Result<()> {
+    let mut buffer = vec![0; PIECE];
+    let mut passed = 0;
+    loop {
+        let read = from.read(&mut buffer).await?;
+        let silent = number < *shared.silent_below.borrow();
+        if silent {
+            // Not even the closing may be seen at the other end.
+            return std::future::pending().await;
+        }
+        if read == 0 {
+            return Ok(());
+        }
+        let fault = *shared.fault.borrow();
+        match (fault, way) {
+            (Fault::LoseRequests, Way::Request) | (Fault::LoseAnswers, Way::Answer) => continue,
+            (Fault::Delay(delay), _) => tokio::time::sleep(delay).await,
+            (Fault::CutAnswers(limit), Way::Answer) => {
+                let room = usize::try_from(limit.saturating_sub(passed)).unwrap_or(usize::MAX);
+                let part = read.min(room);
+                to.write_all(&buffer[..part]).await?;
+                passed += part as u64;
+                if part < read {
+                    return to.shutdown().await;
+                }
+                continue;
+            }
+            _ => {}
+        }
+        to.write_all(&buffer[..read]).await?;
+    }
+}
