--- /dev/null
+++ b/components/coordination/src/config/check.rs
@@ -0,0 +1,282 @@
+//! Checks a preset's text whole, so that an operator mends all faults at once.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::SocketAddr;
+
+use derives::value;
+use state::{DataCentreKey, EndpointKey, Preset, ServiceKey};
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use super::schema::{PRESET, check_table};
+
+/// The largest text of a preset, in bytes: ten times letter-sized presets, and
+/// small enough for one record of the log.
+pub const TEXT_LIMIT: usize = 1024 * 1024;
+
+/// One fault of a preset's text.
+#[value]
+pub struct Fault {
+    /// The line it stands in, counted from one.
+    pub line: usize,
+    /// What is wrong and what would mend it.
+    pub message: String,
+}
+
+/// All faults of a preset's text, in the order of their lines.
+#[value]
+#[derive(Default)]
+pub struct Faults(pub Vec<Fault>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.0.iter().map(Fault::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: {}", self.line, self.message)
+    }
+}
+
+impl std::error::Error for Faults {}
+
+/// Reads a preset from its TOML text.
+///
+/// # Errors
+///
+/// Returns every fault with its line; nothing is taken then.
+pub fn parse_preset(text: &str) -> Result<Preset, Faults> {
+    let mut report = Report::new(text);
+    if text.len() > TEXT_LIMIT {
+        report.at(0, format!("the text is over {TEXT_LIMIT} bytes"));
+        return Err(report.finish());
+    }
+    let (root, errors) = DeTable::parse_recoverable(text);
+    for error in &errors {
+        let start = error.span().map_or(0, |s| s.start);
+        report.at(start, error.message().to_owned());
+    }
+    check_table(root.get_ref(), PRESET, 0, &mut report);
+    check_meaning(root.get_ref(), &mut report);
+    if !report.faults.is_empty() {
+        return Err(report.finish());
+    }
+    toml::from_str(text).map_err(|error| {
+        let start = error.span().map_or(0, |s| s.start);
+        report.at(start, error.message().to_owned());
+        report.finish()
+    })
+}
+
+/// Collects faults by the place in the text.
+pub(super) struct Report<'a> {
+    text: &'a str,
+    faults: Vec<Fault>,
+}
+
+impl Report<'_> {
+    fn new(text: &str) -> Report<'_> {
+        Report {
+            text,
+            faults: Vec::new(),
+        }
+    }
+
+    pub(super) fn at(&mut self, start: usize, message: String) {
+        let before = &self.text.as_bytes()[..start.min(self.text.len())];
+        let line = 1 + before.iter().filter(|b| **b == b'\n').count();
+        self.faults.push(Fault { line, message });
+    }
+
+    fn finish(&mut self) -> Faults {
+        self.faults.sort_by_key(|f| f.line);
+        Faults(std::mem::take(&mut self.faults))
+    }
+}
+
+/// A text found in the tree, and where.
+#[derive(Clone, Copy)]
+struct Found<'a> {
+    text: &'a str,
+    start: usize,
+}
+
+fn check_meaning(root: &DeTable, report: &mut Report) {
+    let mut centres = Names::new("data centre", |n| DataCentreKey::named(n).0);
+    for centre in tables(root, "data-centre") {
+        if let Some(name) = text(centre, "name") {
+            centres.add(name, report);
+        }
+    }
+    let mut services = Names::new("service", |n| ServiceKey::named(n).0);
+    let mut endpoints = Endpoints::default();
+    for service in tables(root, "service") {
+        let name = text(service, "name");
+        if let Some(name) = name {
+            services.add(name, report);
+            check_service_name(name, report);
+        }
+        check_limits(service, report);
+        for endpoint in tables(service, "endpoints") {
+            endpoints.add(name.map_or("", |n| n.text), endpoint, report);
+            check_centre(endpoint, &centres, report);
+        }
+    }
+}
+
+/// Refuses an endpoint in a data centre that the preset doesn't name: it would
+/// stay in use when its data centre leaves.
+fn check_centre(endpoint: &DeTable, centres: &Names, report: &mut Report) {
+    match text(endpoint, "data-centre") {
+        Some(centre) if !centres.seen.contains(centre.text) => report.at(
+            centre.start,
+            format!(
+                "no [[data-centre]] is named \"{}\": add it or mend the name",
+                centre.text
+            ),
+        ),
+        _ => {}
+    }
+}
+
+/// Refuses names that can't be the first part of a call's path.
+fn check_service_name(name: Found, report: &mut Report) {
+    let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    let plain = matches!(name.text, "-" | "." | "..");
+    if plain || !name.text.chars().all(fits) {
+        let message = format!(
+            "service name \"{}\" can't stand in a path: use letters, digits, '-', '_' and '.'",
+            name.text
+        );
+        report.at(name.start, message);
+    }
+}
+
+/// Refuses limits that contradict each other.
+fn check_limits(service: &DeTable, report: &mut Report) {
+    let slots = number(service, "slots").map_or(6, |n| n.0);
+    let deadline = number(service, "deadline-ms").map_or(10_000, |n| n.0);
+    match number(service, "cold-slots") {
+        Some((cold, start)) if cold > slots => report.at(
+            start,
+            format!("cold-slots {cold} is over slots {slots}: a cold endpoint bears less"),
+        ),
+        _ => {}
+    }
+    match number(service, "connections") {
+        Some((connections, start)) if connections < slots => report.at(
+            start,
+            format!("connections {connections} is under slots {slots}: each call needs one"),
+        ),
+        _ => {}
+    }
+    match number(service, "key-seconds") {
+        Some((seconds, start)) if seconds.saturating_mul(1_000) < deadline => report.at(
+            start,
+            format!(
+                "key-seconds {seconds} is shorter than deadline-ms {deadline}: \
+                 a key would be forgotten while its call runs"
+            ),
+        ),
+        _ => {}
+    }
+}
+
+/// Finds names that stand twice, or two names with one key.
+struct Names {
+    what: &'static str,
+    key: fn(&str) -> u64,
+    seen: BTreeSet<String>,
+    keys: BTreeMap<u64, String>,
+}
+
+impl Names {
+    fn new(what: &'static str, key: fn(&str) -> u64) -> Names {
+        Names {
+            what,
+            key,
+            seen: BTreeSet::new(),
+            keys: BTreeMap::new(),
+        }
+    }
+
+    fn add(&mut self, name: Found, report: &mut Report) {
+        let what = self.what;
+        if !self.seen.insert(name.text.to_owned()) {
+            let message = format!("{what} \"{}\" stands twice", name.text);
+            report.at(name.start, message);
+            return;
+        }
+        let key = (self.key)(name.text);
+        if let Some(other) = self.keys.insert(key, name.text.to_owned()) {
+            let message = format!(
+                "{what} \"{}\" has the key of \"{other}\": rename one",
+                name.text
+            );
+            report.at(name.start, message);
+        }
+    }
+}
+
+/// Finds addresses that stand twice.
+///
+/// One backend server in two services would be given the slots of both, which
+/// is more than it can bear.
+#[derive(Default)]
+struct Endpoints {
+    addresses: BTreeMap<SocketAddr, String>,
+    keys: BTreeMap<EndpointKey, SocketAddr>,
+}
+
+impl Endpoints {
+    fn add(&mut self, service: &str, endpoint: &DeTable, report: &mut Report) {
+        let Some(found) = text(endpoint, "address") else {
+            return;
+        };
+        let Ok(address) = found.text.parse::<SocketAddr>() else {
+            return;
+        };
+        if let Some(other) = self.addresses.insert(address, service.to_owned()) {
+            let message = format!(
+                "address {address} stands twice, first in service \"{other}\": \
+                 its slots would be counted twice"
+            );
+            report.at(found.start, message);
+            return;
+        }
+        let key = EndpointKey::of(service, address);
+        if let Some(other) = self.keys.insert(key, address) {
+            let message = format!("address {address} has the key of {other}: change one");
+            report.at(found.start, message);
+        }
+    }
+}
+
+fn tables<'a>(table: &'a DeTable<'a>, key: &str) -> impl Iterator<Item = &'a DeTable<'a>> {
+    let array = table.get(key).and_then(|v| v.get_ref().as_array());
+    let items = array.map(|a| a.iter()).into_iter().flatten();
+    items.filter_map(|v| v.get_ref().as_table())
+}
+
+fn text<'a>(table: &'a DeTable<'a>, key: &str) -> Option<Found<'a>> {
+    let value = table.get(key)?;
+    Some(Found {
+        text: value.get_ref().as_str()?,
+        start: value.span().start,
+    })
+}
+
+fn number(table: &DeTable, key: &str) -> Option<(u64, usize)> {
+    let value = table.get(key)?;
+    Some((whole(value)?, value.span().start))
+}
+
+/// Returns a whole number that is not negative.
+pub(super) fn whole(value: &Spanned<DeValue>) -> Option<u64> {
+    let integer = value.get_ref().as_integer()?;
+    u64::from_str_radix(integer.as_str(), integer.radix()).ok()
+}
--- /dev/null
+++ b/components/coordination/src/config/decide.rs
@@ -0,0 +1,202 @@
+//! Decides one command against the configuration. Made for operators who race.
+//!
+//! Two commands conflict only where one's author would have decided otherwise
+//! had they seen the other: over the same subject, and where a change of a
+//! preset's text meets its coming into force. A choice of preset does not
+//! conflict with a host's joining, or a busy site would refuse its operators.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use state::config::Member;
+use state::{Config, HostKey, Preset};
+
+use super::check::parse_preset;
+use super::command::{Change, Refusal, Subject};
+
+/// What a command comes to.
+pub(super) enum Decision {
+    /// It changes this subject: the configuration has been altered.
+    Changed(Subject),
+    /// What it asks for is so already, since this revision.
+    Already(u64),
+}
+
+/// The revision at which each subject was last changed.
+pub(super) struct Touched<'a> {
+    pub revisions: &'a BTreeMap<Subject, u64>,
+    /// Nothing that is not listed was changed after this revision.
+    pub floor: u64,
+    /// The revision the author looked at.
+    pub decided_on: u64,
+}
+
+impl Touched<'_> {
+    fn since(&self, subject: &Subject) -> u64 {
+        self.revisions.get(subject).copied().unwrap_or(self.floor)
+    }
+
+    fn check(&self, subject: Subject) -> Result<(), Refusal> {
+        match self.since(&subject) {
+            revision if revision > self.decided_on => Err(Refusal::Conflict { subject, revision }),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Decides `change` and makes it in `config`, but for the revision.
+pub(super) fn decide(
+    config: &mut Config,
+    touched: &Touched,
+    change: &Change,
+) -> Result<Decision, Refusal> {
+    match change {
+        Change::PutPreset { text } => put(config, touched, text),
+        Change::ChoosePreset { name } => choose(config, touched, name),
+        Change::LeaveCentre { name } => centre(config, touched, name, true),
+        Change::ReturnCentre { name } => centre(config, touched, name, false),
+        Change::LeaveHost { name } => host(config, touched, name, true),
+        Change::ReturnHost { name } => host(config, touched, name, false),
+        Change::Join {
+            name,
+            incarnation,
+            peer,
+            data_centre,
+        } => {
+            let member = Member {
+                name: name.clone(),
+                incarnation: *incarnation,
+                peer: *peer,
+                data_centre: data_centre.clone(),
+                joined: config.revision + 1,
+            };
+            join(config, touched, member)
+        }
+        Change::Remove { host, incarnation } => remove(config, touched, *host, *incarnation),
+    }
+}
+
+fn put(config: &mut Config, touched: &Touched, text: &str) -> Result<Decision, Refusal> {
+    let preset = parse_preset(text).map_err(|faults| Refusal::Faulty(faults.to_string()))?;
+    let subject = Subject::Preset(preset.name.clone());
+    if config.presets.get(&preset.name) == Some(&preset) {
+        return Ok(Decision::Already(touched.since(&subject)));
+    }
+    touched.check(subject.clone())?;
+    // The author changed a preset that was not in force then. Without this
+    // check the change would reach callers at once, which nobody decided.
+    if config.chosen.as_ref() == Some(&preset.name) {
+        touched.check(Subject::Choice)?;
+    }
+    config.presets.insert(preset.name.clone(), preset);
+    Ok(Decision::Changed(subject))
+}
+
+fn choose(config: &mut Config, touched: &Touched, name: &str) -> Result<Decision, Refusal> {
+    if config.chosen.as_deref() == Some(name) {
+        return Ok(Decision::Already(touched.since(&Subject::Choice)));
+    }
+    if !config.presets.contains_key(name) {
+        return Err(Refusal::UnknownPreset(name.to_owned()));
+    }
+    touched.check(Subject::Choice)?;
+    touched.check(Subject::Preset(name.to_owned()))?;
+    config.chosen = Some(name.to_owned());
+    Ok(Decision::Changed(Subject::Choice))
+}
+
+fn centre(
+    config: &mut Config,
+    touched: &Touched,
+    name: &str,
+    leave: bool,
+) -> Result<Decision, Refusal> {
+    let subject = Subject::Centre(name.to_owned());
+    let leaving = config.leaving_centres.contains(name);
+    if !leaving && !names_centre(config, name) {
+        return Err(Refusal::UnknownCentre(name.to_owned()));
+    }
+    if leaving == leave {
+        return Ok(Decision::Already(touched.since(&subject)));
+    }
+    touched.check(subject.clone())?;
+    mark(&mut config.leaving_centres, name, leave);
+    Ok(Decision::Changed(subject))
+}
+
+fn host(
+    config: &mut Config,
+    touched: &Touched,
+    name: &str,
+    leave: bool,
+) -> Result<Decision, Refusal> {
+    let subject = Subject::Host(name.to_owned());
+    let leaving = config.leaving_hosts.contains(name);
+    if !leaving && !names_host(config, name) {
+        return Err(Refusal::UnknownHost(name.to_owned()));
+    }
+    if leaving == leave {
+        return Ok(Decision::Already(touched.since(&subject)));
+    }
+    touched.check(subject.clone())?;
+    mark(&mut config.leaving_hosts, name, leave);
+    Ok(Decision::Changed(subject))
+}
+
+/// Decides a join. A process that was removed while paused would otherwise
+/// come back by a join that was on its way: it must have seen the removal.
+fn join(config: &mut Config, touched: &Touched, member: Member) -> Result<Decision, Refusal> {
+    let key = HostKey::named(&member.name);
+    let subject = Subject::Member(key);
+    match config.members.get(&key) {
+        Some(present) if present.name != member.name => {
+            return Err(Refusal::SameKey(member.name));
+        }
+        Some(present) if present.incarnation == member.incarnation => {
+            return Ok(Decision::Already(present.joined));
+        }
+        _ => touched.check(subject.clone())?,
+    }
+    config.members.insert(key, member);
+    Ok(Decision::Changed(subject))
+}
+
+/// Decides a removal. It names the process, so that a host that has been
+/// started anew since is not removed for its forerunner's silence.
+fn remove(
+    config: &mut Config,
+    touched: &Touched,
+    host: HostKey,
+    incarnation: u64,
+) -> Result<Decision, Refusal> {
+    let subject = Subject::Member(host);
+    match config.members.get(&host) {
+        Some(member) if member.incarnation == incarnation => touched.check(subject.clone())?,
+        _ => return Err(Refusal::UnknownMember),
+    }
+    config.members.remove(&host);
+    Ok(Decision::Changed(subject))
+}
+
+fn mark(set: &mut BTreeSet<String>, name: &str, leave: bool) {
+    match leave {
+        true => set.insert(name.to_owned()),
+        false => set.remove(name),
+    };
+}
+
+fn names_centre(config: &Config, name: &str) -> bool {
+    let named = |preset: &Preset| preset.data_centres.iter().any(|c| c.name == name);
+    config.presets.values().any(named)
+}
+
+fn names_host(config: &Config, name: &str) -> bool {
+    let on_host = |address: std::net::SocketAddr| {
+        address.to_string() == name || address.ip().to_string() == name
+    };
+    let mut endpoints = config
+        .presets
+        .values()
+        .flat_map(|p| &p.services)
+        .flat_map(|s| &s.endpoints);
+    config.members.values().any(|m| m.name == name) || endpoints.any(|e| on_host(e.address))
+}
--- /dev/null
+++ b/components/coordination/src/config/fold.rs
@@ -0,0 +1,279 @@
+//! Folds the records of the `config` stream, in offset order.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use derives::value;
+use state::Config;
+
+use super::command::{Answer, Command, CommandId, Refusal, Subject};
+use super::decide::{Decision, Touched, decide};
+use super::snapshot::{Floor, Mark, Recent, Snapshot, newer};
+
+/// Commands whose ids and answers are kept.
+///
+/// A repeat comes within seconds of the first, so that a few hundred would do;
+/// but a region that comes back brings some three hundred joins at once, and a
+/// command decided on before them must not be too old.
+pub const WINDOW: usize = 1_024;
+
+/// One record of the stream, decoded.
+#[value]
+pub enum Record {
+    /// A command of an operator or an entry host.
+    Command(Command),
+    /// The state folded so far, for those who can't read so far back any more.
+    Snapshot(Box<Snapshot>),
+}
+
+/// Why a record can't be read.
+#[value]
+#[derive(thiserror::Error)]
+pub enum Unreadable {
+    /// Its bytes are not those that were written.
+    #[error("the record is damaged")]
+    Damaged,
+    /// It was written by a newer version of this program.
+    #[error("the record is of version {0}, newer than this program")]
+    Newer(u32),
+}
+
+/// What a record came to.
+#[value]
+pub enum Step {
+    /// A command was decided now.
+    Decided(CommandId, Answer),
+    /// A command was a repeat, and has the answer of the first.
+    Repeated(CommandId, Answer),
+    /// A snapshot was taken over; reading goes on at [`Fold::position`].
+    Took(Mark),
+    /// The record changes nothing here.
+    Passed,
+    /// The record was skipped.
+    Skipped(Unreadable),
+}
+
+/// The state folded from the stream so far.
+#[derive(Clone, Debug, Default)]
+pub struct Fold {
+    config: Arc<Config>,
+    next: u64,
+    recent: BTreeMap<u64, Recent>,
+    offsets: BTreeMap<CommandId, u64>,
+    touched: BTreeMap<Subject, u64>,
+    floor: Floor,
+    search: Option<Search>,
+    blind: Option<u64>,
+}
+
+/// Looks for a snapshot, since records that were not folded have fallen off.
+#[derive(Clone, Copy, Debug)]
+struct Search {
+    first: u64,
+    at: u64,
+}
+
+impl Fold {
+    /// Returns the configuration in force.
+    pub fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// Returns how far the fold has come.
+    pub fn mark(&self) -> Mark {
+        Mark {
+            next: self.next,
+            revision: self.config.revision,
+        }
+    }
+
+    /// Returns the offset to read from.
+    pub fn position(&self) -> u64 {
+        self.search.map_or(self.next, |s| s.at)
+    }
+
+    /// Returns whether records have fallen off that were never folded.
+    pub fn is_behind(&self) -> bool {
+        self.search.is_some()
+    }
+
+    /// Returns the offset of a record that was skipped since only a newer version reads it.
+    pub fn blind(&self) -> Option<u64> {
+        self.blind
+    }
+
+    /// Returns the answer to a command that has been folded lately.
+    pub fn answer(&self, id: CommandId) -> Option<&Answer> {
+        let offset = self.offsets.get(&id)?;
+        self.recent.get(offset).map(|r| &r.answer)
+    }
+
+    /// Tells the fold which record the log still has first.
+    ///
+    /// A host that was paused while its next record fell off would fold the
+    /// rest onto an old state and differ from all others. From now on it reads
+    /// nothing but snapshots, until one reaches into what the log still has.
+    pub fn retained_from(&mut self, first: u64) {
+        let lost = match self.search {
+            Some(search) => first > search.first,
+            None => first > self.next,
+        };
+        if lost {
+            let at = self.position().max(first);
+            self.search = Some(Search { first, at });
+        }
+    }
+
+    /// Folds the record at `offset`.
+    pub fn apply(&mut self, offset: u64, record: Result<Record, Unreadable>) -> Step {
+        if offset < self.position() {
+            return Step::Passed;
+        }
+        if offset > self.position() {
+            self.retained_from(offset);
+        }
+        if let Some(search) = &mut self.search {
+            search.at = offset + 1;
+            return self.apply_searching(record);
+        }
+        self.next = offset + 1;
+        match record {
+            Ok(Record::Command(command)) => self.command(offset, &command),
+            Ok(Record::Snapshot(snapshot)) if self.heals(&snapshot) => self.replace(*snapshot),
+            Ok(Record::Snapshot(_)) => Step::Passed,
+            Err(Unreadable::Newer(version)) => {
+                self.blind = Some(offset);
+                Step::Skipped(Unreadable::Newer(version))
+            }
+            Err(Unreadable::Damaged) => Step::Skipped(Unreadable::Damaged),
+        }
+    }
+
+    /// Takes a snapshot from a peer, where it is newer. Returns whether it was.
+    pub fn take(&mut self, snapshot: Snapshot) -> bool {
+        let wanted = newer(self.mark(), snapshot.mark()) || self.heals(&snapshot);
+        if wanted {
+            self.replace(snapshot);
+        }
+        wanted
+    }
+
+    /// Returns the whole state, unless a record was skipped that others can read.
+    ///
+    /// The snapshot of such a host would spread its gap to those that have none.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        self.blind.is_none().then(|| Snapshot {
+            next: self.next,
+            config: Config::clone(&self.config),
+            recent: self.recent.values().cloned().collect(),
+            touched: self.touched.iter().map(|(s, r)| (s.clone(), *r)).collect(),
+            floor: self.floor,
+        })
+    }
+
+    fn apply_searching(&mut self, record: Result<Record, Unreadable>) -> Step {
+        let first = self.search.map_or(0, |s| s.first);
+        match record {
+            Ok(Record::Snapshot(s)) if s.next >= first && newer(self.mark(), s.mark()) => {
+                self.replace(*s)
+            }
+            Ok(_) => Step::Passed,
+            Err(unreadable) => Step::Skipped(unreadable),
+        }
+    }
+
+    /// Returns whether a snapshot covers the record that was skipped, without
+    /// taking back what this host has shown.
+    fn heals(&self, snapshot: &Snapshot) -> bool {
+        match self.blind {
+            Some(skipped) => {
+                snapshot.next > skipped && snapshot.config.revision >= self.config.revision
+            }
+            None => false,
+        }
+    }
+
+    fn replace(&mut self, snapshot: Snapshot) -> Step {
+        let mark = snapshot.mark();
+        let recent = snapshot.recent.into_iter();
+        *self = Fold {
+            config: Arc::new(snapshot.config),
+            next: snapshot.next,
+            recent: recent.map(|r| (r.offset, r)).collect(),
+            offsets: BTreeMap::new(),
+            touched: snapshot.touched.into_iter().collect(),
+            floor: snapshot.floor,
+            search: None,
+            blind: None,
+        };
+        self.offsets = self.recent.iter().map(|(o, r)| (r.id, *o)).collect();
+        Step::Took(mark)
+    }
+
+    fn command(&mut self, offset: u64, command: &Command) -> Step {
+        let id = command.id;
+        if let Some(answer) = self.answer(id) {
+            return Step::Repeated(id, answer.clone());
+        }
+        let answer = match self.decided(offset, command) {
+            Ok(revision) => Answer::Accepted { revision },
+            Err(refusal) => Answer::Refused { refusal },
+        };
+        self.remember(offset, id, answer.clone());
+        Step::Decided(id, answer)
+    }
+
+    fn decided(&mut self, offset: u64, command: &Command) -> Result<u64, Refusal> {
+        let revision = self.config.revision;
+        match command {
+            c if c.id.seen() > offset => return Err(Refusal::Future(c.id.seen())),
+            c if c.decided_on > revision => return Err(Refusal::Future(c.decided_on)),
+            c if c.id.seen() < self.floor.offset => return Err(Refusal::TooOld),
+            c if c.decided_on < self.floor.revision => return Err(Refusal::TooOld),
+            _ => {}
+        }
+        let touched = Touched {
+            revisions: &self.touched,
+            floor: self.floor.revision,
+            decided_on: command.decided_on,
+        };
+        let config = Arc::make_mut(&mut self.config);
+        match decide(config, &touched, &command.change)? {
+            Decision::Already(since) => Ok(since),
+            Decision::Changed(subject) => {
+                config.revision = revision + 1;
+                config.offset = offset + 1;
+                self.touched.insert(subject, revision + 1);
+                Ok(revision + 1)
+            }
+        }
+    }
+
+    /// Keeps the answer, and forgets the oldest one over [`WINDOW`].
+    ///
+    /// Without a bound the state would grow with every command ever given.
+    /// What is forgotten raises the floor, so that a late repeat is refused
+    /// and never runs a second time.
+    fn remember(&mut self, offset: u64, id: CommandId, answer: Answer) {
+        let revision = self.config.revision;
+        let recent = Recent {
+            offset,
+            id,
+            revision,
+            answer,
+        };
+        self.offsets.insert(id, offset);
+        self.recent.insert(offset, recent);
+        if self.recent.len() <= WINDOW {
+            return;
+        }
+        if let Some((offset, oldest)) = self.recent.pop_first() {
+            self.offsets.remove(&oldest.id);
+            self.floor = Floor {
+                offset: offset + 1,
+                revision: oldest.revision,
+            };
+            self.touched.retain(|_, r| *r > oldest.revision);
+        }
+    }
+}
--- /dev/null
+++ b/components/coordination/src/config/schema.rs
@@ -0,0 +1,166 @@
+//! What may stand in a preset's text: keys, kinds and bounds.
+
+use std::net::SocketAddr;
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use super::check::{Report, whole};
+
+/// One key of a table.
+pub(super) struct Field {
+    key: &'static str,
+    kind: Kind,
+    required: bool,
+}
+
+/// What a key's value has to be.
+enum Kind {
+    /// A text that is not empty.
+    Text,
+    /// An IP number with a port.
+    Address,
+    /// A whole number within bounds.
+    Whole(u64, u64),
+    /// One table or more.
+    Tables(&'static [Field]),
+}
+
+const MILLION: u64 = 1_000_000;
+const DAY_SECONDS: u64 = 86_400;
+const GIB: u64 = 1 << 30;
+
+/// A preset's keys.
+pub(super) const PRESET: &[Field] = &[
+    need("name", Kind::Text),
+    need("data-centre", Kind::Tables(CENTRE)),
+    need("service", Kind::Tables(SERVICE)),
+];
+
+const CENTRE: &[Field] = &[need("name", Kind::Text), need("region", Kind::Text)];
+
+/// The upper bounds catch a slip of the key, such as seconds in place of
+/// milliseconds; no site is near them.
+const SERVICE: &[Field] = &[
+    need("name", Kind::Text),
+    need("endpoints", Kind::Tables(ENDPOINT)),
+    may("slots", Kind::Whole(1, 10_000)),
+    may("cold-slots", Kind::Whole(1, 10_000)),
+    may("connections", Kind::Whole(1, 100_000)),
+    may("deadline-ms", Kind::Whole(1, DAY_SECONDS * 1_000)),
+    may("queue", Kind::Whole(0, MILLION)),
+    may("body-limit", Kind::Whole(0, 64 * GIB)),
+    may("retry-percent", Kind::Whole(0, 100)),
+    may("probe-cost-ms", Kind::Whole(0, 60_000)),
+    may("key-seconds", Kind::Whole(1, 30 * DAY_SECONDS)),
+];
+
+const ENDPOINT: &[Field] = &[
+    need("address", Kind::Address),
+    need("data-centre", Kind::Text),
+];
+
+const fn need(key: &'static str, kind: Kind) -> Field {
+    Field {
+        key,
+        kind,
+        required: true,
+    }
+}
+
+const fn may(key: &'static str, kind: Kind) -> Field {
+    Field {
+        key,
+        kind,
+        required: false,
+    }
+}
+
+/// Reports unknown and missing keys, and values of the wrong kind. `start` is
+/// where the table begins.
+pub(super) fn check_table(table: &DeTable, fields: &[Field], start: usize, report: &mut Report) {
+    for (key, value) in table {
+        match fields.iter().find(|f| f.key == key.get_ref()) {
+            Some(field) => check_value(field, value, report),
+            None => {
+                let known: Vec<&str> = fields.iter().map(|f| f.key).collect();
+                let message = format!(
+                    "unknown key \"{}\": known here are {}",
+                    key.get_ref(),
+                    known.join(", ")
+                );
+                report.at(key.span().start, message);
+            }
+        }
+    }
+    for field in fields.iter().filter(|f| f.required) {
+        if !table.contains_key(field.key) {
+            report.at(start, format!("\"{}\" is missing here", field.key));
+        }
+    }
+}
+
+fn check_value(field: &Field, value: &Spanned<DeValue>, report: &mut Report) {
+    let start = value.span().start;
+    let key = field.key;
+    let fault = match (&field.kind, value.get_ref()) {
+        (Kind::Text, DeValue::String(text)) if text.trim().is_empty() => {
+            Some(format!("\"{key}\" is empty"))
+        }
+        (Kind::Text, DeValue::String(_)) => None,
+        (Kind::Text, other) => Some(format!("\"{key}\" is {}: write a text", other.type_str())),
+        (Kind::Address, DeValue::String(text)) => address_fault(key, text),
+        (Kind::Address, other) => Some(format!(
+            "\"{key}\" is {}: write \"IP:port\"",
+            other.type_str()
+        )),
+        (Kind::Whole(least, most), _) => match whole(value) {
+            Some(n) if (*least..=*most).contains(&n) => None,
+            _ => Some(format!(
+                "\"{key}\" has to be a whole number from {least} to {most}"
+            )),
+        },
+        (Kind::Tables(_), DeValue::Array(items)) if items.is_empty() => {
+            Some(format!("\"{key}\" is empty: at least one is needed"))
+        }
+        (Kind::Tables(fields), DeValue::Array(items)) => {
+            for item in items.iter() {
+                check_item(key, fields, item, report);
+            }
+            None
+        }
+        (Kind::Tables(_), other) => Some(format!(
+            "\"{key}\" is {}: write a list of tables",
+            other.type_str()
+        )),
+    };
+    if let Some(message) = fault {
+        report.at(start, message);
+    }
+}
+
+fn check_item(key: &str, fields: &[Field], item: &Spanned<DeValue>, report: &mut Report) {
+    let start = item.span().start;
+    match item.get_ref() {
+        DeValue::Table(table) => check_table(table, fields, start, report),
+        other => {
+            let message = format!("an entry of \"{key}\" is {}, no table", other.type_str());
+            report.at(start, message);
+        }
+    }
+}
+
+fn address_fault(key: &str, text: &str) -> Option<String> {
+    match text.parse::<SocketAddr>() {
+        Err(_) => Some(format!(
+            "\"{key}\" \"{text}\" is no IP number with a port, such as \"10.0.0.7:8080\""
+        )),
+        Ok(address) if address.port() == 0 => {
+            Some(format!("\"{key}\" {address} has port 0: name the port"))
+        }
+        Ok(address) if address.ip().is_unspecified() => Some(format!(
+            "\"{key}\" {address} names no host: write its IP number"
+        )),
+        Ok(_) => None,
+    }
+}
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -4,4 +4,5 @@
 //! takes messages and the time and returns what to send. No socket, clock or
 //! thread here: the transport layer runs these machines.
 
+pub mod config;
 pub mod members;
--- /dev/null
+++ b/components/coordination/tests/preset_faults.rs
@@ -0,0 +1,122 @@
+//! Faulty preset files: each fault is named with its line, and nothing is taken.
+
+use coordination::config::parse_preset;
+use rstest::rstest;
+
+const GOOD: &str = include_str!("../../../examples/midlands.toml");
+
+#[rstest]
+#[case(include_str!("../../../examples/midlands.toml"), 25)]
+#[case(include_str!("../../../examples/midlands-peak.toml"), 25)]
+#[case(include_str!("../../../examples/midlands-maintenance.toml"), 25)]
+#[case(include_str!("../../../examples/hr-central.toml"), 33)]
+#[case(include_str!("../../../examples/hr-central-peak.toml"), 33)]
+#[case(include_str!("../../../examples/hr-central-maintenance.toml"), 33)]
+fn examples_hold(#[case] text: &str, #[case] endpoints: usize) {
+    let preset = parse_preset(text).unwrap();
+    let found: usize = preset.services.iter().map(|s| s.endpoints.len()).sum();
+    assert_eq!((preset.services.len(), found), (3, endpoints));
+}
+
+// An operator slips in one place of a long file. The answer names the line and
+// what would mend it, and the file is not taken.
+#[rstest]
+#[case(
+    "slots = 6\n",
+    "slots = 0\n",
+    "\"slots\" has to be a whole number from 1"
+)]
+#[case(
+    "slots = 6\n",
+    "slot = 6\n",
+    "unknown key \"slot\": known here are name, endpoints, slots"
+)]
+#[case(
+    "slots = 6\n",
+    "slots = \"six\"\n",
+    "\"slots\" has to be a whole number"
+)]
+#[case("cold-slots = 1\n", "cold-slots = 7\n", "cold-slots 7 is over slots 6")]
+#[case(
+    "connections = 200\n",
+    "connections = 5\n",
+    "connections 5 is under slots 6"
+)]
+#[case(
+    "queue = 400\n",
+    "key-seconds = 9\n",
+    "a key would be forgotten while its call runs"
+)]
+#[case("queue = 400\n", "retry-percent = 101\n", "duplicate key")]
+#[case(
+    "name = \"fiddlebook\"",
+    "name = \"hallboard\"",
+    "service \"hallboard\" stands twice"
+)]
+#[case(
+    "name = \"fiddlebook\"",
+    "name = \"fiddle/book\"",
+    "can't stand in a path"
+)]
+#[case("name = \"fiddlebook\"", "name = \"\"", "\"name\" is empty")]
+#[case(
+    "name = \"soar\"",
+    "name = \"trent\"",
+    "data centre \"trent\" stands twice"
+)]
+#[case(
+    "127.1.1.2:7101",
+    "127.1.1.1:7101",
+    "address 127.1.1.1:7101 stands twice"
+)]
+#[case("127.1.1.2:7101", "127.1.1.1:7102", "first in service \"hallboard\"")]
+#[case("127.1.1.2:7101", "trent-2:7101", "is no IP number with a port")]
+#[case("127.1.1.2:7101", "127.1.1.2:0", "has port 0")]
+#[case("127.1.1.2:7101", "0.0.0.0:7101", "names no host")]
+#[case(
+    "7101\", data-centre = \"soar\"",
+    "7101\", data-centre = \"sour\"",
+    "no [[data-centre]] is named \"sour\""
+)]
+fn single_slips(#[case] good: &str, #[case] bad: &str, #[case] message: &str) {
+    let text = GOOD.replacen(good, bad, 1);
+    assert_ne!(text, GOOD);
+    let faults = parse_preset(&text).unwrap_err();
+    let fault = faults.0.iter().find(|f| f.message.contains(message));
+    assert!(fault.is_some(), "{faults}");
+}
+
+// A file is written by hand in a hurry and has a fault in each part. The
+// operator sees all of them at once, in the order of the lines.
+#[test]
+fn all_named() {
+    let text = "nam = \"x\"\n[[data-centre]]\nname = \"a\"\nregion = 3\n\
+                [[service]]\nname = \"s\"\nslots = 0\nendpoints = []\n\
+                [[service]]\nname = \"t\"\nendpoints = [{ address = \"here\", data-centre = \"b\" }]\n";
+    let faults = parse_preset(text).unwrap_err();
+    let lines: Vec<usize> = faults.0.iter().map(|f| f.line).collect();
+    assert_eq!(lines, [1, 1, 4, 7, 8, 11, 11], "{faults}");
+    assert!(faults.to_string().starts_with("line 1: "));
+}
+
+#[rstest]
+#[case("")]
+#[case("\u{0}\u{0}")]
+#[case("name = ")]
+#[case("service = 3\ndata-centre = \"x\"")]
+#[case("[[service]]\n[[service.endpoints]]\n")]
+#[case("name = \"x\"\nservice = [1, 2]\ndata-centre = [[]]")]
+fn not_presets(#[case] text: &str) {
+    assert!(!parse_preset(text).unwrap_err().0.is_empty());
+}
+
+#[test]
+fn too_long() {
+    let text = format!("{GOOD}#{}", "x".repeat(1024 * 1024));
+    assert!(
+        parse_preset(&text)
+            .unwrap_err()
+            .to_string()
+            .contains("over 1048576 bytes")
+    );
+}
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod heartbeat;
 pub mod peer;
+pub mod record;
 
 pub use peer::{PeerMessage, ProtocolError};
--- /dev/null
+++ b/components/protocol/src/record.rs
@@ -0,0 +1,225 @@
+//! Records of the log's `config` stream, and the pages in which the log hands records out.
+
+use bytes::Bytes;
+use coordination::config::{Change, Command, CommandId, Record, Snapshot, Unreadable};
+use prost::Message;
+use state::HostKey;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The version of records, and of the rules by which they are folded.
+///
+/// Two hosts that decide one command differently would hold two configurations
+/// under one revision; so this grows with every change of the rules, also with
+/// a change of what a preset may say.
+pub const VERSION: u32 = 1;
+
+/// A record as it stands on the log. The checksum covers the body.
+#[derive(Clone, PartialEq, Message)]
+struct Envelope {
+    #[prost(uint32, tag = "1")]
+    version: u32,
+    #[prost(fixed64, tag = "2")]
+    checksum: u64,
+    #[prost(bytes = "bytes", tag = "3")]
+    body: Bytes,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Body {
+    #[prost(oneof = "Kind", tags = "1, 2")]
+    kind: Option<Kind>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum Kind {
+    #[prost(message, tag = "1")]
+    Command(CommandBody),
+    /// A [`Snapshot`] in JSON: written a few times a day, read by few.
+    #[prost(bytes = "bytes", tag = "2")]
+    Snapshot(Bytes),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct CommandBody {
+    #[prost(fixed64, tag = "1")]
+    id_high: u64,
+    #[prost(fixed64, tag = "2")]
+    id_low: u64,
+    #[prost(uint64, tag = "3")]
+    decided_on: u64,
+    #[prost(oneof = "ChangeBody", tags = "4, 5, 6, 7, 8, 9, 10, 11")]
+    change: Option<ChangeBody>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+enum ChangeBody {
+    #[prost(string, tag = "4")]
+    PutPreset(String),
+    #[prost(string, tag = "5")]
+    ChoosePreset(String),
+    #[prost(string, tag = "6")]
+    LeaveCentre(String),
+    #[prost(string, tag = "7")]
+    ReturnCentre(String),
+    #[prost(string, tag = "8")]
+    LeaveHost(String),
+    #[prost(string, tag = "9")]
+    ReturnHost(String),
+    #[prost(message, tag = "10")]
+    Join(JoinBody),
+    #[prost(message, tag = "11")]
+    Remove(RemoveBody),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct JoinBody {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(fixed64, tag = "2")]
+    incarnation: u64,
+    #[prost(string, tag = "3")]
+    peer: String,
+    #[prost(string, tag = "4")]
+    data_centre: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RemoveBody {
+    #[prost(fixed64, tag = "1")]
+    host: u64,
+    #[prost(fixed64, tag = "2")]
+    incarnation: u64,
+}
+
+/// Records handed out by the log, in offset order and without a gap.
+#[derive(Clone, PartialEq, Message)]
+pub struct Page {
+    /// The offset of the oldest record that the log still has.
+    #[prost(uint64, tag = "1")]
+    pub first: u64,
+    /// The offset that the next append will get.
+    #[prost(uint64, tag = "2")]
+    pub next: u64,
+    /// The records, from the offset asked for or from `first` where that is later.
+    #[prost(message, repeated, tag = "3")]
+    pub records: Vec<PageRecord>,
+}
+
+/// One record of a [`Page`].
+#[derive(Clone, PartialEq, Message)]
+pub struct PageRecord {
+    /// Its offset.
+    #[prost(uint64, tag = "1")]
+    pub offset: u64,
+    /// Its bytes, as they were appended.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub data: Bytes,
+}
+
+/// Returns the bytes of a command's record.
+pub fn encode_command(command: &Command) -> Bytes {
+    let body = CommandBody {
+        id_high: (command.id.0 >> 64) as u64,
+        id_low: command.id.0 as u64,
+        decided_on: command.decided_on,
+        change: Some(change_body(&command.change)),
+    };
+    seal(Kind::Command(body))
+}
+
+/// Returns the bytes of a snapshot's record, also as peers hand it on.
+///
+/// # Panics
+///
+/// Never: a snapshot has no map that JSON can't hold.
+pub fn encode_snapshot(snapshot: &Snapshot) -> Bytes {
+    let json = serde_json::to_vec(snapshot).expect("a snapshot can be written as JSON");
+    seal(Kind::Snapshot(json.into()))
+}
+
+/// Reads a record of the `config` stream.
+///
+/// # Errors
+///
+/// Says whether the bytes are damaged or of a newer version; either is to be
+/// skipped and reported, since a host that stopped here would stop for good.
+pub fn decode_record(data: &Bytes) -> Result<Record, Unreadable> {
+    let envelope = Envelope::decode(data.clone()).map_err(|_| Unreadable::Damaged)?;
+    match envelope {
+        e if e.version == 0 => return Err(Unreadable::Damaged),
+        e if e.checksum != xxh3_64(&e.body) => return Err(Unreadable::Damaged),
+        e if e.version > VERSION => return Err(Unreadable::Newer(e.version)),
+        _ => {}
+    }
+    let body = Body::decode(envelope.body).map_err(|_| Unreadable::Damaged)?;
+    match body.kind.ok_or(Unreadable::Damaged)? {
+        Kind::Command(body) => command(body)
+            .ok_or(Unreadable::Damaged)
+            .map(Record::Command),
+        Kind::Snapshot(json) => serde_json::from_slice(&json)
+            .map(|s| Record::Snapshot(Box::new(s)))
+            .map_err(|_| Unreadable::Damaged),
+    }
+}
+
+fn seal(kind: Kind) -> Bytes {
+    let body = Bytes::from(Body { kind: Some(kind) }.encode_to_vec());
+    let envelope = Envelope {
+        version: VERSION,
+        checksum: xxh3_64(&body),
+        body,
+    };
+    envelope.encode_to_vec().into()
+}
+
+fn change_body(change: &Change) -> ChangeBody {
+    match change {
+        Change::PutPreset { text } => ChangeBody::PutPreset(text.clone()),
+        Change::ChoosePreset { name } => ChangeBody::ChoosePreset(name.clone()),
+        Change::LeaveCentre { name } => ChangeBody::LeaveCentre(name.clone()),
+        Change::ReturnCentre { name } => ChangeBody::ReturnCentre(name.clone()),
+        Change::LeaveHost { name } => ChangeBody::LeaveHost(name.clone()),
+        Change::ReturnHost { name } => ChangeBody::ReturnHost(name.clone()),
+        Change::Join {
+            name,
+            incarnation,
+            peer,
+            data_centre,
+        } => ChangeBody::Join(JoinBody {
+            name: name.clone(),
+            incarnation: *incarnation,
+            peer: peer.to_string(),
+            data_centre: data_centre.clone(),
+        }),
+        Change::Remove { host, incarnation } => ChangeBody::Remove(RemoveBody {
+            host: host.0,
+            incarnation: *incarnation,
+        }),
+    }
+}
+
+fn command(body: CommandBody) -> Option<Command> {
+    let change = match body.change? {
+        ChangeBody::PutPreset(text) => Change::PutPreset { text },
+        ChangeBody::ChoosePreset(name) => Change::ChoosePreset { name },
+        ChangeBody::LeaveCentre(name) => Change::LeaveCentre { name },
+        ChangeBody::ReturnCentre(name) => Change::ReturnCentre { name },
+        ChangeBody::LeaveHost(name) => Change::LeaveHost { name },
+        ChangeBody::ReturnHost(name) => Change::ReturnHost { name },
+        ChangeBody::Join(join) => Change::Join {
+            name: join.name,
+            incarnation: join.incarnation,
+            peer: join.peer.parse().ok()?,
+            data_centre: join.data_centre,
+        },
+        ChangeBody::Remove(remove) => Change::Remove {
+            host: HostKey(remove.host),
+            incarnation: remove.incarnation,
+        },
+    };
+    Some(Command {
+        id: CommandId((u128::from(body.id_high) << 64) | u128::from(body.id_low)),
+        decided_on: body.decided_on,
+        change,
+    })
+}
--- a/components/stand_ins/src/lib.rs
+++ b/components/stand_ins/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod backend;
 pub mod history;
+pub mod log;
 pub mod proxy;
--- /dev/null
+++ b/components/stand_ins/src/log/mod.rs
@@ -0,0 +1,7 @@
+//! A stand-in for the platform's append-only log, with the ways it fails.
+
+mod server;
+mod store;
+
+pub use server::LogStandIn;
+pub use store::{Behaviour, Counts, Loss, Outage};
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod claims;
 pub mod clock;
 pub mod dispatch;
+pub mod log;
 pub mod peers;
--- /dev/null
+++ b/components/transport/src/log/mod.rs
@@ -0,0 +1,12 @@
+//! The platform's append-only log: its client, the follower of the `config` stream, and commands.
+
+mod client;
+mod follower;
+mod submit;
+
+pub use client::{AppendError, HostEntry, HostState, LogClient, ReadError, Timeouts};
+pub use follower::{Follower, FollowerOptions, Progress};
+pub use submit::{CommandRequest, Outcome, Submission, reader_options, submit_by_log};
+
+/// The stream that operators' commands and members' joins stand on.
+pub const CONFIG_STREAM: &str = "config";
--- /dev/null
+++ b/components/transport/src/log/submit.rs
@@ -0,0 +1,224 @@
+//! Hands a command to the log and tells its author truly what came of it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use coordination::config::{Answer, Change, Command, CommandId, Fold, Record, Step};
+use derives::value;
+use protocol::record::encode_command;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use super::CONFIG_STREAM;
+use super::client::{AppendError, LogClient, Timeouts};
+use super::follower::{Follower, FollowerOptions};
+use crate::clock;
+
+/// How long to wait for an append whose answer was lost to show itself.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// The pause before asking a log again that refused.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// A command that has still to be given its id, or is asked again.
+#[value]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct CommandRequest {
+    /// The id of an earlier try whose outcome is unknown.
+    #[serde(default)]
+    pub id: Option<CommandId>,
+    /// The revision the author looked at; the newest where none is given.
+    #[serde(default)]
+    pub decided_on: Option<u64>,
+    /// What is asked for.
+    pub change: Change,
+}
+
+/// What came of a command.
+#[value]
+#[derive(Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It is in force since this revision.
+    Accepted {
+        /// The revision.
+        revision: u64,
+    },
+    /// It changed nothing and never will.
+    Refused {
+        /// Why, and what to do.
+        reason: String,
+    },
+    /// It may be in force or come into force: ask again with this id.
+    Unknown {
+        /// The id.
+        id: CommandId,
+    },
+    /// It was not handed to the log, and never will be.
+    Unreachable {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// Hands commands to the log, in an entry host or an operator's command.
+#[derive(Clone)]
+pub struct Submission {
+    client: LogClient,
+    follower: Arc<Follower>,
+    limit: Duration,
+}
+
+impl Submission {
+    /// Returns one that gives up waiting after `limit`.
+    pub fn new(client: LogClient, follower: Arc<Follower>, limit: Duration) -> Submission {
+        Submission {
+            client,
+            follower,
+            limit,
+        }
+    }
+
+    /// Hands a command to the log and waits until the fold has decided it. Blocks.
+    pub fn submit(&self, request: &CommandRequest) -> Outcome {
+        let deadline = Instant::now() + self.limit;
+        if let Err(reason) = self.catch_up(deadline) {
+            return match request.id {
+                Some(id) => Outcome::Unknown { id },
+                None => Outcome::Unreachable { reason },
+            };
+        }
+        let fold = self.follower.fold();
+        let mark = fold.mark();
+        let command = Command {
+            id: request
+                .id
+                .unwrap_or_else(|| CommandId::draw(mark.next, rand::rng().random())),
+            decided_on: request.decided_on.unwrap_or(mark.revision),
+            change: request.change.clone(),
+        };
+        match fold.answer(command.id) {
+            Some(answer) => outcome(answer.clone()),
+            None if request.id.is_some() => self.append(&command, true, deadline),
+            None => match preview(fold, &command) {
+                Some(settled) => settled,
+                None => self.append(&command, false, deadline),
+            },
+        }
+    }
+
+    /// Answers a command posted as JSON: the status and the body.
+    pub fn answer_json(&self, body: &[u8]) -> (u16, String) {
+        let request: CommandRequest = match serde_json::from_slice(body) {
+            Ok(request) => request,
+            Err(error) => {
+                return (
+                    400,
+                    refusal_json(format!("the body is no command: {error}")),
+                );
+            }
+        };
+        let outcome = self.submit(&request);
+        let status = match outcome {
+            Outcome::Accepted { .. } => 200,
+            Outcome::Refused { .. } => 409,
+            Outcome::Unknown { .. } => 504,
+            Outcome::Unreachable { .. } => 503,
+        };
+        (status, to_json(&outcome))
+    }
+
+    /// Waits until all that stands on the log now has been folded.
+    ///
+    /// Without it a command would be decided on an old revision and refused
+    /// for a change that its author may well have seen.
+    fn catch_up(&self, deadline: Instant) -> Result<(), String> {
+        let start = clock::now();
+        let mut progress = self.follower.progress();
+        loop {
+            let seen = progress.borrow_and_update().clone();
+            match (seen.end_seen, seen.trouble) {
+                (Some(moment), _) if moment >= start => return Ok(()),
+                (_, trouble) if Instant::now() >= deadline => {
+                    return Err(trouble.unwrap_or_else(|| "the log did not answer".to_owned()));
+                }
+                _ => std::thread::sleep(Duration::from_millis(5)),
+            }
+        }
+    }
+
+    fn append(&self, command: &Command, mut may_stand: bool, deadline: Instant) -> Outcome {
+        let id = command.id;
+        let record: Bytes = encode_command(command);
+        loop {
+            let (wait, reason) = match self.client.append(CONFIG_STREAM, &record) {
+                Ok(_) => {
+                    may_stand = true;
+                    let left = deadline.saturating_duration_since(Instant::now());
+                    (left, String::new())
+                }
+                Err(AppendError::Unanswered(reason)) => {
+                    may_stand = true;
+                    (SETTLE, reason)
+                }
+                Err(AppendError::Refused(reason)) => (RETRY, reason),
+            };
+            if let Some(answer) = self.follower.wait_answer(id, wait) {
+                return outcome(answer);
+            }
+            match may_stand {
+                _ if Instant::now() < deadline => {}
+                true => return Outcome::Unknown { id },
+                false => return Outcome::Unreachable { reason },
+            }
+        }
+    }
+}
+
+/// Hands a command straight to the log at `address`. Blocks.
+pub fn submit_by_log(address: &str, request: &CommandRequest, limit: Duration) -> Outcome {
+    let client = LogClient::new(address, Timeouts::default());
+    let follower = Follower::start(client.clone(), reader_options());
+    Submission::new(client, Arc::new(follower), limit).submit(request)
+}
+
+/// Returns the options of a follower that only reads, such as an operator's command.
+pub fn reader_options() -> FollowerOptions {
+    FollowerOptions {
+        snapshots: None,
+        wait: Duration::from_millis(200),
+        ..FollowerOptions::default()
+    }
+}
+
+/// Decides a command that nobody has seen yet, without the log, where it would
+/// change nothing: that needs no append, and is as true as by the log.
+fn preview(mut fold: Fold, command: &Command) -> Option<Outcome> {
+    let before = fold.mark();
+    let step = fold.apply(before.next, Ok(Record::Command(command.clone())));
+    match step {
+        Step::Decided(_, answer) if fold.mark().revision == before.revision => {
+            Some(outcome(answer))
+        }
+        _ => None,
+    }
+}
+
+fn outcome(answer: Answer) -> Outcome {
+    match answer {
+        Answer::Accepted { revision } => Outcome::Accepted { revision },
+        Answer::Refused { refusal } => Outcome::Refused {
+            reason: refusal.to_string(),
+        },
+    }
+}
+
+fn refusal_json(reason: String) -> String {
+    to_json(&Outcome::Refused { reason })
+}
+
+fn to_json(outcome: &Outcome) -> String {
+    serde_json::to_string(outcome).unwrap_or_default()
+}
