edge: pass a call from its caller to a backend server and back

Cause: nothing served calls yet. Change: an edge that parses the route, gathers small bodies before a slot is asked for, sends the call once on a kept or new connection, and streams the answer back with its outcome. Retries by a pure budget; cut answers break the caller's connection off; a call given up keeps its slot until the backend server has closed its side. Heads that can't be parsed are answered with not-run and one line. Conclusion: the thin path stands; keyed calls are refused, not run, until the claims service is wired.

--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod config;
 pub mod keys;
 pub mod moment;
+pub mod pace;
 pub mod preset;
+pub mod retry;
 
 pub use config::Config;
 pub use keys::{DataCentreKey, EndpointKey, HostKey, ServiceKey};
--- /dev/null
+++ b/components/transport/src/edge/answer.rs
@@ -0,0 +1,178 @@
+//! The body of an answer on its way to the caller.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use state::Moment;
+use thiserror::Error;
+use tokio::time::Sleep;
+
+use super::caller::CallerState;
+use crate::clock;
+use crate::dispatch::Ending;
+use crate::upstream::Exchange;
+
+/// How long an answer that has begun may stand still past its deadline.
+///
+/// A long answer that still moves is let through: breaking it off would waste
+/// what has come so far. One that stands still would hold its slot for ever.
+const STALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Why an answer was broken off.
+#[derive(Debug, Error)]
+pub enum AnswerError {
+    /// The backend server's answer was cut.
+    #[error("the backend server's answer was cut: {0}")]
+    Cut(hyper::Error),
+    /// The backend server's answer stood still for too long.
+    #[error("the backend server's answer stood still")]
+    Stalled,
+}
+
+/// What an entry host sends as an answer's body.
+pub struct AnswerBody {
+    kind: Kind,
+    caller: Option<Arc<CallerState>>,
+}
+
+enum Kind {
+    Line(Bytes),
+    Relay(Box<Relay>),
+}
+
+/// A backend server's body, passed on piece by piece.
+pub struct Relay {
+    exchange: Exchange,
+    incoming: Incoming,
+    deadline: Moment,
+    progress: Moment,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl Relay {
+    /// Returns the relay of the answer that has begun on `exchange`.
+    pub fn new(exchange: Exchange, incoming: Incoming, deadline: Moment) -> Relay {
+        let now = clock::now();
+        let mut relay = Relay {
+            exchange,
+            incoming,
+            deadline,
+            progress: now,
+            timer: Box::pin(tokio::time::sleep(now.until(deadline))),
+        };
+        relay.settle();
+        relay
+    }
+
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, AnswerError>>> {
+        match self.exchange.poll_data(&mut self.incoming, cx) {
+            Poll::Ready(Some(Ok(data))) => {
+                self.progress = clock::now();
+                self.settle();
+                Poll::Ready(Some(Ok(data)))
+            }
+            Poll::Ready(Some(Err(e))) => {
+                self.exchange.end(Ending::Broken);
+                Poll::Ready(Some(Err(AnswerError::Cut(e))))
+            }
+            Poll::Ready(None) => {
+                self.exchange.complete();
+                Poll::Ready(None)
+            }
+            Poll::Pending => self.poll_patience(cx),
+        }
+    }
+
+    /// Frees slot and connection as soon as the last byte has come.
+    ///
+    /// The HTTP library doesn't ask again after the last byte of a known
+    /// length, and the answer must not look given up then.
+    fn settle(&mut self) {
+        if self.incoming.is_end_stream() {
+            self.exchange.complete();
+        }
+    }
+
+    fn poll_patience(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, AnswerError>>> {
+        while self.timer.as_mut().poll(cx).is_ready() {
+            let limit = self.deadline.max(self.progress + STALL_LIMIT);
+            let now = clock::now();
+            if now >= limit {
+                return Poll::Ready(Some(Err(AnswerError::Stalled)));
+            }
+            let at = tokio::time::Instant::now() + now.until(limit);
+            self.timer.as_mut().reset(at);
+        }
+        Poll::Pending
+    }
+}
+
+impl AnswerBody {
+    /// Returns a body of the entry host's own.
+    pub fn line(text: Bytes) -> AnswerBody {
+        AnswerBody {
+            kind: Kind::Line(text),
+            caller: None,
+        }
+    }
+
+    /// Returns a body passed on from a backend server.
+    pub fn relay(relay: Relay) -> AnswerBody {
+        AnswerBody {
+            kind: Kind::Relay(Box::new(relay)),
+            caller: None,
+        }
+    }
+
+    /// Has the caller's connection told when this body ends or breaks.
+    pub fn tell(&mut self, caller: Arc<CallerState>) {
+        self.caller = Some(caller);
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        let this = self.get_mut();
+        let next = match &mut this.kind {
+            Kind::Line(text) if text.is_empty() => Poll::Ready(None),
+            Kind::Line(text) => Poll::Ready(Some(Ok(std::mem::take(text)))),
+            Kind::Relay(relay) => relay.poll_data(cx),
+        };
+        if let (Poll::Ready(Some(Err(_))), Some(caller)) = (&next, &this.caller) {
+            caller.break_off();
+        }
+        next.map(|piece| piece.map(|result| result.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.kind {
+            Kind::Line(text) => text.is_empty(),
+            Kind::Relay(relay) => relay.incoming.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.kind {
+            Kind::Line(text) => SizeHint::with_exact(text.len() as u64),
+            Kind::Relay(relay) => relay.incoming.size_hint(),
+        }
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        if let Some(caller) = &self.caller {
+            caller.body_ended();
+        }
+    }
+}
--- /dev/null
+++ b/components/transport/src/edge/call.rs
@@ -0,0 +1,294 @@
+//! The path of one call: from its head to its answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderName, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use state::retry::{Attempt, Failure};
+use state::{EndpointKey, Moment, ServiceKey};
+
+use super::Edge;
+use super::answer::{AnswerBody, Relay};
+use super::body::{CallerBody, Gathered, REPLAY_LIMIT};
+use super::fault::Fault;
+use super::outcome::{OUTCOME, Outcome};
+use super::{fields, route};
+use crate::clock;
+use crate::dispatch::{Call, Ending, Grant, Refusal};
+use crate::upstream::{Connection, Exchange, RequestBody, SendError};
+
+/// The header field by which a backend server says that it did not run a call.
+const NOT_RUN: HeaderName = HeaderName::from_static("cardamomvale-not-run");
+
+/// The largest body of a refusal that is read so that its connection can be kept.
+const SHED_LIMIT: usize = 16 * 1024;
+
+/// A call that is ready to be placed.
+struct Plan {
+    service: ServiceKey,
+    percent: u32,
+    method: Method,
+    uri: Uri,
+    fields: HeaderMap,
+    caller: SocketAddr,
+    deadline: Moment,
+}
+
+/// How one attempt failed.
+struct Failed {
+    fault: Fault,
+    endpoint: Option<EndpointKey>,
+    failure: Failure,
+}
+
+/// Answers one call, whatever happens.
+pub async fn answer(
+    edge: &Arc<Edge>,
+    request: Request<Incoming>,
+    caller: SocketAddr,
+) -> Response<AnswerBody> {
+    match run(edge, request, caller).await {
+        Ok(response) => response,
+        Err(fault) => fault.into_response(),
+    }
+}
+
+async fn run(
+    edge: &Arc<Edge>,
+    request: Request<Incoming>,
+    caller: SocketAddr,
+) -> Result<Response<AnswerBody>, Fault> {
+    let arrived = clock::now();
+    let config = Arc::clone(&edge.config.borrow());
+    let (parts, incoming) = request.into_parts();
+    let target = route::target(&parts, &config)?;
+    let allowed = route::time_allowed(&parts.headers, target.service)?;
+    let key = route::key(&parts)?;
+    let body = CallerBody::new(incoming, target.service.body_limit)?;
+    let plan = Plan {
+        service: target.service.key(),
+        percent: target.service.retry_percent,
+        uri: target.uri,
+        caller,
+        deadline: arrived + allowed,
+        method: parts.method,
+        fields: parts.headers,
+    };
+    match key {
+        Some(_) => Err(Fault::KeyUnclaimed(Duration::from_secs(1))),
+        None => {
+            let body = gather(body, REPLAY_LIMIT, plan.deadline).await?;
+            attempts(edge, &plan, body).await
+        }
+    }
+}
+
+/// Reads the beginning of the body, or all of it, before the call is placed.
+async fn gather(body: CallerBody, most: usize, deadline: Moment) -> Result<Gathered, Fault> {
+    if body.is_end() {
+        return Ok(Gathered {
+            start: Bytes::new(),
+            rest: None,
+        });
+    }
+    let left = clock::now().until(deadline);
+    match tokio::time::timeout(left, body.gather(most)).await {
+        Ok(gathered) => Ok(gathered?),
+        Err(_) => Err(Fault::Refused(Refusal::Expired)),
+    }
+}
+
+/// Tries the call until it is answered, or may not be tried again.
+async fn attempts(
+    edge: &Arc<Edge>,
+    plan: &Plan,
+    body: Gathered,
+) -> Result<Response<AnswerBody>, Fault> {
+    edge.earn_retry(plan.service, plan.percent);
+    let mut bodies = Bodies::new(body);
+    let mut call = Call {
+        service: plan.service,
+        deadline: plan.deadline,
+        tried: Vec::new(),
+    };
+    let mut earlier = None;
+    loop {
+        let failed = match attempt(edge, plan, &call, bodies.next()).await {
+            Ok(response) => return Ok(response),
+            Err(failed) => failed,
+        };
+        let retry = Attempt {
+            failure: failed.failure,
+            idempotent: plan.method.is_idempotent(),
+            replayable: bodies.replayable,
+            expired: clock::now() >= plan.deadline,
+        };
+        let endpoint = failed.endpoint;
+        let fault = worse(earlier.take(), failed);
+        match endpoint {
+            Some(endpoint) if edge.allow_retry(plan.service, retry) => call.tried.push(endpoint),
+            _ => return Err(fault),
+        }
+        earlier = Some(fault);
+    }
+}
+
+/// Returns what the caller is told after one more failure.
+///
+/// If an earlier attempt may have run, a later one that surely didn't must not
+/// make the answer "not run". A refusal to place the call again says less than
+/// what the first attempt met.
+fn worse(earlier: Option<Fault>, failed: Failed) -> Fault {
+    match earlier {
+        Some(earlier) if earlier.outcome() == Outcome::Unknown => earlier,
+        Some(earlier) if failed.endpoint.is_none() => earlier,
+        _ => failed.fault,
+    }
+}
+
+/// Sends the call once, to one endpoint.
+async fn attempt(
+    edge: &Arc<Edge>,
+    plan: &Plan,
+    call: &Call,
+    body: RequestBody,
+) -> Result<Response<AnswerBody>, Failed> {
+    let (grant, connection) = place(edge, call).await?;
+    let endpoint = grant.endpoint;
+    let request = plan.request(grant.address, body);
+    let pools = Arc::clone(&edge.pools);
+    let mut exchange = Exchange::new(pools, connection, grant, plan.deadline);
+    match exchange.send(request).await {
+        Ok(response) => judge(exchange, response, plan.deadline).await,
+        Err(e) => Err(Failed::sending(e, endpoint)),
+    }
+}
+
+/// Waits for a slot and a connection, both good at the moment of sending.
+async fn place(edge: &Arc<Edge>, call: &Call) -> Result<(Grant, Connection), Failed> {
+    loop {
+        let grant = edge
+            .dispatcher
+            .acquire(call)
+            .await
+            .map_err(|refusal| Failed::unplaced(Fault::Refused(refusal)))?;
+        let endpoint = grant.endpoint;
+        let Ok(connection) = edge.pools.take(endpoint, grant.address).await else {
+            grant.finish(Ending::Unreachable);
+            return Err(Failed {
+                fault: Fault::Unreachable,
+                endpoint: Some(endpoint),
+                failure: Failure::NotRun,
+            });
+        };
+        if clock::now() >= call.deadline {
+            edge.pools.put(connection);
+            return Err(Failed::unplaced(Fault::Refused(Refusal::Expired)));
+        }
+        if grant.may_send() {
+            return Ok((grant, connection));
+        }
+        edge.pools.put(connection);
+    }
+}
+
+/// Decides what the head of an answer means.
+async fn judge(
+    exchange: Exchange,
+    response: Response<Incoming>,
+    deadline: Moment,
+) -> Result<Response<AnswerBody>, Failed> {
+    let (mut parts, mut incoming) = response.into_parts();
+    if parts.status == StatusCode::SERVICE_UNAVAILABLE && parts.headers.contains_key(NOT_RUN) {
+        let endpoint = exchange.endpoint();
+        exchange.read_refusal(&mut incoming, SHED_LIMIT).await;
+        return Err(Failed {
+            fault: Fault::Shed(parts.headers.remove(RETRY_AFTER)),
+            endpoint,
+            failure: Failure::NotRun,
+        });
+    }
+    if !is_bounded(&parts.headers, &incoming) || parts.status.is_informational() {
+        return Err(Failed {
+            fault: Fault::Endless,
+            endpoint: None,
+            failure: Failure::MayHaveRun,
+        });
+    }
+    fields::give_back(&mut parts.headers);
+    parts.headers.insert(OUTCOME, Outcome::Complete.value());
+    let relay = Relay::new(exchange, incoming, deadline);
+    Ok(Response::from_parts(parts, AnswerBody::relay(relay)))
+}
+
+/// Returns whether a cut answer could be told from a whole one.
+///
+/// An answer that ends with its connection looks whole wherever it is cut.
+fn is_bounded(fields: &HeaderMap, body: &Incoming) -> bool {
+    body.size_hint().exact().is_some() || fields.contains_key(TRANSFER_ENCODING)
+}
+
+/// The body of a call, for each attempt.
+struct Bodies {
+    start: Bytes,
+    rest: Option<CallerBody>,
+    replayable: bool,
+}
+
+impl Bodies {
+    fn new(body: Gathered) -> Bodies {
+        Bodies {
+            start: body.start,
+            replayable: body.rest.is_none(),
+            rest: body.rest,
+        }
+    }
+
+    fn next(&mut self) -> RequestBody {
+        match self.rest.take() {
+            Some(rest) => RequestBody::Streamed(self.start.clone(), Box::new(rest)),
+            None => RequestBody::Whole(self.start.clone()),
+        }
+    }
+}
+
+impl Plan {
+    fn request(&self, server: SocketAddr, body: RequestBody) -> Request<RequestBody> {
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let mut fields = self.fields.clone();
+        fields::forward(&mut fields, self.caller, server);
+        fields::set_deadline(&mut fields, clock::now().until(self.deadline));
+        *request.headers_mut() = fields;
+        request
+    }
+}
+
+impl Failed {
+    fn unplaced(fault: Fault) -> Failed {
+        Failed {
+            fault,
+            endpoint: None,
+            failure: Failure::NotRun,
+        }
+    }
+
+    fn sending(error: SendError, endpoint: EndpointKey) -> Failed {
+        let (fault, failure) = match error {
+            SendError::Unsent => (Fault::Unreachable, Failure::NotRun),
+            SendError::Expired => (Fault::Silent, Failure::MayHaveRun),
+            SendError::Broken(_) => (Fault::Broken, Failure::MayHaveRun),
+            SendError::Body(e) => (Fault::BodyCutLate(e), Failure::MayHaveRun),
+        };
+        Failed {
+            fault,
+            endpoint: Some(endpoint),
+            failure,
+        }
+    }
+}
--- /dev/null
+++ b/components/transport/src/edge/connection.rs
@@ -0,0 +1,135 @@
+//! One caller's connection.
+
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::caller::{CallerState, CallerStream};
+use super::fault::Fault;
+use super::{Edge, Stage, body, call, reject};
+
+/// How long a closed connection is still read from, so that its last answer arrives.
+const LINGER_LIMIT: Duration = Duration::from_secs(2);
+
+/// Header fields that one request may have.
+const FIELDS_LIMIT: usize = 100;
+
+/// Counts a caller's connection for as long as it lives.
+struct Counted(Arc<Edge>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.callers.send_modify(|n| *n -= 1);
+    }
+}
+
+/// Serves the calls of one connection, one after the other.
+pub async fn serve(edge: Arc<Edge>, stream: TcpStream, caller: SocketAddr) {
+    let _counted = Counted(Arc::clone(&edge));
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    if edge.callers() > edge.limits.callers {
+        let stream = reject::send(stream, Fault::TooManyCallers).await;
+        linger(stream).await;
+        return;
+    }
+    let state = Arc::new(CallerState::default());
+    let (stream, fault) = calls(edge, stream, caller, &state).await;
+    let stream = match fault {
+        Some(fault) => reject::send(stream, fault).await,
+        None => stream,
+    };
+    match state.is_broken() {
+        true => reset(&stream),
+        false => linger(stream).await,
+    }
+}
+
+/// Serves calls until the connection ends, and says what was wrong with its end.
+async fn calls(
+    edge: Arc<Edge>,
+    stream: TcpStream,
+    caller: SocketAddr,
+    state: &Arc<CallerState>,
+) -> (TcpStream, Option<Fault>) {
+    let mut stage = edge.stage.subscribe();
+    let limits = edge.limits;
+    let service = service_fn(|request| {
+        let edge = Arc::clone(&edge);
+        let state = Arc::clone(state);
+        Box::pin(async move {
+            state.begin();
+            let mut response = call::answer(&edge, request, caller).await;
+            if *edge.stage.borrow() >= Stage::Leaving {
+                let fields = response.headers_mut();
+                fields.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            response.body_mut().tell(state);
+            Ok::<_, Infallible>(response)
+        })
+    });
+    let io = TokioIo::new(CallerStream::new(stream, Arc::clone(state)));
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_time)
+        .max_headers(FIELDS_LIMIT)
+        .max_buf_size(limits.head_size)
+        .serve_connection(io, service);
+    let closing = async { stage.wait_for(|s| *s >= Stage::Closing).await.is_ok() };
+    let result = tokio::select! {
+        result = poll_fn(|cx| connection.poll_without_shutdown(cx)) => result,
+        _ = closing => {
+            Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|cx| connection.poll_without_shutdown(cx)).await
+        }
+    };
+    let parts = connection.into_parts();
+    let fault = result
+        .err()
+        .and_then(|e| fault(&e, !parts.read_buf.is_empty()));
+    (parts.io.into_inner().into_stream(), fault)
+}
+
+/// Returns what the caller did wrong, where it can still be told.
+fn fault(error: &hyper::Error, head_begun: bool) -> Option<Fault> {
+    match error {
+        e if e.is_parse_too_large() => Some(Fault::HeadTooLarge),
+        e if e.is_parse() => Some(Fault::NotHttp(body::reason(e))),
+        e if e.is_timeout() && head_begun => Some(Fault::HeadTooSlow),
+        _ => None,
+    }
+}
+
+/// Closes a connection so that the caller's end sees that its answer was cut.
+///
+/// A caller that speaks HTTP/1.0 takes an orderly close for the answer's end.
+fn reset(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    // Where it fails, the close that follows still cuts a counted or chunked answer.
+    let _ = socket.set_linger(Some(Duration::ZERO));
+}
+
+/// Closes a connection so that what was sent last still arrives.
+///
+/// Closing a socket with unread bytes makes the kernel reset the connection,
+/// and the caller would lose an answer that it has not read yet.
+async fn linger(mut stream: TcpStream) {
+    let drain = async {
+        if stream.shutdown().await.is_err() {
+            return;
+        }
+        let mut sink = [0; 4096];
+        while let Ok(1..) = stream.read(&mut sink).await {}
+    };
+    let _ = tokio::time::timeout(LINGER_LIMIT, drain).await;
+}
--- /dev/null
+++ b/components/transport/src/edge/fault.rs
@@ -0,0 +1,249 @@
+//! Why a call gets no backend server's answer, as the caller is told.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use thiserror::Error;
+
+use super::answer::AnswerBody;
+use super::body::BodyError;
+use super::outcome::{OUTCOME, Outcome};
+use crate::dispatch::Refusal;
+
+/// When to come back after a refusal that names no time itself.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// One reason why a call was not answered by a backend server.
+///
+/// Its text is the one line the caller reads: what is wrong and what to mend.
+#[derive(Debug, Error)]
+pub enum Fault {
+    /// The bytes are no HTTP request.
+    #[error("this is not a valid HTTP/1.1 request: {0}")]
+    NotHttp(String),
+    /// The head is longer than allowed, or has too many fields.
+    #[error("the head of the request is too large")]
+    HeadTooLarge,
+    /// The head took too long.
+    #[error("the head of the request did not arrive in time")]
+    HeadTooSlow,
+    /// The target is not of the form that is served.
+    #[error("the path must be /SERVICE/PATH")]
+    BadTarget,
+    /// The method can't be passed on.
+    #[error("the method {0} is not served")]
+    BadMethod(String),
+    /// No service has this name.
+    #[error("no service is named {0:?}")]
+    UnknownService(String),
+    /// No preset is in force yet.
+    #[error("no preset is in force yet")]
+    NoPreset,
+    /// The deadline header can't be read.
+    #[error("cardamomvale-deadline-ms must be a whole number of milliseconds")]
+    BadDeadline,
+    /// The idempotency key can't be used.
+    #[error("Idempotency-Key must be one value of 1 to {0} visible characters")]
+    BadKey(usize),
+    /// The body is larger than the service takes.
+    #[error("the body is larger than {0} bytes")]
+    BodyTooLarge(u64),
+    /// The body of a call with a key is larger than is compared.
+    #[error("with Idempotency-Key the body may have {0} bytes at most")]
+    KeyedTooLarge(usize),
+    /// The body came too slowly.
+    #[error("the body of the request did not arrive in time")]
+    BodyTooSlow,
+    /// The body is not what its head announced.
+    #[error("the body of the request is broken: {0}")]
+    BodyBroken(String),
+    /// The body turned out broken after some of it was passed on.
+    #[error("the body of the request broke after some of it was passed on: {0}")]
+    BodyCutLate(BodyError),
+    /// The call was refused before it was started.
+    #[error("{}", refusal_line(.0))]
+    Refused(Refusal),
+    /// No backend server could be reached.
+    #[error("no backend server could be reached")]
+    Unreachable,
+    /// Backend servers refused it.
+    #[error("the backend server refuses new work for now")]
+    Shed(Option<HeaderValue>),
+    /// The key belongs to another request.
+    #[error("this Idempotency-Key was used for another request")]
+    KeyMismatch,
+    /// The key's first call was started and its outcome is not known.
+    #[error("the first call with this Idempotency-Key was started; its outcome is not known")]
+    KeyStarted,
+    /// The key could not be claimed.
+    #[error("the Idempotency-Key could not be claimed")]
+    KeyUnclaimed(Duration),
+    /// More callers are connected than the entry host takes.
+    #[error("too many connections")]
+    TooManyCallers,
+    /// The connection to the backend server broke.
+    #[error("the connection to the backend server broke before its answer")]
+    Broken,
+    /// No answer came before the deadline.
+    #[error("no answer came before the deadline")]
+    Silent,
+    /// The answer's end can't be told from a cut.
+    #[error("the backend server's answer has no length, so that its end could not be known")]
+    Endless,
+}
+
+impl Fault {
+    /// Returns whether the work may have run.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Fault::BodyCutLate(_)
+            | Fault::KeyStarted
+            | Fault::Broken
+            | Fault::Silent
+            | Fault::Endless => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    /// Returns the HTTP status.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Fault::NotHttp(_) | Fault::BadTarget | Fault::BadDeadline | Fault::BadKey(_) => {
+                StatusCode::BAD_REQUEST
+            }
+            Fault::BodyBroken(_) | Fault::BodyCutLate(BodyError::Broken(_)) => {
+                StatusCode::BAD_REQUEST
+            }
+            Fault::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Fault::HeadTooSlow | Fault::BodyTooSlow | Fault::BodyCutLate(BodyError::TooSlow) => {
+                StatusCode::REQUEST_TIMEOUT
+            }
+            Fault::BadMethod(_) => StatusCode::NOT_IMPLEMENTED,
+            Fault::UnknownService(_) | Fault::Refused(Refusal::UnknownService) => {
+                StatusCode::NOT_FOUND
+            }
+            Fault::BodyTooLarge(_)
+            | Fault::KeyedTooLarge(_)
+            | Fault::BodyCutLate(BodyError::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
+            Fault::KeyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
+            Fault::Broken | Fault::Endless => StatusCode::BAD_GATEWAY,
+            Fault::Silent | Fault::KeyStarted => StatusCode::GATEWAY_TIMEOUT,
+            Fault::NoPreset
+            | Fault::Refused(_)
+            | Fault::Unreachable
+            | Fault::Shed(_)
+            | Fault::KeyUnclaimed(_)
+            | Fault::TooManyCallers => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Returns a short name for metrics and events.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Fault::NotHttp(_) => "not-http",
+            Fault::HeadTooLarge => "head-too-large",
+            Fault::HeadTooSlow => "head-too-slow",
+            Fault::BadTarget => "bad-target",
+            Fault::BadMethod(_) => "bad-method",
+            Fault::UnknownService(_) | Fault::Refused(Refusal::UnknownService) => "unknown-service",
+            Fault::NoPreset => "no-preset",
+            Fault::BadDeadline => "bad-deadline",
+            Fault::BadKey(_) => "bad-key",
+            Fault::BodyTooLarge(_) | Fault::KeyedTooLarge(_) => "body-too-large",
+            Fault::BodyTooSlow => "body-too-slow",
+            Fault::BodyBroken(_) | Fault::BodyCutLate(_) => "body-broken",
+            Fault::Refused(Refusal::QueueFull) => "queue-full",
+            Fault::Refused(Refusal::TooLate(_)) => "too-late",
+            Fault::Refused(Refusal::Expired) => "expired",
+            Fault::Refused(Refusal::NoBackend) => "no-backend",
+            Fault::Refused(Refusal::Stopping) => "stopping",
+            Fault::Unreachable => "unreachable",
+            Fault::Shed(_) => "shed",
+            Fault::KeyMismatch => "key-mismatch",
+            Fault::KeyStarted => "key-started",
+            Fault::KeyUnclaimed(_) => "key-unclaimed",
+            Fault::TooManyCallers => "too-many-callers",
+            Fault::Broken => "broken",
+            Fault::Silent => "silent",
+            Fault::Endless => "endless",
+        }
+    }
+
+    /// Returns the answer that tells the caller.
+    pub fn into_response(self) -> Response<AnswerBody> {
+        let status = self.status();
+        let retry_after = self.retry_after();
+        let outcome = self.outcome();
+        let line = Bytes::from(format!("{self}\n"));
+        let mut response = Response::new(AnswerBody::line(line));
+        *response.status_mut() = status;
+        let fields = response.headers_mut();
+        fields.insert(OUTCOME, outcome.value());
+        fields.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("text/plain; charset=utf-8"),
+        );
+        if let Some(value) = retry_after {
+            fields.insert(RETRY_AFTER, value);
+        }
+        if self.ends_connection() {
+            fields.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    fn retry_after(&self) -> Option<HeaderValue> {
+        match self {
+            Fault::Shed(Some(value)) => Some(value.clone()),
+            Fault::Refused(Refusal::TooLate(time)) | Fault::KeyUnclaimed(time) => {
+                Some(seconds(*time))
+            }
+            _ if self.status() == StatusCode::SERVICE_UNAVAILABLE => Some(seconds(COME_BACK)),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the rest of what the caller sends can't be made sense of.
+    fn ends_connection(&self) -> bool {
+        matches!(
+            self,
+            Fault::NotHttp(_)
+                | Fault::HeadTooLarge
+                | Fault::HeadTooSlow
+                | Fault::BodyTooLarge(_)
+                | Fault::KeyedTooLarge(_)
+                | Fault::BodyTooSlow
+                | Fault::BodyBroken(_)
+                | Fault::BodyCutLate(_)
+                | Fault::TooManyCallers
+        )
+    }
+}
+
+impl From<BodyError> for Fault {
+    fn from(error: BodyError) -> Fault {
+        match error {
+            BodyError::TooLarge(limit) => Fault::BodyTooLarge(limit),
+            BodyError::TooSlow => Fault::BodyTooSlow,
+            BodyError::Broken(e) => Fault::BodyBroken(e),
+        }
+    }
+}
+
+/// Returns whole seconds, rounded up, as `Retry-After` counts them.
+fn seconds(time: Duration) -> HeaderValue {
+    HeaderValue::from(time.as_millis().div_ceil(1_000).max(1) as u64)
+}
+
+fn refusal_line(refusal: &Refusal) -> &'static str {
+    match refusal {
+        Refusal::UnknownService => "no such service",
+        Refusal::QueueFull => "too many calls wait for this service",
+        Refusal::TooLate(_) => "the call can't be served before its deadline",
+        Refusal::Expired => "the deadline passed before the call was started",
+        Refusal::NoBackend => "no backend server of this service takes calls now",
+        Refusal::Stopping => "this entry host is shutting down",
+    }
+}
--- /dev/null
+++ b/components/transport/src/edge/mod.rs
@@ -0,0 +1,174 @@
+//! The server side: what callers see of an entry host.
+
+pub mod answer;
+pub mod body;
+mod call;
+pub mod caller;
+mod connection;
+pub mod fault;
+pub mod fields;
+pub mod outcome;
+mod reject;
+pub mod route;
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use state::retry::{Attempt, RetryBudget};
+use state::{Config, ServiceKey};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::dispatch::Dispatcher;
+use crate::upstream::Pools;
+
+/// How long to wait when no connection can be accepted, such as when no file is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits that an operator may set.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Callers' connections held at once.
+    pub callers: usize,
+    /// How long the head of a request may take.
+    pub head_time: Duration,
+    /// The largest head of a request, in bytes.
+    pub head_size: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            callers: 20_000,
+            head_time: Duration::from_secs(10),
+            head_size: 32 * 1024,
+        }
+    }
+}
+
+/// Serves callers and passes their calls on to backend servers.
+pub struct Edge {
+    limits: Limits,
+    dispatcher: Arc<Dispatcher>,
+    config: watch::Receiver<Arc<Config>>,
+    pools: Arc<Pools>,
+    budgets: Mutex<BTreeMap<ServiceKey, RetryBudget>>,
+    callers: watch::Sender<usize>,
+    stage: watch::Sender<Stage>,
+}
+
+/// How far the shutdown has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// Calls are served.
+    Serving,
+    /// Calls are served, and each answer asks the caller to connect elsewhere.
+    Leaving,
+    /// No connection is accepted, and idle ones are closed.
+    Closing,
+}
+
+impl Edge {
+    /// Returns an edge that places its calls by `dispatcher`.
+    pub fn new(
+        limits: Limits,
+        dispatcher: Arc<Dispatcher>,
+        config: watch::Receiver<Arc<Config>>,
+    ) -> Arc<Edge> {
+        Arc::new(Edge {
+            limits,
+            dispatcher,
+            config,
+            pools: Arc::new(Pools::default()),
+            budgets: Mutex::new(BTreeMap::new()),
+            callers: watch::Sender::new(0),
+            stage: watch::Sender::new(Stage::Serving),
+        })
+    }
+
+    /// Accepts callers until the edge is drained.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let keeper = tokio::spawn(Arc::clone(&self).keep_pools());
+        let mut stage = self.stage.subscribe();
+        let closing = async move {
+            // The sender lives as long as this edge.
+            let _ = stage.wait_for(|s| *s >= Stage::Closing).await;
+        };
+        tokio::select! {
+            () = Arc::clone(&self).accept(&listener) => {}
+            () = closing => {}
+        }
+        drop(listener);
+        let mut callers = self.callers.subscribe();
+        let _ = callers.wait_for(|n| *n == 0).await;
+        keeper.abort();
+    }
+
+    /// Stops taking calls without breaking one, and ends when the last call has ended.
+    ///
+    /// For the time `notice` callers are served as before, but asked with each
+    /// answer to connect elsewhere, so that the platform's balancer can take
+    /// this host out first. A connection closed while a request is on its way
+    /// would break that call; one left idle for all of `notice` has none.
+    pub fn drain(&self, notice: Duration) -> impl Future<Output = ()> + use<> {
+        let stage = self.stage.clone();
+        let mut callers = self.callers.subscribe();
+        async move {
+            stage.send_replace(Stage::Leaving);
+            tokio::time::sleep(notice).await;
+            stage.send_replace(Stage::Closing);
+            let _ = callers.wait_for(|n| *n == 0).await;
+        }
+    }
+
+    /// Returns how many callers are connected.
+    pub fn callers(&self) -> usize {
+        *self.callers.borrow()
+    }
+
+    async fn accept(self: Arc<Self>, listener: &TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, address)) => {
+                    self.callers.send_modify(|n| *n += 1);
+                    let edge = Arc::clone(&self);
+                    tokio::spawn(connection::serve(edge, stream, address));
+                }
+                Err(e) => {
+                    log::warn!("E0101 accept-failed error={e:?}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Keeps the pools in step with the configuration and free of old connections.
+    async fn keep_pools(self: Arc<Self>) {
+        let mut config = self.config.clone();
+        let sweep = Arc::clone(&self.pools).sweep();
+        let follow = async {
+            loop {
+                let current = Arc::clone(&config.borrow_and_update());
+                self.pools.configure(&current);
+                if config.changed().await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+        };
+        tokio::join!(sweep, follow);
+    }
+
+    fn earn_retry(&self, service: ServiceKey, percent: u32) {
+        self.budgets().entry(service).or_default().earn(percent);
+    }
+
+    fn allow_retry(&self, service: ServiceKey, attempt: Attempt) -> bool {
+        self.budgets().entry(service).or_default().allow(attempt)
+    }
+
+    fn budgets(&self) -> MutexGuard<'_, BTreeMap<ServiceKey, RetryBudget>> {
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/components/transport/src/edge/route.rs
@@ -0,0 +1,91 @@
+//! What a request asks for: the service, the path there, the deadline, the key.
+
+use std::time::Duration;
+
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Uri};
+use state::Config;
+use state::preset::Service;
+
+use super::fault::Fault;
+
+/// The header field that carries the remaining time in milliseconds.
+pub const DEADLINE: HeaderName = HeaderName::from_static("cardamomvale-deadline-ms");
+
+/// The header field that makes a non-idempotent call safe to repeat.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// The longest idempotency key, in characters.
+pub const KEY_LIMIT: usize = 255;
+
+/// A request's target, taken apart.
+pub struct Target<'a> {
+    /// The service named.
+    pub service: &'a Service,
+    /// What the backend server is asked for.
+    pub uri: Uri,
+}
+
+/// Finds the service that `parts` names, in the preset in force.
+///
+/// # Errors
+///
+/// Says what is wrong with the target.
+pub fn target<'a>(parts: &Parts, config: &'a Config) -> Result<Target<'a>, Fault> {
+    if parts.method == Method::CONNECT {
+        return Err(Fault::BadMethod(parts.method.to_string()));
+    }
+    let path = parts.uri.path().strip_prefix('/').ok_or(Fault::BadTarget)?;
+    let (name, rest) = path.split_once('/').unwrap_or((path, ""));
+    let preset = config.preset().ok_or(Fault::NoPreset)?;
+    let service = preset
+        .services
+        .iter()
+        .find(|s| s.name == name)
+        .ok_or_else(|| Fault::UnknownService(name.to_owned()))?;
+    let path = match parts.uri.query() {
+        Some(query) => format!("/{rest}?{query}"),
+        None => format!("/{rest}"),
+    };
+    let path = PathAndQuery::try_from(path).map_err(|_| Fault::BadTarget)?;
+    Ok(Target {
+        service,
+        uri: Uri::from(path),
+    })
+}
+
+/// Returns how long the call may take: the caller's wish, capped by the service's limit.
+///
+/// # Errors
+///
+/// Says so where the caller's wish can't be read.
+pub fn time_allowed(fields: &HeaderMap, service: &Service) -> Result<Duration, Fault> {
+    let Some(value) = fields.get(DEADLINE) else {
+        return Ok(service.deadline());
+    };
+    let text = value.to_str().map_err(|_| Fault::BadDeadline)?;
+    let wish: u64 = text.trim().parse().map_err(|_| Fault::BadDeadline)?;
+    Ok(Duration::from_millis(wish).min(service.deadline()))
+}
+
+/// Returns the idempotency key where the call has one and needs it.
+///
+/// # Errors
+///
+/// Says so where the key can't be used.
+pub fn key(parts: &Parts) -> Result<Option<String>, Fault> {
+    if parts.method.is_idempotent() {
+        return Ok(None);
+    }
+    let mut values = parts.headers.get_all(IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| Fault::BadKey(KEY_LIMIT))?;
+    match text.len() {
+        1..=KEY_LIMIT if values.next().is_none() => Ok(Some(text.to_owned())),
+        _ => Err(Fault::BadKey(KEY_LIMIT)),
+    }
+}
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod claims;
 pub mod clock;
 pub mod dispatch;
+pub mod edge;
 pub mod log;
 pub mod peers;
+pub mod upstream;
--- /dev/null
+++ b/components/transport/src/upstream/mod.rs
@@ -0,0 +1,12 @@
+//! The client side: connections to backend servers.
+
+pub mod body;
+pub mod connection;
+pub mod exchange;
+pub mod meter;
+pub mod pool;
+
+pub use body::RequestBody;
+pub use connection::{ConnectError, Connection};
+pub use exchange::{Exchange, SendError};
+pub use pool::Pools;
--- /dev/null
+++ b/components/transport/tests/support/mod.rs
@@ -0,0 +1,375 @@
+//! An edge on loopback, scripted backend servers, and callers that write raw bytes.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use state::preset::{DataCentre, Endpoint, Service};
+use state::{Config, Preset};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use transport::dispatch::Dispatcher;
+use transport::edge::{Edge, Limits};
+
+/// Longer than anything that is waited for, on a busy machine too.
+pub const GENEROUS: Duration = Duration::from_secs(30);
+
+/// What a scripted backend server does with one request.
+#[derive(Clone)]
+pub enum Reply {
+    /// Writes these bytes and keeps the connection open.
+    Keep(String),
+    /// Writes these bytes and closes the connection.
+    Close(String),
+    /// Writes these bytes and then nothing, until the other end closes.
+    Hang(String),
+}
+
+/// A request as a scripted backend server saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// Its head, as it came.
+    pub head: String,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Which connection it came on, counted from 0.
+    pub connection: usize,
+}
+
+/// What happened at a scripted backend server.
+#[derive(Default)]
+pub struct Journal {
+    /// Whole requests.
+    pub seen: Vec<Seen>,
+    /// Connections that the other end closed while a reply hung.
+    pub cancelled: usize,
+    /// Connections accepted.
+    pub accepted: usize,
+}
+
+/// A scripted backend server.
+pub struct Server {
+    /// Where it listens.
+    pub address: SocketAddr,
+    journal: Arc<Mutex<Journal>>,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Starts one that answers its n-th request as `script` says.
+    pub async fn start(script: impl Fn(usize, &Seen) -> Reply + Send + Sync + 'static) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let journal = Arc::new(Mutex::new(Journal::default()));
+        let shared = Arc::clone(&journal);
+        let script = Arc::new(script);
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let number = {
+                    let mut journal = shared.lock().expect("the journal");
+                    journal.accepted += 1;
+                    journal.accepted - 1
+                };
+                tokio::spawn(converse(
+                    stream,
+                    number,
+                    Arc::clone(&shared),
+                    Arc::clone(&script),
+                ));
+            }
+        });
+        Server {
+            address,
+            journal,
+            task,
+        }
+    }
+
+    /// Starts one that always answers the same.
+    pub async fn always(reply: Reply) -> Server {
+        Server::start(move |_, _| reply.clone()).await
+    }
+
+    /// Returns the requests seen so far.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.journal.lock().expect("the journal").seen.clone()
+    }
+
+    /// Returns how many hanging replies were cancelled.
+    pub fn cancelled(&self) -> usize {
+        self.journal.lock().expect("the journal").cancelled
+    }
+
+    /// Returns how many connections were accepted.
+    pub fn accepted(&self) -> usize {
+        self.journal.lock().expect("the journal").accepted
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn converse(
+    mut stream: TcpStream,
+    connection: usize,
+    journal: Arc<Mutex<Journal>>,
+    script: Arc<impl Fn(usize, &Seen) -> Reply + Send + Sync + 'static>,
+) {
+    while let Some(seen) = read_request(&mut stream, connection).await {
+        let number = {
+            let mut journal = journal.lock().expect("the journal");
+            journal.seen.push(seen.clone());
+            journal.seen.len() - 1
+        };
+        let (text, more) = match script(number, &seen) {
+            Reply::Keep(text) => (text, None),
+            Reply::Close(text) => (text, Some(false)),
+            Reply::Hang(text) => (text, Some(true)),
+        };
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            return;
+        }
+        match more {
+            None => {}
+            Some(false) => return,
+            Some(true) => {
+                let mut sink = [0; 1024];
+                while let Ok(1..) = stream.read(&mut sink).await {}
+                journal.lock().expect("the journal").cancelled += 1;
+                return;
+            }
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream, connection: usize) -> Option<Seen> {
+    let mut bytes = Vec::new();
+    let head = loop {
+        match bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+            Some(end) => break end + 4,
+            None => read_some(stream, &mut bytes).await?,
+        }
+    };
+    let text = String::from_utf8_lossy(&bytes[..head]).into_owned();
+    let whole = match field(&text, "content-length") {
+        Some(length) => head + length.parse::<usize>().expect("a length"),
+        None if field(&text, "transfer-encoding").is_some() => {
+            while !bytes.ends_with(b"0\r\n\r\n") {
+                read_some(stream, &mut bytes).await?;
+            }
+            bytes.len()
+        }
+        None => head,
+    };
+    while bytes.len() < whole {
+        read_some(stream, &mut bytes).await?;
+    }
+    Some(Seen {
+        head: text,
+        body: bytes.split_off(head),
+        connection,
+    })
+}
+
+async fn read_some(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<()> {
+    match stream.read_buf(bytes).await {
+        Ok(1..) => Some(()),
+        _ => None,
+    }
+}
+
+/// Returns the value of a header field in `head`.
+pub fn field(head: &str, name: &str) -> Option<String> {
+    head.lines()
+        .take_while(|line| !line.is_empty())
+        .filter_map(|line| line.split_once(':'))
+        .find(|(n, _)| n.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.trim().to_owned())
+}
+
+/// Returns a whole answer with `body`.
+pub fn ok(body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// An edge with one service, `hallboard`.
+pub struct Site {
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// The edge itself.
+    pub edge: Arc<Edge>,
+    _config: watch::Sender<Arc<Config>>,
+    task: JoinHandle<()>,
+}
+
+impl Site {
+    /// Starts an edge before `servers`.
+    pub async fn start(servers: &[&Server]) -> Site {
+        Site::with(servers, |_| {}, Limits::default()).await
+    }
+
+    /// Starts an edge whose service and limits are changed first.
+    pub async fn with(servers: &[&Server], change: impl Fn(&mut Service), limits: Limits) -> Site {
+        let addresses: Vec<_> = servers.iter().map(|s| s.address).collect();
+        let mut service = hallboard(&addresses);
+        change(&mut service);
+        let config = Arc::new(config(service));
+        let dispatcher = Arc::new(Dispatcher::default());
+        dispatcher.configure(&config);
+        let (sender, receiver) = watch::channel(config);
+        let edge = Edge::new(limits, dispatcher, receiver);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let task = tokio::spawn(Arc::clone(&edge).serve(listener));
+        Site {
+            address,
+            edge,
+            _config: sender,
+            task,
+        }
+    }
+
+    /// Connects a caller.
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.address)
+            .await
+            .expect("the edge accepts")
+    }
+
+    /// Sends `request` on a connection of its own and returns all that comes back.
+    pub async fn ask(&self, request: &str) -> Answer {
+        let mut stream = self.connect().await;
+        stream
+            .write_all(request.as_bytes())
+            .await
+            .expect("the request is sent");
+        Answer::read(&mut stream).await
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// What a caller received until its connection ended.
+#[derive(Debug)]
+pub struct Answer {
+    /// The status line and the header fields.
+    pub head: String,
+    /// All after it.
+    pub body: Vec<u8>,
+    /// Whether the connection was reset.
+    pub reset: bool,
+}
+
+impl Answer {
+    /// Reads until the connection ends.
+    pub async fn read(stream: &mut TcpStream) -> Answer {
+        let mut bytes = Vec::new();
+        let end = tokio::time::timeout(GENEROUS, stream.read_to_end(&mut bytes)).await;
+        let reset = end.expect("the connection ends").is_err();
+        let head = bytes
+            .windows(4)
+            .position(|w| w == b"\r\n\r\n")
+            .map_or(bytes.len(), |end| end + 4);
+        let body = bytes.split_off(head);
+        Answer {
+            head: String::from_utf8_lossy(&bytes).into_owned(),
+            body,
+            reset,
+        }
+    }
+
+    /// Returns the status, 0 where there is none.
+    pub fn status(&self) -> u16 {
+        let status = self.head.split(' ').nth(1);
+        status.and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// Returns the outcome it states.
+    pub fn outcome(&self) -> String {
+        field(&self.head, "cardamomvale-outcome").unwrap_or_default()
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Returns a GET of `path` that ends its connection.
+pub fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n")
+}
+
+/// Returns a POST of `path` with a body, that ends its connection.
+pub fn post(path: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Waits until `condition` holds.
+pub async fn until(condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(GENEROUS, wait)
+        .await
+        .expect("the condition comes to hold");
+}
+
+fn hallboard(addresses: &[SocketAddr]) -> Service {
+    Service {
+        name: "hallboard".into(),
+        endpoints: addresses
+            .iter()
+            .map(|address| Endpoint {
+                address: *address,
+                data_centre: "trent".into(),
+            })
+            .collect(),
+        slots: 6,
+        cold_slots: 1,
+        connections: 200,
+        deadline_ms: 20_000,
+        queue: 100,
+        body_limit: 1024 * 1024,
+        retry_percent: 10,
+        probe_cost_ms: 6,
+        key_seconds: 60,
+    }
+}
+
+fn config(service: Service) -> Config {
+    let preset = Preset {
+        name: "ordinary".into(),
+        data_centres: vec![DataCentre {
+            name: "trent".into(),
+            region: "midlands".into(),
+        }],
+        services: vec![service],
+    };
+    Config {
+        revision: 1,
+        presets: BTreeMap::from([("ordinary".into(), preset)]),
+        chosen: Some("ordinary".into()),
+        ..Config::default()
+    }
+}
