stand_ins: the load tool, its limit, report and plot

Cause: no load could be sent and nothing measured. Change: open-loop load from a TOML file (Poisson arrivals by seed, bursts, skew, mixes, keyed calls with repeats), latency from the intended start, wait apart from work, the limit (one queue, perfect knowledge) for the same arrivals and the work times seen, JSON report, SVG plot. The pacer has a thread of its own: the runtime's timers are a millisecond coarse.

--- a/components/stand_ins/src/backend/service.rs
+++ b/components/stand_ins/src/backend/service.rs
@@ -23,6 +23,9 @@
 const NOT_RUN_FIELD: &str = "cardamomvale-not-run";
 const KEY_FIELD: &str = "idempotency-key";
 const DEFAULT_SIZE: u64 = 64;
+/// The runtime's timers wake up to a millisecond late: half of it is taken off,
+/// so that work takes as long as asked on average.
+const TIMER_LATENESS: Duration = Duration::from_micros(500);
 
 pub(super) async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
@@ -63,7 +66,12 @@
 ) -> Result<Response<Answer>, Infallible> {
     match request.uri().path() {
         LOAD_PATH => Ok(report(&shared).await),
-        _ => Ok(work(request, &shared).await),
+        _ => {
+            let wish = Wish::of(&request);
+            let mut response = work(request, &wish, &shared).await;
+            response.headers_mut().insert(CALL_FIELD, wish.call.into());
+            Ok(response)
+        }
     }
 }
 
@@ -80,8 +88,7 @@
     answer(StatusCode::OK, Answer::text(text))
 }
 
-async fn work(request: Request<Incoming>, shared: &Shared) -> Response<Answer> {
-    let wish = Wish::of(&request);
+async fn work(request: Request<Incoming>, wish: &Wish, shared: &Shared) -> Response<Answer> {
     if request.into_body().collect().await.is_err() {
         return not_run("the body of the request broke off");
     }
@@ -115,16 +122,14 @@
             );
         }
         _ if length.is_zero() => {}
-        _ => tokio::time::sleep(length).await,
+        _ => tokio::time::sleep(length.saturating_sub(TIMER_LATENESS)).await,
     }
     run.end(Ending::Done);
     let cut = shared.knobs().cut_next();
     let body = Answer::new(wish.call, wish.size, wish.chunked, cut);
     let mut response = answer(StatusCode::OK, body);
-    let fields = response.headers_mut();
-    fields.insert(CALL_FIELD, wish.call.into());
     let took = u64::try_from(begun.elapsed().as_micros()).unwrap_or(u64::MAX);
-    fields.insert(WORK_FIELD, took.into());
+    response.headers_mut().insert(WORK_FIELD, took.into());
     response
 }
 
--- a/components/stand_ins/src/lib.rs
+++ b/components/stand_ins/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod backend;
 pub mod history;
+pub mod load;
 pub mod log;
 pub mod proxy;
--- /dev/null
+++ b/components/stand_ins/src/load.rs
@@ -0,0 +1,16 @@
+//! The load tool: open-loop load from an experiment file, its report and plot.
+//!
+//! docs/operators/load.md describes the experiment file.
+
+pub mod caller;
+pub mod experiment;
+pub mod limit;
+pub mod plan;
+pub mod plot;
+pub mod report;
+pub mod run;
+
+pub use caller::{Call, Caller, Reply, Target};
+pub use experiment::{Experiment, ExperimentError};
+pub use plan::{Plan, Planned};
+pub use report::{Report, Sample};
--- /dev/null
+++ b/components/stand_ins/src/load/limit.rs
@@ -0,0 +1,136 @@
+//! The limit: one queue before all slots of a service, with perfect knowledge.
+//!
+//! First come, first served over all slots, no network and no control traffic.
+//! Nothing that places calls without knowing the length of their work can be
+//! expected to do better on the mean; it is what the policies are held against.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use derives::value;
+
+use super::experiment::{Action, Experiment};
+use super::plan::Plan;
+
+/// What becomes of a call at the limit.
+#[value]
+pub struct Ideal {
+    /// From its arrival until its answer, none where it could not be served in time.
+    pub latency: Option<Duration>,
+    /// From its arrival until its work starts.
+    pub wait: Duration,
+}
+
+/// Computes what the limit makes of each call of `plan`, with `work` the time each really took.
+///
+/// # Panics
+///
+/// Panics on an experiment that [`Experiment::parse`] would have refused.
+pub fn limit(experiment: &Experiment, plan: &Plan, work: &[Duration]) -> Vec<Ideal> {
+    let mut queues: BTreeMap<&str, Queue> = experiment
+        .deployment
+        .services
+        .iter()
+        .map(|s| (s.name.as_str(), Queue::new(experiment, &s.name)))
+        .collect();
+    plan.calls
+        .iter()
+        .zip(work)
+        .map(|(call, work)| {
+            let service = experiment.flows[call.flow].service.as_str();
+            let queue = queues.get_mut(service).expect("a checked experiment");
+            queue.serve(call.at, *work)
+        })
+        .collect()
+}
+
+/// The slots of one service, by the time each is free.
+struct Queue {
+    free: BinaryHeap<Reverse<(Duration, usize)>>,
+    /// For each slot, the times at which it must not be used.
+    out: Vec<Vec<(Duration, Duration)>>,
+    deadline: Duration,
+}
+
+impl Queue {
+    fn new(experiment: &Experiment, name: &str) -> Queue {
+        let service = experiment
+            .deployment
+            .service(name)
+            .expect("a service's own name");
+        let out: Vec<_> = (0..service.endpoints)
+            .flat_map(|e| {
+                let times = out_times(experiment, name, e);
+                std::iter::repeat_n(times, service.slots as usize)
+            })
+            .collect();
+        Queue {
+            free: (0..out.len())
+                .map(|i| Reverse((Duration::ZERO, i)))
+                .collect(),
+            out,
+            deadline: Duration::from_millis(service.deadline_ms),
+        }
+    }
+
+    fn serve(&mut self, arrival: Duration, work: Duration) -> Ideal {
+        while let Some(Reverse((free, slot))) = self.free.pop() {
+            let start = free.max(arrival);
+            let gap = self.out[slot]
+                .iter()
+                .find(|(a, b)| (*a..*b).contains(&start));
+            if let Some((_, back)) = gap {
+                self.free.push(Reverse((*back, slot)));
+                continue;
+            }
+            let wait = start - arrival;
+            if wait + work > self.deadline {
+                self.free.push(Reverse((free, slot)));
+                return Ideal {
+                    latency: None,
+                    wait,
+                };
+            }
+            self.free.push(Reverse((start + work, slot)));
+            return Ideal {
+                latency: Some(wait + work),
+                wait,
+            };
+        }
+        Ideal {
+            latency: None,
+            wait: Duration::ZERO,
+        }
+    }
+}
+
+/// Returns when an endpoint is out: its data centre has left, or it is slow.
+fn out_times(experiment: &Experiment, service: &str, endpoint: u32) -> Vec<(Duration, Duration)> {
+    let centre = experiment.deployment.centre(endpoint);
+    let mut times = Vec::new();
+    let mut since = None;
+    for happening in &experiment.events {
+        let at = Duration::from_millis(happening.at_ms);
+        let starts = match &happening.action {
+            Action::Leave(name) if name == centre => true,
+            Action::Return(name) if name == centre => false,
+            Action::Backend {
+                service: s,
+                endpoint: e,
+                set,
+            } if s == service && *e == endpoint && set.slow.is_some() => set.slow > Some(1),
+            _ => continue,
+        };
+        match (starts, since) {
+            (true, None) => since = Some(at),
+            (false, Some(from)) => {
+                times.push((from, at));
+                since = None;
+            }
+            _ => {}
+        }
+    }
+    times.extend(since.map(|from| (from, Duration::MAX)));
+    times
+}
--- /dev/null
+++ b/components/stand_ins/src/load/plot.rs
@@ -0,0 +1,250 @@
+//! The plot of one or more runs of an experiment.
+
+use std::time::Duration;
+
+use plotters::coord::Shift;
+use plotters::prelude::*;
+
+use super::experiment::{Action, Experiment};
+use super::plan::Plan;
+use super::report::{Sample, Times};
+use crate::history::Outcome;
+
+const SIZE: (u32, u32) = (1_100, 1_050);
+const COLOURS: [RGBColor; 7] = [
+    RGBColor(0, 90, 160),
+    RGBColor(200, 60, 20),
+    RGBColor(20, 130, 60),
+    RGBColor(130, 60, 150),
+    RGBColor(180, 130, 0),
+    RGBColor(90, 90, 90),
+    RGBColor(0, 150, 160),
+];
+const FONT: &str = "sans-serif";
+/// Time is cut into so many parts.
+const PARTS: u32 = 100;
+/// The percentile curve runs to 99.99 in 100, that is four nines.
+const NINES: f64 = 4.0;
+
+/// One line of the percentile curve.
+pub struct Curve<'a> {
+    /// What the legend says.
+    pub label: String,
+    /// The times, in any order.
+    pub times: &'a Times,
+}
+
+/// One run as seen over time.
+pub struct Course<'a> {
+    /// The experiment.
+    pub experiment: &'a Experiment,
+    /// Its plan.
+    pub plan: &'a Plan,
+    /// What became of each call.
+    pub samples: &'a [Sample],
+}
+
+/// Why a plot could not be drawn.
+#[derive(Debug, thiserror::Error)]
+#[error("can't draw the plot: {0}")]
+pub struct PlotError(String);
+
+impl<E: std::error::Error + Send + Sync> From<DrawingAreaErrorKind<E>> for PlotError {
+    fn from(error: DrawingAreaErrorKind<E>) -> Self {
+        PlotError(error.to_string())
+    }
+}
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+
+/// Returns an SVG picture: the percentiles of all `curves`, and the course of one run.
+///
+/// # Errors
+///
+/// Fails where the drawing library does.
+pub fn draw(curves: &[Curve<'_>], course: &Course<'_>) -> Result<String, PlotError> {
+    let mut picture = String::new();
+    {
+        let area = SVGBackend::with_string(&mut picture, SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let area = area.titled(&course.experiment.name, (FONT, 24))?;
+        let panels = area.split_evenly((3, 1));
+        percentiles(&panels[0], curves)?;
+        latencies(&panels[1], course)?;
+        outcomes(&panels[2], course)?;
+        area.present()?;
+    }
+    Ok(picture)
+}
+
+fn percentiles(area: &Area<'_>, curves: &[Curve<'_>]) -> Result<(), PlotError> {
+    let share = |nines: f64| 1.0 - 10f64.powf(-nines);
+    let top = curves
+        .iter()
+        .map(|c| c.times.at(share(NINES)))
+        .fold(10.0, f64::max);
+    let mut chart = ChartBuilder::on(area)
+        .caption("Answer time by share of calls", (FONT, 16))
+        .margin(8)
+        .x_label_area_size(30)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..NINES, (0.1..top * 1.5).log_scale())?;
+    let label = |nines: &f64| format!("{}%", trim(100.0 * share(*nines)));
+    chart
+        .configure_mesh()
+        .x_labels(5)
+        .x_label_formatter(&label)
+        .y_desc("ms")
+        .y_label_formatter(&|ms| trim(*ms))
+        .light_line_style(WHITE)
+        .draw()?;
+    for (curve, colour) in curves.iter().zip(COLOURS.iter().cycle()) {
+        let points = (0..=200).map(|i| {
+            let nines = NINES * f64::from(i) / 200.0;
+            (nines, curve.times.at(share(nines)).max(0.1))
+        });
+        let colour = *colour;
+        chart
+            .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
+            .label(&curve.label)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::UpperLeft)
+        .background_style(WHITE.mix(0.8))
+        .label_font((FONT, 13))
+        .draw()?;
+    Ok(())
+}
+
+fn latencies(area: &Area<'_>, course: &Course<'_>) -> Result<(), PlotError> {
+    let mut parts: Vec<Times> = (0..PARTS).map(|_| Times::default()).collect();
+    for sample in course.samples {
+        if sample.outcome == Outcome::Complete {
+            parts[course.part(sample)].add(sample.latency);
+        }
+    }
+    let top = parts.iter().map(|p| p.at(1.0)).fold(10.0, f64::max);
+    let seconds = course.experiment.seconds as f64;
+    let mut chart = ChartBuilder::on(area)
+        .caption("Answer time over time: median, 99%, greatest", (FONT, 16))
+        .margin(8)
+        .x_label_area_size(30)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..seconds, (0.1..top * 1.5).log_scale())?;
+    chart
+        .configure_mesh()
+        .y_desc("ms")
+        .x_label_formatter(&|s| format!("{} s", trim(*s)))
+        .y_label_formatter(&|ms| trim(*ms))
+        .light_line_style(WHITE)
+        .draw()?;
+    for (share, colour) in [(0.5, COLOURS[0]), (0.99, COLOURS[1]), (1.0, COLOURS[5])] {
+        let points = parts
+            .iter()
+            .enumerate()
+            .map(|(i, p)| (course.second(i), p.at(share).max(0.1)));
+        chart.draw_series(LineSeries::new(points, colour.stroke_width(2)))?;
+    }
+    for (second, text) in course.marks() {
+        let line = [(second, 0.1), (second, top * 1.5)];
+        chart.draw_series([PathElement::new(line, BLACK.mix(0.4))])?;
+        let text = Text::new(text, (second, top), (FONT, 12).into_font());
+        chart.draw_series([text])?;
+    }
+    Ok(())
+}
+
+fn outcomes(area: &Area<'_>, course: &Course<'_>) -> Result<(), PlotError> {
+    let seconds = course.experiment.seconds as f64;
+    let kinds = [
+        ("answered", COLOURS[2], [Outcome::Complete].as_slice()),
+        ("refused, not run", COLOURS[4], &[Outcome::NotRun]),
+        (
+            "unknown, broken or no connection",
+            COLOURS[1],
+            &[Outcome::Unknown, Outcome::Broken, Outcome::Unreachable],
+        ),
+    ];
+    let rates: Vec<Vec<f64>> = kinds.iter().map(|(_, _, k)| course.rates(k)).collect();
+    let top = rates.iter().flatten().copied().fold(1.0, f64::max);
+    let mut chart = ChartBuilder::on(area)
+        .caption("Calls a second by outcome", (FONT, 16))
+        .margin(8)
+        .x_label_area_size(30)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..seconds, 0.0..top * 1.1)?;
+    chart
+        .configure_mesh()
+        .y_desc("calls/s")
+        .x_label_formatter(&|s| format!("{} s", trim(*s)))
+        .light_line_style(WHITE)
+        .draw()?;
+    for ((label, colour, _), rates) in kinds.iter().zip(&rates) {
+        let points = rates
+            .iter()
+            .enumerate()
+            .map(|(i, r)| (course.second(i), *r));
+        let colour = *colour;
+        chart
+            .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
+            .label(*label)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::MiddleRight)
+        .background_style(WHITE.mix(0.8))
+        .label_font((FONT, 13))
+        .draw()?;
+    Ok(())
+}
+
+impl Course<'_> {
+    fn width(&self) -> Duration {
+        Duration::from_secs(self.experiment.seconds.max(1)) / PARTS
+    }
+
+    fn part(&self, sample: &Sample) -> usize {
+        let at = self.plan.calls[sample.call].at;
+        let part = at.as_micros() / self.width().as_micros();
+        usize::try_from(part).unwrap_or(0).min(PARTS as usize - 1)
+    }
+
+    fn second(&self, part: usize) -> f64 {
+        (part as f64 + 0.5) * self.width().as_secs_f64()
+    }
+
+    fn rates(&self, outcomes: &[Outcome]) -> Vec<f64> {
+        let mut rates = vec![0.0; PARTS as usize];
+        for sample in self.samples {
+            if outcomes.contains(&sample.outcome) {
+                rates[self.part(sample)] += 1.0 / self.width().as_secs_f64();
+            }
+        }
+        rates
+    }
+
+    fn marks(&self) -> Vec<(f64, String)> {
+        let events = self.experiment.events.iter();
+        events
+            .map(|happening| {
+                let text = match &happening.action {
+                    Action::Leave(name) => format!("{name} leaves"),
+                    Action::Return(name) => format!("{name} returns"),
+                    Action::Backend {
+                        service, endpoint, ..
+                    } => format!("{service} {endpoint}"),
+                    Action::LogDown(ms) => format!("log down {ms} ms"),
+                };
+                (happening.at_ms as f64 / 1_000.0, text)
+            })
+            .collect()
+    }
+}
+
+fn trim(number: f64) -> String {
+    let text = format!("{number:.2}");
+    text.trim_end_matches('0').trim_end_matches('.').to_owned()
+}
--- /dev/null
+++ b/components/stand_ins/src/load/run.rs
@@ -0,0 +1,136 @@
+//! Sends the calls of a plan at their times, whatever becomes of them.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+
+use super::caller::{Call, Caller, Target};
+use super::experiment::Experiment;
+use super::plan::{Plan, Planned};
+use super::report::Sample;
+use crate::history::Outcome;
+
+/// Sends all calls of `plan` to `targets`, and returns what became of each.
+///
+/// The sender never waits for an answer (open loop), so that a slow system
+/// gets no fewer calls; the numbers of the calls start at `first`.
+///
+/// # Panics
+///
+/// Panics outside a tokio runtime, and where `targets` is empty.
+pub async fn run(
+    experiment: &Arc<Experiment>,
+    plan: &Arc<Plan>,
+    targets: &Arc<Vec<Target>>,
+    caller: &Caller,
+    first: u64,
+) -> Vec<Sample> {
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    let pacer = Pacer {
+        experiment: Arc::clone(experiment),
+        plan: Arc::clone(plan),
+        targets: Arc::clone(targets),
+        caller: caller.clone(),
+        first,
+        sender,
+        runtime: Handle::current(),
+    };
+    // A thread of its own: the runtime's timers are a millisecond coarse.
+    let pacing = thread::spawn(move || pacer.pace());
+    let mut samples = Vec::with_capacity(plan.calls.len());
+    while let Some(sample) = receiver.recv().await {
+        samples.push(sample);
+    }
+    pacing
+        .join()
+        .expect("the pacer panics only where a task can't be spawned");
+    samples.sort_by_key(|s: &Sample| s.call);
+    samples
+}
+
+/// Returns the time each call's work really took; the planned time where it is not known.
+pub fn work_times(plan: &Plan, samples: &[Sample]) -> Vec<Duration> {
+    let mut work: Vec<Duration> = plan.calls.iter().map(|c| c.work).collect();
+    for sample in samples {
+        if let Some(took) = sample.work {
+            work[sample.call] = took;
+        }
+    }
+    work
+}
+
+struct Pacer {
+    experiment: Arc<Experiment>,
+    plan: Arc<Plan>,
+    targets: Arc<Vec<Target>>,
+    caller: Caller,
+    first: u64,
+    sender: mpsc::UnboundedSender<Sample>,
+    runtime: Handle,
+}
+
+impl Pacer {
+    fn pace(self) {
+        let start = Instant::now();
+        let pacer = Arc::new(self);
+        for (number, planned) in pacer.plan.calls.iter().enumerate() {
+            let due = start + planned.at;
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            let pacer = Arc::clone(&pacer);
+            pacer.runtime.clone().spawn(async move {
+                pacer.send(number, due).await;
+            });
+        }
+    }
+
+    async fn send(&self, number: usize, due: Instant) {
+        let planned = &self.plan.calls[number];
+        let call = self.call(number, planned);
+        let lag = due.elapsed();
+        let reply = self.caller.call(self.target(planned.entry), &call).await;
+        let sample = Sample {
+            call: number,
+            outcome: reply.outcome,
+            latency: due.elapsed(),
+            lag,
+            work: reply.work.filter(|_| reply.outcome == Outcome::Complete),
+        };
+        // The receiver outlives all senders.
+        let _ = self.sender.send(sample);
+    }
+
+    /// Returns the planned entry host, or the next one that is up.
+    fn target(&self, entry: usize) -> &Target {
+        let count = self.targets.len();
+        (0..count)
+            .map(|i| &self.targets[(entry + i) % count])
+            .find(|t| t.is_up())
+            .unwrap_or(&self.targets[entry % count])
+    }
+
+    fn call(&self, number: usize, planned: &Planned) -> Call {
+        let flow = &self.experiment.flows[planned.flow];
+        let deadline = self
+            .experiment
+            .deployment
+            .service(&flow.service)
+            .map_or(10_000, |s| s.deadline_ms);
+        let number = self.first + number as u64;
+        let repeats = planned.repeats.map(|n| self.first + n as u64);
+        let key = repeats.unwrap_or(number);
+        let work_ms = planned.work.as_secs_f64() * 1_000.0;
+        let (service, size) = (&flow.service, flow.size);
+        Call {
+            number,
+            method: flow.method.clone(),
+            path: format!("/{service}/work?work-ms={work_ms:.3}&size={size}"),
+            key: flow.keyed.then(|| format!("key-{key}")),
+            repeats,
+            deadline: Duration::from_millis(deadline),
+            size,
+        }
+    }
+}
--- /dev/null
+++ b/components/stand_ins/tests/load_tool.rs
@@ -0,0 +1,162 @@
+//! The load tool sends what its file says and measures from the intended start.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stand_ins::backend::{Backend, Knobs, Options};
+use stand_ins::history::check::{Limits, Tally, check};
+use stand_ins::history::{History, Outcome};
+use stand_ins::load::limit::limit;
+use stand_ins::load::plot::{Course, Curve, draw};
+use stand_ins::load::report::Times;
+use stand_ins::load::run::{run, work_times};
+use stand_ins::load::{Caller, Experiment, ExperimentError, Plan, Report, Sample, Target};
+
+const FILE: &str = r#"
+name = "small"
+seed = 3
+seconds = 1
+
+[deployment]
+entry-hosts = 2
+region = "midlands"
+data-centres = ["trent", "soar"]
+
+[[deployment.service]]
+name = "hallboard"
+endpoints = 2
+slots = 50
+
+[[flow]]
+service = "hallboard"
+arrivals = { rate = 200.0 }
+work = { exponential = 5.0 }
+size = 40000
+
+[[flow]]
+service = "hallboard"
+method = "POST"
+arrivals = { rate = 50.0 }
+work = { fixed = 1.0 }
+keyed = true
+repeats = 0.5
+"#;
+
+struct Ran {
+    experiment: Arc<Experiment>,
+    plan: Arc<Plan>,
+    samples: Vec<Sample>,
+    history: History,
+}
+
+/// Runs the small experiment straight against two backend servers.
+async fn small(knobs: Knobs) -> Ran {
+    let experiment = Arc::new(Experiment::parse(FILE).unwrap());
+    let plan = Arc::new(Plan::draw(&experiment));
+    let history = History::default();
+    let start = |_| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let options = Options {
+            slots: 50,
+            ..Options::default()
+        };
+        let backend = Backend::start(listener, options, history.clone()).unwrap();
+        backend.set(&knobs);
+        backend
+    };
+    let backends: Vec<Backend> = (0..2).map(start).collect();
+    let target = |b: &Backend| Target::new(b.address().to_string(), b.address());
+    let targets = Arc::new(backends.iter().map(target).collect());
+    let caller = Caller {
+        history: history.clone(),
+    };
+    let samples = run(&experiment, &plan, &targets, &caller, 1).await;
+    Ran {
+        experiment,
+        plan,
+        samples,
+        history,
+    }
+}
+
+#[test]
+fn same_plan() {
+    let experiment = Experiment::parse(FILE).unwrap();
+    assert_eq!(Plan::draw(&experiment), Plan::draw(&experiment));
+}
+
+#[test]
+fn faults_named() {
+    let text = FILE
+        .replace("entry-hosts = 2", "entry-hosts = 0")
+        .replace("service = \"hallboard\"\nmethod", "service = \"x\"\nmethod");
+    let Err(ExperimentError::Faults(faults)) = Experiment::parse(&text) else {
+        panic!("the faults were not found");
+    };
+    assert_eq!(faults.len(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_answered() {
+    let ran = small(Knobs::default()).await;
+    assert_eq!(ran.samples.len(), ran.plan.calls.len());
+    assert!(ran.samples.iter().all(|s| s.outcome == Outcome::Complete));
+    let tally = Tally::of(&ran.history.sorted());
+    assert_eq!(tally.complete, ran.plan.calls.len() as u64);
+    let work = work_times(&ran.plan, &ran.samples);
+    let ideals = limit(&ran.experiment, &ran.plan, &work);
+    let report = Report::of(&ran.experiment, "none", &ran.plan, &ran.samples, &ideals);
+    assert_eq!(report.all.complete, tally.complete);
+    let mut times = Times::default();
+    times.add(Duration::from_millis(3));
+    let curve = Curve {
+        label: "one".to_owned(),
+        times: &times,
+    };
+    let course = Course {
+        experiment: &ran.experiment,
+        plan: &ran.plan,
+        samples: &ran.samples,
+    };
+    assert!(draw(&[curve], &course).unwrap().starts_with("<svg"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn second_run_found() {
+    // Straight at the backend servers nobody agrees on keys: repeats run twice.
+    let ran = small(Knobs::default()).await;
+    let faults = check(&ran.history.sorted(), &Limits::default());
+    assert!(!faults.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_answers_seen() {
+    let ran = small(Knobs {
+        cut_answers: Some(5),
+        ..Knobs::default()
+    })
+    .await;
+    let broken = ran.samples.iter().filter(|s| s.outcome == Outcome::Broken);
+    assert_eq!(broken.count(), 10);
+}
+
+#[test]
+fn limit_waits() {
+    let text = FILE
+        .replace("slots = 50", "slots = 1")
+        .replace("exponential = 5.0", "fixed = 5.0");
+    let experiment = Experiment::parse(&text).unwrap();
+    let plan = Plan::draw(&experiment);
+    let planned: Vec<Duration> = plan.calls.iter().map(|c| c.work).collect();
+    let ideals = limit(&experiment, &plan, &planned);
+    assert!(ideals.iter().any(|i| !i.wait.is_zero()));
+    let busy: Duration = planned.iter().sum();
+    assert!(busy < Duration::from_secs(2));
+    let waits = ideals.iter().zip(&planned);
+    assert!(
+        waits
+            .clone()
+            .all(|(i, work)| i.latency == Some(i.wait + *work))
+    );
+}
