--- a/components/stand_ins/src/backend/service.rs
+++ b/components/stand_ins/src/backend/service.rs
@@ -33,10 +33,10 @@
             Ok((stream, _)) if shared.bearing().connect() => {
                 tokio::spawn(connection(stream, Arc::clone(&shared)));
             }
-            Ok(_) => log::warn!("E0901 connection-limit endpoint={}", shared.address),
+            Ok(_) => log::warn!("E0911 connection-limit endpoint={}", shared.address),
             Err(error) => {
                 log::warn!(
-                    "E0902 accept-failed endpoint={} error={error}",
+                    "E0912 accept-failed endpoint={} error={error}",
                     shared.address
                 );
                 tokio::time::sleep(Duration::from_millis(10)).await;
--- a/components/stand_ins/src/lib.rs
+++ b/components/stand_ins/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod load;
 pub mod log;
 pub mod proxy;
+pub mod site;
--- a/components/stand_ins/src/proxy.rs
+++ b/components/stand_ins/src/proxy.rs
@@ -119,7 +119,7 @@
             }
             Err(error) => {
                 log::warn!(
-                    "E0911 proxy-accept-failed target={} error={error}",
+                    "E0921 proxy-accept-failed target={} error={error}",
                     shared.target
                 );
                 tokio::time::sleep(Duration::from_millis(10)).await;
