cmd: operators' commands against the log or an entry host

Cause: operators had no way to put and choose presets or to take data centres and hosts out. Measured: no behaviour at run time yet.

--- a/components/stand_ins/src/log/server.rs
+++ b/components/stand_ins/src/log/server.rs
@@ -23,7 +23,7 @@
 pub struct LogStandIn {
     address: SocketAddr,
     store: Arc<Store>,
-    server: Arc<Server>,
+    servers: Vec<Arc<Server>>,
 }
 
 #[derive(Serialize)]
@@ -52,16 +52,12 @@
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = Arc::new(server);
         let store = Arc::new(Store::new(behaviour));
-        let accepting = Arc::clone(&server);
-        let shared = Arc::clone(&store);
-        std::thread::Builder::new()
-            .name("log-stand-in".to_owned())
-            .spawn(move || accept(&accepting, &shared))?;
+        serve(&server, &store)?;
         log::info!("E0901 log-stand-in-started address={address}");
         Ok(LogStandIn {
             address,
             store,
-            server,
+            servers: vec![server],
         })
     }
 
@@ -74,6 +70,19 @@
         LogStandIn::start(TcpListener::bind(("127.0.0.1", 0))?, behaviour)
     }
 
+    /// Serves the same on another listener, such as one that no fault proxy stands before.
+    ///
+    /// # Errors
+    ///
+    /// Says why the listener can't be served.
+    pub fn also_listen(&mut self, listener: TcpListener) -> io::Result<()> {
+        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let server = Arc::new(server);
+        serve(&server, &self.store)?;
+        self.servers.push(server);
+        Ok(())
+    }
+
     /// Returns where it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -106,10 +115,19 @@
 impl Drop for LogStandIn {
     fn drop(&mut self) {
         self.store.stop();
-        self.server.unblock();
+        self.servers.iter().for_each(|s| s.unblock());
     }
 }
 
+fn serve(server: &Arc<Server>, store: &Arc<Store>) -> io::Result<()> {
+    let server = Arc::clone(server);
+    let store = Arc::clone(store);
+    std::thread::Builder::new()
+        .name("log-stand-in".to_owned())
+        .spawn(move || accept(&server, &store))?;
+    Ok(())
+}
+
 /// Answers each request on a thread of its own, since reads wait long.
 fn accept(server: &Server, store: &Arc<Store>) {
     for request in server.incoming_requests() {
--- a/components/transport/src/log/client.rs
+++ b/components/transport/src/log/client.rs
@@ -212,7 +212,7 @@
 }
 
 /// Returns whether the error came before a byte could be sent.
-fn never_sent(error: &ureq::Error) -> bool {
+pub(super) fn never_sent(error: &ureq::Error) -> bool {
     match error {
         ureq::Error::Timeout(timeout) => matches!(timeout, ureq::Timeout::Connect),
         ureq::Error::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
--- a/components/transport/src/log/follower.rs
+++ b/components/transport/src/log/follower.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use coordination::config::{
     Answer, CommandId, Fold, LogView, Mark, Record, Snapshot, SnapshotTimer, Spacing, Step,
     Unreadable,
@@ -156,6 +157,24 @@
         }
     }
 
+    /// Takes a snapshot's record as a peer hands it on. Returns whether it was newer.
+    pub fn take_record(&self, record: &Bytes) -> bool {
+        match decode_record(record) {
+            Ok(Record::Snapshot(snapshot)) => self.take(*snapshot),
+            Ok(Record::Command(_)) => false,
+            Err(unreadable) => {
+                log::warn!("E0309 peer-config-unreadable reason=\"{unreadable}\"");
+                false
+            }
+        }
+    }
+
+    /// Returns the snapshot's record to hand to a peer, with its mark.
+    pub fn offer(&self) -> Option<(Mark, Bytes)> {
+        let snapshot = self.snapshot()?;
+        Some((snapshot.mark(), encode_snapshot(&snapshot)))
+    }
+
     /// Returns a copy of the folded state.
     pub fn fold(&self) -> Fold {
         lock(&self.shared.fold).clone()
--- /dev/null
+++ b/components/transport/src/log/remote.rs
@@ -0,0 +1,83 @@
+//! Hands a command to an entry host's admin port, and reads the configuration there.
+
+use std::time::Duration;
+
+use coordination::config::CommandId;
+use rand::Rng;
+use state::Config;
+use ureq::Agent;
+
+use super::client::never_sent;
+use super::submit::{CommandRequest, Outcome};
+
+/// The largest configuration that is read, in bytes.
+const CONFIG_LIMIT: u64 = 16 * 1024 * 1024;
+
+/// Returns the configuration in force at the entry host with this admin address. Blocks.
+///
+/// # Errors
+///
+/// Says why there is none.
+pub fn read_by_entry(address: &str, limit: Duration) -> Result<Config, String> {
+    let mut response = agent(limit)
+        .get(format!("http://{address}/config"))
+        .call()
+        .map_err(|e| e.to_string())?;
+    match response.status().as_u16() {
+        200 => {}
+        status => return Err(format!("the entry host answers with status {status}")),
+    }
+    let body = response.body_mut().with_config().limit(CONFIG_LIMIT);
+    let bytes = body.read_to_vec().map_err(|e| e.to_string())?;
+    serde_json::from_slice(&bytes).map_err(|e| e.to_string())
+}
+
+/// Hands a command to the entry host with this admin address. Blocks.
+///
+/// The id is drawn here and not at the entry host: were its answer lost, the
+/// operator could not ask again.
+pub fn submit_by_entry(address: &str, request: &CommandRequest, limit: Duration) -> Outcome {
+    let config = match (request.id, read_by_entry(address, limit)) {
+        (_, Ok(config)) => config,
+        (Some(id), Err(_)) => return Outcome::Unknown { id },
+        (None, Err(reason)) => return Outcome::Unreachable { reason },
+    };
+    let id = request
+        .id
+        .unwrap_or_else(|| CommandId::draw(config.offset, rand::rng().random()));
+    let named = CommandRequest {
+        id: Some(id),
+        decided_on: request.decided_on.or(Some(config.revision)),
+        change: request.change.clone(),
+    };
+    let repeated = request.id.is_some();
+    let body = serde_json::to_vec(&named).unwrap_or_default();
+    let posted = agent(limit)
+        .post(format!("http://{address}/commands"))
+        .send(&body[..]);
+    match posted {
+        Ok(mut response) => {
+            let body = response.body_mut().read_to_vec().unwrap_or_default();
+            match serde_json::from_slice(&body) {
+                Ok(Outcome::Unreachable { .. }) if repeated => Outcome::Unknown { id },
+                Ok(outcome) => outcome,
+                Err(_) => Outcome::Unknown { id },
+            }
+        }
+        Err(error) if !repeated && never_sent(&error) => Outcome::Unreachable {
+            reason: error.to_string(),
+        },
+        Err(_) => Outcome::Unknown { id },
+    }
+}
+
+fn agent(limit: Duration) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .timeout_connect(Some(Duration::from_secs(1)))
+        .timeout_global(Some(limit))
+        .build();
+    Agent::new_with_config(config)
+}
--- a/components/transport/src/log/submit.rs
+++ b/components/transport/src/log/submit.rs
@@ -9,6 +9,7 @@
 use protocol::record::encode_command;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use state::Config;
 
 use super::CONFIG_STREAM;
 use super::client::{AppendError, LogClient, Timeouts};
@@ -184,6 +185,19 @@
     Submission::new(client, Arc::new(follower), limit).submit(request)
 }
 
+/// Returns the configuration folded from the log at `address`. Blocks.
+///
+/// # Errors
+///
+/// Says why there is none.
+pub fn read_by_log(address: &str, limit: Duration) -> Result<Arc<Config>, String> {
+    let client = LogClient::new(address, Timeouts::default());
+    let follower = Arc::new(Follower::start(client.clone(), reader_options()));
+    let submission = Submission::new(client, Arc::clone(&follower), limit);
+    submission.catch_up(Instant::now() + limit)?;
+    Ok(Arc::clone(follower.fold().config()))
+}
+
 /// Returns the options of a follower that only reads, such as an operator's command.
 pub fn reader_options() -> FollowerOptions {
     FollowerOptions {
--- /dev/null
+++ b/src/cmd/preset.rs
@@ -0,0 +1,131 @@
+//! Checks, puts, lists, shows and chooses presets.
+
+use std::fs;
+use std::path::Path;
+use std::process::ExitCode;
+
+use coordination::config::{Change, Faults, parse_preset};
+use state::Preset;
+
+use super::operator::{Grounds, Target};
+
+/// Checks a preset's file without taking it.
+pub fn check(file: &Path, target: &Target) -> ExitCode {
+    let (_, preset) = match load(file, target) {
+        Ok(loaded) => loaded,
+        Err(code) => return code,
+    };
+    let endpoints: usize = preset.services.iter().map(|s| s.endpoints.len()).sum();
+    let (name, services) = (&preset.name, preset.services.len());
+    match target.json {
+        true => println!(
+            "{}",
+            serde_json::json!({ "outcome": "good", "name": name, "services": services, "endpoints": endpoints })
+        ),
+        false => println!("preset {name} is good: {services} services, {endpoints} endpoints"),
+    }
+    ExitCode::SUCCESS
+}
+
+/// Offers a preset's file to the log; it is taken whole or not at all.
+pub fn put(file: &Path, grounds: &Grounds, target: &Target) -> ExitCode {
+    match load(file, target) {
+        Ok((text, preset)) => {
+            let done = format!("preset {} is put", preset.name);
+            target.submit(Change::PutPreset { text }, grounds, &done)
+        }
+        Err(code) => code,
+    }
+}
+
+/// Brings a preset into force.
+pub fn choose(name: &str, grounds: &Grounds, target: &Target) -> ExitCode {
+    let change = Change::ChoosePreset {
+        name: name.to_owned(),
+    };
+    target.submit(change, grounds, &format!("preset {name} is in force"))
+}
+
+/// Lists the presets, the one in force marked, with what is leaving.
+pub fn list(target: &Target) -> ExitCode {
+    let config = match target.read() {
+        Ok(config) => config,
+        Err(code) => return code,
+    };
+    if target.json {
+        let names: Vec<&String> = config.presets.keys().collect();
+        println!(
+            "{}",
+            serde_json::json!({
+                "revision": config.revision,
+                "in-force": config.chosen,
+                "presets": names,
+                "leaving-data-centres": config.leaving_centres,
+                "leaving-hosts": config.leaving_hosts,
+            })
+        );
+        return ExitCode::SUCCESS;
+    }
+    println!("revision {}", config.revision);
+    for (name, preset) in &config.presets {
+        let mark = match config.chosen.as_ref() == Some(name) {
+            true => "in force",
+            false => "",
+        };
+        let endpoints: usize = preset.services.iter().map(|s| s.endpoints.len()).sum();
+        let services = preset.services.len();
+        println!("{name:<20} {services:>3} services {endpoints:>4} endpoints  {mark}");
+    }
+    for name in &config.leaving_centres {
+        println!("data centre {name} is leaving");
+    }
+    for name in &config.leaving_hosts {
+        println!("host {name} is leaving");
+    }
+    ExitCode::SUCCESS
+}
+
+/// Shows a preset as TOML, or JSON; the one in force where no name is given.
+pub fn show(name: Option<&str>, target: &Target) -> ExitCode {
+    let config = match target.read() {
+        Ok(config) => config,
+        Err(code) => return code,
+    };
+    let (wanted, preset) = match name {
+        Some(name) => (format!("preset named {name}"), config.presets.get(name)),
+        None => ("preset in force".to_owned(), config.preset()),
+    };
+    let Some(preset) = preset else {
+        return target.usage(&format!("there is no {wanted}: see `preset list`"));
+    };
+    let text = match target.json {
+        true => serde_json::to_string(preset).map_err(|e| e.to_string()),
+        false => toml::to_string(preset).map_err(|e| e.to_string()),
+    };
+    match text {
+        Ok(text) => {
+            println!("{}", text.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(message) => target.usage(&message),
+    }
+}
+
+fn load(file: &Path, target: &Target) -> Result<(String, Preset), ExitCode> {
+    let text = fs::read_to_string(file)
+        .map_err(|e| target.usage(&format!("{}: {e}", file.display())))?;
+    match parse_preset(&text) {
+        Ok(preset) => Ok((text, preset)),
+        Err(faults) => Err(target.usage(&describe(file, &faults))),
+    }
+}
+
+fn describe(file: &Path, faults: &Faults) -> String {
+    let count = faults.0.len();
+    let lines: Vec<String> = faults
+        .0
+        .iter()
+        .map(|f| format!("  {}:{}: {}", file.display(), f.line, f.message))
+        .collect();
+    format!("{count} faults, nothing is taken:\n{}", lines.join("\n"))
+}
