--- a/components/coordination/src/config/retention.rs
+++ b/components/coordination/src/config/retention.rs
@@ -95,7 +95,7 @@
             // A quiet stream gives no sign of records about to fall off.
             _ if now.since(self.seen) >= self.spacing.time => true,
             None => view.next >= self.spacing.records,
-            Some(last) if view.next - last >= self.spacing.records => true,
+            Some(last) if view.next.saturating_sub(last) >= self.spacing.records => true,
             // The snapshot is in the older half of what the log keeps. The
             // log's own bound shows only in what has fallen off.
             Some(last) if view.first > 0 => (last - view.first) < (view.next - view.first) / 2,
--- /dev/null
+++ b/components/coordination/tests/config_fold.rs
@@ -0,0 +1,416 @@
+//! The fold of the `config` stream: races, repeats, gaps, and generated histories.
+
+use coordination::config::{
+    Answer, Change, Command, CommandId, Fold, Record, Refusal, Step, Subject, Unreadable, WINDOW,
+    newer,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use state::HostKey;
+
+const ORDINARY: &str = include_str!("../../../examples/midlands.toml");
+const PEAK: &str = include_str!("../../../examples/midlands-peak.toml");
+const MAINTENANCE: &str = include_str!("../../../examples/midlands-maintenance.toml");
+
+fn put(text: &str) -> Change {
+    Change::PutPreset {
+        text: text.to_owned(),
+    }
+}
+
+fn choose(name: &str) -> Change {
+    Change::ChoosePreset {
+        name: name.to_owned(),
+    }
+}
+
+fn leave(name: &str) -> Change {
+    Change::LeaveCentre {
+        name: name.to_owned(),
+    }
+}
+
+fn join(name: &str, incarnation: u64) -> Change {
+    Change::Join {
+        name: name.to_owned(),
+        incarnation,
+        peer: "127.0.0.1:9000".parse().unwrap(),
+        data_centre: "trent".to_owned(),
+    }
+}
+
+fn remove(name: &str, incarnation: u64) -> Change {
+    Change::Remove {
+        host: HostKey::named(name),
+        incarnation,
+    }
+}
+
+/// Folds one more command, decided on `revision` by one who has read all.
+fn give(fold: &mut Fold, revision: u64, change: Change) -> Answer {
+    let offset = fold.mark().next;
+    let command = Command {
+        id: CommandId::draw(offset, offset),
+        decided_on: revision,
+        change,
+    };
+    match fold.apply(offset, Ok(Record::Command(command))) {
+        Step::Decided(_, answer) => answer,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn started() -> Fold {
+    let mut fold = Fold::default();
+    for text in [ORDINARY, PEAK, MAINTENANCE] {
+        give(&mut fold, 0, put(text));
+    }
+    assert_eq!(
+        give(&mut fold, 3, choose("ordinary")),
+        Answer::Accepted { revision: 4 }
+    );
+    fold
+}
+
+fn conflict(subject: Subject, revision: u64) -> Answer {
+    let refusal = Refusal::Conflict { subject, revision };
+    Answer::Refused { refusal }
+}
+
+// Two operators look at the same revision and choose different presets. The
+// second is told who was first, and the first one's preset stays in force.
+#[test]
+fn racing_choices() {
+    let mut fold = started();
+    assert_eq!(
+        give(&mut fold, 4, choose("peak")),
+        Answer::Accepted { revision: 5 }
+    );
+    assert_eq!(
+        give(&mut fold, 4, choose("maintenance")),
+        conflict(Subject::Choice, 5)
+    );
+    assert_eq!(fold.config().preset().unwrap().name, "peak");
+    let text = "was changed first, at revision 5: look again";
+    let Answer::Refused { refusal } = give(&mut fold, 4, choose("maintenance")) else {
+        panic!("accepted")
+    };
+    assert!(refusal.to_string().contains(text), "{refusal}");
+}
+
+// While an operator decides on a preset, hosts join and a data centre leaves.
+// Neither makes the choice a wrong one, so the operator is not refused.
+#[test]
+fn unrelated_changes() {
+    let mut fold = started();
+    give(&mut fold, 4, join("trent-1", 1));
+    give(&mut fold, 4, leave("soar"));
+    assert_eq!(
+        give(&mut fold, 4, choose("peak")),
+        Answer::Accepted { revision: 7 }
+    );
+    assert!(fold.config().leaving_centres.contains("soar"));
+}
+
+// One operator edits a preset that lies idle, another brings it into force in
+// the same moment. Without a conflict the edit would reach callers at once,
+// which neither has decided.
+#[test]
+fn edit_meets_choice() {
+    let edited = PEAK.replace("queue = 800", "queue = 801");
+    let mut fold = started();
+    give(&mut fold, 4, choose("peak"));
+    assert_eq!(
+        give(&mut fold, 4, put(&edited)),
+        conflict(Subject::Choice, 5)
+    );
+    let mut fold = started();
+    give(&mut fold, 4, put(&edited));
+    assert_eq!(
+        give(&mut fold, 4, choose("peak")),
+        conflict(Subject::Preset("peak".to_owned()), 5)
+    );
+}
+
+#[test]
+fn same_wish() {
+    let mut fold = started();
+    give(&mut fold, 4, choose("peak"));
+    assert_eq!(
+        give(&mut fold, 4, choose("peak")),
+        Answer::Accepted { revision: 5 }
+    );
+    assert_eq!(
+        give(&mut fold, 4, put(PEAK)),
+        Answer::Accepted { revision: 2 }
+    );
+    assert_eq!(fold.mark().revision, 5);
+}
+
+#[test]
+fn unknown_names() {
+    let mut fold = started();
+    let unknown = |refusal| Answer::Refused { refusal };
+    let host = Change::LeaveHost {
+        name: "127.1.9.9".to_owned(),
+    };
+    let known = Change::LeaveHost {
+        name: "127.1.1.1".to_owned(),
+    };
+    assert_eq!(
+        give(&mut fold, 4, choose("summer")),
+        unknown(Refusal::UnknownPreset("summer".to_owned()))
+    );
+    assert_eq!(
+        give(&mut fold, 4, leave("sour")),
+        unknown(Refusal::UnknownCentre("sour".to_owned()))
+    );
+    assert_eq!(
+        give(&mut fold, 4, host),
+        unknown(Refusal::UnknownHost("127.1.9.9".to_owned()))
+    );
+    assert_eq!(give(&mut fold, 4, known), Answer::Accepted { revision: 5 });
+    let endpoint = "127.1.1.1:7102".parse().unwrap();
+    assert!(fold.config().is_leaving("trent", endpoint));
+}
+
+// A host was silent, is started anew, and then the removal of its forerunner
+// arrives; or a paused host's old join arrives after its removal. The new
+// process stays, and the removed one stays removed.
+#[test]
+fn late_membership() {
+    let mut fold = started();
+    give(&mut fold, 4, join("trent-1", 1));
+    give(&mut fold, 5, join("trent-1", 2));
+    assert_eq!(
+        give(&mut fold, 6, remove("trent-1", 1)),
+        Answer::Refused {
+            refusal: Refusal::UnknownMember
+        }
+    );
+    assert_eq!(
+        give(&mut fold, 6, remove("trent-1", 2)),
+        Answer::Accepted { revision: 7 }
+    );
+    let member = Subject::Member(HostKey::named("trent-1"));
+    assert_eq!(give(&mut fold, 5, join("trent-1", 2)), conflict(member, 7));
+    assert!(fold.config().members.is_empty());
+}
+
+// An operator's answer was lost and the command is repeated: at once, and
+// again when a thousand others have come between and its id is forgotten.
+// It runs once, and never takes back what was decided since.
+#[test]
+fn repeats() {
+    let mut fold = started();
+    let command = Command {
+        id: CommandId::draw(4, 77),
+        decided_on: 4,
+        change: choose("peak"),
+    };
+    let answer = Answer::Accepted { revision: 5 };
+    let repeat = |fold: &mut Fold| {
+        let offset = fold.mark().next;
+        fold.apply(offset, Ok(Record::Command(command.clone())))
+    };
+    assert_eq!(repeat(&mut fold), Step::Decided(command.id, answer.clone()));
+    give(&mut fold, 5, choose("ordinary"));
+    assert_eq!(repeat(&mut fold), Step::Repeated(command.id, answer));
+    for n in 0..=WINDOW as u64 {
+        let revision = fold.mark().revision;
+        give(&mut fold, revision, join("trent-1", n));
+    }
+    let refusal = Refusal::TooOld;
+    assert_eq!(
+        repeat(&mut fold),
+        Step::Decided(command.id, Answer::Refused { refusal })
+    );
+    assert_eq!(fold.config().chosen.as_deref(), Some("ordinary"));
+    let snapshot = fold.snapshot().unwrap();
+    assert_eq!(snapshot.recent.len(), WINDOW);
+    assert!(snapshot.touched.len() <= WINDOW);
+}
+
+// A host is paused while the records it would fold next fall off the log. It
+// keeps what it has until a snapshot comes that reaches what the log has left,
+// then reads on from there, and ends where the others are.
+#[test]
+fn records_gone() {
+    let mut fold = started();
+    let mut paused = fold.clone();
+    give(&mut fold, 4, choose("peak"));
+    let stale = fold.snapshot().unwrap();
+    give(&mut fold, 5, leave("soar"));
+    let snapshot = fold.snapshot().unwrap();
+    let missed = Command {
+        id: CommandId::draw(6, 1),
+        decided_on: 6,
+        change: choose("maintenance"),
+    };
+    paused.retained_from(6);
+    assert!(paused.is_behind());
+    let step = paused.apply(6, Ok(Record::Command(missed.clone())));
+    assert_eq!((step, paused.mark().revision), (Step::Passed, 4));
+    let step = paused.apply(7, Ok(Record::Snapshot(Box::new(stale))));
+    assert_eq!(step, Step::Passed, "the records after it are gone");
+    let step = paused.apply(8, Ok(Record::Snapshot(Box::new(snapshot.clone()))));
+    assert_eq!(step, Step::Took(snapshot.mark()));
+    assert_eq!((paused.position(), paused.is_behind()), (6, false));
+    for fold in [&mut paused, &mut fold] {
+        fold.apply(6, Ok(Record::Command(missed.clone())));
+    }
+    assert_eq!(paused.config(), fold.config());
+}
+
+// A newer release writes a record that this one can't read. The host goes on,
+// keeps its gap to itself, and is put right by the next snapshot that covers it.
+#[test]
+fn newer_record() {
+    let mut fold = started();
+    let mut updated = fold.clone();
+    give(&mut updated, 4, choose("peak"));
+    let step = fold.apply(4, Err(Unreadable::Newer(2)));
+    assert_eq!(step, Step::Skipped(Unreadable::Newer(2)));
+    assert_eq!((fold.blind(), fold.snapshot()), (Some(4), None));
+    give(&mut fold, 4, leave("soar"));
+    give(&mut updated, 4, leave("soar"));
+    let snapshot = updated.snapshot().unwrap();
+    fold.apply(6, Ok(Record::Snapshot(Box::new(snapshot))));
+    assert_eq!(fold.config(), updated.config());
+    assert_eq!(fold.blind(), None);
+}
+
+#[test]
+fn older_word() {
+    let mut fold = started();
+    let old = fold.snapshot().unwrap();
+    give(&mut fold, 4, choose("peak"));
+    assert!(!newer(fold.mark(), old.mark()));
+    assert!(!fold.take(old.clone()));
+    let mut other = Fold::default();
+    assert!(other.take(fold.snapshot().unwrap()));
+    assert!(!other.take(old));
+    assert_eq!(other.config(), fold.config());
+}
+
+/// One record of a generated history.
+#[derive(Clone, Debug)]
+enum Event {
+    Give { change: Change, behind: u64 },
+    Repeat { back: usize },
+    Snapshot { back: usize },
+    Damaged,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let text = prop::sample::select(vec![ORDINARY, PEAK, MAINTENANCE, "name = 3"]);
+    let preset = prop::sample::select(vec!["ordinary", "peak", "maintenance", "summer"]);
+    let centre = prop::sample::select(vec!["trent", "soar", "sour"]);
+    let host = prop::sample::select(vec!["trent-1", "trent-2", "soar-1"]);
+    let change = prop_oneof![
+        text.prop_map(put),
+        preset.prop_map(choose),
+        centre.clone().prop_map(leave),
+        centre.prop_map(|name| Change::ReturnCentre {
+            name: name.to_owned()
+        }),
+        (host.clone(), 0..3_u64).prop_map(|(name, n)| join(name, n)),
+        (host, 0..3_u64).prop_map(|(name, n)| remove(name, n)),
+    ];
+    prop_oneof![
+        8 => (change, 0..3_u64).prop_map(|(change, behind)| Event::Give { change, behind }),
+        2 => (0..8_usize).prop_map(|back| Event::Repeat { back }),
+        1 => (0..8_usize).prop_map(|back| Event::Snapshot { back }),
+        1 => Just(Event::Damaged),
+    ]
+}
+
+/// Writes a history as a log would hold it, with the state before each record.
+fn written(events: &[Event]) -> (Vec<Result<Record, Unreadable>>, Vec<Fold>) {
+    let mut folds = vec![Fold::default()];
+    let mut records: Vec<Result<Record, Unreadable>> = Vec::new();
+    for (offset, event) in (0_u64..).zip(events) {
+        let mut fold = folds.last().cloned().unwrap_or_default();
+        let earlier = |back: usize| records.len().checked_sub(1 + back);
+        let record = match event {
+            Event::Give { change, behind } => Ok(Record::Command(Command {
+                id: CommandId::draw(offset.saturating_sub(*behind), offset),
+                decided_on: fold.mark().revision.saturating_sub(*behind),
+                change: change.clone(),
+            })),
+            Event::Repeat { back } => match earlier(*back) {
+                Some(at) => records[at].clone(),
+                None => Err(Unreadable::Damaged),
+            },
+            Event::Snapshot { back } => {
+                let at = earlier(*back).unwrap_or(0);
+                Ok(Record::Snapshot(Box::new(folds[at].snapshot().unwrap())))
+            }
+            Event::Damaged => Err(Unreadable::Damaged),
+        };
+        fold.apply(offset, record.clone());
+        records.push(record);
+        folds.push(fold);
+    }
+    (records, folds)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Whatever happens, the revision grows by one at most, one preset stays in
+    /// force, and an id has one answer.
+    #[test]
+    fn sound_steps(events in prop::collection::vec(event(), 1..60)) {
+        let (_, folds) = written(&events);
+        for pair in folds.windows(2) {
+            let (before, after) = (pair[0].config(), pair[1].config());
+            let grown = after.revision - before.revision;
+            prop_assert!(grown <= 1);
+            prop_assert_eq!(grown == 0, before == after);
+            prop_assert!(before.chosen.is_none() || after.preset().is_some());
+        }
+        let end = folds.last().unwrap().snapshot().unwrap();
+        for recent in &end.recent {
+            for fold in &folds {
+                let answer = fold.answer(recent.id);
+                prop_assert!(answer.is_none() || answer == Some(&recent.answer));
+            }
+        }
+    }
+
+    /// However a host comes by its state (from the first record, from a peer's
+    /// word while it reads, or after a gap), it ends where all others are and
+    /// never shows a lower revision on the way.
+    #[test]
+    fn all_paths_meet(
+        events in prop::collection::vec(event(), 1..60),
+        pause in 0..60_usize,
+        gap in 0..60_usize,
+        word in 0..60_usize,
+    ) {
+        let (mut records, folds) = written(&events);
+        let end = folds.last().unwrap();
+        let at = |n: usize| n.min(records.len());
+        let (pause, word) = (at(pause), at(word));
+        let first = at(pause + gap);
+        records.push(Ok(Record::Snapshot(Box::new(end.snapshot().unwrap()))));
+        let mut host = folds[pause].clone();
+        host.retained_from(first as u64);
+        let mut shown = host.mark().revision;
+        let mut reads = 0;
+        while host.position() < records.len() as u64 {
+            let offset = host.position();
+            host.apply(offset, records[offset as usize].clone());
+            if offset as usize == word {
+                host.take(folds[word].snapshot().unwrap());
+            }
+            prop_assert!(host.mark().revision >= shown);
+            shown = host.mark().revision;
+            reads += 1;
+            prop_assert!(reads <= 3 * records.len(), "reading never ends");
+        }
+        prop_assert_eq!(host.config(), end.config());
+        prop_assert!(!host.is_behind());
+    }
+}
