--- a/components/stand_ins/src/load.rs
+++ b/components/stand_ins/src/load.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod experiment;
 pub mod limit;
+pub mod measure;
 pub mod plan;
 pub mod plot;
 pub mod report;
--- /dev/null
+++ b/components/stand_ins/src/load/measure.rs
@@ -0,0 +1,295 @@
+//! One measured run of an experiment against a site.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::caller::{Caller, Target};
+use super::experiment::Experiment;
+use super::limit::{Ideal, limit};
+use super::plan::Plan;
+use super::report::{Distributions, Figures, Report, Sample};
+use super::run::{run, work_times};
+use crate::history::check::{Check, Fault, Limits, check, tally};
+use crate::history::{Event, Order, Record};
+use crate::site::Site;
+
+/// Everything one run gave.
+pub struct Measured {
+    /// What was sent.
+    pub plan: Arc<Plan>,
+    /// What became of it.
+    pub samples: Vec<Sample>,
+    /// What the limit makes of the same calls.
+    pub ideals: Vec<Ideal>,
+    /// The figures.
+    pub summary: Summary,
+    /// The broken promises.
+    pub faults: Vec<Fault>,
+}
+
+/// The figures of a run against a site.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Summary {
+    /// The callers' side.
+    pub report: Report,
+    /// The same from each event to the next.
+    pub phases: Vec<Phase>,
+    /// The backend servers' side.
+    pub servers: Servers,
+    /// The faults that each check found.
+    pub checks: BTreeMap<String, usize>,
+}
+
+/// The figures between two events.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Phase {
+    /// Milliseconds from the start of the run.
+    pub from_ms: u64,
+    /// Milliseconds from the start of the run.
+    pub until_ms: u64,
+    /// The callers' figures.
+    pub figures: Figures,
+}
+
+/// The backend servers' figures.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Servers {
+    /// The most calls at once at any of them, above its slots or not.
+    pub peak: u32,
+    /// Calls that came above what it bore at the moment.
+    pub above: u64,
+    /// Calls shed.
+    pub shed: u64,
+    /// Calls cancelled by a hang-up.
+    pub cancelled: u64,
+    /// The most connections at once at any of them.
+    pub connections: u32,
+    /// Load reports given by all of them.
+    pub probes: u64,
+    /// Their share of all slot time, in parts of a thousand.
+    pub probe_permille: f64,
+    /// Milliseconds from a data centre's leaving to the last new call there.
+    pub last_call_ms: BTreeMap<String, u64>,
+}
+
+/// Runs `experiment` against the entry hosts `targets` of `site`.
+///
+/// # Panics
+///
+/// Panics outside a tokio runtime, and where `targets` is empty.
+pub async fn measure(
+    experiment: &Arc<Experiment>,
+    site: &Arc<Site>,
+    targets: &Arc<Vec<Target>>,
+    policy: &str,
+) -> Measured {
+    let plan = Arc::new(Plan::draw(experiment));
+    let caller = Caller {
+        history: site.history.clone(),
+    };
+    let driving = tokio::spawn(drive(Arc::clone(experiment), Arc::clone(site)));
+    let samples = run(experiment, &plan, targets, &caller, 1).await;
+    driving.abort();
+    let ideals = limit(experiment, &plan, &work_times(&plan, &samples));
+    let records = site.history.sorted();
+    let faults = check(&records, &Limits::default());
+    let report = Report::of(experiment, policy, &plan, &samples, &ideals);
+    let summary = Summary {
+        phases: phases(experiment, &plan, &samples, &ideals),
+        servers: servers(site, &records),
+        checks: names(&tally(&faults)),
+        report,
+    };
+    Measured {
+        plan,
+        samples,
+        ideals,
+        summary,
+        faults,
+    }
+}
+
+/// Does each event at its time, whatever the one before it still waits for.
+async fn drive(experiment: Arc<Experiment>, site: Arc<Site>) {
+    let start = tokio::time::Instant::now();
+    let mut acting = tokio::task::JoinSet::new();
+    for happening in &experiment.events {
+        tokio::time::sleep_until(start + Duration::from_millis(happening.at_ms)).await;
+        let (site, action) = (Arc::clone(&site), happening.action.clone());
+        acting.spawn(async move {
+            if let Err(error) = site.act(&action).await {
+                log::error!("E0931 event-failed action={action:?} error=\"{error}\"");
+            }
+        });
+    }
+    while acting.join_next().await.is_some() {}
+}
+
+fn phases(
+    experiment: &Experiment,
+    plan: &Plan,
+    samples: &[Sample],
+    ideals: &[Ideal],
+) -> Vec<Phase> {
+    let mut times = vec![experiment.warm_up * 1_000];
+    times.extend(experiment.events.iter().map(|e| e.at_ms));
+    times.push(experiment.seconds * 1_000);
+    times.sort_unstable();
+    times.dedup();
+    let mut phases = Vec::new();
+    for pair in times.windows(2) {
+        let span = Duration::from_millis(pair[0])..Duration::from_millis(pair[1]);
+        let mut distributions = Distributions::default();
+        for sample in samples {
+            if span.contains(&plan.calls[sample.call].at) {
+                distributions.add(sample, &ideals[sample.call]);
+            }
+        }
+        phases.push(Phase {
+            from_ms: pair[0],
+            until_ms: pair[1],
+            figures: distributions.figures((span.end - span.start).as_secs_f64()),
+        });
+    }
+    phases
+}
+
+fn servers(site: &Site, records: &[Record]) -> Servers {
+    let mut servers = Servers {
+        last_call_ms: last_calls(records),
+        ..Servers::default()
+    };
+    let first = records.first().map_or(0, |r| r.at);
+    let length = records.last().map_or(0, |r| r.at) - first;
+    let slots: u32 = site
+        .deployment
+        .services
+        .iter()
+        .map(|s| s.slots * s.endpoints)
+        .sum();
+    for backend in site.all_backends() {
+        let counts = backend.counts();
+        servers.peak = servers.peak.max(counts.peak);
+        servers.above += counts.above;
+        servers.shed += counts.shed;
+        servers.cancelled += counts.cancelled;
+        servers.connections = servers.connections.max(counts.peak_connections);
+    }
+    let mut cost = 0;
+    for record in records {
+        if let Event::Probed { cost_us, .. } = record.event {
+            servers.probes += 1;
+            cost += cost_us;
+        }
+    }
+    servers.probe_permille = 1_000.0 * cost as f64 / (length as f64 * f64::from(slots)).max(1.0);
+    servers
+}
+
+/// Returns how long after each data centre's leaving its last new call came.
+fn last_calls(records: &[Record]) -> BTreeMap<String, u64> {
+    let mut centres = BTreeMap::new();
+    let mut left = BTreeMap::new();
+    let mut last = BTreeMap::new();
+    for record in records {
+        match &record.event {
+            Event::Endpoint {
+                endpoint,
+                data_centre,
+                ..
+            } => {
+                centres.insert(*endpoint, data_centre);
+            }
+            Event::Ordered { order, name, .. } => match order {
+                Order::CentreLeaves => {
+                    left.insert(name, record.at);
+                    last.entry(name.clone()).or_insert(0);
+                }
+                Order::CentreReturns => {
+                    left.remove(name);
+                }
+                _ => {}
+            },
+            Event::Received { endpoint, .. } => {
+                let centre = centres.get(endpoint).copied();
+                let since = centre.and_then(|c| Some((c, left.get(c)?)));
+                if let Some((centre, since)) = since {
+                    last.insert(centre.clone(), (record.at - since) / 1_000);
+                }
+            }
+            _ => {}
+        }
+    }
+    last
+}
+
+fn names(tally: &BTreeMap<Check, usize>) -> BTreeMap<String, usize> {
+    tally.iter().map(|(c, n)| (format!("{c:?}"), *n)).collect()
+}
+
+impl Summary {
+    /// Returns the first line of the table that [`Summary::row`] fills.
+    pub fn heading() -> String {
+        let columns = [
+            "policy",
+            "calls",
+            "refused",
+            "unknown",
+            "broken",
+            "p50",
+            "p99",
+            "p99.9",
+            "wait99",
+            "wait99.9",
+            "above",
+            "peak",
+            "probes‰",
+        ];
+        columns.map(|c| format!("{c:>9}")).join(" ")
+    }
+
+    /// Returns one line of a table: times in ms.
+    pub fn row(&self) -> String {
+        let (all, servers) = (&self.report.all, &self.servers);
+        let cells = [
+            self.report.policy.clone(),
+            all.calls.to_string(),
+            all.refused.to_string(),
+            all.unknown.to_string(),
+            (all.broken + all.unreachable).to_string(),
+            format!("{:.1}", all.latency.p50),
+            format!("{:.1}", all.latency.p99),
+            format!("{:.1}", all.latency.p999),
+            format!("{:.1}", all.wait.p99),
+            format!("{:.1}", all.wait.p999),
+            servers.above.to_string(),
+            servers.peak.to_string(),
+            format!("{:.2}", servers.probe_permille),
+        ];
+        cells.map(|c| format!("{c:>9}")).join(" ")
+    }
+
+    /// Returns the same line for the limit.
+    pub fn limit_row(&self) -> String {
+        let all = &self.report.all;
+        let cells = [
+            "limit".to_owned(),
+            all.calls.to_string(),
+            all.limit_refused.to_string(),
+            "0".to_owned(),
+            "0".to_owned(),
+            format!("{:.1}", all.limit_latency.p50),
+            format!("{:.1}", all.limit_latency.p99),
+            format!("{:.1}", all.limit_latency.p999),
+            format!("{:.1}", all.limit_wait.p99),
+            format!("{:.1}", all.limit_wait.p999),
+        ];
+        cells.map(|c| format!("{c:>9}")).join(" ")
+    }
+}
