--- a/components/transport/src/edge/mod.rs
+++ b/components/transport/src/edge/mod.rs
@@ -128,6 +128,11 @@
         *self.callers.borrow()
     }
 
+    /// Returns how many idle connections to backend servers are kept.
+    pub fn kept_connections(&self) -> usize {
+        self.pools.idle()
+    }
+
     async fn accept(self: Arc<Self>, listener: &TcpListener) {
         loop {
             match listener.accept().await {
--- a/components/transport/src/upstream/pool.rs
+++ b/components/transport/src/upstream/pool.rs
@@ -96,6 +96,11 @@
         );
     }
 
+    /// Returns how many connections lie idle.
+    pub fn idle(&self) -> usize {
+        self.shelves().values().map(|s| s.idle.len()).sum()
+    }
+
     /// Drops idle connections that are too old or closed, for ever.
     pub async fn sweep(self: Arc<Self>) {
         let mut ticks = tokio::time::interval(SWEEP_EVERY);
--- /dev/null
+++ b/components/transport/tests/deadlines.rs
@@ -0,0 +1,102 @@
+//! Deadlines: capped, passed on, and kept.
+
+mod support;
+
+use support::{Answer, Reply, Server, Site, field, ok, until};
+use tokio::io::AsyncWriteExt;
+use transport::edge::Limits;
+
+fn get_within(path: &str, millis: u64) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: e\r\ncardamomvale-deadline-ms: {millis}\r\nconnection: close\r\n\r\n"
+    )
+}
+
+fn time_told(server: &Server) -> u64 {
+    let head = &server.seen()[0].head;
+    let time = field(head, "cardamomvale-deadline-ms").expect("a deadline");
+    time.parse().expect("a number")
+}
+
+#[tokio::test]
+async fn remaining_time_travels() {
+    let server = Server::always(Reply::Keep(ok("done"))).await;
+    let site = Site::start(&[&server]).await;
+    site.ask(&get_within("/hallboard/", 15_000)).await;
+    let told = time_told(&server);
+    assert!((1..=15_000).contains(&told), "told {told}");
+}
+
+#[tokio::test]
+async fn capped_by_service() {
+    let server = Server::always(Reply::Keep(ok("done"))).await;
+    let site = Site::with(&[&server], |s| s.deadline_ms = 3_000, Limits::default()).await;
+    site.ask(&get_within("/hallboard/", 3_600_000)).await;
+    let told = time_told(&server);
+    assert!((1..=3_000).contains(&told), "told {told}");
+}
+
+/// A call arrives with no time left. Starting it would only cost the backend
+/// server work whose answer nobody awaits.
+#[tokio::test]
+async fn none_left() {
+    let server = Server::always(Reply::Keep(ok("done"))).await;
+    let site = Site::start(&[&server]).await;
+    let answer = site.ask(&get_within("/hallboard/", 0)).await;
+    assert_eq!(
+        (answer.status(), answer.outcome().as_str()),
+        (503, "not-run"),
+        "{answer:?}"
+    );
+    assert_eq!(server.seen(), []);
+}
+
+/// A backend server takes the request and stays silent. The caller learns at
+/// its deadline that the work may have run, and the work is cancelled.
+#[tokio::test]
+async fn silent_server() {
+    let server = Server::always(Reply::Hang(String::new())).await;
+    let site = Site::start(&[&server]).await;
+    let answer = site.ask(&get_within("/hallboard/", 200)).await;
+    assert_eq!(
+        (answer.status(), answer.outcome().as_str()),
+        (504, "unknown"),
+        "{answer:?}"
+    );
+    until(|| server.cancelled() == 1).await;
+}
+
+/// An answer begins and then stands still past the deadline. Its head has gone
+/// out, so the caller's connection is broken off.
+#[tokio::test]
+async fn stalled_answer() {
+    let begun = "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nthe beginning";
+    let server = Server::always(Reply::Hang(begun.into())).await;
+    let site = Site::start(&[&server]).await;
+    let answer = site.ask(&get_within("/hallboard/", 200)).await;
+    assert!(answer.reset || answer.body.len() < 1000, "{answer:?}");
+    until(|| server.cancelled() == 1).await;
+}
+
+/// A host that is replaced has a call in flight. The call ends whole, its
+/// answer asks the caller to connect elsewhere, and only then the host ends.
+#[tokio::test]
+async fn drain_waits() {
+    let server = Server::always(Reply::Keep(ok("prompt"))).await;
+    let site = Site::start(&[&server]).await;
+    let mut held = site.connect().await;
+    let start = "POST /hallboard/slow HTTP/1.1\r\nhost: e\r\ncontent-length: 4\r\n\r\nab";
+    held.write_all(start.as_bytes()).await.expect("sent");
+    until(|| site.edge.callers() == 1).await;
+    let drained = tokio::spawn(site.edge.drain(std::time::Duration::ZERO));
+    held.write_all(b"cd").await.expect("sent");
+    let answer = Answer::read(&mut held).await;
+    assert_eq!(answer.text(), "prompt");
+    assert_eq!(field(&answer.head, "connection").as_deref(), Some("close"));
+    tokio::time::timeout(support::GENEROUS, drained)
+        .await
+        .expect("the drain ends")
+        .expect("without a panic");
+    let late = tokio::net::TcpStream::connect(site.address).await;
+    assert!(late.is_err(), "a drained host accepts nobody");
+}
--- /dev/null
+++ b/components/transport/tests/hang_up.rs
@@ -0,0 +1,77 @@
+//! Callers that go away before their answer.
+
+mod support;
+
+use support::{Reply, Server, Site, get, ok, until};
+use tokio::io::AsyncWriteExt;
+
+/// A secretary closes the page while the hall board still works on it. The
+/// work must be cancelled at once, by the closing of its connection.
+#[tokio::test]
+async fn cancels_work() {
+    let server = Server::always(Reply::Hang(String::new())).await;
+    let site = Site::start(&[&server]).await;
+    let mut stream = site.connect().await;
+    stream
+        .write_all(get("/hallboard/").as_bytes())
+        .await
+        .expect("sent");
+    until(|| server.seen().len() == 1).await;
+    assert_eq!(server.cancelled(), 0);
+    drop(stream);
+    until(|| server.cancelled() == 1).await;
+}
+
+/// The caller goes away in the middle of a long answer.
+#[tokio::test]
+async fn cancels_answer() {
+    let begun = "HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\nthe beginning";
+    let server = Server::always(Reply::Hang(begun.into())).await;
+    let site = Site::start(&[&server]).await;
+    let mut stream = site.connect().await;
+    stream
+        .write_all(get("/hallboard/").as_bytes())
+        .await
+        .expect("sent");
+    until(|| server.seen().len() == 1).await;
+    drop(stream);
+    until(|| server.cancelled() == 1).await;
+}
+
+/// The caller goes away while it still sends its own long body.
+#[tokio::test]
+async fn cancels_upload() {
+    let server = Server::always(Reply::Keep(ok("never"))).await;
+    let site = Site::start(&[&server]).await;
+    let mut stream = site.connect().await;
+    let head = "POST /hallboard/ HTTP/1.1\r\nhost: e\r\ncontent-length: 1000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    stream.write_all(&vec![b'a'; 500_000]).await.expect("sent");
+    until(|| server.accepted() >= 1).await;
+    drop(stream);
+    until(|| site.edge.callers() == 0).await;
+    assert_eq!(server.seen(), [], "a cut body was taken for whole");
+}
+
+/// A call given up may still be answered later. Its connection is never used
+/// again, so that the late answer reaches nobody else.
+#[tokio::test]
+async fn late_answer_reaches_nobody() {
+    let server = Server::start(|n, _| match n {
+        0 => Reply::Hang("HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nfor the first".into()),
+        _ => Reply::Keep(ok("for the second")),
+    })
+    .await;
+    let site = Site::start(&[&server]).await;
+    let mut first = site.connect().await;
+    first
+        .write_all(get("/hallboard/1").as_bytes())
+        .await
+        .expect("sent");
+    until(|| server.seen().len() == 1).await;
+    drop(first);
+    let second = site.ask(&get("/hallboard/2")).await;
+    assert_eq!(second.text(), "for the second");
+    let seen = server.seen();
+    assert_ne!(seen[0].connection, seen[1].connection);
+}
