coordination: detect lost members, remove them once, rule who may act as owner

Cause: a host must know within 1 s who is lost, and two hosts must never act as one endpoint's owner. Change: each member beats to 5 watchers of its region, spread over data centres; silence is doubted, asked of fellow watchers, agreed by two, told by rumours over the watch graph, refuted by the living; removal after 3 s needs the answer of a majority of the region or the platform's list; may_act and History::settled rule owners by majorities of one watch set, so that k is 5 and not 4 (2 lost leave 3).

--- a/components/coordination/src/members/message.rs
+++ b/components/coordination/src/members/message.rs
@@ -86,6 +86,8 @@
     Suspected {
         /// The epoch of the silent member.
         epoch: u64,
+        /// Grows each time the watchers tell it again.
+        round: u64,
     },
     /// The member itself says that it lives, in this newer epoch.
     Alive {
--- a/components/coordination/src/members/mod.rs
+++ b/components/coordination/src/members/mod.rs
@@ -1,7 +1,16 @@
 //! Who is alive, who watches whom, and who removes the lost.
 
+mod detector;
 pub mod message;
+pub mod quorum;
+mod removal;
+mod rumour;
+mod subject;
 mod view;
+pub mod watch;
 
+pub use detector::{Action, Detector};
 pub use message::{Answer, Beat, Doubt, Heard, MemberMessage, News, Rumour};
+pub use quorum::{Evidence, History, Settled, Takeover, may_act};
 pub use view::{LiveView, PeerState};
+pub use watch::{MemberId, WatchMap};
--- /dev/null
+++ b/components/coordination/src/members/subject.rs
@@ -0,0 +1,125 @@
+//! One member as one of its watchers sees it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use state::Moment;
+
+use super::watch::MemberId;
+
+/// Silence after which a new link is dialled: the old one may swallow all that is sent.
+pub const REDIAL_AFTER: Duration = Duration::from_millis(500);
+
+/// Silence after which a watcher doubts.
+///
+/// A host paused 200 ms is silent for 400 ms at most, a beat apart included;
+/// the rest is room for the network. Agreed suspicion then comes within 1 s.
+pub const DOUBT_AFTER: Duration = Duration::from_millis(700);
+
+/// How long a doubt waits for a fellow watcher to say that it hears the member.
+///
+/// Two watchers of one data centre lose a member together when the path
+/// between two data centres drops; a third that hears it must get a word in.
+pub const OBJECTION: Duration = Duration::from_millis(100);
+
+/// How often a doubt is repeated to fellow watchers.
+pub const DOUBT_EVERY: Duration = Duration::from_millis(200);
+
+/// Silence that still counts as hearing, when a fellow watcher asks.
+pub const HEARS: Duration = Duration::from_millis(450);
+
+/// Agreed silence after which a watcher has the member removed.
+pub const REMOVE_AFTER: Duration = Duration::from_secs(3);
+
+/// How much longer each next watcher waits for the one before it to remove the member.
+const NEXT_REMOVER: Duration = Duration::from_secs(1);
+
+/// How long a fellow's doubt counts without being repeated.
+const DOUBT_LASTS: Duration = Duration::from_millis(600);
+
+/// A watched member.
+pub struct Subject {
+    /// The greatest epoch heard of.
+    pub epoch: u64,
+    heard: Moment,
+    doubts: BTreeMap<MemberId, Moment>,
+    redialled: bool,
+    doubted: Option<Moment>,
+}
+
+impl Subject {
+    /// Returns a member that is taken to have been heard just now.
+    pub fn new(now: Moment) -> Subject {
+        Subject {
+            epoch: 0,
+            heard: now,
+            doubts: BTreeMap::new(),
+            redialled: false,
+            doubted: None,
+        }
+    }
+
+    /// Notes a sign of life at `at`, which may lie in the past.
+    pub fn hear(&mut self, at: Moment) {
+        if at <= self.heard {
+            return;
+        }
+        self.heard = at;
+        self.doubts.clear();
+        self.redialled = false;
+        self.doubted = None;
+    }
+
+    /// Returns for how long nothing was heard.
+    pub fn silence(&self, now: Moment) -> Duration {
+        now.since(self.heard)
+    }
+
+    /// Notes that a fellow watcher doubts too.
+    pub fn doubt(&mut self, fellow: MemberId, now: Moment) {
+        self.doubts.insert(fellow, now);
+    }
+
+    /// Returns whether it is time for a new link, once a silence.
+    pub fn should_redial(&mut self, now: Moment) -> bool {
+        let due = !self.redialled && self.silence(now) >= REDIAL_AFTER;
+        self.redialled |= due;
+        due
+    }
+
+    /// Returns whether it is time to tell the fellow watchers of a doubt.
+    pub fn should_doubt(&mut self, now: Moment) -> bool {
+        let told = |at: Moment| now.since(at) < DOUBT_EVERY;
+        let due = self.silence(now) >= DOUBT_AFTER && !self.doubted.is_some_and(told);
+        if due {
+            self.doubted = Some(now);
+        }
+        due
+    }
+
+    /// Returns whether the watchers agree that the member fell silent.
+    ///
+    /// One watcher alone may have lost its own link: a second must doubt too,
+    /// where there is a second that is itself not suspected.
+    pub fn is_agreed(&self, now: Moment, fellows: usize) -> bool {
+        self.silence(now) >= DOUBT_AFTER + OBJECTION && self.doubting(now).count() >= fellows.min(1)
+    }
+
+    /// Returns whether the silence is long enough, and agreed by all of `fellows`, to remove it.
+    ///
+    /// `rank` is how many watchers come before this one: they go first, so
+    /// that a lost member costs one append and not five.
+    pub fn is_lost(&self, now: Moment, fellows: &[MemberId], rank: u32) -> bool {
+        self.silence(now) >= REMOVE_AFTER + NEXT_REMOVER * rank
+            && fellows
+                .iter()
+                .all(|f| self.doubting(now).any(|doubting| doubting == *f))
+    }
+
+    fn doubting(&self, now: Moment) -> impl Iterator<Item = MemberId> {
+        self.doubts
+            .iter()
+            .filter(move |(_, at)| now.since(**at) < DOUBT_LASTS)
+            .map(|(fellow, _)| *fellow)
+    }
+}
--- a/components/protocol/src/heartbeat.rs
+++ b/components/protocol/src/heartbeat.rs
@@ -82,10 +82,18 @@
     news: Option<WireNews>,
 }
 
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+struct WireSuspected {
+    #[prost(uint64, tag = "1")]
+    epoch: u64,
+    #[prost(uint64, tag = "2")]
+    round: u64,
+}
+
 #[derive(Clone, Copy, PartialEq, prost::Oneof)]
 enum WireNews {
-    #[prost(uint64, tag = "3")]
-    Suspected(u64),
+    #[prost(message, tag = "3")]
+    Suspected(WireSuspected),
     #[prost(uint64, tag = "4")]
     Alive(u64),
     #[prost(uint64, tag = "5")]
@@ -168,7 +176,7 @@
 
 fn wire_news(news: News) -> WireNews {
     match news {
-        News::Suspected { epoch } => WireNews::Suspected(epoch),
+        News::Suspected { epoch, round } => WireNews::Suspected(WireSuspected { epoch, round }),
         News::Alive { epoch } => WireNews::Alive(epoch),
         News::Shown { offset } => WireNews::Shown(offset),
     }
@@ -176,7 +184,7 @@
 
 fn news(wire: WireNews) -> News {
     match wire {
-        WireNews::Suspected(epoch) => News::Suspected { epoch },
+        WireNews::Suspected(WireSuspected { epoch, round }) => News::Suspected { epoch, round },
         WireNews::Alive(epoch) => News::Alive { epoch },
         WireNews::Shown(offset) => News::Shown { offset },
     }
