entry: one host from its settings to its shutdown, with an admin port

Cause: edge, log follower, presets and operators' commands stood side by side; no process ran them together. Slots, members and claims are still to be wired.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -6,4 +6,3 @@
 
 pub mod config;
 pub mod members;
-pub mod slots;
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -3,10 +3,12 @@
 //! Decisions don't live here. This layer reads the clock, draws random
 //! numbers, moves bytes and runs the state machines of the layers below.
 
+pub mod admin;
 pub mod claims;
 pub mod clock;
 pub mod dispatch;
 pub mod edge;
+pub mod entry;
 pub mod log;
 pub mod peers;
 pub mod upstream;
--- /dev/null
+++ b/src/cmd/entry.rs
@@ -0,0 +1,50 @@
+//! Runs an entry host until it is told to stop.
+
+use std::process::ExitCode;
+
+use eyre::WrapErr;
+use tokio::runtime;
+use tokio::signal::unix::{SignalKind, signal};
+use transport::entry::Entry;
+
+use crate::settings::EntrySettings;
+use crate::{cli, logs, settings};
+
+const EXIT_SETTINGS: u8 = 2;
+
+/// Runs an entry host; ends with 0 once every call in flight has ended.
+///
+/// # Errors
+///
+/// Fails where a port can't be had.
+pub fn run(flags: cli::Entry) -> eyre::Result<ExitCode> {
+    match settings::check(flags) {
+        Ok(checked) => serve(checked),
+        Err(faults) => {
+            eprintln!("error: the settings are at fault:");
+            for fault in faults {
+                eprintln!("  {fault}");
+            }
+            Ok(ExitCode::from(EXIT_SETTINGS))
+        }
+    }
+}
+
+fn serve(checked: EntrySettings) -> eyre::Result<ExitCode> {
+    logs::start(checked.level)?;
+    let runtime = runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let entry = Entry::start(checked.host)
+            .await
+            .wrap_err("the entry host can't start")?;
+        println!("{}", serde_json::to_string(&entry.ports())?);
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        entry.drain().await;
+        Ok(ExitCode::SUCCESS)
+    })
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,9 @@
+//! The commands, one module each.
+
+pub mod data_centre;
+pub mod entry;
+pub mod host;
+pub mod operator;
+pub mod preset;
+pub mod stand_in;
+pub mod status;
--- a/src/cmd/preset.rs
+++ b/src/cmd/preset.rs
@@ -112,8 +112,8 @@
 }
 
 fn load(file: &Path, target: &Target) -> Result<(String, Preset), ExitCode> {
-    let text = fs::read_to_string(file)
-        .map_err(|e| target.usage(&format!("{}: {e}", file.display())))?;
+    let text =
+        fs::read_to_string(file).map_err(|e| target.usage(&format!("{}: {e}", file.display())))?;
     match parse_preset(&text) {
         Ok(preset) => Ok((text, preset)),
         Err(faults) => Err(target.usage(&describe(file, &faults))),
--- a/src/cmd/stand_in.rs
+++ b/src/cmd/stand_in.rs
@@ -1,54 +1,76 @@
-//! `stand-in backend`: backend servers' stand-ins as a process.
+//! `stand-in log` and `stand-in backend`: what lies outside, as processes.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::process::ExitCode;
 
-use derives::value;
-use eyre::{Context, Result, ensure};
+use eyre::{Result, WrapErr, ensure};
+use log::LevelFilter;
 use stand_ins::backend::{Backend, Control, Options};
 use stand_ins::history::History;
+use stand_ins::log::{Behaviour, LogStandIn};
 
-/// What `stand-in backend` is asked to do.
-#[value]
-pub struct Args {
-    /// Where to listen, one backend server each. Port 0 takes any free port.
-    pub addresses: Vec<SocketAddr>,
-    /// Where to set faults and read the journal.
-    pub control: SocketAddr,
-    /// What each is like.
-    pub options: Options,
-}
+use crate::cli::{self, StandInCmd};
+use crate::logs;
 
-/// Runs backend servers until the process is ended by SIGTERM or SIGINT.
-///
-/// Prints one line `backend IP:PORT` each, then `control IP:PORT`.
+/// A free port of the loopback address.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Runs the stand-in that `flags` name until the process is ended by SIGTERM or SIGINT.
 ///
 /// # Errors
 ///
 /// Fails where an address can't be listened on.
-pub fn run(args: &Args) -> Result<ExitCode> {
-    ensure!(
-        !args.addresses.is_empty(),
-        "no address to listen on: give at least one --address IP:PORT"
-    );
+pub fn run(flags: cli::StandIn) -> Result<ExitCode> {
+    logs::start(LevelFilter::Info)?;
     let runtime = tokio::runtime::Runtime::new().wrap_err("can't start the runtime")?;
     runtime.block_on(async {
-        let history = History::default();
-        let mut backends = Vec::new();
-        for address in &args.addresses {
-            let listener = listen(*address)?;
-            let backend = Backend::start(listener, args.options.clone(), history.clone())?;
-            println!("backend {}", backend.address());
-            backends.push(backend);
+        match flags.subcommand {
+            StandInCmd::Log(flags) => run_log(&flags).await?,
+            StandInCmd::Backend(flags) => run_backends(&flags).await?,
         }
-        let listener = listen(args.control)?;
-        println!("control {}", listener.local_addr()?);
-        let _control = Control::start(listener, &backends, history)?;
-        until_told().await?;
         Ok(ExitCode::SUCCESS)
     })
 }
 
+/// Prints one line `log IP:PORT`.
+async fn run_log(flags: &cli::Log) -> Result<()> {
+    let usual = Behaviour::default();
+    let behaviour = Behaviour {
+        keep_records: flags.retain.or(usual.keep_records),
+        appends_second: flags.appends.unwrap_or(usual.appends_second),
+        ..usual
+    };
+    let log = LogStandIn::start(listen(flags.address.unwrap_or(ANY_PORT))?, behaviour)?;
+    println!("log {}", log.address());
+    until_told().await
+}
+
+/// Prints one line `backend IP:PORT` each, then `control IP:PORT`.
+async fn run_backends(flags: &cli::Backend) -> Result<()> {
+    ensure!(
+        !flags.address.is_empty(),
+        "no address to listen on: give at least one --address IP:PORT"
+    );
+    let usual = Options::default();
+    let options = Options {
+        slots: flags.slots.unwrap_or(usual.slots),
+        cold_slots: flags.cold_slots.unwrap_or(usual.cold_slots),
+        cold: flags.cold,
+        ..usual
+    };
+    let history = History::default();
+    let mut backends = Vec::new();
+    for address in &flags.address {
+        let backend = Backend::start(listen(*address)?, options.clone(), history.clone())?;
+        println!("backend {}", backend.address());
+        backends.push(backend);
+    }
+    let listener = listen(flags.control_address.unwrap_or(ANY_PORT))?;
+    println!("control {}", listener.local_addr()?);
+    let _control = Control::start(listener, &backends, history)?;
+    until_told().await
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).wrap_err_with(|| format!("can't listen on {address}"))
 }
