--- /dev/null
+++ b/benches/config_history.rs
@@ -0,0 +1,119 @@
+//! Runs the configuration under faults for many seeds and checks every history.
+//!
+//! `cargo bench --bench config_history -- --seeds 200`; `--from N` starts at
+//! another seed, `--runs-at-once N` runs so many side by side.
+
+use std::process::ExitCode;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+use stand_ins::config_run::{FaultCounts, History, RunOptions, check, run};
+use transport::log::Outcome;
+
+#[derive(Default)]
+struct Total {
+    runs: u64,
+    commands: u64,
+    accepted: u64,
+    refused: u64,
+    asked_again: u64,
+    unreachable: u64,
+    shown: u64,
+    records: u64,
+    revisions: u64,
+    faults: FaultCounts,
+    broken: u64,
+}
+
+impl Total {
+    fn add(&mut self, history: &History) {
+        self.runs += 1;
+        self.commands += history.told.len() as u64;
+        for told in &history.told {
+            self.asked_again += (told.outcomes.len() > 1) as u64;
+            match told.outcomes.last() {
+                Some(Outcome::Accepted { .. }) => self.accepted += 1,
+                Some(Outcome::Refused { .. }) => self.refused += 1,
+                Some(Outcome::Unreachable { .. }) => self.unreachable += 1,
+                Some(Outcome::Unknown { .. }) | None => {}
+            }
+        }
+        self.shown += history.shown.len() as u64;
+        self.records += history.records.len() as u64;
+        self.revisions += history.last.first().copied().unwrap_or(0);
+        let (sum, one) = (&mut self.faults, &history.faults);
+        sum.outages += one.outages;
+        sum.losses += one.losses;
+        sum.slow += one.slow;
+        sum.links += one.links;
+        sum.restarts += one.restarts;
+        sum.words += one.words;
+        sum.damaged += one.damaged;
+    }
+}
+
+fn main() -> ExitCode {
+    let seeds = argument("--seeds").unwrap_or(20);
+    let from = argument("--from").unwrap_or(1);
+    let at_once = argument("--runs-at-once").unwrap_or(4);
+    let next = AtomicU64::new(from);
+    let total = Mutex::new(Total::default());
+    let start = Instant::now();
+    std::thread::scope(|scope| {
+        for _ in 0..at_once {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= from + seeds {
+                        return;
+                    }
+                    one(seed, &total);
+                }
+            });
+        }
+    });
+    let total = total.into_inner().expect("no run panicked");
+    let faults = total.faults;
+    println!(
+        "{} runs in {:.0} s: {} commands, {} accepted, {} refused, {} not handed over, {} asked again",
+        total.runs,
+        start.elapsed().as_secs_f64(),
+        total.commands,
+        total.accepted,
+        total.refused,
+        total.unreachable,
+        total.asked_again
+    );
+    println!(
+        "{} records, {} revisions, {} configurations shown by hosts",
+        total.records, total.revisions, total.shown
+    );
+    println!("{faults:?}");
+    println!("promises broken: {}", total.broken);
+    ExitCode::from((total.broken > 0) as u8)
+}
+
+fn one(seed: u64, total: &Mutex<Total>) {
+    let options = RunOptions {
+        seed,
+        hosts: 5,
+        operators: 4,
+        commands: 30,
+        faults: 40,
+    };
+    let history = run(options).expect("the stand-ins start");
+    let broken = check(&history);
+    for fault in &broken {
+        println!("seed {seed}: {fault}");
+    }
+    let mut total = total.lock().expect("no run panicked");
+    total.add(&history);
+    total.broken += broken.len() as u64;
+}
+
+fn argument(name: &str) -> Option<u64> {
+    let mut arguments = std::env::args();
+    arguments.find(|a| a == name)?;
+    arguments.next()?.parse().ok()
+}
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod config;
 pub mod members;
+pub mod slots;
--- /dev/null
+++ b/components/coordination/src/slots/desk.rs
@@ -0,0 +1,221 @@
+//! One service at one entry host: its waiting calls, its idle slots, its demand.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use derives::value;
+use state::admission::Gate;
+use state::norm::Norm;
+use state::queue::Queue;
+use state::{HostKey, Moment, ServiceKey};
+
+use super::message::{Demand, SlotKey, Stamp};
+
+/// A broker's word to hand slots to another host.
+#[value]
+pub struct Order {
+    /// Who shall have them.
+    pub to: HostKey,
+    /// Its stamp.
+    pub echo: Stamp,
+    /// How many.
+    pub count: u32,
+    /// After this it is void.
+    pub until: Moment,
+}
+
+/// One service at this host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Desk {
+    /// The calls that wait.
+    pub queue: Queue,
+    /// Decides who may wait.
+    pub gate: Gate,
+    /// What calls usually take.
+    pub norm: Norm,
+    /// Idle slots.
+    pub idle: Vec<SlotKey>,
+    /// Slots held, idle or not.
+    pub held: u32,
+    /// Slots handed to this host so far.
+    pub got: u32,
+    /// The broker says that calls wait elsewhere.
+    pub hungry: bool,
+    /// Slots promised to other hosts.
+    pub orders: VecDeque<Order>,
+    rate: Rate,
+    least: u32,
+    window: Moment,
+    told: Option<Told>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Told {
+    at: Moment,
+    waiting: u32,
+    spare: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Rate {
+    second: f64,
+    count: u32,
+    since: Moment,
+}
+
+/// The least time between two reports where calls have begun to wait.
+const AT_ONCE: Duration = Duration::from_micros(200);
+/// The least time between two reports where little has changed.
+const SOON: Duration = Duration::from_millis(2);
+/// The time between reports of an unchanged queue.
+const REFRESH: Duration = Duration::from_millis(10);
+/// The time between reports where nothing is wanted.
+const KEEPALIVE: Duration = Duration::from_millis(1_000);
+/// Slots that stay idle for this long beyond the spare are given up.
+const SURPLUS: Duration = Duration::from_millis(100);
+/// The time a spare slot has to bridge: to the broker and back, with a margin.
+const BRIDGE: f64 = 0.002;
+
+impl Desk {
+    /// Returns an empty desk.
+    pub fn new(limit: usize, now: Moment) -> Desk {
+        Desk {
+            queue: Queue::new(limit),
+            gate: Gate::new(now),
+            norm: Norm::default(),
+            idle: Vec::new(),
+            held: 0,
+            got: 0,
+            hungry: false,
+            orders: VecDeque::new(),
+            rate: Rate {
+                second: 0.0,
+                count: 0,
+                since: now,
+            },
+            least: 0,
+            window: now,
+            told: None,
+        }
+    }
+
+    /// Counts an arrival.
+    pub fn note_arrival(&mut self) {
+        self.rate.count += 1;
+    }
+
+    /// Notes that an idle slot was taken.
+    pub fn note_taken(&mut self) {
+        self.least = self.least.min(self.idle.len() as u32);
+    }
+
+    /// Returns how many idle slots to keep for the next calls.
+    ///
+    /// Made so that nearly every call starts without a message, while idle
+    /// slots don't pile up where they aren't needed: enough for the arrivals
+    /// expected until the broker can send more, and their spread.
+    pub fn spare(&self) -> u32 {
+        let expected = self.rate.second * BRIDGE;
+        if self.rate.second < 1.0 {
+            return 0;
+        }
+        (expected + expected.sqrt()).ceil() as u32
+    }
+
+    /// Moves the windows on; returns how many idle slots to give up.
+    pub fn review(&mut self, now: Moment) -> u32 {
+        if now.since(self.window) < SURPLUS {
+            return 0;
+        }
+        self.rate.advance(now);
+        let surplus = self.least.saturating_sub(self.spare());
+        self.window = now;
+        self.least = self.idle.len() as u32 - surplus.min(self.idle.len() as u32);
+        surplus
+    }
+
+    /// Takes the next valid order of the broker.
+    pub fn take_order(&mut self, now: Moment) -> Option<Order> {
+        while let Some(order) = self.orders.front_mut() {
+            if order.until > now && order.count > 0 {
+                order.count -= 1;
+                return Some(order.clone());
+            }
+            self.orders.pop_front();
+        }
+        None
+    }
+
+    /// Returns when the next report to the broker is due, if one is.
+    pub fn report_due(&self) -> Option<Moment> {
+        let waiting = self.queue.len() as u32;
+        let Some(told) = &self.told else {
+            let any = waiting > 0 || self.held > 0 || self.rate.count > 0;
+            return any.then_some(Moment(0));
+        };
+        let pause = match (told.waiting, waiting) {
+            (0, 1..) => AT_ONCE,
+            (before, after) if after > before + before / 4 => AT_ONCE,
+            (1.., 0) => SOON,
+            (before, after) if after + before / 4 < before => SOON,
+            (_, 1..) => REFRESH,
+            _ if self.lack() > told.spare => SOON,
+            _ if self.lack() < told.spare => REFRESH,
+            _ if self.held > 0 || self.rate.second > 0.0 => KEEPALIVE,
+            _ => return None,
+        };
+        Some(told.at + pause)
+    }
+
+    /// Returns the report to the broker and notes it as sent.
+    pub fn report(&mut self, service: ServiceKey, now: Moment) -> Demand {
+        let demand = self.demand(service, now);
+        self.told = Some(Told {
+            at: now,
+            waiting: demand.waiting,
+            spare: demand.spare,
+        });
+        demand
+    }
+
+    /// Returns how this host stands with the service.
+    pub fn demand(&self, service: ServiceKey, now: Moment) -> Demand {
+        Demand {
+            service,
+            waiting: self.queue.len() as u32,
+            oldest: self.queue.oldest(now),
+            spare: self.lack(),
+            held: self.held,
+            idle: self.idle.len() as u32,
+            got: self.got,
+        }
+    }
+
+    /// Makes the next report due at once: the broker is a new one.
+    pub fn forget_broker(&mut self) {
+        self.told = None;
+        self.hungry = false;
+        self.orders.clear();
+    }
+
+    fn lack(&self) -> u32 {
+        match self.hungry {
+            true => 0,
+            false => self.spare().saturating_sub(self.idle.len() as u32),
+        }
+    }
+}
+
+impl Rate {
+    fn advance(&mut self, now: Moment) {
+        let span = now.since(self.since).as_secs_f64().max(0.001);
+        let fresh = f64::from(self.count) / span;
+        let kept = (-span / 0.5).exp();
+        self.second = self.second * kept + fresh * (1.0 - kept);
+        self.count = 0;
+        self.since = now;
+        if self.second < 0.01 {
+            self.second = 0.0;
+        }
+    }
+}
--- /dev/null
+++ b/components/coordination/src/slots/holder.rs
@@ -0,0 +1,265 @@
+//! The leases that an entry host holds.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use derives::{tag, value};
+use state::{EndpointKey, Moment, ServiceKey};
+
+use super::message::{Handed, LeaseKey, SlotKey};
+use super::terms::TERM;
+
+/// One lease at its holder.
+#[value]
+pub struct Held {
+    /// The lease.
+    pub lease: LeaseKey,
+    /// The service its endpoint serves.
+    pub service: ServiceKey,
+    /// When it is over, by this host's own clock.
+    pub end: Moment,
+    /// When the last renewal that named it was sent.
+    pub asked: Option<Moment>,
+    /// What it is used for.
+    pub usage: Usage,
+    /// It goes back to its owner as soon as it is idle.
+    pub recalled: bool,
+    /// It is for one call only.
+    pub once: bool,
+}
+
+/// What a lease is used for.
+#[tag]
+pub enum Usage {
+    /// Nothing, since then.
+    Idle(Moment),
+    /// A call, since then; the flag says that it has been counted as slow already.
+    Busy(Moment, bool),
+    /// A call was given up; its work may run until then.
+    Lingering(Moment),
+}
+
+/// What becomes of a slot whose call has ended.
+#[tag]
+pub enum Freed {
+    /// It may serve the next call.
+    Ready,
+    /// It goes back to its owner.
+    GiveBack(LeaseKey),
+    /// Its lease is over and it is forgotten.
+    Lapsed,
+}
+
+/// All leases of one entry host.
+///
+/// Every lease ends by this host's own clock, counted from a moment before the
+/// giver decided; a lease that has ended is never revived, only leased anew.
+#[value]
+#[derive(Default)]
+pub struct Holder {
+    leases: BTreeMap<SlotKey, Held>,
+}
+
+/// A lease with less than this left is not handed on: it would end on the way.
+pub const LEAST: Duration = Duration::from_millis(100);
+
+impl Holder {
+    /// Takes in a lease that `asked` (a moment of this host's own clock) preceded.
+    ///
+    /// Returns false where it has ended on its way, or where an older lease of
+    /// the slot still runs a call: that call outlived its lease, and taking
+    /// the new one would put two calls on one slot.
+    pub fn accept(
+        &mut self,
+        handed: &Handed,
+        service: ServiceKey,
+        asked: Moment,
+        now: Moment,
+    ) -> bool {
+        let end = asked + handed.left.min(TERM);
+        let clash = self
+            .leases
+            .get(&handed.lease.slot)
+            .is_some_and(|h| !matches!(h.usage, Usage::Idle(_)) || h.end > now);
+        if end <= now || clash {
+            return false;
+        }
+        let held = Held {
+            lease: handed.lease,
+            service,
+            end,
+            asked: None,
+            usage: Usage::Idle(now),
+            recalled: false,
+            once: handed.once,
+        };
+        self.leases.insert(handed.lease.slot, held);
+        true
+    }
+
+    /// Returns a lease.
+    pub fn get(&self, slot: SlotKey) -> Option<&Held> {
+        self.leases.get(&slot)
+    }
+
+    /// Returns all leases.
+    pub fn iter(&self) -> impl Iterator<Item = &Held> {
+        self.leases.values()
+    }
+
+    /// Returns all leases of one endpoint.
+    pub fn of(&self, endpoint: EndpointKey) -> impl Iterator<Item = &Held> {
+        let bound = |number| SlotKey { endpoint, number };
+        self.leases
+            .range(bound(0)..=bound(u32::MAX))
+            .map(|(_, h)| h)
+    }
+
+    /// Puts an idle lease to use, where it has not ended.
+    pub fn start(&mut self, slot: SlotKey, now: Moment) -> Option<LeaseKey> {
+        let held = self.leases.get_mut(&slot)?;
+        match held.usage {
+            Usage::Idle(_) if held.end > now && !held.recalled => {
+                held.usage = Usage::Busy(now, false);
+                Some(held.lease)
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns whether a call may be sent on this lease now.
+    ///
+    /// A process that was paused past its term would otherwise send a call on
+    /// a slot that another host has been given meanwhile.
+    pub fn may_send(&self, lease: LeaseKey, now: Moment) -> bool {
+        self.leases
+            .get(&lease.slot)
+            .is_some_and(|h| h.lease == lease && h.end > now)
+    }
+
+    /// Ends the use of a lease.
+    pub fn free(&mut self, lease: LeaseKey, now: Moment) -> Freed {
+        match self.leases.get_mut(&lease.slot) {
+            Some(held) if held.lease == lease && held.end > now => {
+                if held.recalled || held.once {
+                    self.leases.remove(&lease.slot);
+                    return Freed::GiveBack(lease);
+                }
+                held.usage = Usage::Idle(now);
+                Freed::Ready
+            }
+            Some(held) if held.lease == lease => {
+                self.leases.remove(&lease.slot);
+                Freed::Lapsed
+            }
+            _ => Freed::Lapsed,
+        }
+    }
+
+    /// Keeps a slot out of use until work that was given up has surely stopped.
+    pub fn linger(&mut self, lease: LeaseKey, until: Moment) {
+        if let Some(held) = self.leases.get_mut(&lease.slot)
+            && held.lease == lease
+        {
+            held.usage = Usage::Lingering(until);
+        }
+    }
+
+    /// Returns the leases whose given-up work has stopped.
+    pub fn rested(&self, now: Moment) -> Vec<LeaseKey> {
+        self.leases
+            .values()
+            .filter(|h| matches!(h.usage, Usage::Lingering(until) if until <= now))
+            .map(|h| h.lease)
+            .collect()
+    }
+
+    /// Lets go of an idle lease for another holder.
+    pub fn hand(&mut self, slot: SlotKey, now: Moment) -> Option<Handed> {
+        let held = self.leases.get(&slot)?;
+        let left = now.until(held.end);
+        if left < LEAST || held.recalled || !matches!(held.usage, Usage::Idle(_)) {
+            return None;
+        }
+        let lease = LeaseKey {
+            hop: held.lease.hop + 1,
+            ..held.lease
+        };
+        let once = held.once;
+        self.leases.remove(&slot);
+        Some(Handed { lease, left, once })
+    }
+
+    /// Lets go of an idle lease for its owner.
+    pub fn release(&mut self, slot: SlotKey) -> Option<LeaseKey> {
+        let held = self.leases.get(&slot)?;
+        if !matches!(held.usage, Usage::Idle(_)) {
+            return None;
+        }
+        let lease = held.lease;
+        self.leases.remove(&slot);
+        Some(lease)
+    }
+
+    /// Marks a lease to go back to its owner once it is idle.
+    pub fn recall(&mut self, slot: SlotKey) {
+        if let Some(held) = self.leases.get_mut(&slot) {
+            held.recalled = true;
+        }
+    }
+
+    /// Marks a running call as counted among the slow ones.
+    pub fn flag(&mut self, slot: SlotKey) {
+        if let Some(held) = self.leases.get_mut(&slot)
+            && let Usage::Busy(since, _) = held.usage
+        {
+            held.usage = Usage::Busy(since, true);
+        }
+    }
+
+    /// Notes that a renewal of this lease is sent now.
+    pub fn ask(&mut self, slot: SlotKey, now: Moment) {
+        if let Some(held) = self.leases.get_mut(&slot) {
+            held.asked = Some(now);
+        }
+    }
+
+    /// Takes in that the leases named in the renewal sent at `asked` go on.
+    pub fn renewed(&mut self, asked: Moment, except: &[LeaseKey], now: Moment) {
+        for held in self.leases.values_mut() {
+            let named = held.asked == Some(asked) && !except.contains(&held.lease);
+            if named && held.end > now {
+                held.end = held.end.max(asked + TERM);
+            }
+        }
+    }
+
+    /// Takes in that a lease is over at its owner; returns whether it was idle here.
+    pub fn end(&mut self, lease: LeaseKey, now: Moment) -> bool {
+        match self.leases.get_mut(&lease.slot) {
+            Some(held) if held.lease == lease && matches!(held.usage, Usage::Idle(_)) => {
+                self.leases.remove(&lease.slot);
+                true
+            }
+            Some(held) if held.lease == lease => {
+                held.end = held.end.min(now);
+                false
+            }
+            _ => false,
+        }
+    }
+
+    /// Forgets idle leases that have ended and returns their slots.
+    pub fn lapse(&mut self, now: Moment) -> Vec<SlotKey> {
+        let ended: Vec<SlotKey> = self
+            .leases
+            .values()
+            .filter(|h| h.end <= now && matches!(h.usage, Usage::Idle(_)))
+            .map(|h| h.lease.slot)
+            .collect();
+        for slot in &ended {
+            self.leases.remove(slot);
+        }
+        ended
+    }
+}
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod heartbeat;
 pub mod peer;
 pub mod record;
+pub mod slots;
 
 pub use peer::{PeerMessage, ProtocolError};
--- a/components/protocol/src/peer.rs
+++ b/components/protocol/src/peer.rs
@@ -2,11 +2,13 @@
 
 use bytes::Bytes;
 use coordination::members::MemberMessage;
+use coordination::slots::message::SlotMessage;
 use derives::{tag, value};
 use prost::Message;
 use thiserror::Error;
 
 use crate::heartbeat::WireMember;
+use crate::slots::WireSlots;
 
 /// The version of the messages between entry hosts.
 ///
@@ -33,6 +35,8 @@
     Member(MemberMessage),
     /// A newer configuration, handed over.
     Config(ConfigOffer),
+    /// A message about slots.
+    Slots(SlotMessage),
 }
 
 /// Says who speaks on a link.
@@ -118,6 +122,7 @@
             PeerMessage::Refused(_) => "refused",
             PeerMessage::Member(_) => "member",
             PeerMessage::Config(_) => "config",
+            PeerMessage::Slots(_) => "slots",
         }
     }
 
@@ -150,7 +155,7 @@
 struct Envelope {
     #[prost(uint32, tag = "1")]
     version: u32,
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6")]
     body: Option<Body>,
 }
 
@@ -164,6 +169,8 @@
     Member(WireMember),
     #[prost(message, tag = "5")]
     Config(WireConfig),
+    #[prost(message, tag = "6")]
+    Slots(WireSlots),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -221,6 +228,7 @@
                 offset: c.offset,
                 body: c.body.clone(),
             }),
+            PeerMessage::Slots(m) => Body::Slots(m.into()),
         }
     }
 }
@@ -251,6 +259,7 @@
                 offset: c.offset,
                 body: c.body,
             })),
+            Body::Slots(m) => Ok(PeerMessage::Slots(m.try_into()?)),
         }
     }
 }
--- /dev/null
+++ b/components/stand_ins/src/config_run/check.rs
@@ -0,0 +1,272 @@
+//! Holds a run's history against what stands on its log.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::sync::Arc;
+
+use coordination::config::{Answer, Change, Command, CommandId, Fold, Record, Step};
+use derives::value;
+use protocol::record::decode_record;
+use state::Config;
+use transport::log::{CommandRequest, Outcome};
+
+use super::History;
+use super::operators::Told;
+
+/// A promise that a run broke.
+#[value]
+pub enum Broken {
+    /// A host showed a lower revision than before.
+    Reverted {
+        /// The host.
+        host: usize,
+        /// The revision it had shown.
+        from: u64,
+        /// The revision it showed then.
+        to: u64,
+    },
+    /// A host showed a configuration that the log does not give at its revision.
+    Differs {
+        /// The host.
+        host: usize,
+        /// The revision.
+        revision: u64,
+    },
+    /// No preset was in force after the first choice.
+    NoPreset {
+        /// The revision.
+        revision: u64,
+    },
+    /// A choice was accepted whose author had not seen another one.
+    LostChoice {
+        /// The revision of the choice that was overwritten.
+        revision: u64,
+    },
+    /// An operator was told what is not so.
+    Untrue {
+        /// The command.
+        request: Box<CommandRequest>,
+        /// What its author was told.
+        outcome: Outcome,
+    },
+    /// An operator never learnt what came of a command.
+    Unsettled {
+        /// The command's id.
+        id: CommandId,
+    },
+    /// A host does not have the last revision in force though all faults are over.
+    Behind {
+        /// The host.
+        host: usize,
+        /// Its revision.
+        revision: u64,
+    },
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+/// What the log says, folded once from its first record.
+struct Truth {
+    configs: BTreeMap<u64, Arc<Config>>,
+    answers: BTreeMap<CommandId, Answer>,
+    texts: BTreeSet<String>,
+    choices: Vec<Choice>,
+}
+
+/// An accepted choice of a preset.
+struct Choice {
+    revision: u64,
+    decided_on: u64,
+    name: String,
+}
+
+/// Returns every promise that the run broke.
+pub fn check(history: &History) -> Vec<Broken> {
+    let truth = Truth::of(&history.records);
+    let mut broken = Vec::new();
+    broken.extend(reverts(history));
+    broken.extend(differences(history, &truth));
+    broken.extend(truth.missing_presets());
+    broken.extend(truth.lost_choices());
+    broken.extend(history.told.iter().flat_map(|t| truth.untruths(t)));
+    broken.extend(left_behind(history, &truth));
+    broken
+}
+
+fn reverts(history: &History) -> Vec<Broken> {
+    let mut last: BTreeMap<(usize, usize), u64> = BTreeMap::new();
+    let mut broken = Vec::new();
+    for shown in &history.shown {
+        let to = shown.config.revision;
+        let from = last.insert((shown.host, shown.start), to).unwrap_or(0);
+        if to < from {
+            let host = shown.host;
+            broken.push(Broken::Reverted { host, from, to });
+        }
+    }
+    broken
+}
+
+fn differences(history: &History, truth: &Truth) -> Vec<Broken> {
+    let differs = |config: &Arc<Config>| truth.configs.get(&config.revision) != Some(config);
+    let shown = history.shown.iter().filter(|s| differs(&s.config));
+    shown
+        .map(|s| Broken::Differs {
+            host: s.host,
+            revision: s.config.revision,
+        })
+        .collect()
+}
+
+fn left_behind(history: &History, truth: &Truth) -> Vec<Broken> {
+    let end = truth.configs.keys().next_back().copied().unwrap_or(0);
+    let last = history.last.iter().copied().enumerate();
+    last.filter(|(_, revision)| *revision != end)
+        .map(|(host, revision)| Broken::Behind { host, revision })
+        .collect()
+}
+
+impl Truth {
+    fn of(records: &[bytes::Bytes]) -> Truth {
+        let mut fold = Fold::default();
+        let mut truth = Truth {
+            configs: BTreeMap::from([(0, Arc::clone(fold.config()))]),
+            answers: BTreeMap::new(),
+            texts: BTreeSet::new(),
+            choices: Vec::new(),
+        };
+        for (offset, data) in (0..).zip(records) {
+            let record = decode_record(data);
+            let command = match &record {
+                Ok(Record::Command(command)) => Some(command.clone()),
+                _ => None,
+            };
+            let before = fold.mark().revision;
+            let step = fold.apply(offset, record);
+            truth
+                .configs
+                .insert(fold.mark().revision, Arc::clone(fold.config()));
+            if let (Some(command), Step::Decided(id, answer)) = (command, step) {
+                truth.answers.insert(id, answer);
+                let changed = fold.mark().revision > before;
+                truth.note(command, changed.then_some(fold.mark().revision));
+            }
+        }
+        truth
+    }
+
+    fn note(&mut self, command: Command, changed: Option<u64>) {
+        match (command.change, changed) {
+            (Change::PutPreset { text }, _) => {
+                self.texts.insert(text);
+            }
+            (Change::ChoosePreset { name }, Some(revision)) => self.choices.push(Choice {
+                revision,
+                decided_on: command.decided_on,
+                name,
+            }),
+            _ => {}
+        }
+    }
+
+    /// Checks by the accepted choices alone which preset has to be in force.
+    fn missing_presets(&self) -> Vec<Broken> {
+        let wanted = |revision: u64| {
+            let before = self.choices.iter().take_while(|c| c.revision <= revision);
+            before.last().map(|c| &c.name)
+        };
+        let holds = |config: &Config| match wanted(config.revision) {
+            Some(name) => config.preset().is_some_and(|p| &p.name == name),
+            None => config.chosen.is_none(),
+        };
+        let wrong = self.configs.values().filter(|c| !holds(c));
+        wrong
+            .map(|c| Broken::NoPreset {
+                revision: c.revision,
+            })
+            .collect()
+    }
+
+    fn lost_choices(&self) -> Vec<Broken> {
+        let pairs = self.choices.windows(2);
+        let lost = pairs.filter(|pair| pair[1].decided_on < pair[0].revision);
+        lost.map(|pair| Broken::LostChoice {
+            revision: pair[0].revision,
+        })
+        .collect()
+    }
+
+    fn untruths(&self, told: &Told) -> Vec<Broken> {
+        let mut ids = told.outcomes.iter().filter_map(|o| match o {
+            Outcome::Unknown { id } => Some(*id),
+            _ => None,
+        });
+        let id = told.request.id.or(ids.next());
+        let mut broken: Vec<Broken> = told
+            .outcomes
+            .iter()
+            .filter(|o| !self.is_true(&told.request, id, o))
+            .map(|o| Broken::Untrue {
+                request: Box::new(told.request.clone()),
+                outcome: o.clone(),
+            })
+            .collect();
+        if let Some(Outcome::Unknown { id }) = told.outcomes.last() {
+            broken.push(Broken::Unsettled { id: *id });
+        }
+        broken
+    }
+
+    fn is_true(&self, request: &CommandRequest, id: Option<CommandId>, outcome: &Outcome) -> bool {
+        let answer = id.and_then(|id| self.answers.get(&id));
+        match (outcome, answer) {
+            (Outcome::Unknown { .. }, _) => true,
+            (Outcome::Accepted { revision }, Some(Answer::Accepted { revision: r })) => {
+                revision == r
+            }
+            (Outcome::Accepted { revision }, None) if id.is_none() => {
+                self.is_so(&request.change, *revision)
+            }
+            (Outcome::Accepted { .. }, _) => false,
+            (Outcome::Refused { .. }, answer) => !matches!(answer, Some(Answer::Accepted { .. })),
+            (Outcome::Unreachable { .. }, _) => answer.is_none() && !self.stands(&request.change),
+        }
+    }
+
+    /// Returns whether what a change asks for was so at `revision`.
+    fn is_so(&self, change: &Change, revision: u64) -> bool {
+        let Some(config) = self.configs.get(&revision) else {
+            return false;
+        };
+        match change {
+            Change::PutPreset { text } => {
+                let preset = coordination::config::parse_preset(text).ok();
+                preset.is_some_and(|p| config.presets.get(&p.name) == Some(&p))
+            }
+            Change::ChoosePreset { name } => config.chosen.as_ref() == Some(name),
+            Change::LeaveCentre { name } => config.leaving_centres.contains(name),
+            Change::ReturnCentre { name } => !config.leaving_centres.contains(name),
+            Change::LeaveHost { name } => config.leaving_hosts.contains(name),
+            Change::ReturnHost { name } => !config.leaving_hosts.contains(name),
+            Change::Join {
+                name, incarnation, ..
+            } => config
+                .members
+                .values()
+                .any(|m| m.name == *name && m.incarnation == *incarnation),
+            Change::Remove { host, .. } => !config.members.contains_key(host),
+        }
+    }
+
+    /// Returns whether a preset's text, which no other command has, stands on the log.
+    fn stands(&self, change: &Change) -> bool {
+        match change {
+            Change::PutPreset { text } => self.texts.contains(text),
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/components/stand_ins/src/config_run/faults.rs
@@ -0,0 +1,112 @@
+//! The faults of a run: one after the other, drawn by its seed.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derives::tag;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use super::hosts::Hosts;
+use crate::log::{LogStandIn, Loss, Outage};
+use crate::proxy::Fault;
+
+/// How often each kind of fault was caused.
+#[tag]
+#[derive(Default)]
+pub struct FaultCounts {
+    /// The log was down, refusing or silent.
+    pub outages: u32,
+    /// Answers of the log got lost after the effect.
+    pub losses: u32,
+    /// The log was slow.
+    pub slow: u32,
+    /// A host's link to the log was cut, delayed, one-way or silent for good.
+    pub links: u32,
+    /// A host was replaced by a new one.
+    pub restarts: u32,
+    /// A host was handed a peer's configuration, new or long outdated.
+    pub words: u32,
+    /// A record that nobody can read came to stand on the log.
+    pub damaged: u32,
+}
+
+/// Causes `count` faults and mends what is left of them.
+pub(super) fn cause(
+    log: &LogStandIn,
+    hosts: &Hosts,
+    count: usize,
+    mut draw: StdRng,
+) -> FaultCounts {
+    let mut counts = FaultCounts::default();
+    let mut old_words: Vec<Bytes> = Vec::new();
+    for _ in 0..count {
+        let host = draw.random_range(0..hosts.count());
+        let long = Duration::from_millis(draw.random_range(20..150));
+        match draw.random_range(0..12) {
+            0 => outage(log, Outage::Refusing, long, &mut counts),
+            1 => outage(log, Outage::Silent, long, &mut counts),
+            2 => lose(log, Loss::Gateway, &mut draw, &mut counts),
+            3 => lose(log, Loss::Silence, &mut draw, &mut counts),
+            4 => {
+                counts.slow += 1;
+                log.change(|b| b.slow_ms = 60);
+                std::thread::sleep(long);
+                log.change(|b| b.slow_ms = 0);
+            }
+            5 => link(hosts, host, Fault::Cut, long, &mut counts),
+            6 => link(hosts, host, Fault::Delay(long), long * 2, &mut counts),
+            7 => link(hosts, host, Fault::LoseAnswers, long, &mut counts),
+            8 => {
+                counts.links += 1;
+                hosts.silence(host);
+            }
+            9 => {
+                counts.restarts += 1;
+                hosts.restart(host);
+            }
+            10 => {
+                counts.words += 1;
+                old_words.extend(hosts.word(host));
+                let to = draw.random_range(0..hosts.count());
+                if let Some(word) = pick(&old_words, &mut draw) {
+                    hosts.follower(to).take_record(word);
+                }
+            }
+            _ => {
+                counts.damaged += 1;
+                log.append(transport::log::CONFIG_STREAM, Bytes::from_static(b"noise"));
+            }
+        }
+        std::thread::sleep(Duration::from_millis(draw.random_range(5..30)));
+    }
+    log.change(|b| b.losses = 0);
+    counts
+}
+
+fn outage(log: &LogStandIn, kind: Outage, long: Duration, counts: &mut FaultCounts) {
+    counts.outages += 1;
+    log.change(|b| b.outage = Some(kind));
+    std::thread::sleep(long);
+    log.change(|b| b.outage = None);
+}
+
+fn lose(log: &LogStandIn, kind: Loss, draw: &mut StdRng, counts: &mut FaultCounts) {
+    counts.losses += 1;
+    let losses = draw.random_range(1..4);
+    log.change(|b| (b.loss, b.losses) = (Some(kind), losses));
+}
+
+fn link(hosts: &Hosts, host: usize, fault: Fault, long: Duration, counts: &mut FaultCounts) {
+    counts.links += 1;
+    hosts.set(host, fault);
+    std::thread::sleep(long);
+    hosts.set(host, Fault::Pass);
+}
+
+fn pick<'a>(words: &'a [Bytes], draw: &mut StdRng) -> Option<&'a Bytes> {
+    match words.len() {
+        0 => None,
+        count => words.get(draw.random_range(0..count)),
+    }
+}
--- /dev/null
+++ b/components/stand_ins/src/config_run/hosts.rs
@@ -0,0 +1,161 @@
+//! Followers in place of entry hosts, each behind a proxy of its own.
+
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use coordination::config::Spacing;
+use derives::value;
+use state::Config;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use transport::log::{Follower, FollowerOptions, LogClient, Submission, Timeouts};
+
+use super::lock;
+use crate::log::LogStandIn;
+use crate::proxy::{Fault, Proxy};
+
+/// A configuration that a host showed.
+#[value]
+pub struct Shown {
+    /// The host.
+    pub host: usize,
+    /// Counts the host's starts: a new process remembers nothing.
+    pub start: usize,
+    /// The configuration.
+    pub config: Arc<Config>,
+}
+
+struct Host {
+    proxy: Proxy,
+    follower: Mutex<Arc<Follower>>,
+    starts: Mutex<usize>,
+}
+
+/// All hosts of a run.
+pub(super) struct Hosts<'a> {
+    hosts: Vec<Host>,
+    shown: Arc<Mutex<Vec<Shown>>>,
+    runtime: &'a Runtime,
+}
+
+impl<'a> Hosts<'a> {
+    pub(super) fn start(count: usize, log: &LogStandIn, runtime: &'a Runtime) -> io::Result<Self> {
+        let _inside = runtime.enter();
+        let shown = Arc::default();
+        let mut hosts = Hosts {
+            hosts: Vec::new(),
+            shown,
+            runtime,
+        };
+        for number in 0..count {
+            let proxy = Proxy::start(log.address())?;
+            let follower = follow(&proxy);
+            hosts.watch(number, 0, follower.config());
+            hosts.hosts.push(Host {
+                proxy,
+                follower: Mutex::new(follower),
+                starts: Mutex::new(0),
+            });
+        }
+        Ok(hosts)
+    }
+
+    pub(super) fn count(&self) -> usize {
+        self.hosts.len()
+    }
+
+    pub(super) fn follower(&self, number: usize) -> Arc<Follower> {
+        Arc::clone(&lock(&self.hosts[number].follower))
+    }
+
+    /// Returns what an operator at this host hands commands to.
+    pub(super) fn submission(&self, number: usize, limit: Duration) -> Submission {
+        let client = client(&self.hosts[number].proxy);
+        Submission::new(client, self.follower(number), limit)
+    }
+
+    pub(super) fn set(&self, number: usize, fault: Fault) {
+        self.hosts[number].proxy.set(fault);
+    }
+
+    pub(super) fn silence(&self, number: usize) {
+        self.hosts[number].proxy.silence();
+    }
+
+    /// Replaces a host's process by a new one that knows nothing.
+    pub(super) fn restart(&self, number: usize) {
+        let host = &self.hosts[number];
+        let follower = follow(&host.proxy);
+        let mut starts = lock(&host.starts);
+        *starts += 1;
+        self.watch(number, *starts, follower.config());
+        *lock(&host.follower) = follower;
+    }
+
+    /// Returns what a host would hand to a peer.
+    pub(super) fn word(&self, number: usize) -> Option<Bytes> {
+        self.follower(number).offer().map(|(_, record)| record)
+    }
+
+    /// Waits until every host has folded the whole log; returns their revisions.
+    pub(super) fn settle(&self, log: &LogStandIn, deadline: Instant) -> Vec<u64> {
+        let end = |f: &Arc<Follower>| {
+            let fold = f.fold();
+            let next = log.journal(transport::log::CONFIG_STREAM).len() as u64;
+            !fold.is_behind() && fold.mark().next == next
+        };
+        while Instant::now() < deadline && !(0..self.count()).all(|n| end(&self.follower(n))) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let revision = |n| self.follower(n).config().borrow().revision;
+        (0..self.count()).map(revision).collect()
+    }
+
+    pub(super) fn shown(&self) -> Vec<Shown> {
+        lock(&self.shown).clone()
+    }
+
+    fn watch(&self, host: usize, start: usize, mut config: watch::Receiver<Arc<Config>>) {
+        let shown = Arc::clone(&self.shown);
+        self.runtime.spawn(async move {
+            loop {
+                let config_now = Arc::clone(&config.borrow_and_update());
+                lock(&shown).push(Shown {
+                    host,
+                    start,
+                    config: config_now,
+                });
+                if config.changed().await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+fn client(proxy: &Proxy) -> LogClient {
+    let timeouts = Timeouts {
+        connect: Duration::from_millis(200),
+        answer: Duration::from_millis(150),
+    };
+    LogClient::new(&proxy.address().to_string(), timeouts)
+}
+
+/// Starts a follower that is as quick to notice and to snapshot as the run is short.
+fn follow(proxy: &Proxy) -> Arc<Follower> {
+    let options = FollowerOptions {
+        wait: Duration::from_millis(50),
+        pause: Duration::from_millis(5),
+        longest_pause: Duration::from_millis(50),
+        patience: Duration::from_millis(100),
+        batch: 16,
+        snapshots: Some(Spacing {
+            time: Duration::from_secs(1),
+            records: 16,
+            jitter: Duration::from_millis(30),
+        }),
+    };
+    Arc::new(Follower::start(client(proxy), options))
+}
--- /dev/null
+++ b/components/stand_ins/src/config_run/operators.rs
@@ -0,0 +1,122 @@
+//! Operators who race: they choose, put, take out and bring back.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use coordination::config::{Change, CommandId};
+use derives::value;
+use rand::Rng;
+use rand::rngs::StdRng;
+use state::HostKey;
+use transport::log::{CommandRequest, Outcome};
+
+use super::hosts::Hosts;
+use super::lock;
+
+const PRESETS: [&str; 3] = ["ordinary", "peak", "maintenance"];
+const CENTRES: [&str; 3] = ["trent", "severn", "soar"];
+const MEMBERS: [&str; 3] = ["trent-1", "severn-1", "soar-1"];
+
+/// How long an operator waits for an answer.
+const LIMIT: Duration = Duration::from_millis(250);
+
+/// How often an operator asks again after the faults are over.
+const TRIES: usize = 100;
+
+/// A command and what its author was told.
+#[value]
+pub struct Told {
+    /// The command, with its id where the author drew one.
+    pub request: CommandRequest,
+    /// The answers, in order: more than one where it was asked again.
+    pub outcomes: Vec<Outcome>,
+}
+
+/// Gives `count` commands, one after the other, each at another host.
+pub(super) fn work(
+    hosts: &Hosts,
+    operator: usize,
+    count: usize,
+    mut draw: StdRng,
+    told: &Mutex<Vec<Told>>,
+) {
+    let mut seen_revision = 0;
+    for number in 0..count {
+        let host = draw.random_range(0..hosts.count());
+        let mark = hosts.follower(host).fold().mark();
+        let named = draw.random_bool(0.5);
+        let stale = draw.random_bool(0.3) && seen_revision > 0;
+        let request = CommandRequest {
+            id: named.then(|| CommandId::draw(mark.next, draw.random())),
+            decided_on: match (stale, named) {
+                (true, _) => Some(seen_revision),
+                (false, true) => Some(mark.revision),
+                (false, false) => None,
+            },
+            change: change(operator * 10_000 + number, &mut draw),
+        };
+        let outcome = hosts.submission(host, LIMIT).submit(&request);
+        seen_revision = mark.revision;
+        lock(told).push(Told {
+            request,
+            outcomes: vec![outcome],
+        });
+    }
+}
+
+/// Asks again for every command whose outcome is unknown.
+pub(super) fn ask_again(hosts: &Hosts, mut told: Vec<Told>) -> Vec<Told> {
+    for one in &mut told {
+        for n in 0..TRIES {
+            let Some(Outcome::Unknown { id }) = one.outcomes.last() else {
+                break;
+            };
+            let request = CommandRequest {
+                id: Some(*id),
+                ..one.request.clone()
+            };
+            let host = n % hosts.count();
+            one.outcomes
+                .push(hosts.submission(host, LIMIT).submit(&request));
+        }
+    }
+    told
+}
+
+fn change(unique: usize, draw: &mut StdRng) -> Change {
+    let which = draw.random_range(0..3);
+    let centre = CENTRES[which].to_owned();
+    let member = MEMBERS[which].to_owned();
+    match draw.random_range(0..10) {
+        0..=2 => Change::PutPreset {
+            text: preset(PRESETS[which], unique),
+        },
+        3..=5 => Change::ChoosePreset {
+            name: PRESETS[which].to_owned(),
+        },
+        6 => Change::LeaveCentre { name: centre },
+        7 => Change::ReturnCentre { name: centre },
+        8 => Change::Join {
+            name: member,
+            incarnation: draw.random_range(0..3),
+            peer: ([127, 0, 0, 1], 9_000).into(),
+            data_centre: centre,
+        },
+        _ => Change::Remove {
+            host: HostKey::named(&member),
+            incarnation: draw.random_range(0..3),
+        },
+    }
+}
+
+/// Returns a small preset; `unique` is in its text and its queue limit.
+fn preset(name: &str, unique: usize) -> String {
+    let centres: String = CENTRES
+        .iter()
+        .map(|c| format!("[[data-centre]]\nname = \"{c}\"\nregion = \"midlands\"\n"))
+        .collect();
+    format!(
+        "name = \"{name}\"\n{centres}[[service]]\nname = \"hallboard\"\nqueue = {unique}\n\
+         endpoints = [{{ address = \"127.1.1.1:7101\", data-centre = \"trent\" }}]\n"
+    )
+}
--- a/components/stand_ins/src/lib.rs
+++ b/components/stand_ins/src/lib.rs
@@ -3,6 +3,7 @@
 //! They are there to cause what fails. Nothing of an entry host depends on them.
 
 pub mod backend;
+pub mod config_run;
 pub mod history;
 pub mod load;
 pub mod log;
--- a/components/stand_ins/src/log/server.rs
+++ b/components/stand_ins/src/log/server.rs
@@ -103,6 +103,16 @@
         self.store.set_hosts(hosts);
     }
 
+    /// Keeps every record from now on, whatever the retention, to check against.
+    pub fn keep_journal(&self) {
+        self.store.keep_journal();
+    }
+
+    /// Returns every record of a stream since [`LogStandIn::keep_journal`].
+    pub fn journal(&self, stream: &str) -> Vec<Bytes> {
+        self.store.journal(stream)
+    }
+
     /// Appends a record without HTTP and without its budget's answer getting lost.
     pub fn append(&self, stream: &str, data: Bytes) -> Option<u64> {
         self.store
--- a/components/stand_ins/src/log/store.rs
+++ b/components/stand_ins/src/log/store.rs
@@ -86,6 +86,7 @@
 struct Stream {
     first: u64,
     records: VecDeque<Kept>,
+    journal: Vec<Bytes>,
 }
 
 struct Kept {
@@ -139,6 +140,7 @@
     tokens: f64,
     refilled: Option<Instant>,
     stopped: bool,
+    keeps_journal: bool,
 }
 
 /// The streams with their lock; waiting readers are woken by each append.
@@ -181,6 +183,18 @@
         self.lock().hosts = hosts;
     }
 
+    pub(super) fn keep_journal(&self) {
+        self.lock().keeps_journal = true;
+    }
+
+    pub(super) fn journal(&self, name: &str) -> Vec<Bytes> {
+        let inner = self.lock();
+        inner
+            .streams
+            .get(name)
+            .map_or_else(Vec::new, |s| s.journal.clone())
+    }
+
     pub(super) fn stop(&self) {
         self.lock().stopped = true;
         self.changed.notify_all();
@@ -213,8 +227,12 @@
         }
         inner.counts.appends += 1;
         let behaviour = inner.behaviour.clone();
+        let keeps_journal = inner.keeps_journal;
         let stream = inner.streams.entry(name.to_owned()).or_default();
         let offset = stream.next();
+        if keeps_journal {
+            stream.journal.push(data.clone());
+        }
         stream.records.push_back(Kept {
             at: Instant::now(),
             data,
--- /dev/null
+++ b/components/stand_ins/tests/config_history.rs
@@ -0,0 +1,150 @@
+//! Concurrent runs of the configuration by fixed seeds, and their checker.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use coordination::config::{Change, Command, CommandId};
+use protocol::record::encode_command;
+use rstest::rstest;
+use stand_ins::config_run::{Broken, History, RunOptions, Shown, Told, check, run};
+use state::Config;
+use transport::log::{CommandRequest, Outcome};
+
+// Operators race at hosts whose links fail, while the log is down, slow, drops
+// its old records and loses its answers, and hosts are replaced. Nobody sees
+// an older configuration after a newer one, and every answer was true.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+#[case(4)]
+fn racing_operators(#[case] seed: u64) {
+    let options = RunOptions {
+        seed,
+        hosts: 4,
+        operators: 3,
+        commands: 25,
+        faults: 25,
+    };
+    let history = run(options).unwrap();
+    assert_eq!(check(&history), []);
+    assert_eq!(history.told.len(), 75);
+    assert!(history.last[0] > 5, "{:?}", history.last);
+}
+
+fn record(offset: u64, decided_on: u64, change: Change) -> Bytes {
+    encode_command(&Command {
+        id: CommandId::draw(offset, 9),
+        decided_on,
+        change,
+    })
+}
+
+fn choose(name: &str) -> Change {
+    Change::ChoosePreset {
+        name: name.to_owned(),
+    }
+}
+
+/// A sound history: two presets are put, and each is in force once.
+fn sound() -> History {
+    let put = |text: &str| Change::PutPreset {
+        text: text.to_owned(),
+    };
+    let records = vec![
+        record(0, 0, put(include_str!("../../../examples/midlands.toml"))),
+        record(
+            1,
+            1,
+            put(include_str!("../../../examples/midlands-peak.toml")),
+        ),
+        record(2, 2, choose("ordinary")),
+        record(3, 3, choose("peak")),
+    ];
+    let told = Told {
+        request: CommandRequest {
+            id: Some(CommandId::draw(3, 9)),
+            decided_on: Some(3),
+            change: choose("peak"),
+        },
+        outcomes: vec![Outcome::Accepted { revision: 4 }],
+    };
+    History {
+        records,
+        told: vec![told],
+        last: vec![4],
+        ..History::default()
+    }
+}
+
+fn shown(revision: u64) -> Shown {
+    Shown {
+        host: 0,
+        start: 0,
+        config: Arc::new(Config {
+            revision,
+            ..Config::default()
+        }),
+    }
+}
+
+fn tell(outcome: Outcome) -> History {
+    let mut history = sound();
+    history.told[0].outcomes = vec![outcome];
+    history
+}
+
+#[test]
+fn sound_history() {
+    assert_eq!(check(&sound()), []);
+}
+
+#[test]
+fn planted_revert() {
+    let mut history = sound();
+    history.shown = vec![shown(4), shown(3)];
+    let revert = Broken::Reverted {
+        host: 0,
+        from: 4,
+        to: 3,
+    };
+    assert!(check(&history).contains(&revert));
+}
+
+#[test]
+fn planted_difference() {
+    let mut history = sound();
+    history.shown = vec![shown(3)];
+    let broken = Broken::Differs {
+        host: 0,
+        revision: 3,
+    };
+    assert_eq!(check(&history), [broken]);
+}
+
+#[rstest]
+#[case(Outcome::Accepted { revision: 3 })]
+#[case(Outcome::Refused { reason: "someone was first".to_owned() })]
+#[case(Outcome::Unreachable { reason: "down".to_owned() })]
+fn planted_untruth(#[case] outcome: Outcome) {
+    let broken = check(&tell(outcome));
+    assert!(matches!(broken[..], [Broken::Untrue { .. }]), "{broken:?}");
+}
+
+#[test]
+fn planted_silence() {
+    let id = CommandId::draw(3, 9);
+    let broken = check(&tell(Outcome::Unknown { id }));
+    assert_eq!(broken, [Broken::Unsettled { id }]);
+}
+
+#[test]
+fn planted_lag() {
+    let mut history = sound();
+    history.last = vec![4, 3];
+    let broken = Broken::Behind {
+        host: 1,
+        revision: 3,
+    };
+    assert_eq!(check(&history), [broken]);
+}
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -4,12 +4,18 @@
 //! random number by itself: time and randomness are passed in, so that every
 //! decision runs in a test as it runs in production.
 
+pub mod admission;
 pub mod config;
 pub mod keys;
 pub mod moment;
+pub mod norm;
 pub mod pace;
+pub mod policy;
 pub mod preset;
+pub mod probe;
+pub mod queue;
 pub mod retry;
+pub mod warmth;
 
 pub use config::Config;
 pub use keys::{DataCentreKey, EndpointKey, HostKey, ServiceKey};
--- /dev/null
+++ b/components/state/src/policy.rs
@@ -0,0 +1,106 @@
+//! The ways to place calls: ours, and the baselines it is measured against.
+
+use derives::tag;
+
+use crate::keys::EndpointKey;
+
+/// How an entry host places its calls.
+#[tag]
+pub enum Policy {
+    /// Slots leased by each endpoint's owner and moved on demand.
+    Shared,
+    /// Any endpoint, drawn at random.
+    Random,
+    /// Each endpoint in turn.
+    RoundRobin,
+    /// The endpoint with the fewest calls in flight from this entry host.
+    LeastInFlight,
+    /// The less busy of two drawn at random.
+    TwoChoices,
+    /// A fixed share of each endpoint's slots for each entry host.
+    FixedShare,
+}
+
+/// An endpoint as a baseline sees it.
+#[tag]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Calls in flight at it, as known to this entry host.
+    pub running: u32,
+}
+
+impl Policy {
+    /// Every policy, ours first.
+    pub const ALL: [Policy; 6] = [
+        Policy::Shared,
+        Policy::Random,
+        Policy::RoundRobin,
+        Policy::LeastInFlight,
+        Policy::TwoChoices,
+        Policy::FixedShare,
+    ];
+
+    /// Returns its name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Policy::Shared => "shared",
+            Policy::Random => "random",
+            Policy::RoundRobin => "round-robin",
+            Policy::LeastInFlight => "least-in-flight",
+            Policy::TwoChoices => "two-choices",
+            Policy::FixedShare => "fixed-share",
+        }
+    }
+
+    /// Chooses an endpoint by a baseline; `draw` is a random number and `turn` counts calls.
+    ///
+    /// Returns none where there is no endpoint. [`Policy::Shared`] and
+    /// [`Policy::FixedShare`] choose among their free slots elsewhere and fall
+    /// back to the least in flight here.
+    pub fn choose(self, choices: &[Choice], turn: u64, draw: u64) -> Option<EndpointKey> {
+        let count = choices.len() as u64;
+        if count == 0 {
+            return None;
+        }
+        let at = |n: u64| choices[(n % count) as usize];
+        let found = match self {
+            Policy::Random => at(draw),
+            Policy::RoundRobin => at(turn),
+            Policy::TwoChoices => less(at(draw & 0xffff_ffff), at(draw >> 32)),
+            Policy::Shared | Policy::LeastInFlight | Policy::FixedShare => (0..count)
+                .map(|n| at(n + draw))
+                .reduce(less)
+                .unwrap_or(at(0)),
+        };
+        Some(found.endpoint)
+    }
+}
+
+impl std::str::FromStr for Policy {
+    type Err = UnknownPolicy;
+
+    fn from_str(text: &str) -> Result<Policy, UnknownPolicy> {
+        Policy::ALL
+            .into_iter()
+            .find(|p| p.name() == text)
+            .ok_or(UnknownPolicy)
+    }
+}
+
+/// No policy has this name.
+#[tag]
+pub struct UnknownPolicy;
+
+impl std::fmt::Display for UnknownPolicy {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let names = Policy::ALL.map(Policy::name).join(", ");
+        write!(f, "no such policy; choose one of {names}")
+    }
+}
+
+impl std::error::Error for UnknownPolicy {}
+
+fn less(a: Choice, b: Choice) -> Choice {
+    if b.running < a.running { b } else { a }
+}
--- /dev/null
+++ b/components/state/src/queue.rs
@@ -0,0 +1,130 @@
+//! The queue of calls that wait at an entry host for a slot of one service.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use derives::{key, value};
+
+use crate::keys::EndpointKey;
+use crate::moment::Moment;
+
+/// Names a call within one entry host.
+#[key]
+pub struct CallKey(pub u64);
+
+/// A call that waits for a slot.
+#[value]
+pub struct Waiting {
+    /// The call.
+    pub call: CallKey,
+    /// When it arrived.
+    pub arrived: Moment,
+    /// When its answer is of no more use.
+    pub deadline: Moment,
+    /// Endpoints that have failed it already.
+    pub tried: Vec<EndpointKey>,
+}
+
+/// Calls that wait for one service, the oldest first.
+///
+/// Bounded, so that a flood costs memory and waiting time only up to a limit.
+/// Each service has its own, so that one service's flood holds up no other.
+#[value]
+pub struct Queue {
+    limit: usize,
+    calls: VecDeque<Waiting>,
+    soonest: Moment,
+}
+
+/// Calls looked at for one slot; beyond this a slot would cost more than it brings.
+const SCAN: usize = 16;
+
+impl Queue {
+    /// Returns an empty queue of at most `limit` calls.
+    pub fn new(limit: usize) -> Queue {
+        Queue {
+            limit,
+            calls: VecDeque::new(),
+            soonest: Moment(u64::MAX),
+        }
+    }
+
+    /// Changes the limit; calls that wait already stay.
+    pub fn resize(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
+    /// Returns how many calls wait.
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Returns whether no further call may wait.
+    pub fn is_full(&self) -> bool {
+        self.calls.len() >= self.limit
+    }
+
+    /// Returns how long the oldest call has waited.
+    pub fn oldest(&self, now: Moment) -> Duration {
+        self.calls
+            .front()
+            .map_or(Duration::ZERO, |w| now.since(w.arrived))
+    }
+
+    /// Appends a call.
+    pub fn push(&mut self, waiting: Waiting) {
+        self.soonest = self.soonest.min(waiting.deadline);
+        self.calls.push_back(waiting);
+    }
+
+    /// Puts a call back that was taken and could not be started.
+    pub fn push_front(&mut self, waiting: Waiting) {
+        self.soonest = self.soonest.min(waiting.deadline);
+        self.calls.push_front(waiting);
+    }
+
+    /// Takes the oldest call that may use a slot of `endpoint`.
+    pub fn take(&mut self, endpoint: EndpointKey) -> Option<Waiting> {
+        let index = self
+            .calls
+            .iter()
+            .take(SCAN)
+            .position(|w| !w.tried.contains(&endpoint))?;
+        self.calls.remove(index)
+    }
+
+    /// Removes a call whose caller has hung up.
+    pub fn cancel(&mut self, call: CallKey) -> bool {
+        let index = self.calls.iter().position(|w| w.call == call);
+        index.and_then(|i| self.calls.remove(i)).is_some()
+    }
+
+    /// Removes and returns the calls whose deadline has passed.
+    ///
+    /// Costs nothing until the first deadline is reached.
+    pub fn expire(&mut self, now: Moment) -> Vec<Waiting> {
+        if self.soonest > now {
+            return Vec::new();
+        }
+        let (late, rest): (Vec<_>, Vec<_>) = self.calls.drain(..).partition(|w| w.deadline <= now);
+        self.calls = rest.into();
+        self.soonest = self
+            .calls
+            .iter()
+            .map(|w| w.deadline)
+            .min()
+            .unwrap_or(Moment(u64::MAX));
+        late
+    }
+
+    /// Removes and returns every call.
+    pub fn clear(&mut self) -> Vec<Waiting> {
+        self.soonest = Moment(u64::MAX);
+        self.calls.drain(..).collect()
+    }
+}
--- /dev/null
+++ b/components/state/tests/endpoint_health.rs
@@ -0,0 +1,177 @@
+//! How much a backend server is believed to bear, and what probing it may cost.
+
+use std::time::Duration;
+
+use state::Moment;
+use state::norm::{Norm, Tempo};
+use state::probe::ProbeBudget;
+use state::warmth::{Doubt, LoadReport, Mood, Warmth};
+
+const SLOTS: u32 = 6;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn report(boot: &str, mood: Mood) -> LoadReport {
+    LoadReport {
+        boot: boot.to_owned(),
+        mood,
+        running: 0,
+    }
+}
+
+fn warm() -> Warmth {
+    let mut warmth = Warmth::unknown(SLOTS, 1, at(0));
+    warmth.note_report(&report("a", Mood::Warm), at(0));
+    assert_eq!(warmth.cap(), SLOTS);
+    warmth
+}
+
+/// Answers enough calls that the cap may grow, again and again.
+fn prove(warmth: &mut Warmth, from: u64, millis: u64) {
+    for now in (from..from + millis).step_by(50) {
+        warmth.note_answers(0, 20, at(now));
+        warmth.grow(at(now));
+    }
+}
+
+#[test]
+fn unknown_is_cold() {
+    let warmth = Warmth::unknown(SLOTS, 1, at(0));
+    assert_eq!(warmth.cap(), 1);
+}
+
+// A backend server turns cold in the middle of a peak, under the same address,
+// and its report still says warm. Callers notice refused calls; the first shed
+// cuts the cap for all hosts, and only answers bring it back, step by step.
+#[test]
+fn shed_chills() {
+    let mut warmth = warm();
+    warmth.note_shed(at(1_000));
+    assert_eq!(warmth.cap(), 1);
+    warmth.note_report(&report("a", Mood::Warm), at(1_100));
+    warmth.grow(at(2_000));
+    assert_eq!(warmth.cap(), 1);
+    prove(&mut warmth, 2_000, 500);
+    assert!(warmth.cap() > 1 && warmth.cap() < SLOTS);
+    prove(&mut warmth, 2_500, 3_000);
+    assert_eq!(warmth.cap(), SLOTS);
+}
+
+#[test]
+fn restart_chills() {
+    let mut warmth = warm();
+    warmth.note_report(&report("b", Mood::Warm), at(1_000));
+    assert_eq!(warmth.cap(), 1);
+}
+
+#[test]
+fn cold_stays_low() {
+    let mut warmth = warm();
+    warmth.note_report(&report("b", Mood::Cold), at(1_000));
+    prove(&mut warmth, 1_000, 5_000);
+    assert_eq!(warmth.cap(), 1);
+    warmth.note_report(&report("b", Mood::Warm), at(6_000));
+    prove(&mut warmth, 6_000, 3_000);
+    assert_eq!(warmth.cap(), SLOTS);
+}
+
+#[test]
+fn draining_gets_none() {
+    let mut warmth = warm();
+    warmth.note_report(&report("a", Mood::Draining), at(1_000));
+    assert_eq!(warmth.cap(), 0);
+    assert!(!warmth.take_trial(at(9_000)));
+}
+
+// One backend server answers twenty times slower while its report says idle.
+// Callers that get it wait; once its answers show it, it gets a trial a second.
+#[test]
+fn slow_gets_trials() {
+    let mut warmth = warm();
+    for n in 0..8 {
+        warmth.note_answers(1, 1, at(n));
+    }
+    assert_eq!(warmth.doubt(), Some(Doubt::Slow));
+    assert_eq!(warmth.cap(), 0);
+    warmth.note_report(&report("a", Mood::Warm), at(100));
+    assert_eq!(warmth.cap(), 0);
+    assert!(!warmth.take_trial(at(500)));
+    assert!(warmth.take_trial(at(1_100)));
+    assert!(!warmth.take_trial(at(1_200)));
+    for n in 0..3 {
+        warmth.note_answers(0, 1, at(2_000 + n));
+    }
+    assert_eq!(warmth.doubt(), None);
+    assert!(warmth.cap() > 0);
+}
+
+#[test]
+fn unreachable_gets_trials() {
+    let mut warmth = warm();
+    warmth.note_unreachable(at(10));
+    assert_eq!(warmth.doubt(), Some(Doubt::Down));
+    assert_eq!(warmth.cap(), 0);
+    warmth.note_report(&report("b", Mood::Cold), at(300));
+    assert!(warmth.take_trial(at(300)));
+}
+
+/// Feeds the mix: 99 calls of 1 ms to one of 2 s.
+fn mixed() -> Norm {
+    let mut norm = Norm::default();
+    for n in 0..500 {
+        let millis = if n % 100 == 99 { 2_000 } else { 1 };
+        norm.record(Duration::from_millis(millis));
+    }
+    norm
+}
+
+// Long work among short must not make the server that happens to run it look
+// slow: it would be shut out for nothing.
+#[test]
+fn long_work_is_rare() {
+    let mut norm = mixed();
+    let mut tempo = Tempo::default();
+    for n in 0..1_000 {
+        let millis = if n % 100 == 99 { 2_000 } else { 1 };
+        let over = norm.record(Duration::from_millis(millis));
+        tempo.note(u32::from(over), 1);
+        assert!(!tempo.is_slow());
+    }
+}
+
+#[test]
+fn slow_server_shows() {
+    let norm = mixed();
+    assert!(norm.is_over(Duration::from_millis(20)));
+    assert!(!norm.is_over(Duration::from_millis(1)));
+}
+
+// Everything behind a service becomes slow at once. No endpoint is to blame,
+// and shutting them out one after the other would leave none.
+#[test]
+fn shared_slowness() {
+    let mut norm = mixed();
+    let blamed = (0..500)
+        .filter(|_| norm.record(Duration::from_millis(50)))
+        .count();
+    assert!(blamed < 50, "{blamed}");
+    assert!(!norm.is_over(Duration::from_millis(50)));
+}
+
+#[test]
+fn probes_within_budget() {
+    let cost = Duration::from_millis(6);
+    let mut budget = ProbeBudget::new(SLOTS, cost, at(0));
+    let sent = (0..60_000).filter(|ms| budget.take(true, at(*ms))).count();
+    let spent = cost * sent as u32;
+    let slot_time = Duration::from_secs(60) * SLOTS;
+    assert!(spent * 1_000 <= (slot_time + cost * 1_000) * 5, "{sent}");
+    assert!(sent > 250, "{sent}");
+    let mut ordinary = ProbeBudget::new(SLOTS, cost, at(0));
+    let sent = (0..60_000)
+        .filter(|ms| ordinary.take(false, at(*ms)))
+        .count();
+    assert!((100..=121).contains(&sent), "{sent}");
+}
--- /dev/null
+++ b/components/state/tests/waiting_calls.rs
@@ -0,0 +1,112 @@
+//! The queue of waiting calls and who may join it.
+
+use std::time::Duration;
+
+use state::admission::{Admission, Gate, STANDING, TARGET};
+use state::queue::{CallKey, Queue, Waiting};
+use state::{EndpointKey, Moment};
+
+fn waiting(call: u64, arrived: u64, deadline: u64) -> Waiting {
+    Waiting {
+        call: CallKey(call),
+        arrived: Moment::from_millis(arrived),
+        deadline: Moment::from_millis(deadline),
+        tried: Vec::new(),
+    }
+}
+
+#[test]
+fn oldest_first() {
+    let mut queue = Queue::new(2);
+    queue.push(waiting(1, 0, 100));
+    queue.push(waiting(2, 5, 100));
+    assert!(queue.is_full());
+    assert_eq!(
+        queue.oldest(Moment::from_millis(9)),
+        Duration::from_millis(9)
+    );
+    assert_eq!(queue.take(EndpointKey(7)).unwrap().call, CallKey(1));
+    assert_eq!(queue.take(EndpointKey(7)).unwrap().call, CallKey(2));
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn tried_endpoint_skipped() {
+    let mut queue = Queue::new(9);
+    let mut first = waiting(1, 0, 100);
+    first.tried = vec![EndpointKey(7)];
+    queue.push(first);
+    assert_eq!(queue.take(EndpointKey(7)), None);
+    queue.push(waiting(2, 1, 100));
+    assert_eq!(queue.take(EndpointKey(7)).unwrap().call, CallKey(2));
+    assert_eq!(queue.take(EndpointKey(8)).unwrap().call, CallKey(1));
+}
+
+// A call waits past its deadline because every slot runs long work. Its caller
+// must hear "not run" then, and not when a slot comes free at last.
+#[test]
+fn expired_leave() {
+    let mut queue = Queue::new(9);
+    queue.push(waiting(1, 0, 100));
+    queue.push(waiting(2, 0, 50));
+    assert_eq!(queue.expire(Moment::from_millis(49)), vec![]);
+    let late = queue.expire(Moment::from_millis(50));
+    assert_eq!(late.len(), 1);
+    assert_eq!(late[0].call, CallKey(2));
+    assert_eq!(queue.expire(Moment::from_millis(100)).len(), 1);
+    assert!(queue.is_empty());
+}
+
+/// Returns a gate that has seen a waiting call start each `interval`.
+fn fed(interval: u64, starts: u64) -> Gate {
+    let mut gate = Gate::new(Moment(0));
+    for n in 0..starts {
+        gate.note_start(10, Moment::from_millis(n * interval));
+    }
+    gate
+}
+
+#[test]
+fn hopeless_refused() {
+    let gate = fed(10, 50);
+    let now = Moment::from_millis(490);
+    let short = gate.decide(20, false, Duration::from_millis(150), now);
+    assert!(matches!(short, Admission::TooLate(wait) if wait > Duration::from_millis(150)));
+    let long = gate.decide(20, false, Duration::from_millis(300), now);
+    assert_eq!(long, Admission::Wait);
+    let full = gate.decide(20, true, Duration::from_millis(300), now);
+    assert_eq!(full, Admission::Full);
+}
+
+// Twice the load that all slots bear, for seconds. The queue never empties and
+// every caller would wait as long as it is deep; instead new calls are refused
+// at once, and those admitted wait little.
+#[test]
+fn standing_queue() {
+    let gate = fed(1, 1_500);
+    let now = Moment::from_millis(1_499);
+    assert!(now.since(Moment(0)) > STANDING);
+    let left = Duration::from_secs(10);
+    let beyond = 2 * TARGET.as_millis() as usize;
+    assert!(matches!(
+        gate.decide(beyond, false, left, now),
+        Admission::TooLate(_)
+    ));
+    assert_eq!(gate.decide(10, false, left, now), Admission::Wait);
+}
+
+#[test]
+fn burst_queued() {
+    let gate = fed(1, 200);
+    let now = Moment::from_millis(199);
+    let left = Duration::from_secs(10);
+    assert_eq!(gate.decide(390, false, left, now), Admission::Wait);
+}
+
+#[test]
+fn halt_noticed() {
+    let gate = fed(1, 100);
+    let now = Moment::from_millis(99 + 700);
+    let soon = gate.decide(1, false, Duration::from_millis(500), now);
+    assert!(matches!(soon, Admission::TooLate(_)));
+}
--- a/components/transport/src/log/client.rs
+++ b/components/transport/src/log/client.rs
@@ -112,6 +112,13 @@
         }
     }
 
+    /// Returns the same client with another time-out for answers.
+    pub fn waiting(&self, answer: Duration) -> LogClient {
+        let mut client = self.clone();
+        client.timeouts.answer = answer;
+        client
+    }
+
     /// Appends one record and returns its offset. Blocks.
     ///
     /// # Errors
--- a/components/transport/src/log/follower.rs
+++ b/components/transport/src/log/follower.rs
@@ -29,6 +29,9 @@
     pub pause: Duration,
     /// The longest pause. It bounds how late a host learns that an outage is over.
     pub longest_pause: Duration,
+    /// How long a read may take beyond its wait, at first. It bounds how late a
+    /// link is given up that has gone silent; it doubles while the log is slower.
+    pub patience: Duration,
     /// Records asked for at once.
     pub batch: usize,
     /// When snapshots are due, or none where this follower appends none.
@@ -41,15 +44,18 @@
             wait: Duration::from_millis(500),
             pause: Duration::from_millis(50),
             longest_pause: Duration::from_secs(1),
+            patience: Duration::from_secs(1),
             batch: 256,
             snapshots: Some(Spacing::default()),
         }
     }
 }
 
+/// The longest time that a slow log is given beyond a read's wait.
+const LONGEST_PATIENCE: Duration = Duration::from_secs(20);
+
 /// How far a follower has come.
 #[value]
-#[derive(Default)]
 pub struct Progress {
     /// What has been folded.
     pub mark: Mark,
@@ -60,6 +66,16 @@
     pub trouble: Option<String>,
 }
 
+impl Default for Progress {
+    fn default() -> Progress {
+        Progress {
+            mark: Mark::default(),
+            end_seen: None,
+            trouble: Some("the log has not been read yet".to_owned()),
+        }
+    }
+}
+
 impl Progress {
     /// Returns whether the log's end was seen within `age` before `now`.
     pub fn is_fresh(&self, now: Moment, age: Duration) -> bool {
@@ -128,6 +144,23 @@
         self.progress.clone()
     }
 
+    /// Returns whether this host has a preset in force, from the log or a peer.
+    ///
+    /// # Errors
+    ///
+    /// Says why it has none, for the host is not ready then.
+    pub fn ready(&self) -> Result<(), String> {
+        match self.config.borrow().preset() {
+            Some(_) => Ok(()),
+            None => Err(self
+                .progress
+                .borrow()
+                .trouble
+                .clone()
+                .unwrap_or_else(|| "no preset has been chosen yet".to_owned())),
+        }
+    }
+
     /// Reads again at once, in place of waiting out a pause after a failure.
     ///
     /// To be called when a sign says that the log may be back, such as a peer
@@ -222,6 +255,8 @@
     shared: Arc<Shared>,
     timer: Option<SnapshotTimer>,
     pause: Duration,
+    patience: Duration,
+    failures: u32,
 }
 
 impl Reader {
@@ -229,10 +264,13 @@
         let now = clock::now();
         let timer = shared.options.snapshots.map(|s| SnapshotTimer::new(s, now));
         let pause = shared.options.pause;
+        let patience = shared.options.patience;
         Reader {
             shared,
             timer,
             pause,
+            patience,
+            failures: 0,
         }
     }
 
@@ -241,23 +279,24 @@
             let from = lock(&self.shared.fold).position();
             let options = &self.shared.options;
             let sent = clock::now();
-            let read = self
-                .shared
-                .client
-                .read(CONFIG_STREAM, from, options.batch, options.wait);
+            let client = self.shared.client.waiting(self.patience);
+            let read = client.read(CONFIG_STREAM, from, options.batch, options.wait);
+            let took = clock::now().since(sent);
             match read {
                 Ok(page) if page.next < from => self.fail(&format!(
                     "the log ends at offset {}, before {from}, where this host has been",
                     page.next
                 )),
-                Ok(page) => self.fold(&page, sent),
+                Ok(page) => {
+                    self.recover(took);
+                    self.fold(&page, sent);
+                }
                 Err(error) => self.fail(&error.to_string()),
             }
         }
     }
 
     fn fold(&mut self, page: &Page, sent: Moment) {
-        self.pause = self.shared.options.pause;
         let mut fold = lock(&self.shared.fold);
         fold.retained_from(page.first);
         for record in &page.records {
@@ -309,10 +348,26 @@
         }
     }
 
+    /// Notes a read that went well, and how patient the next one has to be.
+    fn recover(&mut self, took: Duration) {
+        if self.failures > 0 {
+            let failures = self.failures;
+            log::info!("E0310 log-readable-again failures={failures}");
+        }
+        self.failures = 0;
+        self.pause = self.shared.options.pause;
+        self.patience = (took * 2).clamp(self.shared.options.patience, LONGEST_PATIENCE);
+    }
+
     /// Notes a failed read and waits, jittered so that hosts don't all come
     /// back to a log that has just recovered in the same moment.
     fn fail(&mut self, error: &str) {
-        log::warn!("E0301 log-unreadable error=\"{error}\"");
+        // One line an outage: the metric counts the rest.
+        if self.failures == 0 {
+            log::warn!("E0301 log-unreadable error=\"{error}\"");
+        }
+        self.failures += 1;
+        self.patience = (self.patience * 2).min(LONGEST_PATIENCE);
         metrics::counter!("cardamomvale_log_read_failures_total").increment(1);
         let trouble = format!("the log can't be followed: {error}");
         self.shared
