config: read beside a late read; fold nothing but the record at the position

Cause: (1) with one read at a time a follower could only choose between giving up a slow log and waiting long on a silent link: after a one-way loss its patience had doubled and a change came seconds late.

Change: a late read stays and another is sent beside it; records ahead of the position change nothing and are read again; a command asks the log for its end by a read of its own.

--- a/components/coordination/src/config/fold.rs
+++ b/components/coordination/src/config/fold.rs
@@ -124,14 +124,14 @@
         }
     }
 
-    /// Folds the record at `offset`.
+    /// Folds the record at `offset`, which has to be the one at [`Fold::position`].
+    ///
+    /// Any other changes nothing: after a snapshot was taken over, what a page
+    /// still holds lies ahead of the snapshot's own end and is read again.
     pub fn apply(&mut self, offset: u64, record: Result<Record, Unreadable>) -> Step {
-        if offset < self.position() {
+        if offset != self.position() {
             return Step::Passed;
         }
-        if offset > self.position() {
-            self.retained_from(offset);
-        }
         if let Some(search) = &mut self.search {
             search.at = offset + 1;
             return self.apply_searching(record);
--- a/components/coordination/tests/config_fold.rs
+++ b/components/coordination/tests/config_fold.rs
@@ -256,6 +256,8 @@
     let step = paused.apply(8, Ok(Record::Snapshot(Box::new(snapshot.clone()))));
     assert_eq!(step, Step::Took(snapshot.mark()));
     assert_eq!((paused.position(), paused.is_behind()), (6, false));
+    let ahead = paused.apply(9, Ok(Record::Command(missed.clone())));
+    assert_eq!((ahead, paused.is_behind()), (Step::Passed, false));
     for fold in [&mut paused, &mut fold] {
         fold.apply(6, Ok(Record::Command(missed.clone())));
     }
--- a/components/transport/src/log/follower.rs
+++ b/components/transport/src/log/follower.rs
@@ -1,23 +1,18 @@
 //! Follows the `config` stream and keeps the configuration in force up to date.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use coordination::config::{
-    Answer, CommandId, Fold, LogView, Mark, Record, Snapshot, SnapshotTimer, Spacing, Step,
-    Unreadable,
-};
+use coordination::config::{Answer, CommandId, Fold, Mark, Record, Snapshot, Spacing};
 use derives::value;
-use protocol::record::{Page, decode_record, encode_snapshot};
-use rand::Rng;
+use protocol::record::{decode_record, encode_snapshot};
 use state::{Config, Moment};
 use tokio::sync::watch;
 
-use super::CONFIG_STREAM;
 use super::client::LogClient;
-use crate::clock;
+use super::reader::{Event, Reader};
 
 /// How a follower reads.
 #[value]
@@ -29,8 +24,8 @@
     pub pause: Duration,
     /// The longest pause. It bounds how late a host learns that an outage is over.
     pub longest_pause: Duration,
-    /// How long a read may take beyond its wait, at first. It bounds how late a
-    /// link is given up that has gone silent; it doubles while the log is slower.
+    /// How long a read may take beyond its wait before another is sent beside
+    /// it. It bounds how late a host learns that a link has gone silent.
     pub patience: Duration,
     /// Records asked for at once.
     pub batch: usize,
@@ -51,9 +46,6 @@
     }
 }
 
-/// The longest time that a slow log is given beyond a read's wait.
-const LONGEST_PATIENCE: Duration = Duration::from_secs(20);
-
 /// How far a follower has come.
 #[value]
 pub struct Progress {
@@ -86,20 +78,18 @@
 /// A thread that folds the `config` stream. Stops when dropped.
 pub struct Follower {
     shared: Arc<Shared>,
+    events: Sender<Event>,
     config: watch::Receiver<Arc<Config>>,
     progress: watch::Receiver<Progress>,
 }
 
-struct Shared {
-    client: LogClient,
-    options: FollowerOptions,
-    fold: Mutex<Fold>,
+pub(super) struct Shared {
+    pub(super) client: LogClient,
+    pub(super) options: FollowerOptions,
+    pub(super) fold: Mutex<Fold>,
+    pub(super) progress: watch::Sender<Progress>,
     folded: Condvar,
-    resume: Mutex<bool>,
-    resumed: Condvar,
-    stopped: AtomicBool,
     config: watch::Sender<Arc<Config>>,
-    progress: watch::Sender<Progress>,
 }
 
 impl Follower {
@@ -116,19 +106,13 @@
             options,
             fold: Mutex::default(),
             folded: Condvar::new(),
-            resume: Mutex::new(false),
-            resumed: Condvar::new(),
-            stopped: AtomicBool::new(false),
             config: config_sender,
             progress: progress_sender,
         });
-        let reader = Reader::new(Arc::clone(&shared));
-        std::thread::Builder::new()
-            .name("config-follower".to_owned())
-            .spawn(move || reader.run())
-            .expect("a thread can be started");
+        let events = Reader::start(Arc::clone(&shared));
         Follower {
             shared,
+            events,
             config,
             progress,
         }
@@ -152,22 +136,39 @@
     pub fn ready(&self) -> Result<(), String> {
         match self.config.borrow().preset() {
             Some(_) => Ok(()),
-            None => Err(self
-                .progress
-                .borrow()
-                .trouble
-                .clone()
-                .unwrap_or_else(|| "no preset has been chosen yet".to_owned())),
+            None => Err(self.trouble()),
         }
     }
 
+    /// Returns why the configuration is missing or may be old.
+    pub fn trouble(&self) -> String {
+        let trouble = self.progress.borrow().trouble.clone();
+        trouble.unwrap_or_else(|| "the log's records have not all been read yet".to_owned())
+    }
+
+    /// Returns how far the follower has folded.
+    pub fn mark(&self) -> Mark {
+        lock(&self.shared.fold).mark()
+    }
+
+    /// Waits up to `limit` until every record before `next` is folded; says whether it is. Blocks.
+    pub fn wait_folded(&self, next: u64, limit: Duration) -> bool {
+        let fold = lock(&self.shared.fold);
+        let waited = self
+            .shared
+            .folded
+            .wait_timeout_while(fold, limit, |f| f.mark().next < next)
+            .unwrap_or_else(PoisonError::into_inner);
+        waited.0.mark().next >= next
+    }
+
     /// Reads again at once, in place of waiting out a pause after a failure.
     ///
     /// To be called when a sign says that the log may be back, such as a peer
     /// that has read further.
     pub fn resume(&self) {
-        *lock(&self.shared.resume) = true;
-        self.shared.resumed.notify_all();
+        // A reader that has ended has nothing to resume.
+        let _ = self.events.send(Event::Resume);
     }
 
     /// Takes a peer's snapshot, where it is newer. Returns whether it was.
@@ -227,8 +228,7 @@
 
 impl Drop for Follower {
     fn drop(&mut self) {
-        self.shared.stopped.store(true, Ordering::Relaxed);
-        self.resume();
+        let _ = self.events.send(Event::Stop);
     }
 }
 
@@ -236,7 +236,7 @@
     /// Hands on what has been folded. An older revision is never shown: it
     /// would send work back to what has left. The same one with other content
     /// comes only where a record of a newer version was skipped and is made good.
-    fn publish(&self, fold: &Fold) {
+    pub(super) fn publish(&self, fold: &Fold) {
         let config = fold.config();
         self.config.send_if_modified(|shown| {
             let same = Arc::ptr_eq(shown, config) || **shown == **config;
@@ -250,191 +250,6 @@
     }
 }
 
-/// What the follower's own thread keeps.
-struct Reader {
-    shared: Arc<Shared>,
-    timer: Option<SnapshotTimer>,
-    pause: Duration,
-    patience: Duration,
-    failures: u32,
-}
-
-impl Reader {
-    fn new(shared: Arc<Shared>) -> Reader {
-        let now = clock::now();
-        let timer = shared.options.snapshots.map(|s| SnapshotTimer::new(s, now));
-        let pause = shared.options.pause;
-        let patience = shared.options.patience;
-        Reader {
-            shared,
-            timer,
-            pause,
-            patience,
-            failures: 0,
-        }
-    }
-
-    fn run(mut self) {
-        while !self.shared.stopped.load(Ordering::Relaxed) {
-            let from = lock(&self.shared.fold).position();
-            let options = &self.shared.options;
-            let sent = clock::now();
-            let client = self.shared.client.waiting(self.patience);
-            let read = client.read(CONFIG_STREAM, from, options.batch, options.wait);
-            let took = clock::now().since(sent);
-            match read {
-                Ok(page) if page.next < from => self.fail(&format!(
-                    "the log ends at offset {}, before {from}, where this host has been",
-                    page.next
-                )),
-                Ok(page) => {
-                    self.recover(took);
-                    self.fold(&page, sent);
-                }
-                Err(error) => self.fail(&error.to_string()),
-            }
-        }
-    }
-
-    fn fold(&mut self, page: &Page, sent: Moment) {
-        let mut fold = lock(&self.shared.fold);
-        fold.retained_from(page.first);
-        for record in &page.records {
-            let decoded = decode_record(&record.data);
-            note_snapshot(&mut self.timer, record.offset, &decoded);
-            let step = fold.apply(record.offset, decoded);
-            report(record.offset, &step);
-        }
-        let mark = fold.mark();
-        let at_end = !fold.is_behind() && mark.next >= page.next;
-        let trouble = trouble(&fold, page);
-        self.shared.publish(&fold);
-        drop(fold);
-        self.shared.progress.send_modify(|p| {
-            p.mark = mark;
-            p.trouble = trouble;
-            if at_end {
-                p.end_seen = Some(sent);
-            }
-        });
-        metrics::gauge!("cardamomvale_config_revision").set(mark.revision as f64);
-        if at_end {
-            self.append_snapshot(page);
-        }
-    }
-
-    fn append_snapshot(&mut self, page: &Page) {
-        let Some(timer) = &mut self.timer else {
-            return;
-        };
-        let now = clock::now();
-        let view = LogView {
-            first: page.first,
-            next: page.next,
-        };
-        let mut draw = rand::rng();
-        if !timer.is_due(view, now, draw.random()) {
-            return;
-        }
-        timer.tried(now, draw.random());
-        let Some(snapshot) = lock(&self.shared.fold).snapshot() else {
-            return;
-        };
-        let record = encode_snapshot(&snapshot);
-        let bytes = record.len();
-        match self.shared.client.append(CONFIG_STREAM, &record) {
-            Ok(offset) => log::info!("E0306 snapshot-appended offset={offset} bytes={bytes}"),
-            Err(error) => log::warn!("E0307 snapshot-not-appended error=\"{error}\""),
-        }
-    }
-
-    /// Notes a read that went well, and how patient the next one has to be.
-    fn recover(&mut self, took: Duration) {
-        if self.failures > 0 {
-            let failures = self.failures;
-            log::info!("E0310 log-readable-again failures={failures}");
-        }
-        self.failures = 0;
-        self.pause = self.shared.options.pause;
-        self.patience = (took * 2).clamp(self.shared.options.patience, LONGEST_PATIENCE);
-    }
-
-    /// Notes a failed read and waits, jittered so that hosts don't all come
-    /// back to a log that has just recovered in the same moment.
-    fn fail(&mut self, error: &str) {
-        // One line an outage: the metric counts the rest.
-        if self.failures == 0 {
-            log::warn!("E0301 log-unreadable error=\"{error}\"");
-        }
-        self.failures += 1;
-        self.patience = (self.patience * 2).min(LONGEST_PATIENCE);
-        metrics::counter!("cardamomvale_log_read_failures_total").increment(1);
-        let trouble = format!("the log can't be followed: {error}");
-        self.shared
-            .progress
-            .send_modify(|p| p.trouble = Some(trouble));
-        let jitter = rand::rng().random_range(0.5..1.0);
-        let resume = lock(&self.shared.resume);
-        let mut resume = self
-            .shared
-            .resumed
-            .wait_timeout_while(resume, self.pause.mul_f64(jitter), |r| !*r)
-            .unwrap_or_else(PoisonError::into_inner)
-            .0;
-        *resume = false;
-        drop(resume);
-        self.pause = (self.pause * 2).min(self.shared.options.longest_pause);
-    }
-}
-
-fn note_snapshot(
-    timer: &mut Option<SnapshotTimer>,
-    offset: u64,
-    decoded: &Result<Record, Unreadable>,
-) {
-    if let (Some(timer), Ok(Record::Snapshot(_))) = (timer, decoded) {
-        timer.saw(offset, clock::now());
-    }
-}
-
-/// Says why the configuration is missing or old, for readiness and status.
-fn trouble(fold: &Fold, page: &Page) -> Option<String> {
-    match fold.blind() {
-        _ if fold.is_behind() => Some(format!(
-            "the log's records before {} are gone and no snapshot has come yet",
-            page.first
-        )),
-        Some(offset) => Some(format!(
-            "the record at offset {offset} is of a newer version: update this host"
-        )),
-        None if fold.config().chosen.is_none() => Some("no preset has been chosen yet".to_owned()),
-        None => None,
-    }
-}
-
-fn report(offset: u64, step: &Step) {
-    match step {
-        Step::Decided(id, Answer::Accepted { revision }) => {
-            log::info!("E0302 command-accepted id={id} offset={offset} revision={revision}");
-        }
-        Step::Decided(id, Answer::Refused { refusal }) => {
-            log::info!("E0303 command-refused id={id} offset={offset} reason=\"{refusal}\"");
-        }
-        Step::Skipped(unreadable) => {
-            log::error!("E0304 record-skipped offset={offset} reason=\"{unreadable}\"");
-            metrics::counter!("cardamomvale_config_records_skipped_total").increment(1);
-        }
-        Step::Took(mark) => {
-            log::info!(
-                "E0308 snapshot-taken next={} revision={}",
-                mark.next,
-                mark.revision
-            );
-        }
-        Step::Repeated(..) | Step::Passed => {}
-    }
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/components/transport/src/log/mod.rs
+++ b/components/transport/src/log/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod follower;
+mod reader;
 mod remote;
 mod submit;
 
--- /dev/null
+++ b/components/transport/src/log/reader.rs
@@ -0,0 +1,291 @@
+//! The thread that reads the `config` stream for a follower.
+
+use std::sync::Arc;
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::time::Duration;
+
+use coordination::config::{Answer, Fold, LogView, Record, SnapshotTimer, Step, Unreadable};
+use protocol::record::{Page, decode_record, encode_snapshot};
+use rand::Rng;
+use state::Moment;
+
+use super::CONFIG_STREAM;
+use super::client::ReadError;
+use super::follower::{Shared, lock};
+use crate::clock;
+
+/// The longest time that a read is waited for. A log that is slower can't be followed.
+const READ_LIMIT: Duration = Duration::from_secs(10);
+
+/// Reads in flight at once: at one more each time the patience is over, all
+/// that fit into [`READ_LIMIT`].
+const READS_AT_ONCE: usize = 10;
+
+/// What the reader's thread waits for.
+pub(super) enum Event {
+    /// A read has ended.
+    Read(ReadEnd),
+    /// The log may be back: read at once.
+    Resume,
+    /// The follower is gone.
+    Stop,
+}
+
+/// A read and what came of it.
+pub(super) struct ReadEnd {
+    from: u64,
+    sent: Moment,
+    page: Result<Page, ReadError>,
+}
+
+/// Reads page after page, and a second time where the first read is silent.
+///
+/// A link that goes silent for good, or a log that answers seconds late, would
+/// hold a host on an old configuration. With one read at a time it could only
+/// choose between giving up a slow log and waiting long on a silent link. So a
+/// read that is late stays, and another is sent beside it on a new connection.
+pub(super) struct Reader {
+    shared: Arc<Shared>,
+    events: Sender<Event>,
+    timer: Option<SnapshotTimer>,
+    pause: Duration,
+    failures: u32,
+    in_flight: usize,
+    next_read: Moment,
+    last_page: Option<Moment>,
+}
+
+impl Reader {
+    /// Starts the thread; it ends with [`Event::Stop`].
+    pub(super) fn start(shared: Arc<Shared>) -> Sender<Event> {
+        let (sender, events) = mpsc::channel();
+        let now = clock::now();
+        let reader = Reader {
+            timer: shared.options.snapshots.map(|s| SnapshotTimer::new(s, now)),
+            pause: shared.options.pause,
+            shared,
+            events: sender.clone(),
+            failures: 0,
+            in_flight: 0,
+            next_read: now,
+            last_page: None,
+        };
+        std::thread::Builder::new()
+            .name("config-follower".to_owned())
+            .spawn(move || reader.run(&events))
+            .expect("a thread can be started");
+        sender
+    }
+
+    fn run(mut self, events: &Receiver<Event>) {
+        loop {
+            let now = clock::now();
+            if now >= self.next_read && self.in_flight < READS_AT_ONCE {
+                self.send_read(now);
+            }
+            let wait = match self.in_flight {
+                READS_AT_ONCE.. => READ_LIMIT,
+                _ => now.until(self.next_read),
+            };
+            match events.recv_timeout(wait) {
+                Ok(Event::Read(read)) => self.end_read(read),
+                Ok(Event::Resume) => self.next_read = clock::now(),
+                Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+        }
+    }
+
+    fn send_read(&mut self, now: Moment) {
+        if self.in_flight > 0 {
+            self.trouble("the log is late with its answer");
+        }
+        self.in_flight += 1;
+        let options = &self.shared.options;
+        self.next_read = now + options.wait + options.patience;
+        let from = lock(&self.shared.fold).position();
+        let (wait, batch) = (options.wait, options.batch);
+        let client = self.shared.client.waiting(READ_LIMIT);
+        let events = self.events.clone();
+        std::thread::Builder::new()
+            .name("config-read".to_owned())
+            .spawn(move || {
+                let page = client.read(CONFIG_STREAM, from, batch, wait);
+                let sent = now;
+                // The follower may be gone by now.
+                let _ = events.send(Event::Read(ReadEnd { from, sent, page }));
+            })
+            .expect("a thread can be started");
+    }
+
+    fn end_read(&mut self, read: ReadEnd) {
+        self.in_flight -= 1;
+        let from = read.from;
+        match read.page {
+            Ok(page) if page.next < from => self.fail(
+                &format!(
+                    "the log ends at offset {}, before {from}, where this host has been",
+                    page.next
+                ),
+                read.sent,
+            ),
+            Ok(page) => {
+                self.recover(read.sent);
+                self.fold(&page, read.sent);
+            }
+            Err(error) => self.fail(&error.to_string(), read.sent),
+        }
+    }
+
+    fn fold(&mut self, page: &Page, sent: Moment) {
+        let mut fold = lock(&self.shared.fold);
+        fold.retained_from(page.first);
+        for record in &page.records {
+            let decoded = decode_record(&record.data);
+            note_snapshot(&mut self.timer, record.offset, &decoded);
+            let step = fold.apply(record.offset, decoded);
+            report(record.offset, &step);
+        }
+        let mark = fold.mark();
+        let at_end = !fold.is_behind() && mark.next >= page.next;
+        let trouble = trouble(&fold, page);
+        self.shared.publish(&fold);
+        drop(fold);
+        self.shared.progress.send_modify(|p| {
+            p.mark = mark;
+            p.trouble = trouble;
+            if at_end {
+                p.end_seen = p.end_seen.max(Some(sent));
+            }
+        });
+        metrics::gauge!("cardamomvale_config_revision").set(mark.revision as f64);
+        if at_end {
+            self.append_snapshot(page);
+        }
+    }
+
+    /// Appends a snapshot where one is due, on a thread of its own: a log that
+    /// does not answer must not hold up reading.
+    fn append_snapshot(&mut self, page: &Page) {
+        let Some(timer) = &mut self.timer else {
+            return;
+        };
+        let now = clock::now();
+        let view = LogView {
+            first: page.first,
+            next: page.next,
+        };
+        let mut draw = rand::rng();
+        if !timer.is_due(view, now, draw.random()) {
+            return;
+        }
+        timer.tried(now, draw.random());
+        let Some(snapshot) = lock(&self.shared.fold).snapshot() else {
+            return;
+        };
+        let client = self.shared.client.clone();
+        std::thread::Builder::new()
+            .name("config-snapshot".to_owned())
+            .spawn(move || {
+                let record = encode_snapshot(&snapshot);
+                let bytes = record.len();
+                match client.append(CONFIG_STREAM, &record) {
+                    Ok(offset) => {
+                        log::info!("E0306 snapshot-appended offset={offset} bytes={bytes}");
+                    }
+                    Err(error) => log::warn!("E0307 snapshot-not-appended error=\"{error}\""),
+                }
+            })
+            .expect("a thread can be started");
+    }
+
+    /// Notes a read that went well. While another is still out, the next one
+    /// waits for it or for the patience to end: else the reads that a slow log
+    /// gathered would go on side by side for ever.
+    fn recover(&mut self, sent: Moment) {
+        if self.failures > 0 {
+            let failures = self.failures;
+            log::info!("E0310 log-readable-again failures={failures}");
+        }
+        self.failures = 0;
+        self.pause = self.shared.options.pause;
+        self.last_page = self.last_page.max(Some(sent));
+        if self.in_flight == 0 {
+            self.next_read = clock::now();
+        }
+    }
+
+    /// Notes a failed read and pauses, jittered so that hosts don't all come
+    /// back to a log that has just recovered in the same moment.
+    fn fail(&mut self, error: &str, sent: Moment) {
+        metrics::counter!("cardamomvale_log_read_failures_total").increment(1);
+        if self.last_page > Some(sent) {
+            // A later read went well: only the link of this one was lost.
+            return;
+        }
+        // One line an outage: the metric counts the rest.
+        if self.failures == 0 {
+            log::warn!("E0301 log-unreadable error=\"{error}\"");
+        }
+        self.failures += 1;
+        self.trouble(error);
+        let jitter = rand::rng().random_range(0.5..1.0);
+        self.next_read = clock::now() + self.pause.mul_f64(jitter);
+        self.pause = (self.pause * 2).min(self.shared.options.longest_pause);
+    }
+
+    fn trouble(&self, error: &str) {
+        let trouble = format!("the log can't be followed: {error}");
+        self.shared
+            .progress
+            .send_modify(|p| p.trouble = Some(trouble));
+    }
+}
+
+fn note_snapshot(
+    timer: &mut Option<SnapshotTimer>,
+    offset: u64,
+    decoded: &Result<Record, Unreadable>,
+) {
+    if let (Some(timer), Ok(Record::Snapshot(_))) = (timer, decoded) {
+        timer.saw(offset, clock::now());
+    }
+}
+
+/// Says why the configuration is missing or old, for readiness and status.
+fn trouble(fold: &Fold, page: &Page) -> Option<String> {
+    match fold.blind() {
+        _ if fold.is_behind() => Some(format!(
+            "the log's records before {} are gone and no snapshot has come yet",
+            page.first
+        )),
+        Some(offset) => Some(format!(
+            "the record at offset {offset} is of a newer version: update this host"
+        )),
+        None if fold.config().chosen.is_none() => Some("no preset has been chosen yet".to_owned()),
+        None => None,
+    }
+}
+
+fn report(offset: u64, step: &Step) {
+    match step {
+        Step::Decided(id, Answer::Accepted { revision }) => {
+            log::info!("E0302 command-accepted id={id} offset={offset} revision={revision}");
+        }
+        Step::Decided(id, Answer::Refused { refusal }) => {
+            log::info!("E0303 command-refused id={id} offset={offset} reason=\"{refusal}\"");
+        }
+        Step::Skipped(unreadable) => {
+            log::error!("E0304 record-skipped offset={offset} reason=\"{unreadable}\"");
+            metrics::counter!("cardamomvale_config_records_skipped_total").increment(1);
+        }
+        Step::Took(mark) => {
+            log::info!(
+                "E0308 snapshot-taken next={} revision={}",
+                mark.next,
+                mark.revision
+            );
+        }
+        Step::Repeated(..) | Step::Passed => {}
+    }
+}
--- a/components/transport/src/log/submit.rs
+++ b/components/transport/src/log/submit.rs
@@ -14,7 +14,6 @@
 use super::CONFIG_STREAM;
 use super::client::{AppendError, LogClient, Timeouts};
 use super::follower::{Follower, FollowerOptions};
-use crate::clock;
 
 /// How long to wait for an append whose answer was lost to show itself.
 const SETTLE: Duration = Duration::from_millis(300);
@@ -134,19 +133,22 @@
     /// Waits until all that stands on the log now has been folded.
     ///
     /// Without it a command would be decided on an old revision and refused
-    /// for a change that its author may well have seen.
+    /// for a change that its author may well have seen. Asks the log for its
+    /// end by a read of its own: the follower's may be waiting for a record.
     fn catch_up(&self, deadline: Instant) -> Result<(), String> {
-        let start = clock::now();
-        let mut progress = self.follower.progress();
+        let mut reason;
         loop {
-            let seen = progress.borrow_and_update().clone();
-            match (seen.end_seen, seen.trouble) {
-                (Some(moment), _) if moment >= start => return Ok(()),
-                (_, trouble) if Instant::now() >= deadline => {
-                    return Err(trouble.unwrap_or_else(|| "the log did not answer".to_owned()));
-                }
-                _ => std::thread::sleep(Duration::from_millis(5)),
+            let left = deadline.saturating_duration_since(Instant::now());
+            let from = self.follower.mark().next;
+            match self.client.read(CONFIG_STREAM, from, 0, Duration::ZERO) {
+                Ok(page) if self.follower.wait_folded(page.next, left) => return Ok(()),
+                Ok(_) => reason = self.follower.trouble(),
+                Err(error) => reason = error.to_string(),
+            }
+            if Instant::now() >= deadline {
+                return Err(reason);
             }
+            std::thread::sleep(RETRY.min(left));
         }
     }
 
--- a/components/transport/tests/config_log.rs
+++ b/components/transport/tests/config_log.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coordination::config::Change;
+use bytes::Bytes;
+use coordination::config::{Change, CommandId, Spacing};
+use protocol::record::encode_command;
 use stand_ins::log::{Behaviour, LogStandIn, Loss, Outage};
+use stand_ins::proxy::{Fault, Proxy};
 use state::Config;
 use transport::log::{
-    AppendError, CommandRequest, Follower, FollowerOptions, LogClient, Outcome, Submission,
-    Timeouts,
+    AppendError, CONFIG_STREAM, CommandRequest, Follower, FollowerOptions, LogClient, Outcome,
+    Submission, Timeouts,
 };
 
 const ORDINARY: &str = include_str!("../../../examples/midlands.toml");
@@ -60,6 +63,45 @@
     }
 }
 
+/// Starts a host that appends snapshots as often as the tests are short.
+fn host_at(address: std::net::SocketAddr) -> Follower {
+    let options = FollowerOptions {
+        wait: Duration::from_millis(100),
+        patience: Duration::from_millis(100),
+        snapshots: Some(Spacing {
+            time: Duration::from_secs(60),
+            records: 8,
+            jitter: Duration::from_millis(20),
+        }),
+        ..FollowerOptions::default()
+    };
+    let client = LogClient::new(&address.to_string(), Timeouts::default());
+    Follower::start(client, options)
+}
+
+fn join(name: &str) -> CommandRequest {
+    request(Change::Join {
+        name: name.to_owned(),
+        incarnation: 1,
+        peer: ([127, 0, 0, 1], 9_000).into(),
+        data_centre: "trent".to_owned(),
+    })
+}
+
+/// Puts and chooses the ordinary preset.
+fn open(operator: &Submission) {
+    accepted(&operator.submit(&put(ORDINARY)));
+    accepted(&operator.submit(&choose("ordinary")));
+}
+
+fn wait_for(what: &str, fits: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !fits() {
+        assert!(start.elapsed() < LIMIT, "{what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
 fn wait_config(follower: &Follower, fits: impl Fn(&Config) -> bool) -> Arc<Config> {
     let config = follower.config();
     let start = Instant::now();
@@ -133,3 +175,147 @@
     assert_eq!(accepted(&patient.submit(&put(PEAK))), 3);
     wait_config(&host, |c| c.revision == 3);
 }
+
+// The log has dropped its first records long ago when a host starts, or while
+// a host is cut off. Hosts have appended snapshots in time, so the new host and
+// the cut-off one have the configuration in force, whole, and follow on.
+#[test]
+fn first_records_gone() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let _inside = runtime.enter();
+    let log = LogStandIn::on_loopback(Behaviour {
+        keep_records: Some(40),
+        ..Behaviour::default()
+    })
+    .unwrap();
+    let proxy = Proxy::start(log.address()).unwrap();
+    let (keeper, cut_off) = (host_at(log.address()), host_at(proxy.address()));
+    let operator = operator(&log);
+    open(&operator);
+    wait_config(&cut_off, |c| c.revision == 2);
+    proxy.set(Fault::LoseRequests);
+    for n in 0..100 {
+        accepted(&operator.submit(&join(&format!("trent-{n}"))));
+    }
+    let config = wait_config(&keeper, |c| c.revision == 102);
+    proxy.set(Fault::Pass);
+    let new = host_at(log.address());
+    for host in [&cut_off, &new] {
+        assert_eq!(wait_config(host, |c| c.revision == 102), config);
+    }
+    accepted(&operator.submit(&join("soar-1")));
+    for host in [&cut_off, &new] {
+        wait_config(host, |c| c.revision == 103);
+    }
+}
+
+// A host starts while the log is down. Alone it is not ready and says why; a
+// peer's word gives it the configuration in force. A word that is older than
+// what it has changes nothing.
+#[test]
+fn start_without_log() {
+    let log = LogStandIn::on_loopback(Behaviour::default()).unwrap();
+    let operator = operator(&log);
+    let peer = host_at(log.address());
+    open(&operator);
+    wait_config(&peer, |c| c.revision == 2);
+    let (old_mark, old_word) = peer.offer().unwrap();
+    accepted(&operator.submit(&put(PEAK)));
+    accepted(&operator.submit(&choose("peak")));
+    wait_config(&peer, |c| c.revision == 4);
+    let (mark, word) = peer.offer().unwrap();
+    assert!((old_mark.revision, mark.revision) == (2, 4));
+    log.change(|b| b.outage = Some(Outage::Refusing));
+    let new = host_at(log.address());
+    wait_for("no reason given", || {
+        new.ready()
+            .is_err_and(|reason| reason.contains("status 503"))
+    });
+    assert!(new.take_record(&word));
+    assert!(!new.take_record(&old_word));
+    assert!(!new.take_record(&Bytes::from_static(b"noise")));
+    assert_eq!(new.ready(), Ok(()));
+    assert_eq!(new.config().borrow().chosen.as_deref(), Some("peak"));
+    log.change(|b| b.outage = None);
+    accepted(&operator.submit(&choose("ordinary")));
+    wait_config(&new, |c| c.revision == 5);
+}
+
+// Something between host and log has lost track of the connection: it is
+// silent for good while new ones work. The change is in force all the same.
+#[test]
+fn silent_link() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let _inside = runtime.enter();
+    let log = LogStandIn::on_loopback(Behaviour::default()).unwrap();
+    let proxy = Proxy::start(log.address()).unwrap();
+    let host = host_at(proxy.address());
+    let operator = operator(&log);
+    open(&operator);
+    wait_config(&host, |c| c.revision == 2);
+    for revision in 3..6 {
+        proxy.silence();
+        accepted(&operator.submit(&join(&format!("trent-{revision}"))));
+        wait_config(&host, |c| c.revision == revision);
+    }
+}
+
+// The log answers each request late by many times what a read should take.
+// Hosts go on following it, late as it is.
+#[test]
+fn slow_log() {
+    let log = LogStandIn::on_loopback(Behaviour::default()).unwrap();
+    let host = host_at(log.address());
+    let operator = operator(&log);
+    open(&operator);
+    log.change(|b| b.slow_ms = 1_000);
+    let command = coordination::config::Command {
+        id: CommandId::draw(2, 1),
+        decided_on: 2,
+        change: Change::LeaveCentre {
+            name: "soar".to_owned(),
+        },
+    };
+    log.append(CONFIG_STREAM, encode_command(&command));
+    wait_config(&host, |c| c.leaving_centres.contains("soar"));
+}
+
+// A record on the log is damaged. No host stops there, and what comes after
+// it is in force.
+#[test]
+fn damaged_record() {
+    let log = LogStandIn::on_loopback(Behaviour::default()).unwrap();
+    log.append(CONFIG_STREAM, Bytes::from_static(b"noise"));
+    let host = host_at(log.address());
+    let operator = operator(&log);
+    open(&operator);
+    log.append(CONFIG_STREAM, Bytes::new());
+    accepted(&operator.submit(&join("trent-1")));
+    wait_config(&host, |c| c.revision == 3);
+    assert_eq!(host.ready(), Ok(()));
+}
+
+// More is appended in a second than the log takes. What is over is refused,
+// which is surely not on the log, and reading goes on.
+#[test]
+fn append_budget() {
+    let log = LogStandIn::on_loopback(Behaviour {
+        appends_second: 5,
+        ..Behaviour::default()
+    })
+    .unwrap();
+    log.keep_journal();
+    let client = client(&log);
+    let appended: Vec<_> = (0..12)
+        .map(|_| client.append("claims-0", &"x".into()))
+        .collect();
+    let taken = appended.iter().filter(|a| a.is_ok()).count();
+    assert_eq!(taken, log.journal("claims-0").len());
+    assert!(
+        appended
+            .iter()
+            .any(|a| matches!(a, Err(AppendError::Refused(_))))
+    );
+    let page = client.read("claims-0", 0, 100, Duration::ZERO).unwrap();
+    assert_eq!((page.first, page.next), (0, taken as u64));
+}
