--- a/components/coordination/src/slots/holding.rs
+++ b/components/coordination/src/slots/holding.rs
@@ -14,8 +14,6 @@
 use super::terms::RENEWAL;
 use super::{Arrival, Effect, Ending, Refusal, Slots};
 
-/// How long work may run on after its connection was closed on purpose.
-const CANCELLING: Duration = Duration::from_millis(20);
 /// How long work may run on after its connection broke.
 const BREAKING: Duration = Duration::from_millis(100);
 /// A lease with less than this left is renewed before its owner's turn.
@@ -64,8 +62,9 @@
             );
         }
         match ending {
-            Ending::Answered => self.free(lease, service, now),
-            Ending::Cancelled => self.holder.linger(lease, now + CANCELLING),
+            Ending::Answered | Ending::Cancelled | Ending::Unused => {
+                self.free(lease, service, now);
+            }
             Ending::Broken => self.holder.linger(lease, now + BREAKING),
             Ending::Shed => self.retreat(lease, service, Reason::Shed, now),
             Ending::Unreachable => self.retreat(lease, service, Reason::Unreachable, now),
@@ -519,7 +518,7 @@
             Ending::Answered => desk.norm.record(took),
             Ending::Broken => true,
             Ending::Cancelled if desk.norm.is_over(took) => true,
-            Ending::Cancelled | Ending::Shed | Ending::Unreachable => return,
+            Ending::Cancelled | Ending::Unused | Ending::Shed | Ending::Unreachable => return,
         };
         if !flagged {
             self.tally(endpoint, over, now);
--- a/components/coordination/src/slots/mod.rs
+++ b/components/coordination/src/slots/mod.rs
@@ -70,8 +70,10 @@
     Unreachable,
     /// The connection broke or went silent after something was sent.
     Broken,
-    /// The call was given up.
+    /// The call was given up and its work has stopped.
     Cancelled,
+    /// It was never sent.
+    Unused,
 }
 
 /// Why a call is not started. Its work has not run.
@@ -113,6 +115,7 @@
 
 /// How a service stands at this host, for operators and metrics.
 #[value]
+#[derive(Default)]
 pub struct Standing {
     /// Calls that wait.
     pub waiting: u32,
@@ -139,6 +142,8 @@
     returns: Vec<Returned>,
     hands: BTreeMap<HostKey, Parcel>,
     confirmed: Option<Moment>,
+    /// The revision of the last configuration, where that had no members.
+    empty: Option<u64>,
     serial: u64,
     stopping: bool,
     swept: Moment,
@@ -192,6 +197,7 @@
             returns: Vec::new(),
             hands: BTreeMap::new(),
             confirmed: None,
+            empty: None,
             stopping: false,
             swept: now,
             inbox: VecDeque::new(),
@@ -203,7 +209,8 @@
     pub fn configure(&mut self, config: &Config, alive: &BTreeSet<HostKey>, now: Moment) {
         let before = std::mem::replace(&mut self.map, Map::new(config, self.me.host, alive));
         self.configure_desks(&before, now);
-        self.configure_owned(now);
+        self.configure_owned(self.is_first(config), now);
+        self.empty = config.members.is_empty().then_some(config.revision);
         self.configure_brokers(now);
         let peers = &self.map.peers;
         self.stamps
@@ -391,6 +398,17 @@
         self.confirmed.is_some_and(|at| now.since(at) <= FRESHNESS)
     }
 
+    /// Returns whether this host is the first member after there was none.
+    ///
+    /// A member that is the last one leaves by its own word, after it has
+    /// drained, so nothing is out when there are no members. The first to join
+    /// then owned every endpoint, if only for a moment.
+    fn is_first(&self, config: &Config) -> bool {
+        let joined = config.members.get(&self.me.host).map(|m| m.joined);
+        let next = self.empty.map(|revision| revision + 1);
+        joined.is_some() && joined == next
+    }
+
     fn owner_of(&self, slot: SlotKey) -> Option<HostKey> {
         self.map.sites.get(&slot.endpoint)?.owner
     }
--- a/components/coordination/src/slots/owned.rs
+++ b/components/coordination/src/slots/owned.rs
@@ -21,6 +21,8 @@
     urgent: bool,
     recalled: Moment,
     trial: Option<(u64, Moment)>,
+    /// Since when another host owns it, until that has been told what is out.
+    pub lost: Option<Moment>,
 }
 
 /// A lease to grant.
@@ -54,6 +56,7 @@
             urgent: true,
             recalled: Moment(0),
             trial: None,
+            lost: None,
         }
     }
 
--- a/components/coordination/src/slots/owning.rs
+++ b/components/coordination/src/slots/owning.rs
@@ -1,13 +1,14 @@
 //! The owner's side: leasing slots of the endpoints this host owns.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use state::{EndpointKey, HostKey, Moment};
 
 use super::ledger::Renewal;
 use super::message::{Estate, Handed, LeaseKey, Reason, Returned, Seen, SlotBody, Stamp};
 use super::owned::Owned;
-use super::terms::TERM;
+use super::terms::{FRESHNESS, TERM};
 use super::{Effect, Left, Slots};
 
 impl Slots {
@@ -27,7 +28,10 @@
         let (mut ended, mut pending) = (Vec::new(), Vec::new());
         for lease in leases {
             let owned = self.owned.get_mut(&lease.slot.endpoint);
-            match owned.map(|o| o.ledger.renew(*lease, from, now)) {
+            match owned
+                .filter(|o| o.lost.is_none())
+                .map(|o| o.ledger.renew(*lease, from, now))
+            {
                 Some(Renewal::Kept) => {}
                 Some(Renewal::Ended) => ended.push(*lease),
                 Some(Renewal::Pending) | None => pending.push(*lease),
@@ -93,8 +97,20 @@
     }
 
     /// Takes up and lays down ownership as the configuration says.
-    pub(super) fn configure_owned(&mut self, now: Moment) {
+    pub(super) fn configure_owned(&mut self, first: bool, now: Moment) {
         let me = Some(self.me.host);
+        if first {
+            self.take_up_all(now);
+        }
+        let sites = &self.map.sites;
+        self.owned.retain(|e, _| sites.contains_key(e));
+        for (endpoint, owned) in &mut self.owned {
+            let mine = sites.get(endpoint).and_then(|s| s.owner) == me;
+            owned.lost = match mine {
+                true => None,
+                false => owned.lost.or(Some(now)),
+            };
+        }
         self.hand_off(now);
         let mine: Vec<EndpointKey> = self
             .map
@@ -113,6 +129,7 @@
         if !self.has_authority(now) {
             return;
         }
+        self.hand_off(now);
         let endpoints: Vec<EndpointKey> = self.owned.keys().copied().collect();
         for endpoint in endpoints {
             if let Some(owned) = self.owned.get_mut(&endpoint) {
@@ -137,7 +154,8 @@
         let Some(echo) = self.stamp_of(broker, now) else {
             return;
         };
-        let Some(owned) = self.owned.get_mut(&endpoint) else {
+        let owned = self.owned.get_mut(&endpoint);
+        let Some(owned) = owned.filter(|o| o.lost.is_none()) else {
             return;
         };
         let mut leases = Vec::new();
@@ -204,17 +222,22 @@
     }
 
     /// Tells the next owners what is out, where this host may still speak for it.
+    ///
+    /// After a gap in its authority it may not: others may have owned the
+    /// endpoint meanwhile. What it knew is then forgotten, and the next owner
+    /// waits behind its fence.
     fn hand_off(&mut self, now: Moment) {
-        let me = Some(self.me.host);
         let fresh = self.has_authority(now);
         let sites = &self.map.sites;
         let mut estates: BTreeMap<HostKey, Vec<Estate>> = BTreeMap::new();
         self.owned.retain(|endpoint, owned| {
-            let owner = sites.get(endpoint).and_then(|s| s.owner);
-            if owner == me {
+            let Some(lost) = owned.lost else {
                 return true;
+            };
+            if !fresh {
+                return now.since(lost) <= FRESHNESS;
             }
-            if let (Some(next), true) = (owner, fresh) {
+            if let Some(next) = sites.get(endpoint).and_then(|s| s.owner) {
                 let estate = owned.ledger.estate(owned.warmth.reached(), now);
                 estates.entry(next).or_default().push(estate);
             }
@@ -225,6 +248,20 @@
         }
     }
 
+    /// Takes up every endpoint as its first owner ever: nothing can be out.
+    fn take_up_all(&mut self, now: Moment) {
+        let endpoints: Vec<EndpointKey> = self.map.sites.keys().copied().collect();
+        for endpoint in endpoints {
+            let estate = Estate {
+                endpoint,
+                fence: Duration::ZERO,
+                cap: 0,
+                leases: Vec::new(),
+            };
+            self.inherit(&estate, now);
+        }
+    }
+
     fn take_up(&mut self, endpoint: EndpointKey, now: Moment) {
         let Some(site) = self.map.sites.get(&endpoint) else {
             return;
--- a/components/state/src/warmth.rs
+++ b/components/state/src/warmth.rs
@@ -99,7 +99,7 @@
 
     /// Sets the cap that the owner before has reached.
     pub fn inherit(&mut self, cap: u32) {
-        self.cap = cap.clamp(1, self.slots.max(1));
+        self.cap = cap.clamp(self.cold, self.slots.max(self.cold));
     }
 
     /// Returns how many slots may be out now.
