transport: the dispatcher runs shared slots, and the baselines

Cause: calls were placed by least in flight at each host alone. Change: Dispatcher::new(setup, send) with Policy::Shared runs the slot machine (lock, timer, probes over HTTP, messages); a baseline otherwise.

--- /dev/null
+++ b/components/transport/src/dispatch/naive.rs
@@ -0,0 +1,180 @@
+//! The baselines: each entry host alone, without leases.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use coordination::slots::Standing;
+use state::keys::rendezvous;
+use state::policy::{Choice, Policy};
+use state::{Config, EndpointKey, HostKey, ServiceKey};
+use tokio::sync::Notify;
+
+use super::{Call, Placed, Refusal};
+use crate::clock;
+
+/// Places calls by a baseline.
+pub struct Naive {
+    policy: Policy,
+    me: Option<HostKey>,
+    board: Mutex<Board>,
+    freed: Notify,
+    stopping: AtomicBool,
+}
+
+#[derive(Default)]
+struct Board {
+    services: BTreeMap<ServiceKey, Vec<Target>>,
+    running: BTreeMap<EndpointKey, u32>,
+    turn: u64,
+}
+
+#[derive(Clone, Copy)]
+struct Target {
+    endpoint: EndpointKey,
+    address: SocketAddr,
+    share: u32,
+}
+
+/// What looking for an endpoint came to.
+enum Search {
+    Found(Placed),
+    Busy,
+    Refused(Refusal),
+}
+
+impl Naive {
+    /// Returns a baseline that knows no configuration yet.
+    pub fn new(policy: Policy, me: Option<HostKey>) -> Naive {
+        Naive {
+            policy,
+            me,
+            board: Mutex::default(),
+            freed: Notify::new(),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Takes over the configuration in force.
+    pub fn configure(&self, config: &Config) {
+        let mut services = BTreeMap::new();
+        let preset = config.preset();
+        for service in preset.map(|p| p.services.as_slice()).unwrap_or_default() {
+            let targets = service
+                .endpoints
+                .iter()
+                .filter(|e| !config.is_leaving(&e.data_centre, e.address))
+                .map(|e| Target {
+                    endpoint: e.key(service),
+                    address: e.address,
+                    share: self.share(config, e.key(service), service.slots),
+                })
+                .collect();
+            services.insert(service.key(), targets);
+        }
+        self.board().services = services;
+        self.freed.notify_waiters();
+    }
+
+    /// Finds an endpoint; only a fixed share ever waits.
+    pub async fn acquire(&self, call: &Call) -> Result<Placed, Refusal> {
+        loop {
+            let freed = self.freed.notified();
+            match self.search(call) {
+                Search::Found(placed) => return Ok(placed),
+                Search::Refused(refusal) => return Err(refusal),
+                Search::Busy => {}
+            }
+            let left = clock::now().until(call.deadline);
+            if tokio::time::timeout(left, freed).await.is_err() {
+                return Err(Refusal::Expired);
+            }
+        }
+    }
+
+    /// Takes an endpoint back.
+    pub fn release(&self, endpoint: EndpointKey) {
+        if let Some(running) = self.board().running.get_mut(&endpoint) {
+            *running = running.saturating_sub(1);
+        }
+        self.freed.notify_one();
+    }
+
+    /// Refuses every call from now on.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.freed.notify_waiters();
+    }
+
+    /// Returns how a service stands.
+    pub fn standing(&self, service: ServiceKey) -> Option<Standing> {
+        let board = self.board();
+        let targets = board.services.get(&service)?;
+        let running = targets
+            .iter()
+            .filter_map(|t| board.running.get(&t.endpoint))
+            .sum();
+        Some(Standing {
+            waiting: 0,
+            held: running,
+            idle: 0,
+        })
+    }
+
+    fn search(&self, call: &Call) -> Search {
+        if self.stopping.load(Ordering::Relaxed) {
+            return Search::Refused(Refusal::Stopping);
+        }
+        let mut board = self.board();
+        let Some(targets) = board.services.get(&call.service) else {
+            return Search::Refused(Refusal::UnknownService);
+        };
+        let open: Vec<Target> = targets
+            .iter()
+            .filter(|t| !call.tried.contains(&t.endpoint))
+            .copied()
+            .collect();
+        if open.is_empty() {
+            return Search::Refused(Refusal::NoBackend);
+        }
+        let running = |t: &Target| board.running.get(&t.endpoint).copied().unwrap_or(0);
+        let choices: Vec<Choice> = open
+            .iter()
+            .filter(|t| self.policy != Policy::FixedShare || running(t) < t.share)
+            .map(|t| Choice {
+                endpoint: t.endpoint,
+                running: running(t),
+            })
+            .collect();
+        let chosen = self.policy.choose(&choices, board.turn, rand::random());
+        board.turn += 1;
+        let Some(target) = open.iter().find(|t| Some(t.endpoint) == chosen) else {
+            return Search::Busy;
+        };
+        *board.running.entry(target.endpoint).or_default() += 1;
+        Search::Found(Placed {
+            endpoint: target.endpoint,
+            address: target.address,
+            lease: None,
+        })
+    }
+
+    /// Returns this host's slots of an endpoint: each slot goes to a member by rendezvous.
+    fn share(&self, config: &Config, endpoint: EndpointKey, slots: u32) -> u32 {
+        let owner = |slot: u32| {
+            let item = endpoint.0 ^ u64::from(slot);
+            config
+                .members
+                .keys()
+                .max_by_key(|host| rendezvous(host.0, item))
+                .copied()
+        };
+        let own = |slot: &u32| owner(*slot).is_none_or(|host| Some(host) == self.me);
+        (0..slots).filter(own).count() as u32
+    }
+
+    fn board(&self) -> MutexGuard<'_, Board> {
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/components/transport/tests/slot_dispatch.rs
@@ -0,0 +1,262 @@
+//! Entry hosts that share the slots of backend servers, with their own clocks and timers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, OnceLock, Weak};
+use std::time::Duration;
+
+use state::config::Member;
+use state::policy::Policy;
+use state::preset::{DataCentre, Endpoint, Preset, Service};
+use state::{Config, HostKey, Moment, ServiceKey};
+use tokio::time::timeout;
+use transport::clock;
+use transport::dispatch::{Call, Dispatcher, Ending, Refusal, SendMessage, Setup};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Some entry hosts whose messages go straight to each other.
+struct Site {
+    config: Config,
+    hosts: Vec<(HostKey, Arc<Dispatcher>)>,
+}
+
+type Peers = Arc<OnceLock<BTreeMap<HostKey, Weak<Dispatcher>>>>;
+
+/// Returns a configuration of one service with `endpoints` and no members.
+///
+/// Nothing listens at the endpoints: what is tested ends where a call is given
+/// its slot.
+fn config(endpoints: u16) -> Config {
+    let service = Service {
+        name: "hallboard".to_owned(),
+        endpoints: (0..endpoints)
+            .map(|n| Endpoint {
+                address: ([127, 0, 0, 1], 1 + n).into(),
+                data_centre: "trent".to_owned(),
+            })
+            .collect(),
+        slots: 6,
+        cold_slots: 2,
+        connections: 200,
+        deadline_ms: 10_000,
+        queue: 50,
+        body_limit: 1_000,
+        retry_percent: 10,
+        probe_cost_ms: 6,
+        key_seconds: 60,
+    };
+    let centre = DataCentre {
+        name: "trent".to_owned(),
+        region: "midlands".to_owned(),
+    };
+    let preset = Preset {
+        name: "ordinary".to_owned(),
+        data_centres: vec![centre],
+        services: vec![service],
+    };
+    Config {
+        revision: 1,
+        offset: 1,
+        presets: BTreeMap::from([("ordinary".to_owned(), preset)]),
+        chosen: Some("ordinary".to_owned()),
+        ..Config::default()
+    }
+}
+
+impl Site {
+    /// Starts `count` hosts that join one after the other.
+    fn start(count: u64, endpoints: u16) -> Site {
+        let peers: Peers = Arc::default();
+        let mut site = Site {
+            config: config(endpoints),
+            hosts: Vec::new(),
+        };
+        for n in 0..count {
+            site.add(n, &peers);
+        }
+        let map = site.hosts.iter().map(|(k, d)| (*k, Arc::downgrade(d)));
+        peers.set(map.collect()).ok();
+        for n in 0..count {
+            site.join(n);
+        }
+        site.confirm();
+        site
+    }
+
+    fn add(&mut self, n: u64, peers: &Peers) {
+        let host = HostKey(n + 1);
+        let peers = Arc::clone(peers);
+        let send: SendMessage = Arc::new(move |to, message| {
+            let peer = peers.get().and_then(|p| p.get(&to)).cloned();
+            tokio::spawn(async move {
+                if let Some(peer) = peer.and_then(|p| p.upgrade()) {
+                    peer.receive(host, message);
+                }
+            });
+        });
+        let setup = Setup {
+            host,
+            incarnation: 100 + n,
+            data_centre: "trent".to_owned(),
+            policy: Policy::Shared,
+        };
+        self.hosts.push((host, Dispatcher::new(&setup, send)));
+    }
+
+    fn join(&mut self, n: u64) {
+        if n == 0 {
+            self.configure();
+        }
+        self.config.revision += 1;
+        let member = Member {
+            name: format!("entry-{n}"),
+            incarnation: 100 + n,
+            peer: ([127, 0, 0, 1], 9).into(),
+            data_centre: "trent".to_owned(),
+            joined: self.config.revision,
+        };
+        self.config.members.insert(HostKey(n + 1), member);
+        self.confirm_once();
+        self.configure();
+    }
+
+    fn configure(&self) {
+        let alive: BTreeSet<HostKey> = self.hosts.iter().map(|(k, _)| *k).collect();
+        for (_, host) in &self.hosts {
+            host.watch(alive.clone());
+            host.configure(&self.config);
+        }
+    }
+
+    fn confirm_once(&self) {
+        for (_, host) in &self.hosts {
+            host.confirm();
+        }
+    }
+
+    /// Keeps every host's authority fresh until the site is dropped.
+    fn confirm(&self) {
+        for (_, host) in &self.hosts {
+            let host = Arc::downgrade(host);
+            tokio::spawn(async move {
+                while let Some(host) = host.upgrade() {
+                    host.confirm();
+                    drop(host);
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            });
+        }
+    }
+
+    fn host(&self, n: usize) -> &Arc<Dispatcher> {
+        &self.hosts[n].1
+    }
+}
+
+fn call(left: Duration) -> Call {
+    Call {
+        service: ServiceKey::named("hallboard"),
+        deadline: clock::now() + left,
+        tried: Vec::new(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slot_waits_for_release() {
+    let site = Site::start(1, 1);
+    let host = site.host(0);
+    let first = host.acquire(&call(PATIENCE)).await.ok().unwrap();
+    let second = host.acquire(&call(PATIENCE)).await.ok().unwrap();
+    assert!(first.may_send());
+    let third = host.acquire(&call(Duration::from_millis(30))).await;
+    assert_eq!(third.err(), Some(Refusal::Expired));
+    first.finish(Ending::Answered);
+    let fourth = host.acquire(&call(PATIENCE)).await.ok().unwrap();
+    drop(fourth);
+    second.finish(Ending::Answered);
+}
+
+// All callers come to one entry host, then to another. The slots must follow
+// them; with a fixed share the second host's callers would wait for ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slots_follow_callers() {
+    let site = Site::start(3, 2);
+    for n in [0, 1, 2, 0] {
+        let mut grants = Vec::new();
+        for _ in 0..4 {
+            let found = site.host(n).acquire(&call(PATIENCE)).await;
+            grants.push(found.ok().unwrap());
+        }
+        let most = grants
+            .iter()
+            .filter(|g| g.endpoint == grants[0].endpoint)
+            .count();
+        assert_eq!(most, 2, "more than a cold endpoint bears");
+        for grant in grants {
+            grant.finish(Ending::Answered);
+        }
+    }
+}
+
+// A caller hangs up while its call waits. The slot that comes free must go to
+// the next call, not to the one that is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hung_up_caller() {
+    let site = Site::start(1, 1);
+    let host = site.host(0);
+    let first = host.acquire(&call(PATIENCE)).await.ok().unwrap();
+    let second = host.acquire(&call(PATIENCE)).await.ok().unwrap();
+    let asked = call(PATIENCE);
+    let gone = host.acquire(&asked);
+    assert!(timeout(Duration::from_millis(20), gone).await.is_err());
+    let service = ServiceKey::named("hallboard");
+    assert_eq!(host.standing(service).unwrap().waiting, 0);
+    first.finish(Ending::Answered);
+    assert!(host.acquire(&call(PATIENCE)).await.is_ok());
+    drop(second);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stopping_refuses() {
+    let site = Site::start(1, 1);
+    let host = Arc::clone(site.host(0));
+    let held = [
+        host.acquire(&call(PATIENCE)).await.ok().unwrap(),
+        host.acquire(&call(PATIENCE)).await.ok().unwrap(),
+    ];
+    let waiter = Arc::clone(&host);
+    let waiting = tokio::spawn(async move { waiter.acquire(&call(PATIENCE)).await.err() });
+    let service = ServiceKey::named("hallboard");
+    while host.standing(service).unwrap().waiting == 0 {
+        tokio::task::yield_now().await;
+    }
+    host.stop();
+    assert_eq!(waiting.await.unwrap(), Some(Refusal::Stopping));
+    let late = host.acquire(&call(PATIENCE)).await;
+    assert_eq!(late.err(), Some(Refusal::Stopping));
+    assert!(held.iter().all(|g| g.may_send()));
+}
+
+// An entry host that has heard of no member can't know who else leases slots.
+// It starts nothing, and its callers hear "not run" in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_members() {
+    let setup = Setup {
+        host: HostKey(1),
+        incarnation: 1,
+        data_centre: "trent".to_owned(),
+        policy: Policy::Shared,
+    };
+    let host = Dispatcher::new(&setup, Arc::new(|_, _| {}));
+    host.configure(&config(1));
+    host.confirm();
+    let found = host.acquire(&call(Duration::from_millis(30))).await;
+    assert_eq!(found.err(), Some(Refusal::Expired));
+    let unknown = Call {
+        service: ServiceKey::named("nothing"),
+        deadline: Moment(u64::MAX),
+        tried: Vec::new(),
+    };
+    let found = host.acquire(&unknown).await;
+    assert_eq!(found.err(), Some(Refusal::UnknownService));
+}
