benches: slots against the baselines and the limit

Cause: nothing told how far placing is from one queue before all slots. Change: benches/slots drives the hosts' machines over virtual time with the same calls as the baselines and the limit.

--- /dev/null
+++ b/benches/slots/baseline.rs
@@ -0,0 +1,191 @@
+//! The baselines and the limit, over the same calls.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use state::EndpointKey;
+use state::keys::rendezvous;
+use state::policy::{Choice, Policy};
+
+use crate::outcome::{Meter, Outcome};
+use crate::work::{Job, Setting};
+use crate::world::START;
+
+/// A queue with slots behind it: an endpoint, a host's share, or all there is.
+struct Station {
+    slots: u32,
+    busy: u32,
+    queue: VecDeque<usize>,
+    factor: u64,
+}
+
+/// Calls placed on stations over virtual time.
+struct Run<'a> {
+    setting: &'a Setting,
+    jobs: &'a [Job],
+    stations: Vec<Station>,
+    /// Calls in flight by host and endpoint.
+    flight: BTreeMap<(usize, usize), u32>,
+    turns: Vec<u64>,
+    rng: StdRng,
+}
+
+/// Returns the figures of one queue before all slots, with perfect knowledge.
+///
+/// A slow backend server gets nothing here as long as it is slow: its slots
+/// are out of the limit from the start.
+pub fn limit(setting: &Setting, jobs: &[Job]) -> Outcome {
+    let slow = u32::from(setting.slow.is_some()) * setting.slots;
+    let mut run = Run::new(setting, jobs);
+    run.stations = vec![Station::of(setting.capacity() - slow)];
+    run.drive(|_, _, _| 0)
+}
+
+/// Returns the figures of a baseline.
+pub fn baseline(policy: Policy, setting: &Setting, jobs: &[Job]) -> Outcome {
+    let mut run = Run::new(setting, jobs);
+    if policy == Policy::FixedShare {
+        run.stations = shares(setting);
+        return run.drive(|run, n, _| run.jobs[n].host);
+    }
+    run.stations = (0..setting.endpoints)
+        .map(|_| Station::of(setting.slots))
+        .collect();
+    run.drive(|run, n, _| run.choose(policy, run.jobs[n].host))
+}
+
+/// Deals every slot to one host by rendezvous, each host at least one.
+fn shares(setting: &Setting) -> Vec<Station> {
+    let mut slots = vec![0; setting.hosts];
+    for slot in 0..u64::from(setting.capacity()) {
+        let least = slots.iter().min().copied().unwrap_or(0);
+        let owner = (0..setting.hosts)
+            .filter(|h| slots[*h] == least)
+            .max_by_key(|h| rendezvous(*h as u64, slot))
+            .unwrap_or(0);
+        slots[owner] += 1;
+    }
+    slots.into_iter().map(Station::of).collect()
+}
+
+impl Station {
+    fn of(slots: u32) -> Station {
+        Station {
+            slots,
+            busy: 0,
+            queue: VecDeque::new(),
+            factor: 1,
+        }
+    }
+}
+
+impl<'a> Run<'a> {
+    fn new(setting: &'a Setting, jobs: &'a [Job]) -> Run<'a> {
+        Run {
+            setting,
+            jobs,
+            stations: Vec::new(),
+            flight: BTreeMap::new(),
+            turns: vec![0; setting.hosts],
+            rng: StdRng::seed_from_u64(99),
+        }
+    }
+
+    fn drive(mut self, place: impl Fn(&mut Run<'a>, usize, u64) -> usize) -> Outcome {
+        let mut meter = Meter::new(self.setting);
+        let mut ends: BinaryHeap<Reverse<(u64, usize, usize)>> = BinaryHeap::new();
+        let (mut next, mut now) = (0, START);
+        loop {
+            let arrival = self.jobs.get(next).map(|j| START + j.at);
+            let end = ends.peek().map(|Reverse((at, _, _))| *at);
+            let arrives = match (arrival, end) {
+                (None, None) => break,
+                (Some(a), Some(e)) => a <= e,
+                (arrival, _) => arrival.is_some(),
+            };
+            let at = if arrives { arrival } else { end }.unwrap_or(now);
+            meter.advance(now, at);
+            now = at;
+            let station = if arrives {
+                meter.arrive();
+                let station = place(&mut self, next, now);
+                *self
+                    .flight
+                    .entry((self.jobs[next].host, station))
+                    .or_default() += 1;
+                self.stations[station].queue.push_back(next);
+                next += 1;
+                station
+            } else {
+                let Some(Reverse((_, call, station))) = ends.pop() else {
+                    break;
+                };
+                meter.end(call, &self.jobs[call], now);
+                *self
+                    .flight
+                    .entry((self.jobs[call].host, station))
+                    .or_default() -= 1;
+                self.stations[station].busy -= 1;
+                station
+            };
+            self.serve(station, now, &mut meter, &mut ends);
+        }
+        meter.finish(now - START)
+    }
+
+    fn serve(
+        &mut self,
+        index: usize,
+        now: u64,
+        meter: &mut Meter,
+        ends: &mut BinaryHeap<Reverse<(u64, usize, usize)>>,
+    ) {
+        let slow = self.setting.slow.filter(|s| now >= START + s.from);
+        let many = self.stations.len() > 1;
+        let station = &mut self.stations[index];
+        if let Some(slow) = slow.filter(|_| many && index == 0) {
+            station.factor = slow.factor;
+        }
+        while station.busy < station.slots {
+            let Some(call) = station.queue.pop_front() else {
+                return;
+            };
+            let job = &self.jobs[call];
+            if now > START + job.at + self.setting.deadline {
+                meter.refuse(job, now);
+                *self.flight.entry((job.host, index)).or_default() -= 1;
+                continue;
+            }
+            station.busy += 1;
+            meter.start(job, now, station.busy);
+            ends.push(Reverse((now + job.work * station.factor, call, index)));
+        }
+    }
+
+    fn choose(&mut self, policy: Policy, host: usize) -> usize {
+        let turn = self.turns[host];
+        self.turns[host] += 1;
+        let choices: Vec<Choice> = (0..self.stations.len())
+            .map(|n| Choice {
+                endpoint: EndpointKey(n as u64),
+                running: self.seen(policy, host, n),
+            })
+            .collect();
+        let draw = self.rng.random();
+        let found = policy.choose(&choices, turn, draw);
+        found.map_or(0, |e| e.0 as usize)
+    }
+
+    /// Two choices sees the truth, as a probe of no cost and no delay would give it.
+    fn seen(&self, policy: Policy, host: usize, station: usize) -> u32 {
+        match policy {
+            Policy::TwoChoices => {
+                let station = &self.stations[station];
+                station.busy + station.queue.len() as u32
+            }
+            _ => self.flight.get(&(host, station)).copied().unwrap_or(0),
+        }
+    }
+}
--- /dev/null
+++ b/benches/slots/main.rs
@@ -0,0 +1,147 @@
+//! Compares placing calls by shared slots with the baselines and with the limit.
+//!
+//! `cargo bench --bench slots` runs everything and writes the plot;
+//! `cargo bench --bench slots -- 80%` only the loads whose name contains that.
+
+mod baseline;
+mod outcome;
+mod plot;
+mod work;
+mod world;
+
+use state::policy::Policy;
+
+use outcome::Outcome;
+use work::{Mix, Setting, Slow, Spread};
+use world::World;
+
+const SEED: u64 = 7;
+
+fn main() {
+    let wanted: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|a| !a.starts_with("--"))
+        .collect();
+    let chosen = |s: &Setting| wanted.is_empty() || wanted.iter().any(|w| s.name.contains(w));
+    println!(
+        "{:<26} {:<16} {:>7} {:>8} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6} {:>8} {:>4} {:>7} {:>7} {:>6} {:>6}",
+        "load",
+        "policy",
+        "wait50",
+        "wait99",
+        "wait999",
+        "all99",
+        "all999",
+        "idle%",
+        "ref%",
+        "good%",
+        "refuse99",
+        "peak",
+        "msg/s",
+        "B/s",
+        "ns",
+        "cpu%"
+    );
+    let mut rows = Vec::new();
+    for setting in settings().iter().filter(|s| chosen(s)) {
+        let jobs = setting.jobs(SEED);
+        let mut add = |policy: &str, outcome: Outcome| {
+            print(setting.name, policy, &outcome);
+            rows.push(plot::Row {
+                load: setting.name.to_owned(),
+                policy: policy.to_owned(),
+                outcome,
+            });
+        };
+        add("one queue", baseline::limit(setting, &jobs));
+        add("shared", World::new(setting, &jobs).run());
+        for policy in Policy::ALL.into_iter().filter(|p| *p != Policy::Shared) {
+            if std::env::var_os("SLOTS_ONLY").is_none() {
+                add(policy.name(), baseline::baseline(policy, setting, &jobs));
+            }
+        }
+    }
+    if wanted.is_empty() {
+        plot::draw(&rows, "docs/design/slots.svg").expect("the plot is written");
+    }
+}
+
+fn settings() -> Vec<Setting> {
+    let base = Setting::HALLBOARD;
+    let mixed = Setting {
+        mix: Mix::Bimodal,
+        ..base
+    };
+    vec![
+        Setting {
+            name: "50%",
+            load: 0.5,
+            ..base
+        },
+        base,
+        Setting {
+            name: "95%",
+            load: 0.95,
+            ..base
+        },
+        Setting {
+            name: "200%",
+            load: 2.0,
+            ..base
+        },
+        Setting {
+            name: "mix 50%",
+            load: 0.5,
+            ..mixed
+        },
+        Setting {
+            name: "mix 80%",
+            ..mixed
+        },
+        Setting {
+            name: "mix 95%",
+            load: 0.95,
+            ..mixed
+        },
+        Setting {
+            name: "skew 80%",
+            spread: Spread::Skew,
+            ..base
+        },
+        Setting {
+            name: "burst to 150% from 30%",
+            load: 0.3,
+            burst: true,
+            ..base
+        },
+        Setting {
+            name: "one slow x20 at 60%",
+            load: 0.6,
+            slow: Some(Slow {
+                from: 2_000_000,
+                factor: 20,
+            }),
+            ..base
+        },
+    ]
+}
+
+fn print(load: &str, policy: &str, o: &Outcome) {
+    println!(
+        "{load:<26} {policy:<16} {:>7.2} {:>8.2} {:>8.2} {:>8.1} {:>8.1} {:>6.2} {:>6.2} {:>6.1} {:>8.1} {:>4} {:>7.0} {:>7.0} {:>6.0} {:>6.2}",
+        o.wait[0],
+        o.wait[1],
+        o.wait[2],
+        o.total[1],
+        o.total[2],
+        o.idle,
+        o.refused,
+        o.goodput,
+        o.refusal,
+        o.peak,
+        o.messages,
+        o.bytes,
+        o.decision,
+        100.0 * o.cpu,
+    );
+}
--- /dev/null
+++ b/benches/slots/outcome.rs
@@ -0,0 +1,138 @@
+//! What a run is judged by.
+
+use hdrhistogram::Histogram;
+
+use crate::work::{Job, Setting};
+use crate::world::START;
+
+/// Counts while a run goes on.
+pub struct Meter {
+    capacity: u32,
+    hosts: usize,
+    waiting: u32,
+    running: u32,
+    peak: u32,
+    idle: u64,
+    waits: Histogram<u64>,
+    totals: Histogram<u64>,
+    refused: u64,
+    done: u64,
+    last: u64,
+    refusals: Histogram<u64>,
+    /// Messages between hosts.
+    pub messages: u64,
+    /// Their bytes, with the frame's length.
+    pub bytes: u64,
+    /// Probes sent, from the start of the world.
+    pub probes: u64,
+}
+
+/// A run's figures; times in milliseconds.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Waits at p50, p99 and p99.9.
+    pub wait: [f64; 3],
+    /// Whole times at p50, p99 and p99.9.
+    pub total: [f64; 3],
+    /// The share of slot time that was idle while a call waited, in percent.
+    pub idle: f64,
+    /// Calls refused, in percent.
+    pub refused: f64,
+    /// Time from arrival to refusal at p99.
+    pub refusal: f64,
+    /// Answers a second over what all slots can give.
+    pub goodput: f64,
+    /// The most calls at one endpoint at once.
+    pub peak: u32,
+    /// Messages a host a second.
+    pub messages: f64,
+    /// Bytes a host a second.
+    pub bytes: f64,
+    /// Nanoseconds a decision step.
+    pub decision: f64,
+    /// Share of a core a host.
+    pub cpu: f64,
+}
+
+impl Meter {
+    /// Returns a meter that has counted nothing.
+    pub fn new(setting: &Setting) -> Meter {
+        let histogram = || Histogram::new_with_bounds(1, 600_000_000, 3).expect("bounds");
+        Meter {
+            capacity: setting.capacity(),
+            hosts: setting.hosts,
+            waiting: 0,
+            running: 0,
+            peak: 0,
+            idle: 0,
+            waits: histogram(),
+            totals: histogram(),
+            refused: 0,
+            done: 0,
+            last: 0,
+            refusals: histogram(),
+            messages: 0,
+            bytes: 0,
+            probes: 0,
+        }
+    }
+
+    /// Passes the time from `from` to `to`.
+    pub fn advance(&mut self, from: u64, to: u64) {
+        let idle = self.capacity.saturating_sub(self.running);
+        self.idle += u64::from(idle.min(self.waiting)) * (to - from);
+    }
+
+    /// Counts an arrival.
+    pub fn arrive(&mut self) {
+        self.waiting += 1;
+    }
+
+    /// Counts a start at an endpoint that now runs `busy` calls.
+    pub fn start(&mut self, job: &Job, now: u64, busy: u32) {
+        self.waiting -= 1;
+        self.running += 1;
+        self.peak = self.peak.max(busy);
+        self.waits.saturating_record(now - START - job.at);
+    }
+
+    /// Counts an answer.
+    pub fn end(&mut self, _call: usize, job: &Job, now: u64) {
+        self.running -= 1;
+        self.done += job.work;
+        self.last = now;
+        self.totals.saturating_record(now - START - job.at);
+    }
+
+    /// Counts a refusal.
+    pub fn refuse(&mut self, job: &Job, now: u64) {
+        self.waiting -= 1;
+        self.refused += 1;
+        self.refusals.saturating_record(now - START - job.at);
+    }
+
+    /// Returns the figures of a run that took `span` microseconds.
+    pub fn finish(&self, span: u64) -> Outcome {
+        let seconds = span as f64 / 1e6;
+        let calls = (self.totals.len() + self.refused).max(1) as f64;
+        let slot_time = f64::from(self.capacity) * span as f64;
+        let hosts = self.hosts as f64;
+        Outcome {
+            wait: quantiles(&self.waits),
+            total: quantiles(&self.totals),
+            idle: 100.0 * self.idle as f64 / slot_time,
+            refused: 100.0 * self.refused as f64 / calls,
+            refusal: self.refusals.value_at_quantile(0.99) as f64 / 1e3,
+            goodput: 100.0 * self.done as f64 / slot_time,
+            peak: self.peak,
+            messages: self.messages as f64 / seconds / hosts,
+            bytes: self.bytes as f64 / seconds / hosts,
+            decision: 0.0,
+            cpu: 0.0,
+        }
+    }
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> [f64; 3] {
+    [0.5, 0.99, 0.999].map(|q| histogram.value_at_quantile(q) as f64 / 1e3)
+}
--- /dev/null
+++ b/benches/slots/world.rs
@@ -0,0 +1,325 @@
+//! Several hosts' slot machines over virtual time, with a delayed message queue.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::{Duration, Instant};
+
+use coordination::slots::message::{LeaseKey, SlotMessage};
+use coordination::slots::{Arrival, Effect, Ending, Identity, Slots};
+use protocol::PeerMessage;
+use state::config::Member;
+use state::preset::{DataCentre, Endpoint, Preset, Service};
+use state::queue::CallKey;
+use state::warmth::{LoadReport, Mood};
+use state::{Config, DataCentreKey, EndpointKey, HostKey, Moment, ServiceKey};
+
+use crate::outcome::{Meter, Outcome};
+use crate::work::{Job, Setting};
+
+/// When arrivals begin: the fence of new owners is over and slots are spread.
+pub const START: u64 = 8_000_000;
+/// How often hosts are told that their configuration is current.
+const CONFIRM: u64 = 500_000;
+const CENTRES: [&str; 3] = ["trent", "severn", "soar"];
+
+/// What happens next.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Done(usize, usize),
+    Wake(usize),
+    Confirm,
+    Report(usize, EndpointKey),
+    Message(usize),
+}
+
+struct Running {
+    host: usize,
+    lease: LeaseKey,
+    work: u64,
+}
+
+struct Mail {
+    from: HostKey,
+    to: HostKey,
+    message: SlotMessage,
+}
+
+/// The whole of a run.
+pub struct World<'a> {
+    setting: &'a Setting,
+    jobs: &'a [Job],
+    now: u64,
+    turn: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    hosts: Vec<Slots>,
+    index: BTreeMap<HostKey, usize>,
+    wakes: Vec<u64>,
+    mail: BTreeMap<usize, Mail>,
+    running: BTreeMap<usize, Running>,
+    service: ServiceKey,
+    endpoints: Vec<EndpointKey>,
+    busy: BTreeMap<EndpointKey, u32>,
+    meter: Meter,
+    spent: Duration,
+    steps: u64,
+}
+
+/// Returns the configuration of a service with the hosts as members.
+pub fn config(setting: &Setting) -> Config {
+    let centres = CENTRES.map(|name| DataCentre {
+        name: name.to_owned(),
+        region: "midlands".to_owned(),
+    });
+    let endpoints = (0..setting.endpoints).map(|n| Endpoint {
+        address: format!("10.0.{}.{}:80", n / 250, n % 250 + 1)
+            .parse()
+            .expect("an address"),
+        data_centre: CENTRES[n % CENTRES.len()].to_owned(),
+    });
+    let service = Service {
+        name: "hallboard".to_owned(),
+        endpoints: endpoints.collect(),
+        slots: setting.slots,
+        cold_slots: 1,
+        connections: 200,
+        deadline_ms: setting.deadline / 1_000,
+        queue: 400,
+        body_limit: 0,
+        retry_percent: 10,
+        probe_cost_ms: 6,
+        key_seconds: 60,
+    };
+    let preset = Preset {
+        name: "ordinary".to_owned(),
+        data_centres: centres.to_vec(),
+        services: vec![service],
+    };
+    let members = (0..setting.hosts).map(|n| {
+        let name = format!("entry-{n}");
+        let member = Member {
+            name: name.clone(),
+            incarnation: life(n),
+            peer: format!("10.1.{}.{}:9", n / 250, n % 250 + 1)
+                .parse()
+                .expect("an address"),
+            data_centre: CENTRES[n % CENTRES.len()].to_owned(),
+            joined: 1,
+        };
+        (HostKey::named(&name), member)
+    });
+    Config {
+        revision: 1,
+        offset: 1,
+        presets: BTreeMap::from([("ordinary".to_owned(), preset)]),
+        chosen: Some("ordinary".to_owned()),
+        members: members.collect(),
+        ..Config::default()
+    }
+}
+
+fn life(n: usize) -> u64 {
+    (n as u64 + 1) << 40
+}
+
+impl<'a> World<'a> {
+    /// Returns the world before its first event.
+    pub fn new(setting: &'a Setting, jobs: &'a [Job]) -> World<'a> {
+        let config = config(setting);
+        let keys: Vec<HostKey> = (0..setting.hosts)
+            .map(|n| HostKey::named(&format!("entry-{n}")))
+            .collect();
+        let alive: BTreeSet<HostKey> = keys.iter().copied().collect();
+        let hosts = (0..setting.hosts).map(|n| {
+            let identity = Identity {
+                host: keys[n],
+                life: life(n),
+                centre: DataCentreKey::named(CENTRES[n % CENTRES.len()]),
+            };
+            let mut slots = Slots::new(identity, Moment(0));
+            slots.confirm(Moment(0));
+            slots.configure(&config, &alive, Moment(0));
+            slots
+        });
+        let preset = config.preset().expect("a preset");
+        let service = &preset.services[0];
+        let mut world = World {
+            setting,
+            jobs,
+            now: 0,
+            turn: 0,
+            events: BinaryHeap::new(),
+            hosts: hosts.collect(),
+            index: keys.iter().enumerate().map(|(n, k)| (*k, n)).collect(),
+            wakes: vec![u64::MAX; setting.hosts],
+            mail: BTreeMap::new(),
+            running: BTreeMap::new(),
+            service: service.key(),
+            endpoints: service.endpoints.iter().map(|e| e.key(service)).collect(),
+            busy: BTreeMap::new(),
+            meter: Meter::new(setting),
+            spent: Duration::ZERO,
+            steps: 0,
+        };
+        world.push(CONFIRM, Event::Confirm);
+        for host in 0..setting.hosts {
+            world.follow(host);
+        }
+        for (n, job) in jobs.iter().enumerate() {
+            world.push(START + job.at, Event::Arrive(n));
+        }
+        world
+    }
+
+    /// Runs until the last call has ended.
+    pub fn run(mut self) -> Outcome {
+        let mut left = self.jobs.len();
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.meter.advance(self.now, at);
+            self.now = at;
+            left -= self.handle(&event);
+            if left == 0 {
+                break;
+            }
+        }
+        let mut outcome = self.meter.finish(self.now - START);
+        outcome.decision = self.spent.as_nanos() as f64 / self.steps.max(1) as f64;
+        outcome.cpu =
+            self.spent.as_secs_f64() / (self.now as f64 / 1e6) / self.setting.hosts as f64;
+        outcome
+    }
+
+    /// Handles an event and returns how many calls it has ended.
+    fn handle(&mut self, event: &Event) -> usize {
+        match *event {
+            Event::Arrive(n) => self.arrive(n),
+            Event::Done(n, host) => {
+                let Some(running) = self.running.remove(&n) else {
+                    return 0;
+                };
+                let endpoint = running.lease.slot.endpoint;
+                *self.busy.entry(endpoint).or_default() -= 1;
+                self.meter.end(n, &self.jobs[n], self.now);
+                self.step(host, |s, now| {
+                    s.finish(running.lease, Ending::Answered, now);
+                }) + 1
+            }
+            Event::Wake(host) if self.wakes[host] <= self.now => {
+                self.wakes[host] = u64::MAX;
+                self.step(host, |s, now| s.tick(now))
+            }
+            Event::Wake(_) => 0,
+            Event::Confirm => {
+                self.push(self.now + CONFIRM, Event::Confirm);
+                for host in &mut self.hosts {
+                    host.confirm(Moment(self.now));
+                }
+                0
+            }
+            Event::Report(host, endpoint) => {
+                let report = LoadReport {
+                    boot: "a".to_owned(),
+                    mood: Mood::Warm,
+                    running: 0,
+                };
+                self.step(host, |s, now| s.probed(endpoint, Some(&report), now))
+            }
+            Event::Message(id) => {
+                let Some(mail) = self.mail.remove(&id) else {
+                    return 0;
+                };
+                let host = self.index[&mail.to];
+                self.step(host, |s, now| s.receive(mail.from, mail.message, now))
+            }
+        }
+    }
+
+    fn arrive(&mut self, n: usize) -> usize {
+        self.meter.arrive();
+        let job = &self.jobs[n];
+        let arrival = Arrival {
+            call: CallKey(n as u64),
+            service: self.service,
+            deadline: Moment(self.now + self.setting.deadline),
+            tried: Vec::new(),
+        };
+        self.step(job.host, |s, now| s.arrive(&arrival, now))
+    }
+
+    fn step(&mut self, host: usize, act: impl FnOnce(&mut Slots, Moment)) -> usize {
+        let began = Instant::now();
+        act(&mut self.hosts[host], Moment(self.now));
+        let effects = self.hosts[host].drain();
+        self.spent += began.elapsed();
+        self.steps += 1;
+        let ended = effects.into_iter().map(|e| self.apply(host, e)).sum();
+        self.follow(host);
+        ended
+    }
+
+    fn apply(&mut self, host: usize, effect: Effect) -> usize {
+        match effect {
+            Effect::Send(to, message) => self.post(host, to, message),
+            Effect::Start { call, lease, .. } => {
+                let n = call.0 as usize;
+                let endpoint = lease.slot.endpoint;
+                let busy = self.busy.entry(endpoint).or_default();
+                *busy += 1;
+                self.meter.start(&self.jobs[n], self.now, *busy);
+                let work = self.jobs[n].work * self.slowness(endpoint);
+                let running = Running { host, lease, work };
+                self.push(self.now + running.work, Event::Done(n, running.host));
+                self.running.insert(n, running);
+                return 0;
+            }
+            Effect::Refuse(call, _) => {
+                let job = &self.jobs[call.0 as usize];
+                self.meter.refuse(job, self.now);
+                return 1;
+            }
+            Effect::Probe(endpoint, _) => {
+                self.meter.probes += 1;
+                self.push(self.now + 6_000, Event::Report(host, endpoint));
+            }
+        }
+        0
+    }
+
+    fn post(&mut self, host: usize, to: HostKey, message: SlotMessage) {
+        let from = *self
+            .index
+            .iter()
+            .find(|(_, n)| **n == host)
+            .expect("a host")
+            .0;
+        if self.now >= START {
+            self.meter.messages += 1;
+            self.meter.bytes += 4 + PeerMessage::Slots(message.clone()).encode().len() as u64;
+        }
+        let id = self.turn as usize;
+        self.mail.insert(id, Mail { from, to, message });
+        self.push(self.now + self.setting.one_way, Event::Message(id));
+    }
+
+    fn slowness(&self, endpoint: EndpointKey) -> u64 {
+        match self.setting.slow {
+            Some(slow) if self.endpoints[0] == endpoint && self.now >= START + slow.from => {
+                slow.factor
+            }
+            _ => 1,
+        }
+    }
+
+    fn follow(&mut self, host: usize) {
+        let due = self.hosts[host].next_wake().0.max(self.now + 1);
+        if due < self.wakes[host] {
+            self.wakes[host] = due;
+            self.push(due, Event::Wake(host));
+        }
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.turn += 1;
+        self.events.push(Reverse((at, self.turn, event)));
+    }
+}
