stand_ins, cmd: demo, load, in-process entry hosts and the process tests' harness

Cause: nobody could see the system at work or measure it. Change: demo and load start a site and its entry hosts in one process, with a stand-in of the platform's balancer that follows readiness; the process tests start real entry hosts and check the whole history. Times over 2 ms were cut off by the histogram's first bounds; they are set to an hour now, with a test.

--- /dev/null
+++ b/components/stand_ins/src/fleet.rs
@@ -0,0 +1,104 @@
+//! Entry hosts in this process, with the platform's balancer before them.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use transport::entry::{Entry, Settings, StartError};
+
+use crate::balancer::Balancer;
+use crate::history::{Event, History};
+use crate::load::Target;
+use crate::site::Site;
+
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const READY_LIMIT: Duration = Duration::from_secs(30);
+const DRAIN_LIMIT: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(20);
+
+/// Why entry hosts could not be started.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    /// One could not start.
+    #[error(transparent)]
+    Start(#[from] StartError),
+    /// One did not become ready.
+    #[error("entry host {0} is not ready after {READY_LIMIT:?}: see its log lines")]
+    NotReady(String),
+}
+
+/// Running entry hosts of a site.
+pub struct Fleet {
+    /// Where calls are sent, in the order of the hosts.
+    pub targets: Arc<Vec<Target>>,
+    /// The hosts.
+    pub entries: Vec<Entry>,
+    history: History,
+    balancer: Balancer,
+}
+
+impl Fleet {
+    /// Starts the entry hosts of `site` and waits until all are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails where one doesn't start or doesn't become ready.
+    pub async fn start(site: &Site) -> Result<Fleet, FleetError> {
+        let mut entries = Vec::new();
+        let mut targets = Vec::new();
+        for index in 0..site.deployment.entry_hosts {
+            let name = format!("entry-{}", index + 1);
+            let settings = Settings {
+                name: name.clone(),
+                data_centre: site.deployment.centre(index).to_owned(),
+                callers: ANY_PORT,
+                peers: ANY_PORT,
+                admin: ANY_PORT,
+                log: site.log.address(),
+                drain: DRAIN_LIMIT,
+                trace_every: 0,
+            };
+            let entry = Entry::start(settings).await?;
+            let target = Target::new(&name, entry.ports().callers);
+            target.set_up(false);
+            site.history.add(Event::Up { host: name });
+            targets.push(target);
+            entries.push(entry);
+        }
+        let targets = Arc::new(targets);
+        let admins: Vec<_> = entries.iter().map(|e| e.ports().admin).collect();
+        let balancer = Balancer::start(&targets, &admins, &site.history);
+        let fleet = Fleet {
+            targets,
+            entries,
+            history: site.history.clone(),
+            balancer,
+        };
+        fleet.ready().await?;
+        Ok(fleet)
+    }
+
+    /// Shuts all hosts down gracefully, all at once.
+    pub async fn stop(self) {
+        drop(self.balancer);
+        let mut stopping = tokio::task::JoinSet::new();
+        for (entry, target) in self.entries.into_iter().zip(self.targets.iter()) {
+            self.history.add(Event::Stopping {
+                host: target.name.clone(),
+            });
+            stopping.spawn(entry.drain());
+        }
+        while stopping.join_next().await.is_some() {}
+    }
+
+    async fn ready(&self) -> Result<(), FleetError> {
+        let end = Instant::now() + READY_LIMIT;
+        while let Some(target) = self.targets.iter().find(|t| !t.is_up()) {
+            if Instant::now() > end {
+                return Err(FleetError::NotReady(target.name.clone()));
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+}
--- a/components/stand_ins/src/lib.rs
+++ b/components/stand_ins/src/lib.rs
@@ -3,7 +3,10 @@
 //! They are there to cause what fails. Nothing of an entry host depends on them.
 
 pub mod backend;
+pub mod balancer;
 pub mod config_run;
+pub mod demo;
+pub mod fleet;
 pub mod history;
 pub mod load;
 pub mod log;
--- a/components/stand_ins/src/load.rs
+++ b/components/stand_ins/src/load.rs
@@ -2,6 +2,7 @@
 //!
 //! docs/operators/load.md describes the experiment file.
 
+pub mod bench;
 pub mod caller;
 pub mod experiment;
 pub mod limit;
--- a/components/stand_ins/src/load/experiment.rs
+++ b/components/stand_ins/src/load/experiment.rs
@@ -211,6 +211,17 @@
         }
     }
 
+    /// Makes it last `seconds`, with its events spread as before.
+    pub fn stretch(&mut self, seconds: Option<u64>) {
+        let Some(seconds) = seconds.filter(|s| *s > 0) else {
+            return;
+        };
+        for happening in &mut self.events {
+            happening.at_ms = happening.at_ms * seconds / self.seconds.max(1);
+        }
+        self.seconds = seconds;
+    }
+
     fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
         let services: BTreeSet<_> = self.deployment.services.iter().map(|s| &s.name).collect();
--- a/components/stand_ins/src/load/measure.rs
+++ b/components/stand_ins/src/load/measure.rs
@@ -11,7 +11,7 @@
 use super::limit::{Ideal, limit};
 use super::plan::Plan;
 use super::report::{Distributions, Figures, Report, Sample};
-use super::run::{run, work_times};
+use super::run::{Load, work_times};
 use crate::history::check::{Check, Fault, Limits, check, tally};
 use crate::history::{Event, Order, Record};
 use crate::site::Site;
@@ -94,7 +94,15 @@
         history: site.history.clone(),
     };
     let driving = tokio::spawn(drive(Arc::clone(experiment), Arc::clone(site)));
-    let samples = run(experiment, &plan, targets, &caller, 1).await;
+    let load = Load {
+        experiment: Arc::clone(experiment),
+        plan: Arc::clone(&plan),
+        targets: Arc::clone(targets),
+        caller,
+        first: 1,
+        stop: Arc::default(),
+    };
+    let samples = load.run().await;
     driving.abort();
     let ideals = limit(experiment, &plan, &work_times(&plan, &samples));
     let records = site.history.sorted();
@@ -124,7 +132,7 @@
         let (site, action) = (Arc::clone(&site), happening.action.clone());
         acting.spawn(async move {
             if let Err(error) = site.act(&action).await {
-                log::error!("E0931 event-failed action={action:?} error=\"{error}\"");
+                log::warn!("E0931 event-failed action={action:?} error=\"{error}\"");
             }
         });
     }
--- a/components/stand_ins/src/load/report.rs
+++ b/components/stand_ins/src/load/report.rs
@@ -12,6 +12,11 @@
 use super::plan::Plan;
 use crate::history::Outcome;
 
+/// Longer times count as this long: an hour.
+const LONGEST_MICROS: u64 = 3_600_000_000;
+/// Significant digits of each time.
+const DIGITS: u8 = 3;
+
 /// What became of one call of a plan.
 #[value]
 pub struct Sample {
@@ -97,7 +102,8 @@
 
 impl Default for Times {
     fn default() -> Self {
-        Times(Histogram::new(3).expect("three digits are allowed"))
+        let histogram = Histogram::new_with_max(LONGEST_MICROS, DIGITS);
+        Times(histogram.expect("the bounds are allowed"))
     }
 }
 
--- a/components/stand_ins/src/load/run.rs
+++ b/components/stand_ins/src/load/run.rs
@@ -1,6 +1,7 @@
 //! Sends the calls of a plan at their times, whatever becomes of them.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,42 +14,53 @@
 use super::report::Sample;
 use crate::history::Outcome;
 
-/// Sends all calls of `plan` to `targets`, and returns what became of each.
-///
-/// The sender never waits for an answer (open loop), so that a slow system
-/// gets no fewer calls; the numbers of the calls start at `first`.
-///
-/// # Panics
-///
-/// Panics outside a tokio runtime, and where `targets` is empty.
-pub async fn run(
-    experiment: &Arc<Experiment>,
-    plan: &Arc<Plan>,
-    targets: &Arc<Vec<Target>>,
-    caller: &Caller,
-    first: u64,
-) -> Vec<Sample> {
-    let (sender, mut receiver) = mpsc::unbounded_channel();
-    let pacer = Pacer {
-        experiment: Arc::clone(experiment),
-        plan: Arc::clone(plan),
-        targets: Arc::clone(targets),
-        caller: caller.clone(),
-        first,
-        sender,
-        runtime: Handle::current(),
-    };
-    // A thread of its own: the runtime's timers are a millisecond coarse.
-    let pacing = thread::spawn(move || pacer.pace());
-    let mut samples = Vec::with_capacity(plan.calls.len());
-    while let Some(sample) = receiver.recv().await {
-        samples.push(sample);
+const DEADLINE_MS: u64 = 10_000;
+
+/// The sending of a plan's calls.
+#[derive(Clone)]
+pub struct Load {
+    /// What is sent.
+    pub experiment: Arc<Experiment>,
+    /// When.
+    pub plan: Arc<Plan>,
+    /// Where to; at least one.
+    pub targets: Arc<Vec<Target>>,
+    /// Who sends.
+    pub caller: Caller,
+    /// The number of the first call.
+    pub first: u64,
+    /// Once it is set no more calls are sent.
+    pub stop: Arc<AtomicBool>,
+}
+
+impl Load {
+    /// Sends all calls and returns what became of each.
+    ///
+    /// The sender never waits for an answer (open loop), so that a slow system
+    /// gets no fewer calls.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime, and where there is no target.
+    pub async fn run(self) -> Vec<Sample> {
+        let (sender, mut receiver) = mpsc::unbounded_channel();
+        let pacer = Pacer {
+            load: self,
+            sender,
+            runtime: Handle::current(),
+        };
+        // A thread of its own: the runtime's timers are a millisecond coarse.
+        let pacing = thread::spawn(move || pacer.pace());
+        let mut samples = Vec::new();
+        while let Some(sample) = receiver.recv().await {
+            samples.push(sample);
+        }
+        pacing
+            .join()
+            .expect("the pacer panics only where a task can't be spawned");
+        samples.sort_by_key(|s: &Sample| s.call);
+        samples
     }
-    pacing
-        .join()
-        .expect("the pacer panics only where a task can't be spawned");
-    samples.sort_by_key(|s: &Sample| s.call);
-    samples
 }
 
 /// Returns the time each call's work really took; the planned time where it is not known.
@@ -63,11 +75,7 @@
 }
 
 struct Pacer {
-    experiment: Arc<Experiment>,
-    plan: Arc<Plan>,
-    targets: Arc<Vec<Target>>,
-    caller: Caller,
-    first: u64,
+    load: Load,
     sender: mpsc::UnboundedSender<Sample>,
     runtime: Handle,
 }
@@ -76,9 +84,12 @@
     fn pace(self) {
         let start = Instant::now();
         let pacer = Arc::new(self);
-        for (number, planned) in pacer.plan.calls.iter().enumerate() {
+        for (number, planned) in pacer.load.plan.calls.iter().enumerate() {
             let due = start + planned.at;
             thread::sleep(due.saturating_duration_since(Instant::now()));
+            if pacer.load.stop.load(Ordering::SeqCst) {
+                return;
+            }
             let pacer = Arc::clone(&pacer);
             pacer.runtime.clone().spawn(async move {
                 pacer.send(number, due).await;
@@ -87,10 +98,11 @@
     }
 
     async fn send(&self, number: usize, due: Instant) {
-        let planned = &self.plan.calls[number];
-        let call = self.call(number, planned);
+        let planned = &self.load.plan.calls[number];
+        let call = self.load.call(number, planned);
         let lag = due.elapsed();
-        let reply = self.caller.call(self.target(planned.entry), &call).await;
+        let target = self.load.target(planned.entry);
+        let reply = self.load.caller.call(target, &call).await;
         let sample = Sample {
             call: number,
             outcome: reply.outcome,
@@ -101,7 +113,9 @@
         // The receiver outlives all senders.
         let _ = self.sender.send(sample);
     }
+}
 
+impl Load {
     /// Returns the planned entry host, or the next one that is up.
     fn target(&self, entry: usize) -> &Target {
         let count = self.targets.len();
@@ -117,7 +131,7 @@
             .experiment
             .deployment
             .service(&flow.service)
-            .map_or(10_000, |s| s.deadline_ms);
+            .map_or(DEADLINE_MS, |s| s.deadline_ms);
         let number = self.first + number as u64;
         let repeats = planned.repeats.map(|n| self.first + n as u64);
         let key = repeats.unwrap_or(number);
--- a/components/stand_ins/src/site.rs
+++ b/components/stand_ins/src/site.rs
@@ -3,16 +3,18 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use coordination::config::Change;
+use derives::value;
 use transport::log::{CommandRequest, Outcome, submit_by_log};
 
 use crate::backend::{Backend, Knobs, Options};
 use crate::history::{Event, History, Order};
 use crate::load::experiment::{Action, Deployment};
 use crate::log::{Behaviour, LogStandIn, Outage};
+use crate::proxy::Proxy;
 
 const COMMAND_LIMIT: Duration = Duration::from_secs(20);
 /// The preset that is chosen when the site starts.
@@ -38,6 +40,18 @@
     /// The platform's log.
     pub log: LogStandIn,
     backends: BTreeMap<String, Vec<Backend>>,
+    /// One before each backend server, in the same order; empty where none were asked for.
+    proxies: BTreeMap<String, Vec<Proxy>>,
+}
+
+/// How a site is started.
+#[value]
+#[derive(Default)]
+pub struct SiteOptions {
+    /// What each backend server is like.
+    pub backend: Options,
+    /// Whether a proxy stands before each backend server.
+    pub proxied: bool,
 }
 
 impl Site {
@@ -52,20 +66,25 @@
     /// Panics outside a tokio runtime.
     pub async fn start(
         deployment: Deployment,
-        options: &Options,
+        options: &SiteOptions,
         history: History,
     ) -> Result<Site, SiteError> {
         let log = LogStandIn::on_loopback(Behaviour::default())?;
         let mut backends: BTreeMap<String, Vec<Backend>> = BTreeMap::new();
+        let mut proxies: BTreeMap<String, Vec<Proxy>> = BTreeMap::new();
         for service in &deployment.services {
             for index in 0..service.endpoints {
-                let options = Options {
+                let backend = Options {
                     data_centre: deployment.centre(index).to_owned(),
                     slots: service.slots,
-                    ..options.clone()
+                    ..options.backend.clone()
                 };
                 let listener = TcpListener::bind("127.0.0.1:0")?;
-                let backend = Backend::start(listener, options, history.clone())?;
+                let backend = Backend::start(listener, backend, history.clone())?;
+                if options.proxied {
+                    let before = proxies.entry(service.name.clone()).or_default();
+                    before.push(Proxy::start(backend.address())?);
+                }
                 backends
                     .entry(service.name.clone())
                     .or_default()
@@ -77,6 +96,7 @@
             history,
             log,
             backends,
+            proxies,
         };
         let text = site.preset(ORDINARY);
         site.command(Change::PutPreset { text }).await?;
@@ -99,8 +119,8 @@
             line(format!("slots = {}", service.slots));
             line(format!("deadline-ms = {}", service.deadline_ms));
             line(format!("queue = {}", service.queue));
-            for (index, backend) in (0..).zip(&self.backends[&service.name]) {
-                let (address, centre) = (backend.address(), self.deployment.centre(index));
+            for (index, address) in (0..).zip(self.addresses(&service.name)) {
+                let centre = self.deployment.centre(index);
                 line(format!(
                     "[[service.endpoints]]\naddress = \"{address}\"\ndata-centre = \"{centre}\""
                 ));
@@ -114,6 +134,23 @@
         self.backends.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the proxies before a service's backend servers, none where it has none.
+    pub fn proxies(&self, service: &str) -> &[Proxy] {
+        self.proxies.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns where entry hosts reach a service's backend servers.
+    pub fn addresses(&self, service: &str) -> Vec<SocketAddr> {
+        match self.proxies(service) {
+            [] => self
+                .backends(service)
+                .iter()
+                .map(Backend::address)
+                .collect(),
+            proxies => proxies.iter().map(Proxy::address).collect(),
+        }
+    }
+
     /// Returns the backend servers of all services.
     pub fn all_backends(&self) -> impl Iterator<Item = &Backend> {
         self.backends.values().flatten()
--- a/components/stand_ins/tests/load_tool.rs
+++ b/components/stand_ins/tests/load_tool.rs
@@ -10,7 +10,7 @@
 use stand_ins::load::limit::limit;
 use stand_ins::load::plot::{Course, Curve, draw};
 use stand_ins::load::report::Times;
-use stand_ins::load::run::{run, work_times};
+use stand_ins::load::run::{Load, work_times};
 use stand_ins::load::{Caller, Experiment, ExperimentError, Plan, Report, Sample, Target};
 
 const FILE: &str = r#"
@@ -71,7 +71,15 @@
     let caller = Caller {
         history: history.clone(),
     };
-    let samples = run(&experiment, &plan, &targets, &caller, 1).await;
+    let load = Load {
+        experiment: Arc::clone(&experiment),
+        plan: Arc::clone(&plan),
+        targets,
+        caller,
+        first: 1,
+        stop: Arc::default(),
+    };
+    let samples = load.run().await;
     Ran {
         experiment,
         plan,
@@ -160,3 +168,12 @@
             .all(|(i, work)| i.latency == Some(i.wait + *work))
     );
 }
+
+#[test]
+fn long_times() {
+    let mut times = Times::default();
+    times.add(Duration::from_millis(1));
+    times.add(Duration::from_secs(20));
+    let max = times.quantiles().max;
+    assert!((19_900.0..20_100.0).contains(&max), "{max}");
+}
--- a/components/stand_ins/tests/site_starts.rs
+++ b/components/stand_ins/tests/site_starts.rs
@@ -1,15 +1,14 @@
 //! A site starts whole: its preset is accepted and names every backend server.
 
-use stand_ins::backend::Options;
 use stand_ins::history::{Event, History, Order};
 use stand_ins::load::Experiment;
-use stand_ins::site::{ORDINARY, Site};
+use stand_ins::site::{ORDINARY, Site, SiteOptions};
 
 #[tokio::test]
 async fn preset_in_force() {
     let text = include_str!("../../../experiments/tail-midlands.toml");
     let deployment = Experiment::parse(text).unwrap().deployment;
-    let site = Site::start(deployment, &Options::default(), History::default())
+    let site = Site::start(deployment, &SiteOptions::default(), History::default())
         .await
         .unwrap();
     let preset = site.preset(ORDINARY);
--- /dev/null
+++ b/src/cmd/load.rs
@@ -0,0 +1,46 @@
+//! `load`: an experiment over one or more policies.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use eyre::{Result, WrapErr};
+use log::LevelFilter;
+use stand_ins::load::Experiment;
+use stand_ins::load::bench::{bench, table, write};
+
+use crate::{cli, logs};
+
+/// Runs an experiment file and prints its table; ends with 1 where our own
+/// policy broke a promise.
+///
+/// # Errors
+///
+/// Fails where the file is at fault or the deployment can't be started.
+pub fn run(flags: &cli::Load) -> Result<ExitCode> {
+    logs::start(LevelFilter::Warn)?;
+    let file = flags.file.display();
+    let text =
+        std::fs::read_to_string(&flags.file).wrap_err_with(|| format!("can't read {file}"))?;
+    let experiment = Experiment::parse(&text).wrap_err_with(|| format!("{file} is at fault"))?;
+    let experiment = Arc::new(experiment);
+    let runtime = tokio::runtime::Runtime::new().wrap_err("can't start the runtime")?;
+    let runs = vec![runtime.block_on(bench(&experiment))?];
+    match flags.json {
+        true => {
+            let summaries: Vec<_> = runs.iter().map(|r| &r.measured.summary).collect();
+            println!("{}", serde_json::to_string_pretty(&summaries)?);
+        }
+        false => println!("{}", table(&runs)),
+    }
+    if let Some(directory) = &flags.out {
+        write(&experiment, &runs, directory)?;
+    }
+    let faults: Vec<_> = runs.iter().flat_map(|r| &r.measured.faults).collect();
+    for fault in faults.iter().take(10) {
+        eprintln!("broken promise: {fault}");
+    }
+    Ok(match faults.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    })
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,8 +1,10 @@
 //! The commands, one module each.
 
 pub mod data_centre;
+pub mod demo;
 pub mod entry;
 pub mod host;
+pub mod load;
 pub mod operator;
 pub mod preset;
 pub mod stand_in;
--- a/src/main.rs
+++ b/src/main.rs
@@ -65,9 +65,8 @@
             };
             Ok(cmd::host::run(&f.action, &f.name, &grounds, &target))
         }
-        CardamomvaleCmd::Demo(_) | CardamomvaleCmd::Load(_) => {
-            eyre::bail!("this command is not in this build")
-        }
+        CardamomvaleCmd::Demo(flags) => cmd::demo::run(&flags),
+        CardamomvaleCmd::Load(flags) => cmd::load::run(&flags),
     }
 }
 
