edge: claim a call's key before it is sent, and keep its answer

Cause: non-idempotent calls with a key were refused, whatever they asked. Change: the body is held whole up to 1 MiB for its digest (413 not-run over it), the key is claimed before a slot is asked for, and the claim is ended by what came of the call: the answer up to 64 KiB is kept as it passes, a refusal that surely didn't run frees the key, a break or a hang-up is unknown. A claim that comes too late for its caller is given back. Conclusion: the path is ready for the claims service: Edge::claim_by.

--- a/components/transport/src/edge/answer.rs
+++ b/components/transport/src/edge/answer.rs
@@ -12,6 +12,7 @@
 use tokio::time::Sleep;
 
 use super::caller::CallerState;
+use super::keyed::Keeper;
 use crate::clock;
 use crate::dispatch::Ending;
 use crate::upstream::Exchange;
@@ -51,11 +52,17 @@
     deadline: Moment,
     progress: Moment,
     timer: Pin<Box<Sleep>>,
+    keeper: Option<Keeper>,
 }
 
 impl Relay {
     /// Returns the relay of the answer that has begun on `exchange`.
-    pub fn new(exchange: Exchange, incoming: Incoming, deadline: Moment) -> Relay {
+    pub fn new(
+        exchange: Exchange,
+        incoming: Incoming,
+        deadline: Moment,
+        keeper: Option<Keeper>,
+    ) -> Relay {
         let now = clock::now();
         let mut relay = Relay {
             exchange,
@@ -63,6 +70,7 @@
             deadline,
             progress: now,
             timer: Box::pin(tokio::time::sleep(now.until(deadline))),
+            keeper,
         };
         relay.settle();
         relay
@@ -72,6 +80,9 @@
         match self.exchange.poll_data(&mut self.incoming, cx) {
             Poll::Ready(Some(Ok(data))) => {
                 self.progress = clock::now();
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.add(&data);
+                }
                 self.settle();
                 Poll::Ready(Some(Ok(data)))
             }
@@ -80,7 +91,7 @@
                 Poll::Ready(Some(Err(AnswerError::Cut(e))))
             }
             Poll::Ready(None) => {
-                self.exchange.complete();
+                self.complete();
                 Poll::Ready(None)
             }
             Poll::Pending => self.poll_patience(cx),
@@ -93,7 +104,14 @@
     /// length, and the answer must not look given up then.
     fn settle(&mut self) {
         if self.incoming.is_end_stream() {
-            self.exchange.complete();
+            self.complete();
+        }
+    }
+
+    fn complete(&mut self) {
+        self.exchange.complete();
+        if let Some(keeper) = self.keeper.take() {
+            keeper.finish();
         }
     }
 
--- a/components/transport/src/edge/call.rs
+++ b/components/transport/src/edge/call.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -13,10 +12,12 @@
 
 use super::Edge;
 use super::answer::{AnswerBody, Relay};
-use super::body::{CallerBody, Gathered, REPLAY_LIMIT};
+use super::body::{CallerBody, Gathered, KEYED_LIMIT, REPLAY_LIMIT};
 use super::fault::Fault;
+use super::keyed::{Claim, Claimed, Keeper};
 use super::outcome::{OUTCOME, Outcome};
-use super::{fields, route};
+use super::{fields, keyed, route};
+use crate::claims::ClaimRequest;
 use crate::clock;
 use crate::dispatch::{Call, Ending, Grant, Refusal};
 use crate::upstream::{Connection, Exchange, RequestBody, SendError};
@@ -79,14 +80,36 @@
         fields: parts.headers,
     };
     match key {
-        Some(_) => Err(Fault::KeyUnclaimed(Duration::from_secs(1))),
+        Some(key) => keyed_call(edge, &plan, body, key).await,
         None => {
             let body = gather(body, REPLAY_LIMIT, plan.deadline).await?;
-            attempts(edge, &plan, body).await
+            attempts(edge, &plan, body, None).await
         }
     }
 }
 
+/// Claims the call's key and sends it if the claim is its own.
+async fn keyed_call(
+    edge: &Arc<Edge>,
+    plan: &Plan,
+    body: CallerBody,
+    key: String,
+) -> Result<Response<AnswerBody>, Fault> {
+    let body = gather(body, KEYED_LIMIT, plan.deadline).await?;
+    if body.rest.is_some() {
+        return Err(Fault::KeyedTooLarge(KEYED_LIMIT));
+    }
+    let request = ClaimRequest {
+        service: plan.service,
+        key,
+        digest: keyed::digest(plan.service, &plan.method, &plan.uri, &body.start),
+    };
+    match keyed::claim(edge.claims.get(), request, plan.deadline).await? {
+        Claimed::Mine(claim) => attempts(edge, plan, body, Some(claim)).await,
+        Claimed::Before(response) => Ok(response),
+    }
+}
+
 /// Reads the beginning of the body, or all of it, before the call is placed.
 async fn gather(body: CallerBody, most: usize, deadline: Moment) -> Result<Gathered, Fault> {
     if body.is_end() {
@@ -107,6 +130,7 @@
     edge: &Arc<Edge>,
     plan: &Plan,
     body: Gathered,
+    mut claim: Option<Claim>,
 ) -> Result<Response<AnswerBody>, Fault> {
     edge.earn_retry(plan.service, plan.percent);
     let mut bodies = Bodies::new(body);
@@ -117,7 +141,7 @@
     };
     let mut earlier = None;
     loop {
-        let failed = match attempt(edge, plan, &call, bodies.next()).await {
+        let failed = match attempt(edge, plan, &call, bodies.next(), &mut claim).await {
             Ok(response) => return Ok(response),
             Err(failed) => failed,
         };
@@ -131,7 +155,12 @@
         let fault = worse(earlier.take(), failed);
         match endpoint {
             Some(endpoint) if edge.allow_retry(plan.service, retry) => call.tried.push(endpoint),
-            _ => return Err(fault),
+            _ => {
+                if let Some(claim) = claim {
+                    claim.failed(fault.outcome());
+                }
+                return Err(fault);
+            }
         }
         earlier = Some(fault);
     }
@@ -156,14 +185,18 @@
     plan: &Plan,
     call: &Call,
     body: RequestBody,
+    claim: &mut Option<Claim>,
 ) -> Result<Response<AnswerBody>, Failed> {
     let (grant, connection) = place(edge, call).await?;
+    if let Some(claim) = claim {
+        claim.sending();
+    }
     let endpoint = grant.endpoint;
     let request = plan.request(grant.address, body);
     let pools = Arc::clone(&edge.pools);
     let mut exchange = Exchange::new(pools, connection, grant, plan.deadline);
     match exchange.send(request).await {
-        Ok(response) => judge(exchange, response, plan.deadline).await,
+        Ok(response) => judge(exchange, response, plan.deadline, claim).await,
         Err(e) => Err(Failed::sending(e, endpoint)),
     }
 }
@@ -201,6 +234,7 @@
     exchange: Exchange,
     response: Response<Incoming>,
     deadline: Moment,
+    claim: &mut Option<Claim>,
 ) -> Result<Response<AnswerBody>, Failed> {
     let (mut parts, mut incoming) = response.into_parts();
     if parts.status == StatusCode::SERVICE_UNAVAILABLE && parts.headers.contains_key(NOT_RUN) {
@@ -221,7 +255,8 @@
     }
     fields::give_back(&mut parts.headers);
     parts.headers.insert(OUTCOME, Outcome::Complete.value());
-    let relay = Relay::new(exchange, incoming, deadline);
+    let keeper = claim.take().map(|claim| Keeper::new(claim, &parts));
+    let relay = Relay::new(exchange, incoming, deadline, keeper);
     Ok(Response::from_parts(parts, AnswerBody::relay(relay)))
 }
 
--- /dev/null
+++ b/components/transport/src/edge/keyed.rs
@@ -0,0 +1,207 @@
+//! Calls with an idempotency key: claimed before they are sent, and their answers kept.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response;
+use hyper::{Method, Response, StatusCode, Uri};
+use sha2::{Digest, Sha256};
+use state::{Moment, ServiceKey};
+use tokio::sync::oneshot;
+
+use super::answer::AnswerBody;
+use super::fault::Fault;
+use super::outcome::{OUTCOME, Outcome};
+use crate::claims::{ClaimEnding, ClaimRequest, ClaimTicket, KeptAnswer, Verdict};
+use crate::clock;
+
+/// The largest body of an answer that is kept for repeats of its key.
+const KEEP_LIMIT: usize = 64 * 1024;
+
+/// When to come back where no claims can be agreed at all.
+const UNCLAIMED_WAIT: Duration = Duration::from_secs(1);
+
+/// Agrees on who may run the call with a key.
+pub trait KeyClaims: Send + Sync {
+    /// Claims a key for one call.
+    fn claim(&self, request: ClaimRequest) -> Pin<Box<dyn Future<Output = Verdict> + Send + '_>>;
+
+    /// Says how a claimed call ended.
+    fn end(&self, ticket: ClaimTicket, ending: ClaimEnding);
+}
+
+/// A claim that this call holds, ended when the call ends.
+///
+/// Dropped without a word, as when the caller hangs up, it counts as unknown
+/// once the call has been sent, and as not run before.
+pub struct Claim {
+    claims: Arc<dyn KeyClaims>,
+    ticket: Option<ClaimTicket>,
+    sent: bool,
+}
+
+/// What the claim of a call's key came to.
+pub enum Claimed {
+    /// The call is to be sent.
+    Mine(Claim),
+    /// It was answered before, so.
+    Before(Response<AnswerBody>),
+}
+
+/// Claims the key of a call, waiting until `deadline` at most.
+///
+/// # Errors
+///
+/// Says why the call must not be sent.
+pub async fn claim(
+    claims: Option<&Arc<dyn KeyClaims>>,
+    request: ClaimRequest,
+    deadline: Moment,
+) -> Result<Claimed, Fault> {
+    let claims = claims.ok_or(Fault::KeyUnclaimed(UNCLAIMED_WAIT))?;
+    let waiting = ask(Arc::clone(claims), request);
+    let left = clock::now().until(deadline);
+    match tokio::time::timeout(left, waiting).await {
+        Ok(Ok(Verdict::Go(ticket))) => Ok(Claimed::Mine(Claim {
+            claims: Arc::clone(claims),
+            ticket: Some(ticket),
+            sent: false,
+        })),
+        Ok(Ok(Verdict::Known(kept))) => Ok(Claimed::Before(replay(kept))),
+        Ok(Ok(Verdict::Started)) => Err(Fault::KeyStarted),
+        Ok(Ok(Verdict::Mismatch)) => Err(Fault::KeyMismatch),
+        Ok(Ok(Verdict::NotRun(wait))) => Err(Fault::KeyUnclaimed(wait)),
+        Ok(Err(_)) | Err(_) => Err(Fault::KeyUnclaimed(UNCLAIMED_WAIT)),
+    }
+}
+
+/// Asks for the claim on a task of its own.
+///
+/// If the caller hung up, or its deadline passed, while the claim is on its way
+/// to the log, the claim may still land. Nobody would run the call then, and
+/// every repeat would be told that it was started. So whoever comes too late
+/// for the caller gives the claim back.
+fn ask(claims: Arc<dyn KeyClaims>, request: ClaimRequest) -> oneshot::Receiver<Verdict> {
+    let (sender, receiver) = oneshot::channel();
+    tokio::spawn(async move {
+        let verdict = claims.claim(request).await;
+        if let Err(Verdict::Go(ticket)) = sender.send(verdict) {
+            claims.end(ticket, ClaimEnding::NotRun);
+        }
+    });
+    receiver
+}
+
+/// Returns what tells two requests with one key apart.
+pub fn digest(service: ServiceKey, method: &Method, uri: &Uri, body: &[u8]) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(service.0.to_le_bytes());
+    for part in [method.as_str(), uri.path(), uri.query().unwrap_or_default()] {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.update(body);
+    hash.finalize().into()
+}
+
+impl Claim {
+    /// Notes that the call is about to be sent.
+    pub fn sending(&mut self) {
+        self.sent = true;
+    }
+
+    /// Ends the claim of a call that got no answer.
+    pub fn failed(mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::NotRun => self.end(ClaimEnding::NotRun),
+            Outcome::Complete | Outcome::Unknown => self.end(ClaimEnding::Unknown),
+        }
+    }
+
+    fn end(&mut self, ending: ClaimEnding) {
+        if let Some(ticket) = self.ticket.take() {
+            self.claims.end(ticket, ending);
+        }
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        match self.sent {
+            true => self.end(ClaimEnding::Unknown),
+            false => self.end(ClaimEnding::NotRun),
+        }
+    }
+}
+
+/// Gathers a claimed call's answer as it passes, for repeats of its key.
+pub struct Keeper {
+    claim: Claim,
+    status: u16,
+    fields: Vec<(String, Bytes)>,
+    body: BytesMut,
+    large: bool,
+}
+
+impl Keeper {
+    /// Returns the keeper of the answer with this head.
+    pub fn new(claim: Claim, head: &response::Parts) -> Keeper {
+        Keeper {
+            claim,
+            status: head.status.as_u16(),
+            fields: kept_fields(&head.headers),
+            body: BytesMut::new(),
+            large: false,
+        }
+    }
+
+    /// Takes the next piece of the body.
+    pub fn add(&mut self, data: &Bytes) {
+        self.large |= self.body.len() + data.len() > KEEP_LIMIT;
+        if !self.large {
+            self.body.extend_from_slice(data);
+        }
+    }
+
+    /// Ends the claim: the answer came whole.
+    pub fn finish(mut self) {
+        let ending = match self.large {
+            true => ClaimEnding::AnsweredLarge,
+            false => ClaimEnding::Answered(KeptAnswer {
+                status: self.status,
+                fields: std::mem::take(&mut self.fields),
+                body: self.body.split().freeze(),
+            }),
+        };
+        self.claim.end(ending);
+    }
+}
+
+fn kept_fields(fields: &HeaderMap) -> Vec<(String, Bytes)> {
+    fields
+        .iter()
+        .filter(|(name, _)| **name != OUTCOME)
+        .map(|(name, value)| (name.to_string(), Bytes::copy_from_slice(value.as_bytes())))
+        .collect()
+}
+
+/// Returns a kept answer as it was first given.
+fn replay(kept: KeptAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::line(kept.body));
+    *response.status_mut() = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
+    for (name, value) in kept.fields {
+        let name = HeaderName::try_from(name);
+        let value = HeaderValue::from_maybe_shared(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+        .headers_mut()
+        .insert(OUTCOME, Outcome::Complete.value());
+    response
+}
--- a/components/transport/src/edge/mod.rs
+++ b/components/transport/src/edge/mod.rs
@@ -7,13 +7,14 @@
 mod connection;
 pub mod fault;
 pub mod fields;
+pub mod keyed;
 pub mod outcome;
 mod reject;
 pub mod route;
 
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use state::retry::{Attempt, RetryBudget};
@@ -23,6 +24,7 @@
 
 use crate::dispatch::Dispatcher;
 use crate::upstream::Pools;
+pub use keyed::KeyClaims;
 
 /// How long to wait when no connection can be accepted, such as when no file is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -55,6 +57,7 @@
     config: watch::Receiver<Arc<Config>>,
     pools: Arc<Pools>,
     budgets: Mutex<BTreeMap<ServiceKey, RetryBudget>>,
+    claims: OnceLock<Arc<dyn KeyClaims>>,
     callers: watch::Sender<usize>,
     stage: watch::Sender<Stage>,
 }
@@ -83,11 +86,21 @@
             config,
             pools: Arc::new(Pools::default()),
             budgets: Mutex::new(BTreeMap::new()),
+            claims: OnceLock::new(),
             callers: watch::Sender::new(0),
             stage: watch::Sender::new(Stage::Serving),
         })
     }
 
+    /// Has keys claimed by `claims`; until then calls with a key are refused, not run.
+    ///
+    /// Only the first word counts.
+    pub fn claim_by(&self, claims: Arc<dyn KeyClaims>) {
+        if self.claims.set(claims).is_err() {
+            log::warn!("E0102 claims-set-twice");
+        }
+    }
+
     /// Accepts callers until the edge is drained.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         let keeper = tokio::spawn(Arc::clone(&self).keep_pools());
--- /dev/null
+++ b/components/transport/tests/keyed_calls.rs
@@ -0,0 +1,253 @@
+//! Calls with an idempotency key, on the path of one call.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use support::{Reply, Server, Site, field, ok, until};
+use tokio::io::AsyncWriteExt;
+use transport::claims::{ClaimEnding, ClaimRequest, ClaimTicket, Verdict};
+use transport::edge::KeyClaims;
+
+/// Claims agreed by one table in memory.
+#[derive(Default)]
+struct Table {
+    rows: Mutex<BTreeMap<String, Row>>,
+    down: Mutex<bool>,
+}
+
+struct Row {
+    id: u128,
+    digest: [u8; 32],
+    ending: Option<ClaimEnding>,
+}
+
+impl KeyClaims for Table {
+    fn claim(&self, request: ClaimRequest) -> Pin<Box<dyn Future<Output = Verdict> + Send + '_>> {
+        Box::pin(async move { self.decide(request) })
+    }
+
+    fn end(&self, ticket: ClaimTicket, ending: ClaimEnding) {
+        let mut rows = self.rows.lock().expect("rows");
+        match ending {
+            ClaimEnding::NotRun => rows.retain(|_, row| row.id != ticket.id),
+            _ => {
+                let row = rows.values_mut().find(|row| row.id == ticket.id);
+                row.expect("a claimed key").ending = Some(ending);
+            }
+        }
+    }
+}
+
+impl Table {
+    fn decide(&self, request: ClaimRequest) -> Verdict {
+        let mut rows = self.rows.lock().expect("rows");
+        let id = rows.len() as u128;
+        match rows.get(&request.key) {
+            _ if *self.down.lock().expect("down") => Verdict::NotRun(Duration::from_secs(3)),
+            None => {
+                let digest = request.digest;
+                rows.insert(
+                    request.key,
+                    Row {
+                        id,
+                        digest,
+                        ending: None,
+                    },
+                );
+                Verdict::Go(ClaimTicket { id })
+            }
+            Some(row) if row.digest != request.digest => Verdict::Mismatch,
+            Some(Row {
+                ending: Some(ClaimEnding::Answered(kept)),
+                ..
+            }) => Verdict::Known(kept.clone()),
+            Some(_) => Verdict::Started,
+        }
+    }
+
+    fn ending(&self, key: &str) -> Option<ClaimEnding> {
+        self.rows.lock().expect("rows").get(key)?.ending.clone()
+    }
+
+    fn knows(&self, key: &str) -> bool {
+        self.rows.lock().expect("rows").contains_key(key)
+    }
+}
+
+async fn site(server: &Server) -> (Site, Arc<Table>) {
+    let site = Site::start(&[server]).await;
+    let table = Arc::new(Table::default());
+    site.edge.claim_by(Arc::clone(&table) as _);
+    (site, table)
+}
+
+fn deposit(key: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /hallboard/deposits HTTP/1.1\r\nhost: e\r\nidempotency-key: {key}\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// A secretary's answer is lost on its way, and the deposit is sent again with
+/// its key. It must be taken once, and the second answer be the first one.
+#[tokio::test]
+async fn repeat_gets_first_answer() {
+    let reply = "HTTP/1.1 201 Created\r\nx-receipt: 17\r\ncontent-length: 5\r\n\r\ntaken";
+    let server = Server::always(Reply::Keep(reply.into())).await;
+    let (site, _table) = site(&server).await;
+    for _ in 0..3 {
+        let answer = site.ask(&deposit("k1", "12 pounds")).await;
+        assert_eq!(
+            (answer.status(), answer.outcome().as_str()),
+            (201, "complete"),
+            "{answer:?}"
+        );
+        assert_eq!(field(&answer.head, "x-receipt").as_deref(), Some("17"));
+        assert_eq!(answer.text(), "taken");
+    }
+    assert_eq!(server.seen().len(), 1);
+}
+
+/// One key is used for two different deposits by mistake. The second must be
+/// neither taken nor answered as if it were the first.
+#[tokio::test]
+async fn other_body_refused() {
+    let server = Server::always(Reply::Keep(ok("taken"))).await;
+    let (site, _table) = site(&server).await;
+    site.ask(&deposit("k1", "12 pounds")).await;
+    let answer = site.ask(&deposit("k1", "13 pounds")).await;
+    assert_eq!(
+        (answer.status(), answer.outcome().as_str()),
+        (422, "not-run"),
+        "{answer:?}"
+    );
+    assert_eq!(server.seen().len(), 1);
+}
+
+/// The connection breaks after the deposit was sent. A repeat must not send it
+/// again: it may have been taken.
+#[tokio::test]
+async fn broken_then_unknown() {
+    let server = Server::always(Reply::Close(String::new())).await;
+    let (site, _table) = site(&server).await;
+    for status in [502, 504] {
+        let answer = site.ask(&deposit("k1", "12 pounds")).await;
+        assert_eq!(
+            (answer.status(), answer.outcome().as_str()),
+            (status, "unknown"),
+            "{answer:?}"
+        );
+    }
+    assert_eq!(server.seen().len(), 1);
+}
+
+/// The backend server refuses the deposit and says that it did not run. The
+/// key is free again, so that a repeat may succeed.
+#[tokio::test]
+async fn shed_frees_key() {
+    let shed = "HTTP/1.1 503 Busy\r\ncardamomvale-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let server = Server::start(move |n, _| match n {
+        0 => Reply::Keep(shed.into()),
+        _ => Reply::Keep(ok("taken")),
+    })
+    .await;
+    let (site, _table) = site(&server).await;
+    let first = site.ask(&deposit("k1", "12 pounds")).await;
+    assert_eq!(
+        (first.status(), first.outcome().as_str()),
+        (503, "not-run"),
+        "{first:?}"
+    );
+    let second = site.ask(&deposit("k1", "12 pounds")).await;
+    assert_eq!(
+        (second.text().as_str(), second.outcome().as_str()),
+        ("taken", "complete")
+    );
+}
+
+/// The caller hangs up in the middle. Whether the deposit ran is not known, and
+/// a repeat must be told so.
+#[tokio::test]
+async fn hang_up_is_unknown() {
+    let server = Server::always(Reply::Hang(String::new())).await;
+    let (site, table) = site(&server).await;
+    let mut stream = site.connect().await;
+    stream
+        .write_all(deposit("k1", "12 pounds").as_bytes())
+        .await
+        .expect("sent");
+    until(|| server.seen().len() == 1).await;
+    drop(stream);
+    until(|| table.ending("k1") == Some(ClaimEnding::Unknown)).await;
+    let answer = site.ask(&deposit("k1", "12 pounds")).await;
+    assert_eq!(
+        (answer.status(), answer.outcome().as_str()),
+        (504, "unknown")
+    );
+    assert_eq!(server.seen().len(), 1);
+}
+
+/// The log is down: no claim can be agreed, and nothing may be sent.
+#[tokio::test]
+async fn claims_down() {
+    let server = Server::always(Reply::Keep(ok("taken"))).await;
+    let (site, table) = site(&server).await;
+    *table.down.lock().expect("down") = true;
+    let answer = site.ask(&deposit("k1", "12 pounds")).await;
+    assert_eq!(
+        (answer.status(), answer.outcome().as_str()),
+        (503, "not-run"),
+        "{answer:?}"
+    );
+    assert_eq!(field(&answer.head, "retry-after").as_deref(), Some("3"));
+    assert_eq!(server.seen(), []);
+}
+
+/// An answer too large to keep is still passed on whole, and not sent for twice.
+#[tokio::test]
+async fn large_answer_not_kept() {
+    let large = "a".repeat(200_000);
+    let server = Server::always(Reply::Keep(ok(&large))).await;
+    let (site, table) = site(&server).await;
+    let answer = site.ask(&deposit("k1", "12 pounds")).await;
+    assert_eq!(answer.body.len(), 200_000);
+    until(|| table.ending("k1") == Some(ClaimEnding::AnsweredLarge)).await;
+    let again = site.ask(&deposit("k1", "12 pounds")).await;
+    assert_eq!(again.outcome(), "unknown");
+    assert_eq!(server.seen().len(), 1);
+}
+
+/// A body beyond what is compared can't be claimed: nothing is sent.
+#[tokio::test]
+async fn large_body_refused() {
+    let server = Server::always(Reply::Keep(ok("taken"))).await;
+    let site = Site::with(&[&server], |s| s.body_limit = 64 << 20, Default::default()).await;
+    let table = Arc::new(Table::default());
+    site.edge.claim_by(Arc::clone(&table) as _);
+    let mut stream = site.connect().await;
+    let request = deposit("k1", &"a".repeat(1_100_000));
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let answer = support::Answer::read(&mut stream).await;
+    assert_eq!(
+        (answer.status(), answer.outcome().as_str()),
+        (413, "not-run"),
+        "{answer:?}"
+    );
+    assert!(!table.knows("k1"));
+    assert_eq!(server.seen(), []);
+}
+
+/// A lookup needs no claim, with a key or without.
+#[tokio::test]
+async fn lookup_needs_none() {
+    let server = Server::always(Reply::Keep(ok("free"))).await;
+    let (site, table) = site(&server).await;
+    let request = "GET /hallboard/halls HTTP/1.1\r\nhost: e\r\nidempotency-key: k1\r\nconnection: close\r\n\r\n";
+    assert_eq!(site.ask(request).await.text(), "free");
+    assert!(!table.knows("k1"));
+}
