tests: answers cut or late, as real callers see them

Cause: that half an answer is never taken for the whole was not shown end to end. Change: three process tests: cut answers with a length, chunked and small; a cut deposit; late answers on kept connections. Sites can put presets and give orders on a revision that an operator looked at.

--- a/components/stand_ins/src/site.rs
+++ b/components/stand_ins/src/site.rs
@@ -98,8 +98,7 @@
             backends,
             proxies,
         };
-        let text = site.preset(ORDINARY);
-        site.command(Change::PutPreset { text }).await?;
+        site.put(ORDINARY).await?;
         site.order(Order::Choose, ORDINARY).await?;
         Ok(site)
     }
@@ -156,12 +155,36 @@
         self.backends.values().flatten()
     }
 
+    /// Puts a preset with all backend servers of the site under this name.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it is refused or its outcome isn't known.
+    pub async fn put(&self, name: &str) -> Result<u64, SiteError> {
+        let text = self.preset(name);
+        self.command(None, Change::PutPreset { text }).await
+    }
+
     /// Gives an operator's command to the log and writes its acceptance into the history.
     ///
     /// # Errors
     ///
     /// Fails where it is refused or its outcome isn't known.
     pub async fn order(&self, order: Order, name: &str) -> Result<u64, SiteError> {
+        self.order_on(None, order, name).await
+    }
+
+    /// The same by an operator who has looked at the revision `looked`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it is refused or its outcome isn't known.
+    pub async fn order_on(
+        &self,
+        looked: Option<u64>,
+        order: Order,
+        name: &str,
+    ) -> Result<u64, SiteError> {
         let owned = name.to_owned();
         let change = match order {
             Order::CentreLeaves => Change::LeaveCentre { name: owned },
@@ -170,7 +193,7 @@
             Order::HostReturns => Change::ReturnHost { name: owned },
             Order::Choose => Change::ChoosePreset { name: owned },
         };
-        let revision = self.command(change).await?;
+        let revision = self.command(looked, change).await?;
         self.history.add(Event::Ordered {
             order,
             name: name.to_owned(),
@@ -212,11 +235,11 @@
         }
     }
 
-    async fn command(&self, change: Change) -> Result<u64, SiteError> {
+    async fn command(&self, looked: Option<u64>, change: Change) -> Result<u64, SiteError> {
         let address = self.log.address().to_string();
         let request = CommandRequest {
             id: None,
-            decided_on: None,
+            decided_on: looked,
             change,
         };
         let submitted =
--- /dev/null
+++ b/tests/cut_answers.rs
@@ -0,0 +1,101 @@
+//! Backend servers' answers that break off or come too late.
+
+mod common;
+
+use std::time::Duration;
+
+use common::Rig;
+use stand_ins::backend::Knobs;
+use stand_ins::history::{Event, Outcome};
+
+const SITE: &str = include_str!("common/small.toml");
+
+// A backend server dies in the middle of an answer. A clerk must never take half a
+// list of halls for the whole: the caller's own connection breaks off, or another
+// backend server is asked and the answer is whole.
+#[rstest::rstest]
+#[case::with_length("/hallboard/free?size=300000")]
+#[case::chunked("/hallboard/free?size=300000&chunked=1")]
+#[case::small("/hallboard/free?size=300")]
+#[tokio::test(flavor = "multi_thread")]
+async fn never_taken_for_whole(#[case] path: &str) {
+    let mut rig = Rig::start(SITE).await;
+    for backend in rig.site.backends("hallboard") {
+        backend.set(&Knobs {
+            cut_answers: Some(2),
+            ..Knobs::default()
+        });
+    }
+    for round in 0..24 {
+        let mut call = rig.new_call("GET", path);
+        call.size = if path.contains("300000") {
+            300_000
+        } else {
+            300
+        };
+        let reply = rig.call(round % 3, &call).await;
+        assert!(
+            matches!(
+                (reply.outcome, reply.own),
+                (Outcome::Broken, _) | (Outcome::Complete, true)
+            ),
+            "{reply:?}"
+        );
+    }
+    let mut call = rig.new_call("GET", path);
+    call.size = if path.contains("300000") {
+        300_000
+    } else {
+        300
+    };
+    assert_eq!(rig.call(0, &call).await.outcome, Outcome::Complete);
+    rig.assert_kept();
+}
+
+// The answer to a deposit is cut: it may have been taken. The caller must not be
+// told "not run", and it must not be sent again.
+#[tokio::test(flavor = "multi_thread")]
+async fn deposit_not_repeated() {
+    let mut rig = Rig::start(SITE).await;
+    for backend in rig.site.backends("ledgerhouse") {
+        backend.set(&Knobs {
+            cut_answers: Some(10),
+            ..Knobs::default()
+        });
+    }
+    for host in 0..3 {
+        let call = rig.new_call("POST", "/ledgerhouse/deposits?work-ms=5");
+        let reply = rig.call(host, &call).await;
+        assert!(
+            matches!(reply.outcome, Outcome::Broken | Outcome::Unknown),
+            "{reply:?}"
+        );
+    }
+    let runs =
+        rig.picked(|r| matches!(r.event, Event::Received { started: true, .. }).then_some(()));
+    assert_eq!(runs.len(), 3);
+    rig.assert_kept();
+}
+
+// Callers give up on slow look-ups while the answers are still on their way. Each
+// is told in time, and those who call next over the same hosts must get their own
+// answers and never the late ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answer_reaches_nobody() {
+    let mut rig = Rig::start(SITE).await;
+    for round in 0..12 {
+        let mut slow = rig.new_call("GET", "/hallboard/free?work-ms=150");
+        slow.deadline = Duration::from_millis(100);
+        let late = rig.send(round % 3, &slow);
+        let next: Vec<_> = (0..4)
+            .map(|_| rig.new_call("GET", "/hallboard/free?work-ms=1"))
+            .map(|call| rig.send(round % 3, &call))
+            .collect();
+        assert_ne!(late.await.unwrap().outcome, Outcome::Broken);
+        for reply in next {
+            let reply = reply.await.unwrap();
+            assert_eq!((reply.outcome, reply.own), (Outcome::Complete, true));
+        }
+    }
+    rig.assert_kept();
+}
