edge: metrics by service and outcome, and a span for each hop

Change: calls by service and outcome, time to the answer's head, faults by reason, retries, cut answers, callers and kept connections; spans for call, queue, claim and backend under the caller's traceparent, made by the OpenTelemetry library and written by a thread of their own behind a bounded queue that drops and counts.

--- a/components/transport/src/edge/answer.rs
+++ b/components/transport/src/edge/answer.rs
@@ -13,8 +13,10 @@
 
 use super::caller::CallerState;
 use super::keyed::Keeper;
+use super::service::ServiceState;
 use crate::clock;
 use crate::dispatch::Ending;
+use crate::trace::{CallTrace, Hop};
 use crate::upstream::Exchange;
 
 /// How long an answer that has begun may stand still past its deadline.
@@ -38,6 +40,7 @@
 pub struct AnswerBody {
     kind: Kind,
     caller: Option<Arc<CallerState>>,
+    trace: Option<CallTrace>,
 }
 
 enum Kind {
@@ -52,17 +55,22 @@
     deadline: Moment,
     progress: Moment,
     timer: Pin<Box<Sleep>>,
-    keeper: Option<Keeper>,
+    escort: Escort,
+}
+
+/// What goes with an answer to its end.
+pub struct Escort {
+    /// Keeps it for repeats of its key.
+    pub keeper: Option<Keeper>,
+    /// The span of the call to the backend server.
+    pub hop: Hop,
+    /// Where a cut is counted.
+    pub service: Arc<ServiceState>,
 }
 
 impl Relay {
     /// Returns the relay of the answer that has begun on `exchange`.
-    pub fn new(
-        exchange: Exchange,
-        incoming: Incoming,
-        deadline: Moment,
-        keeper: Option<Keeper>,
-    ) -> Relay {
+    pub fn new(exchange: Exchange, incoming: Incoming, deadline: Moment, escort: Escort) -> Relay {
         let now = clock::now();
         let mut relay = Relay {
             exchange,
@@ -70,7 +78,7 @@
             deadline,
             progress: now,
             timer: Box::pin(tokio::time::sleep(now.until(deadline))),
-            keeper,
+            escort,
         };
         relay.settle();
         relay
@@ -80,7 +88,7 @@
         match self.exchange.poll_data(&mut self.incoming, cx) {
             Poll::Ready(Some(Ok(data))) => {
                 self.progress = clock::now();
-                if let Some(keeper) = &mut self.keeper {
+                if let Some(keeper) = &mut self.escort.keeper {
                     keeper.add(&data);
                 }
                 self.settle();
@@ -88,6 +96,7 @@
             }
             Poll::Ready(Some(Err(e))) => {
                 self.exchange.end(Ending::Broken);
+                self.cut();
                 Poll::Ready(Some(Err(AnswerError::Cut(e))))
             }
             Poll::Ready(None) => {
@@ -108,9 +117,14 @@
         }
     }
 
+    fn cut(&self) {
+        self.escort.service.cut();
+        self.escort.hop.note("cardamomvale.cut", true);
+    }
+
     fn complete(&mut self) {
         self.exchange.complete();
-        if let Some(keeper) = self.keeper.take() {
+        if let Some(keeper) = self.escort.keeper.take() {
             keeper.finish();
         }
     }
@@ -120,6 +134,7 @@
             let limit = self.deadline.max(self.progress + STALL_LIMIT);
             let now = clock::now();
             if now >= limit {
+                self.cut();
                 return Poll::Ready(Some(Err(AnswerError::Stalled)));
             }
             let at = tokio::time::Instant::now() + now.until(limit);
@@ -135,6 +150,7 @@
         AnswerBody {
             kind: Kind::Line(text),
             caller: None,
+            trace: None,
         }
     }
 
@@ -143,6 +159,7 @@
         AnswerBody {
             kind: Kind::Relay(Box::new(relay)),
             caller: None,
+            trace: None,
         }
     }
 
@@ -150,6 +167,11 @@
     pub fn tell(&mut self, caller: Arc<CallerState>) {
         self.caller = Some(caller);
     }
+
+    /// Ends the call's trace with this body.
+    pub fn keep_trace(&mut self, trace: CallTrace) {
+        self.trace = Some(trace);
+    }
 }
 
 impl Body for AnswerBody {
--- a/components/transport/src/edge/call.rs
+++ b/components/transport/src/edge/call.rs
@@ -2,24 +2,28 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use state::retry::{Attempt, Failure};
 use state::{EndpointKey, Moment, ServiceKey};
 
 use super::Edge;
-use super::answer::{AnswerBody, Relay};
+use super::answer::{AnswerBody, Escort, Relay};
 use super::body::{CallerBody, Gathered, KEYED_LIMIT, REPLAY_LIMIT};
 use super::fault::Fault;
 use super::keyed::{Claim, Claimed, Keeper};
 use super::outcome::{OUTCOME, Outcome};
+use super::service::ServiceState;
 use super::{fields, keyed, route};
 use crate::claims::ClaimRequest;
 use crate::clock;
 use crate::dispatch::{Call, Ending, Grant, Refusal};
+use crate::trace::{CallTrace, Hop};
 use crate::upstream::{Connection, Exchange, RequestBody, SendError};
 
 /// The header field by which a backend server says that it did not run a call.
@@ -31,12 +35,14 @@
 /// A call that is ready to be placed.
 struct Plan {
     service: ServiceKey,
-    percent: u32,
+    state: Arc<ServiceState>,
     method: Method,
     uri: Uri,
     fields: HeaderMap,
     caller: SocketAddr,
     deadline: Moment,
+    key: Option<String>,
+    trace: CallTrace,
 }
 
 /// How one attempt failed.
@@ -52,38 +58,70 @@
     request: Request<Incoming>,
     caller: SocketAddr,
 ) -> Response<AnswerBody> {
-    match run(edge, request, caller).await {
-        Ok(response) => response,
-        Err(fault) => fault.into_response(),
-    }
+    let started = Instant::now();
+    let (parts, incoming) = request.into_parts();
+    let (plan, limit) = match plan(edge, parts, caller) {
+        Ok(planned) => planned,
+        Err(fault) => return refuse(fault),
+    };
+    let result = run(edge, &plan, incoming, limit).await;
+    let outcome = match &result {
+        Ok(_) => Outcome::Complete,
+        Err(fault) => fault.outcome(),
+    };
+    plan.state.answered(outcome, started.elapsed());
+    plan.trace.note("cardamomvale.outcome", outcome.name());
+    let mut response = result.unwrap_or_else(refuse);
+    let status = i64::from(response.status().as_u16());
+    plan.trace.note("http.response.status_code", status);
+    response.body_mut().keep_trace(plan.trace);
+    response
 }
 
-async fn run(
-    edge: &Arc<Edge>,
-    request: Request<Incoming>,
-    caller: SocketAddr,
-) -> Result<Response<AnswerBody>, Fault> {
+/// Counts a fault by its reason and returns the answer that tells it.
+fn refuse(fault: Fault) -> Response<AnswerBody> {
+    metrics::counter!("cardamomvale_faults_total", "reason" => fault.name()).increment(1);
+    fault.into_response()
+}
+
+/// Takes the head of a request apart, and returns the call with its body's limit.
+fn plan(edge: &Edge, parts: Parts, caller: SocketAddr) -> Result<(Plan, u64), Fault> {
     let arrived = clock::now();
     let config = Arc::clone(&edge.config.borrow());
-    let (parts, incoming) = request.into_parts();
     let target = route::target(&parts, &config)?;
-    let allowed = route::time_allowed(&parts.headers, target.service)?;
+    let service = target.service;
+    let allowed = route::time_allowed(&parts.headers, service)?;
     let key = route::key(&parts)?;
-    let body = CallerBody::new(incoming, target.service.body_limit)?;
+    let trace = edge.tracing.begin(&parts.headers);
+    trace.note("cardamomvale.service", service.name.clone());
+    trace.note("http.request.method", parts.method.to_string());
     let plan = Plan {
-        service: target.service.key(),
-        percent: target.service.retry_percent,
+        service: service.key(),
+        state: edge.services.of(service.key(), &service.name),
         uri: target.uri,
         caller,
         deadline: arrived + allowed,
         method: parts.method,
         fields: parts.headers,
+        key,
+        trace,
     };
-    match key {
-        Some(key) => keyed_call(edge, &plan, body, key).await,
+    plan.state.earn_retry(service.retry_percent);
+    Ok((plan, service.body_limit))
+}
+
+async fn run(
+    edge: &Arc<Edge>,
+    plan: &Plan,
+    incoming: Incoming,
+    limit: u64,
+) -> Result<Response<AnswerBody>, Fault> {
+    let body = CallerBody::new(incoming, limit)?;
+    match &plan.key {
+        Some(key) => keyed_call(edge, plan, body, key.clone()).await,
         None => {
             let body = gather(body, REPLAY_LIMIT, plan.deadline).await?;
-            attempts(edge, &plan, body, None).await
+            attempts(edge, plan, body, None).await
         }
     }
 }
@@ -104,9 +142,12 @@
         key,
         digest: keyed::digest(plan.service, &plan.method, &plan.uri, &body.start),
     };
-    match keyed::claim(edge.claims.get(), request, plan.deadline).await? {
+    let hop = plan.trace.inner("claim");
+    let claimed = keyed::claim(edge.claims.get(), request, plan.deadline).await;
+    drop(hop);
+    match claimed? {
         Claimed::Mine(claim) => attempts(edge, plan, body, Some(claim)).await,
-        Claimed::Before(response) => Ok(response),
+        Claimed::Before(response) => Ok(*response),
     }
 }
 
@@ -132,7 +173,6 @@
     body: Gathered,
     mut claim: Option<Claim>,
 ) -> Result<Response<AnswerBody>, Fault> {
-    edge.earn_retry(plan.service, plan.percent);
     let mut bodies = Bodies::new(body);
     let mut call = Call {
         service: plan.service,
@@ -154,7 +194,7 @@
         let endpoint = failed.endpoint;
         let fault = worse(earlier.take(), failed);
         match endpoint {
-            Some(endpoint) if edge.allow_retry(plan.service, retry) => call.tried.push(endpoint),
+            Some(endpoint) if plan.state.allow_retry(retry) => call.tried.push(endpoint),
             _ => {
                 if let Some(claim) = claim {
                     claim.failed(fault.outcome());
@@ -187,28 +227,27 @@
     body: RequestBody,
     claim: &mut Option<Claim>,
 ) -> Result<Response<AnswerBody>, Failed> {
-    let (grant, connection) = place(edge, call).await?;
+    let (grant, connection) = place(edge, plan, call).await?;
     if let Some(claim) = claim {
         claim.sending();
     }
     let endpoint = grant.endpoint;
-    let request = plan.request(grant.address, body);
+    let (request, hop) = plan.request(grant.address, body);
     let pools = Arc::clone(&edge.pools);
     let mut exchange = Exchange::new(pools, connection, grant, plan.deadline);
     match exchange.send(request).await {
-        Ok(response) => judge(exchange, response, plan.deadline, claim).await,
+        Ok(response) => judge(exchange, response, plan, claim, hop).await,
         Err(e) => Err(Failed::sending(e, endpoint)),
     }
 }
 
 /// Waits for a slot and a connection, both good at the moment of sending.
-async fn place(edge: &Arc<Edge>, call: &Call) -> Result<(Grant, Connection), Failed> {
+async fn place(edge: &Arc<Edge>, plan: &Plan, call: &Call) -> Result<(Grant, Connection), Failed> {
     loop {
-        let grant = edge
-            .dispatcher
-            .acquire(call)
-            .await
-            .map_err(|refusal| Failed::unplaced(Fault::Refused(refusal)))?;
+        let hop = plan.trace.inner("queue");
+        let granted = edge.dispatcher.acquire(call).await;
+        drop(hop);
+        let grant = granted.map_err(|refusal| Failed::unplaced(Fault::Refused(refusal)))?;
         let endpoint = grant.endpoint;
         let Ok(connection) = edge.pools.take(endpoint, grant.address).await else {
             grant.finish(Ending::Unreachable);
@@ -233,8 +272,9 @@
 async fn judge(
     exchange: Exchange,
     response: Response<Incoming>,
-    deadline: Moment,
+    plan: &Plan,
     claim: &mut Option<Claim>,
+    hop: Hop,
 ) -> Result<Response<AnswerBody>, Failed> {
     let (mut parts, mut incoming) = response.into_parts();
     if parts.status == StatusCode::SERVICE_UNAVAILABLE && parts.headers.contains_key(NOT_RUN) {
@@ -256,7 +296,12 @@
     fields::give_back(&mut parts.headers);
     parts.headers.insert(OUTCOME, Outcome::Complete.value());
     let keeper = claim.take().map(|claim| Keeper::new(claim, &parts));
-    let relay = Relay::new(exchange, incoming, deadline, keeper);
+    let escort = Escort {
+        keeper,
+        hop,
+        service: Arc::clone(&plan.state),
+    };
+    let relay = Relay::new(exchange, incoming, plan.deadline, escort);
     Ok(Response::from_parts(parts, AnswerBody::relay(relay)))
 }
 
@@ -292,15 +337,17 @@
 }
 
 impl Plan {
-    fn request(&self, server: SocketAddr, body: RequestBody) -> Request<RequestBody> {
+    fn request(&self, server: SocketAddr, body: RequestBody) -> (Request<RequestBody>, Hop) {
         let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         let mut fields = self.fields.clone();
         fields::forward(&mut fields, self.caller, server);
         fields::set_deadline(&mut fields, clock::now().until(self.deadline));
+        let hop = self.trace.onward("backend", &mut fields);
+        hop.note("server.address", server.to_string());
         *request.headers_mut() = fields;
-        request
+        (request, hop)
     }
 }
 
--- a/components/transport/src/edge/keyed.rs
+++ b/components/transport/src/edge/keyed.rs
@@ -49,7 +49,7 @@
     /// The call is to be sent.
     Mine(Claim),
     /// It was answered before, so.
-    Before(Response<AnswerBody>),
+    Before(Box<Response<AnswerBody>>),
 }
 
 /// Claims the key of a call, waiting until `deadline` at most.
@@ -71,7 +71,7 @@
             ticket: Some(ticket),
             sent: false,
         })),
-        Ok(Ok(Verdict::Known(kept))) => Ok(Claimed::Before(replay(kept))),
+        Ok(Ok(Verdict::Known(kept))) => Ok(Claimed::Before(Box::new(replay(kept)))),
         Ok(Ok(Verdict::Started)) => Err(Fault::KeyStarted),
         Ok(Ok(Verdict::Mismatch)) => Err(Fault::KeyMismatch),
         Ok(Ok(Verdict::NotRun(wait))) => Err(Fault::KeyUnclaimed(wait)),
--- a/components/transport/src/edge/mod.rs
+++ b/components/transport/src/edge/mod.rs
@@ -11,24 +11,29 @@
 pub mod outcome;
 mod reject;
 pub mod route;
+mod service;
 
-use std::collections::BTreeMap;
 use std::future::Future;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use state::retry::{Attempt, RetryBudget};
-use state::{Config, ServiceKey};
+use metrics::gauge;
+use state::Config;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::dispatch::Dispatcher;
+use crate::trace::Tracing;
 use crate::upstream::Pools;
 pub use keyed::KeyClaims;
+use service::Services;
 
 /// How long to wait when no connection can be accepted, such as when no file is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How often the gauges are set.
+const GAUGE_EVERY: Duration = Duration::from_secs(1);
+
 /// Limits that an operator may set.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -56,7 +61,8 @@
     dispatcher: Arc<Dispatcher>,
     config: watch::Receiver<Arc<Config>>,
     pools: Arc<Pools>,
-    budgets: Mutex<BTreeMap<ServiceKey, RetryBudget>>,
+    services: Services,
+    tracing: Tracing,
     claims: OnceLock<Arc<dyn KeyClaims>>,
     callers: watch::Sender<usize>,
     stage: watch::Sender<Stage>,
@@ -79,13 +85,24 @@
         limits: Limits,
         dispatcher: Arc<Dispatcher>,
         config: watch::Receiver<Arc<Config>>,
+    ) -> Arc<Edge> {
+        Edge::traced(limits, dispatcher, config, Tracing::off())
+    }
+
+    /// Returns an edge whose calls are traced by `tracing`.
+    pub fn traced(
+        limits: Limits,
+        dispatcher: Arc<Dispatcher>,
+        config: watch::Receiver<Arc<Config>>,
+        tracing: Tracing,
     ) -> Arc<Edge> {
         Arc::new(Edge {
             limits,
             dispatcher,
             config,
             pools: Arc::new(Pools::default()),
-            budgets: Mutex::new(BTreeMap::new()),
+            services: Services::default(),
+            tracing,
             claims: OnceLock::new(),
             callers: watch::Sender::new(0),
             stage: watch::Sender::new(Stage::Serving),
@@ -125,14 +142,15 @@
     /// answer to connect elsewhere, so that the platform's balancer can take
     /// this host out first. A connection closed while a request is on its way
     /// would break that call; one left idle for all of `notice` has none.
-    pub fn drain(&self, notice: Duration) -> impl Future<Output = ()> + use<> {
-        let stage = self.stage.clone();
+    pub fn drain(self: &Arc<Self>, notice: Duration) -> impl Future<Output = ()> + use<> {
+        let edge = Arc::clone(self);
         let mut callers = self.callers.subscribe();
         async move {
-            stage.send_replace(Stage::Leaving);
+            edge.stage.send_replace(Stage::Leaving);
             tokio::time::sleep(notice).await;
-            stage.send_replace(Stage::Closing);
+            edge.stage.send_replace(Stage::Closing);
             let _ = callers.wait_for(|n| *n == 0).await;
+            edge.tracing.flush();
         }
     }
 
@@ -175,18 +193,13 @@
                 }
             }
         };
-        tokio::join!(sweep, follow);
-    }
-
-    fn earn_retry(&self, service: ServiceKey, percent: u32) {
-        self.budgets().entry(service).or_default().earn(percent);
-    }
-
-    fn allow_retry(&self, service: ServiceKey, attempt: Attempt) -> bool {
-        self.budgets().entry(service).or_default().allow(attempt)
-    }
-
-    fn budgets(&self) -> MutexGuard<'_, BTreeMap<ServiceKey, RetryBudget>> {
-        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+        let count = async {
+            loop {
+                gauge!("cardamomvale_callers").set(self.callers() as f64);
+                gauge!("cardamomvale_kept_connections").set(self.kept_connections() as f64);
+                tokio::time::sleep(GAUGE_EVERY).await;
+            }
+        };
+        tokio::join!(sweep, follow, count);
     }
 }
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod entry;
 pub mod log;
 pub mod peers;
+pub mod trace;
 pub mod upstream;
--- a/components/transport/src/upstream/connection.rs
+++ b/components/transport/src/upstream/connection.rs
@@ -101,6 +101,7 @@
             .and_then(|stream| prepare(&stream).map(|()| stream))
             .map_err(|e| ConnectError::Refused(address, e))?;
         let (meter, written) = Meter::new(stream);
+        metrics::counter!("cardamomvale_connections_opened_total").increment(1);
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(BUFFER_LIMIT)
             .handshake(TokioIo::new(meter))
--- a/components/transport/tests/support/mod.rs
+++ b/components/transport/tests/support/mod.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 use transport::dispatch::Dispatcher;
 use transport::edge::{Edge, Limits};
+use transport::trace::Tracing;
 
 /// Longer than anything that is waited for, on a busy machine too.
 pub const GENEROUS: Duration = Duration::from_secs(30);
@@ -219,8 +220,22 @@
         Site::with(servers, |_| {}, Limits::default()).await
     }
 
+    /// Starts an edge whose calls are traced.
+    pub async fn traced(servers: &[&Server], tracing: Tracing) -> Site {
+        Site::build(servers, |_| {}, Limits::default(), tracing).await
+    }
+
     /// Starts an edge whose service and limits are changed first.
     pub async fn with(servers: &[&Server], change: impl Fn(&mut Service), limits: Limits) -> Site {
+        Site::build(servers, change, limits, Tracing::off()).await
+    }
+
+    async fn build(
+        servers: &[&Server],
+        change: impl Fn(&mut Service),
+        limits: Limits,
+        tracing: Tracing,
+    ) -> Site {
         let addresses: Vec<_> = servers.iter().map(|s| s.address).collect();
         let mut service = hallboard(&addresses);
         change(&mut service);
@@ -228,7 +243,7 @@
         let dispatcher = Arc::new(Dispatcher::default());
         dispatcher.configure(&config);
         let (sender, receiver) = watch::channel(config);
-        let edge = Edge::new(limits, dispatcher, receiver);
+        let edge = Edge::traced(limits, dispatcher, receiver, tracing);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let task = tokio::spawn(Arc::clone(&edge).serve(listener));
--- /dev/null
+++ b/components/transport/tests/traces.rs
@@ -0,0 +1,95 @@
+//! Traces: a span for each hop, under the caller's own.
+
+mod support;
+
+use std::sync::{Arc, Mutex};
+
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::trace::{SpanData, SpanExporter};
+use support::{Reply, Server, Site, field, ok, until};
+use transport::trace::Tracing;
+
+const CALLERS: &str = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+
+#[derive(Clone, Debug, Default)]
+struct Kept(Arc<Mutex<Vec<SpanData>>>);
+
+impl SpanExporter for Kept {
+    async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
+        self.0.lock().expect("spans").extend(batch);
+        Ok(())
+    }
+}
+
+impl Kept {
+    fn spans(&self) -> Vec<SpanData> {
+        self.0.lock().expect("spans").clone()
+    }
+
+    fn named(&self, name: &str) -> SpanData {
+        let spans = self.spans();
+        let span = spans.iter().find(|span| span.name == name);
+        span.expect("a span of this name").clone()
+    }
+}
+
+fn get_traced(traceparent: &str) -> String {
+    format!(
+        "GET /hallboard/ HTTP/1.1\r\nhost: e\r\ntraceparent: {traceparent}\r\nconnection: close\r\n\r\n"
+    )
+}
+
+/// Somebody on call follows one slow lookup through all its hops.
+#[tokio::test]
+async fn span_each_hop() {
+    let kept = Kept::default();
+    let server = Server::always(Reply::Keep(ok("free"))).await;
+    let site = Site::traced(&[&server], Tracing::new(1, "entry-1", kept.clone())).await;
+    assert_eq!(site.ask(&get_traced(CALLERS)).await.text(), "free");
+    until(|| kept.spans().len() == 3).await;
+    let call = kept.named("call");
+    let trace = "0af7651916cd43dd8448eb211c80319c";
+    assert_eq!(call.span_context.trace_id().to_string(), trace);
+    assert_eq!(call.parent_span_id.to_string(), "b7ad6b7169203331");
+    let backend = kept.named("backend");
+    for span in [&kept.named("queue"), &backend] {
+        assert_eq!(span.span_context.trace_id().to_string(), trace);
+        assert_eq!(span.parent_span_id, call.span_context.span_id());
+    }
+    let told = field(&server.seen()[0].head, "traceparent").expect("a traceparent");
+    assert_eq!(
+        told,
+        format!("00-{trace}-{}-01", backend.span_context.span_id())
+    );
+}
+
+/// Without a span of this host's the caller's trace must not be torn.
+#[tokio::test]
+async fn untraced_passes_on() {
+    let server = Server::always(Reply::Keep(ok("free"))).await;
+    let site = Site::start(&[&server]).await;
+    site.ask(&get_traced(CALLERS)).await;
+    site.ask(&get_traced("00-nonsense")).await;
+    let told: Vec<_> = server
+        .seen()
+        .iter()
+        .map(|s| field(&s.head, "traceparent"))
+        .collect();
+    assert_eq!(told, [Some(CALLERS.to_owned()), None]);
+}
+
+/// A caller that asks not to be sampled is not, and the rest by their share.
+#[tokio::test]
+async fn sampled_by_share() {
+    let kept = Kept::default();
+    let server = Server::always(Reply::Keep(ok("free"))).await;
+    let site = Site::traced(&[&server], Tracing::new(3, "entry-1", kept.clone())).await;
+    let declined = CALLERS.replace("-01", "-00");
+    for _ in 0..6 {
+        site.ask(&get_traced(&declined)).await;
+        site.ask(&get_traced(CALLERS)).await;
+    }
+    until(|| kept.spans().len() >= 6).await;
+    let calls = kept.spans().iter().filter(|s| s.name == "call").count();
+    assert_eq!(calls, 2);
+}
