entry: trace one call in trace-every, and sort metrics in without a reader

Cause: the setting was read and nothing traced; observed times stay in the recorder's memory until the metrics page is read. Change: the edge traces by the setting, written to standard output; the recorder's upkeep runs each 5 s. Measured: not measured here; cargo test -p transport -p cardamomvale passes.

--- a/components/transport/src/entry/mod.rs
+++ b/components/transport/src/entry/mod.rs
@@ -19,6 +19,7 @@
 use crate::dispatch::Dispatcher;
 use crate::edge::{Edge, Limits};
 use crate::log::{Follower, FollowerOptions, LogClient, Submission, Timeouts};
+use crate::trace::Tracing;
 
 pub use settings::Settings;
 
@@ -31,6 +32,9 @@
 /// no request is on its way to a connection that is being closed.
 const NOTICE: Duration = Duration::from_millis(500);
 
+/// How often observed times are sorted into the metrics.
+const UPKEEP_EVERY: Duration = Duration::from_secs(5);
+
 /// A running entry host.
 pub struct Entry {
     ports: Ports,
@@ -94,7 +98,11 @@
         let follower = Arc::new(Follower::start(client.clone(), FollowerOptions::default()));
         let config = follower.config();
         let dispatcher = Arc::new(Dispatcher::default());
-        let edge = Edge::new(Limits::default(), Arc::clone(&dispatcher), config.clone());
+        let recorder = recorder();
+        let exporter = opentelemetry_stdout::SpanExporter::default();
+        let tracing = Tracing::new(settings.trace_every, &settings.name, exporter);
+        let limits = Limits::default();
+        let edge = Edge::traced(limits, Arc::clone(&dispatcher), config.clone(), tracing);
         let host = Arc::new(Host {
             name: settings.name.clone(),
             data_centre: settings.data_centre.clone(),
@@ -104,13 +112,14 @@
             edge: Arc::clone(&edge),
         });
         let answers: Arc<dyn crate::admin::Host> = Arc::clone(&host) as _;
-        let admin = Admin::open(admin, &answers, recorder())?;
+        let admin = Admin::open(admin, &answers, recorder)?;
         let ports = Ports {
             callers: local(&callers, settings.callers)?,
             peers: local(&peers, settings.peers)?,
             admin: admin.address(),
         };
         tokio::spawn(configure(config, dispatcher));
+        tokio::spawn(upkeep(recorder));
         tokio::spawn(Arc::clone(&edge).serve(callers));
         log::info!(
             "E0502 host-started name={} callers={} peers={} admin={}",
@@ -185,6 +194,20 @@
     }
 }
 
+/// Has the metrics' recorder sort in what was observed, for ever.
+///
+/// It does so when the metrics page is read. Where nobody reads that page,
+/// each call's time would stay in memory for good.
+async fn upkeep(recorder: Option<&'static PrometheusHandle>) {
+    let Some(recorder) = recorder else {
+        return;
+    };
+    loop {
+        tokio::time::sleep(UPKEEP_EVERY).await;
+        recorder.run_upkeep();
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
