--- /dev/null
+++ b/benches/config_in_force.rs
@@ -0,0 +1,370 @@
+//! How soon a change is in force on all hosts, and what following the log costs.
+//!
+//! `cargo bench --bench config_in_force` prints three tables: the time until a
+//! change is in force, the cost of the fold and of snapshots by size, and the
+//! bytes that one host's reading takes.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use coordination::config::{Change, Command, CommandId, Fold, Record, Step, parse_preset};
+use protocol::record::{decode_record, encode_command, encode_snapshot};
+use stand_ins::log::{Behaviour, LogStandIn, Outage};
+use transport::log::{
+    CommandRequest, Follower, FollowerOptions, LogClient, Outcome, Submission, Timeouts,
+};
+
+const ORDINARY: &str = include_str!("../examples/hr-central.toml");
+const PEAK: &str = include_str!("../examples/hr-central-peak.toml");
+const CHANGES: usize = 200;
+const OUTAGES: usize = 10;
+const OUTAGE: Duration = Duration::from_secs(3);
+
+fn main() {
+    in_force();
+    fold_cost();
+    reading_cost();
+}
+
+/// Hosts that follow one log, and an operator beside them.
+struct Site {
+    log: LogStandIn,
+    hosts: Vec<Arc<Follower>>,
+    operator: Submission,
+}
+
+impl Site {
+    fn start(hosts: usize) -> Site {
+        let log = LogStandIn::on_loopback(Behaviour::default()).expect("the log starts");
+        let address = log.address().to_string();
+        let client = || LogClient::new(&address, Timeouts::default());
+        let follow = || Arc::new(Follower::start(client(), FollowerOptions::default()));
+        let hosts: Vec<Arc<Follower>> = (0..hosts).map(|_| follow()).collect();
+        let operator = Submission::new(client(), follow(), Duration::from_secs(20));
+        let site = Site {
+            log,
+            hosts,
+            operator,
+        };
+        site.give(put(ORDINARY));
+        site.give(put(PEAK));
+        site
+    }
+
+    fn give(&self, change: Change) -> u64 {
+        let request = CommandRequest {
+            id: None,
+            decided_on: None,
+            change,
+        };
+        match self.operator.submit(&request) {
+            Outcome::Accepted { revision } => revision,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Waits until every host shows `revision`, and returns when the last did.
+    fn all_show(&self, revision: u64) -> Instant {
+        let shows = |h: &Arc<Follower>| h.config().borrow().revision >= revision;
+        while !self.hosts.iter().all(shows) {
+            std::thread::sleep(Duration::from_micros(50));
+        }
+        Instant::now()
+    }
+}
+
+fn put(text: &str) -> Change {
+    Change::PutPreset {
+        text: text.to_owned(),
+    }
+}
+
+fn choose(n: usize) -> Change {
+    let name = ["ordinary", "peak"][n % 2].to_owned();
+    Change::ChoosePreset { name }
+}
+
+fn in_force() {
+    println!("Change in force, milliseconds from the operator's command ({CHANGES} changes)");
+    println!("| hosts | log | told p50 / p99 | last host p50 / p99 / most |");
+    println!("|---|---|---|---|");
+    for hosts in [4, 8, 17, 34, 68] {
+        for slow_ms in [0, 100] {
+            let site = Site::start(hosts);
+            site.log.change(|b| b.slow_ms = slow_ms);
+            let count = if slow_ms == 0 { CHANGES } else { CHANGES / 10 };
+            let mut told = Vec::new();
+            let mut last = Vec::new();
+            for n in 0..count {
+                let start = Instant::now();
+                let revision = site.give(choose(n));
+                told.push(start.elapsed());
+                last.push(site.all_show(revision) - start);
+            }
+            let log = match slow_ms {
+                0 => "ordinary".to_owned(),
+                _ => format!("{slow_ms} ms late, {count} changes"),
+            };
+            row(hosts, &log, told, last);
+        }
+        after_outage(hosts);
+    }
+}
+
+/// A command waits while the log is down; the time runs from the outage's end.
+fn after_outage(hosts: usize) {
+    for kind in [Outage::Refusing, Outage::Silent] {
+        let site = Site::start(hosts);
+        site.give(choose(0));
+        let mut told = Vec::new();
+        let mut last = Vec::new();
+        for n in 1..=OUTAGES {
+            site.log.change(|b| b.outage = Some(kind));
+            let (end, revision, answered) = std::thread::scope(|scope| {
+                let giving = scope.spawn(|| (site.give(choose(n)), Instant::now()));
+                std::thread::sleep(OUTAGE);
+                site.log.change(|b| b.outage = None);
+                let end = Instant::now();
+                let (revision, answered) = giving.join().expect("the command is accepted");
+                (end, revision, answered)
+            });
+            told.push(answered - end);
+            last.push(site.all_show(revision) - end);
+        }
+        let log = format!("after {OUTAGES} outages of {OUTAGE:?}, {kind:?}");
+        row(hosts, &log, told, last);
+    }
+}
+
+fn row(hosts: usize, log: &str, mut told: Vec<Duration>, mut last: Vec<Duration>) {
+    told.sort();
+    last.sort();
+    let at = |times: &[Duration], percent: usize| {
+        let index = (times.len() * percent).div_ceil(100).max(1) - 1;
+        times[index].as_secs_f64() * 1e3
+    };
+    println!(
+        "| {hosts} | {log} | {:.1} / {:.1} | {:.1} / {:.1} / {:.1} |",
+        at(&told, 50),
+        at(&told, 99),
+        at(&last, 50),
+        at(&last, 99),
+        at(&last, 100)
+    );
+}
+
+/// Returns a preset of `endpoints` endpoints over ten a service, eight data centres.
+fn preset(name: &str, endpoints: usize) -> String {
+    let mut text = format!("name = \"{name}\"\n");
+    for centre in 0..8 {
+        text += &format!(
+            "[[data-centre]]\nname = \"dc-{centre}\"\nregion = \"r-{}\"\n",
+            centre % 3
+        );
+    }
+    for endpoint in 0..endpoints {
+        if endpoint % 10 == 0 {
+            let close = if endpoint > 0 { "]\n" } else { "" };
+            text += &format!("{close}[[service]]\nname = \"service-{endpoint}\"\nendpoints = [\n");
+        }
+        let (centre, host, port) = (endpoint % 8, endpoint / 8, 7_000 + endpoint);
+        text += &format!(
+            "{{ address = \"10.{centre}.0.{host}:{port}\", data-centre = \"dc-{centre}\" }},\n"
+        );
+    }
+    text + "]\n"
+}
+
+fn join(n: u64) -> Change {
+    Change::Join {
+        name: format!("host-{}", n % 300),
+        incarnation: n,
+        peer: ([10, 0, 0, 1], 9_000).into(),
+        data_centre: format!("dc-{}", n % 8),
+    }
+}
+
+fn give(fold: &mut Fold, change: Change) {
+    let offset = fold.mark().next;
+    let command = Command {
+        id: CommandId::draw(offset, offset),
+        decided_on: fold.mark().revision,
+        change,
+    };
+    let step = fold.apply(offset, Ok(Record::Command(command)));
+    assert!(matches!(step, Step::Decided(..)));
+}
+
+fn fold_cost() {
+    println!("\nFold of joins and choices, decoding included");
+    println!("| records | ns a record |");
+    println!("|---|---|");
+    let (base, first) = filled(33);
+    for count in [1_000_u64, 2_000, 4_000, 8_000] {
+        let records: Vec<_> = (0..count)
+            .map(|n| {
+                let change = if n % 10 == 0 { choose_name(n) } else { join(n) };
+                let command = Command {
+                    id: CommandId::draw(first + n, n),
+                    decided_on: 0,
+                    change,
+                };
+                (first + n, command)
+            })
+            .collect();
+        let start = fold_all(&mut base.clone(), records);
+        println!(
+            "| {count} | {:.0} |",
+            start.as_nanos() as f64 / count as f64
+        );
+    }
+    println!("\nPresets and snapshots (3 presets, 300 members, 1,024 kept answers), medians of 20");
+    println!(
+        "| endpoints | record of a preset, bytes | checked and folded, µs | snapshot, bytes | written, µs | read, µs |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for endpoints in [33, 158, 315, 630] {
+        sizes(endpoints);
+    }
+}
+
+fn choose_name(n: u64) -> Change {
+    let name = ["p-0", "p-1"][(n / 10) as usize % 2].to_owned();
+    Change::ChoosePreset { name }
+}
+
+/// Folds encoded commands, each decided on the newest revision; returns the time.
+fn fold_all(fold: &mut Fold, records: Vec<(u64, Command)>) -> Duration {
+    let mut spent = Duration::ZERO;
+    for (offset, mut command) in records {
+        command.decided_on = fold.mark().revision;
+        let data = encode_command(&command);
+        let start = Instant::now();
+        let step = fold.apply(offset, decode_record(&data));
+        spent += start.elapsed();
+        assert!(matches!(step, Step::Decided(..)));
+    }
+    spent
+}
+
+fn filled(endpoints: usize) -> (Fold, u64) {
+    let mut fold = Fold::default();
+    for name in ["p-0", "p-1", "p-2"] {
+        give(&mut fold, put(&preset(name, endpoints)));
+    }
+    for n in 0..1_200 {
+        give(&mut fold, join(n));
+    }
+    let next = fold.mark().next;
+    (fold, next)
+}
+
+fn sizes(endpoints: usize) {
+    let (fold, next) = filled(endpoints);
+    let text = preset("p-3", endpoints);
+    parse_preset(&text).expect("the preset is good");
+    let command = Command {
+        id: CommandId::draw(next, 1),
+        decided_on: fold.mark().revision,
+        change: put(&text),
+    };
+    let record = encode_command(&command);
+    let folded = median(|| {
+        let mut fold = fold.clone();
+        let start = Instant::now();
+        fold.apply(next, decode_record(&record));
+        start.elapsed()
+    });
+    let snapshot = fold.snapshot().expect("nothing was skipped");
+    let written = encode_snapshot(&snapshot);
+    let writing = median(|| {
+        let start = Instant::now();
+        std::hint::black_box(encode_snapshot(&snapshot));
+        start.elapsed()
+    });
+    let reading = median(|| {
+        let start = Instant::now();
+        let read = decode_record(&written).expect("the snapshot is whole");
+        std::hint::black_box(read);
+        start.elapsed()
+    });
+    println!(
+        "| {endpoints} | {} | {folded:.0} | {} | {writing:.0} | {reading:.0} |",
+        record.len(),
+        written.len()
+    );
+}
+
+fn median(run: impl Fn() -> Duration) -> f64 {
+    let mut times: Vec<Duration> = (0..20).map(|_| run()).collect();
+    times.sort();
+    times[times.len() / 2].as_secs_f64() * 1e6
+}
+
+/// Counts the bytes of one host's reading, idle and with changes.
+fn reading_cost() {
+    const SECONDS: u64 = 10;
+    println!("\nReading of one host through a counting relay, {SECONDS} s each");
+    println!("| wait of a read | changes | bytes a second | of them from the log |");
+    println!("|---|---|---|---|");
+    for wait_ms in [500, 2_000, 10_000] {
+        for changes in [0, 100] {
+            let site = Site::start(0);
+            let bytes = Arc::new([AtomicU64::new(0), AtomicU64::new(0)]);
+            let relay = relay(site.log.address(), Arc::clone(&bytes));
+            let options = FollowerOptions {
+                wait: Duration::from_millis(wait_ms),
+                ..FollowerOptions::default()
+            };
+            let client = LogClient::new(&relay.to_string(), Timeouts::default());
+            let host = Follower::start(client, options);
+            host.wait_folded(2, Duration::from_secs(5));
+            let before = [0, 1].map(|n| bytes[n].load(Ordering::Relaxed));
+            let start = Instant::now();
+            for n in 0..changes {
+                site.give(choose(n));
+                std::thread::sleep(Duration::from_millis(SECONDS * 1_000 / changes as u64 - 20));
+            }
+            std::thread::sleep(Duration::from_secs(SECONDS).saturating_sub(start.elapsed()));
+            let after = [0, 1].map(|n| bytes[n].load(Ordering::Relaxed));
+            let [up, down] = [0, 1].map(|n| (after[n] - before[n]) as f64);
+            let spent = start.elapsed().as_secs_f64();
+            println!(
+                "| {wait_ms} ms | {changes} | {:.0} | {:.0} |",
+                (up + down) / spent,
+                down / spent
+            );
+        }
+    }
+}
+
+fn relay(target: SocketAddr, bytes: Arc<[AtomicU64; 2]>) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    std::thread::spawn(move || {
+        for near in listener.incoming().map_while(Result::ok) {
+            let far = TcpStream::connect(target).expect("the log listens");
+            let pairs = [(near.try_clone(), far.try_clone()), (Ok(far), Ok(near))];
+            for (way, (from, to)) in pairs.into_iter().enumerate() {
+                let bytes = Arc::clone(&bytes);
+                let (from, to) = (from.expect("a socket"), to.expect("a socket"));
+                std::thread::spawn(move || pump(from, to, &bytes[way]));
+            }
+        }
+    });
+    address
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream, count: &AtomicU64) {
+    let mut buffer = [0; 16 * 1024];
+    while let Ok(read @ 1..) = from.read(&mut buffer) {
+        count.fetch_add(read as u64, Ordering::Relaxed);
+        if to.write_all(&buffer[..read]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Write);
+}
