--- a/components/state/src/config.rs
+++ b/components/state/src/config.rs
@@ -17,7 +17,8 @@
 pub struct Config {
     /// Counts the accepted changes; it only ever grows.
     pub revision: u64,
-    /// The log's offset after the last record folded in.
+    /// The log's offset after the record that made this revision. How far a
+    /// host has folded beyond it, without a change, is in its follower's progress.
     pub offset: u64,
     /// All accepted presets by name.
     pub presets: BTreeMap<String, Preset>,
