config: begin anew where the log has forgotten all

Change: a record that begins anew with a preset in force, whatever was before; `preset begin`, which watches the log first and refuses where a host still knows.

--- a/components/coordination/src/config/fold.rs
+++ b/components/coordination/src/config/fold.rs
@@ -6,6 +6,7 @@
 use derives::value;
 use state::Config;
 
+use super::check::parse_preset;
 use super::command::{Answer, Command, CommandId, Refusal, Subject};
 use super::decide::{Decision, Touched, decide};
 use super::snapshot::{Floor, Mark, Recent, Snapshot, newer};
@@ -24,6 +25,8 @@
     Command(Command),
     /// The state folded so far, for those who can't read so far back any more.
     Snapshot(Box<Snapshot>),
+    /// A new beginning with this preset in force, whatever was before.
+    Begin(String),
 }
 
 /// Why a record can't be read.
@@ -134,13 +137,14 @@
         }
         if let Some(search) = &mut self.search {
             search.at = offset + 1;
-            return self.apply_searching(record);
+            return self.apply_searching(offset, record);
         }
         self.next = offset + 1;
         match record {
             Ok(Record::Command(command)) => self.command(offset, &command),
             Ok(Record::Snapshot(snapshot)) if self.heals(&snapshot) => self.replace(*snapshot),
             Ok(Record::Snapshot(_)) => Step::Passed,
+            Ok(Record::Begin(text)) => self.begin(offset, &text),
             Err(Unreadable::Newer(version)) => {
                 self.blind = Some(offset);
                 Step::Skipped(Unreadable::Newer(version))
@@ -171,13 +175,45 @@
         })
     }
 
-    fn apply_searching(&mut self, record: Result<Record, Unreadable>) -> Step {
+    /// Begins anew, for a site whose hosts were all gone for longer than the
+    /// log keeps records: nobody is left who could write a snapshot.
+    ///
+    /// What comes of it depends on nothing but the record and its offset, so
+    /// that a host that had been paused all the while ends where the new ones
+    /// are. A revision is never greater than the offset after it: this one is
+    /// greater than any before, and no host goes back.
+    fn begin(&mut self, offset: u64, text: &str) -> Step {
+        let Ok(preset) = parse_preset(text) else {
+            return Step::Passed;
+        };
+        let next = offset + 1;
+        let config = Config {
+            revision: next,
+            offset: next,
+            chosen: Some(preset.name.clone()),
+            presets: BTreeMap::from([(preset.name.clone(), preset)]),
+            ..Config::default()
+        };
+        self.replace(Snapshot {
+            next,
+            config,
+            recent: Vec::new(),
+            touched: Vec::new(),
+            floor: Floor {
+                offset: next,
+                revision: next,
+            },
+        })
+    }
+
+    fn apply_searching(&mut self, offset: u64, record: Result<Record, Unreadable>) -> Step {
         let first = self.search.map_or(0, |s| s.first);
         match record {
             Ok(Record::Snapshot(s)) if s.next >= first && newer(self.mark(), s.mark()) => {
                 self.replace(*s)
             }
-            Ok(_) => Step::Passed,
+            Ok(Record::Begin(text)) => self.begin(offset, &text),
+            Ok(Record::Command(_) | Record::Snapshot(_)) => Step::Passed,
             Err(unreadable) => Step::Skipped(unreadable),
         }
     }
--- a/components/protocol/src/record.rs
+++ b/components/protocol/src/record.rs
@@ -26,7 +26,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 struct Body {
-    #[prost(oneof = "Kind", tags = "1, 2")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3")]
     kind: Option<Kind>,
 }
 
@@ -37,6 +37,9 @@
     /// A [`Snapshot`] in JSON: written a few times a day, read by few.
     #[prost(bytes = "bytes", tag = "2")]
     Snapshot(Bytes),
+    /// A preset's text.
+    #[prost(string, tag = "3")]
+    Begin(String),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -137,6 +140,11 @@
     seal(Kind::Snapshot(json.into()))
 }
 
+/// Returns the bytes of a record that begins anew with a preset's text.
+pub fn encode_begin(text: &str) -> Bytes {
+    seal(Kind::Begin(text.to_owned()))
+}
+
 /// Reads a record of the `config` stream.
 ///
 /// # Errors
@@ -159,6 +167,7 @@
         Kind::Snapshot(json) => serde_json::from_slice(&json)
             .map(|s| Record::Snapshot(Box::new(s)))
             .map_err(|_| Unreadable::Damaged),
+        Kind::Begin(text) => Ok(Record::Begin(text)),
     }
 }
 
--- a/components/protocol/tests/config_record.rs
+++ b/components/protocol/tests/config_record.rs
@@ -4,7 +4,7 @@
 use coordination::config::{Change, Command, CommandId, Fold, Record, Unreadable};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use protocol::record::{decode_record, encode_command, encode_snapshot};
+use protocol::record::{decode_record, encode_begin, encode_command, encode_snapshot};
 use rstest::rstest;
 use state::HostKey;
 
@@ -73,6 +73,12 @@
     assert_eq!(read, Ok(Record::Snapshot(Box::new(snapshot))));
 }
 
+#[test]
+fn beginning_kept() {
+    let read = decode_record(&encode_begin(ORDINARY));
+    assert_eq!(read, Ok(Record::Begin(ORDINARY.to_owned())));
+}
+
 // A newer release has written to the log. This one says so and folds on.
 #[test]
 fn newer_version() {
--- a/components/transport/src/log/follower.rs
+++ b/components/transport/src/log/follower.rs
@@ -151,6 +151,13 @@
         lock(&self.shared.fold).mark()
     }
 
+    /// Returns whether the log has dropped records that this host needs, and
+    /// holds no snapshot in their place up to `end`.
+    pub fn is_lost(&self, end: u64) -> bool {
+        let fold = lock(&self.shared.fold);
+        fold.is_behind() && fold.position() >= end
+    }
+
     /// Waits up to `limit` until every record before `next` is folded; says whether it is. Blocks.
     pub fn wait_folded(&self, next: u64, limit: Duration) -> bool {
         let fold = lock(&self.shared.fold);
@@ -195,7 +202,7 @@
     pub fn take_record(&self, record: &Bytes) -> bool {
         match decode_record(record) {
             Ok(Record::Snapshot(snapshot)) => self.take(*snapshot),
-            Ok(Record::Command(_)) => false,
+            Ok(Record::Command(_) | Record::Begin(_)) => false,
             Err(unreadable) => {
                 log::warn!("E0309 peer-config-unreadable reason=\"{unreadable}\"");
                 false
--- a/components/transport/src/log/submit.rs
+++ b/components/transport/src/log/submit.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use coordination::config::{Answer, Change, Command, CommandId, Fold, Record, Step};
 use derives::value;
-use protocol::record::encode_command;
+use protocol::record::{encode_begin, encode_command};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use state::Config;
@@ -187,6 +187,43 @@
     Submission::new(client, Arc::new(follower), limit).submit(request)
 }
 
+/// Begins the configuration anew at the log at `address`, with this preset in
+/// force, where the log has forgotten it and no host hands it on. Blocks.
+///
+/// A host that has the configuration appends a snapshot within seconds; so the
+/// log is watched for `quiet` first. The record is appended once and never
+/// again, since each one begins anew.
+pub fn begin_by_log(address: &str, text: &str, quiet: Duration, limit: Duration) -> Outcome {
+    let client = LogClient::new(address, Timeouts::default());
+    let follower = Follower::start(client.clone(), reader_options());
+    let start = Instant::now();
+    loop {
+        let end = client.read(CONFIG_STREAM, 0, 0, Duration::ZERO);
+        match end {
+            Ok(page) if follower.is_lost(page.next) && start.elapsed() >= quiet => break,
+            Ok(page) if follower.wait_folded(page.next, RETRY) => {
+                return Outcome::Refused {
+                    reason: "the log still gives the configuration: use put and choose".to_owned(),
+                };
+            }
+            Err(error) if start.elapsed() >= quiet + limit => {
+                let reason = error.to_string();
+                return Outcome::Unreachable { reason };
+            }
+            _ => std::thread::sleep(RETRY),
+        }
+    }
+    match client.append(CONFIG_STREAM, &encode_begin(text)) {
+        Ok(offset) if follower.wait_folded(offset + 1, limit) => Outcome::Accepted {
+            revision: follower.mark().revision,
+        },
+        Err(AppendError::Refused(reason)) => Outcome::Unreachable { reason },
+        Ok(_) | Err(AppendError::Unanswered(_)) => Outcome::Unknown {
+            id: CommandId::draw(0, 0),
+        },
+    }
+}
+
 /// Returns the configuration folded from the log at `address`. Blocks.
 ///
 /// # Errors
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -54,6 +54,15 @@
                 /// Print JSON for scripts.
                 optional --json
             }
+            /// Begin anew with a preset in force, where the log has forgotten all.
+            cmd begin {
+                /// The preset's file, in TOML.
+                required file: PathBuf
+                /// Where the platform's log listens.
+                optional --log-address address: String
+                /// Print JSON for scripts.
+                optional --json
+            }
             /// List the accepted presets.
             cmd list {
                 /// Where the platform's log listens.
@@ -220,6 +229,7 @@
 pub enum PresetCmd {
     Check(Check),
     Put(Put),
+    Begin(Begin),
     List(List),
     Show(Show),
     Choose(Choose),
@@ -242,6 +252,14 @@
     pub json: bool,
 }
 
+#[derive(Debug)]
+pub struct Begin {
+    pub file: PathBuf,
+
+    pub log_address: Option<String>,
+    pub json: bool,
+}
+
 #[derive(Debug)]
 pub struct List {
     pub log_address: Option<String>,
--- a/src/cmd/operator.rs
+++ b/src/cmd/operator.rs
@@ -8,7 +8,8 @@
 use derives::value;
 use state::Config;
 use transport::log::{
-    CommandRequest, Outcome, read_by_entry, read_by_log, submit_by_entry, submit_by_log,
+    CommandRequest, Outcome, begin_by_log, read_by_entry, read_by_log, submit_by_entry,
+    submit_by_log,
 };
 
 /// The command was refused.
@@ -23,6 +24,10 @@
 /// How long a command waits for its answer.
 const LIMIT: Duration = Duration::from_secs(5);
 
+/// How long a log that has forgotten is watched for a host's snapshot before
+/// anything is begun anew: five times the wait of hosts that notice together.
+const QUIET: Duration = Duration::from_secs(10);
+
 /// Names the log's address where no flag does.
 const LOG_VARIABLE: &str = "CARDAMOMVALE_LOG_ADDRESS";
 
@@ -102,6 +107,23 @@
         self.finish(&outcome, done)
     }
 
+    /// Begins the configuration anew with a preset's text, where the log has forgotten it.
+    pub fn begin(&self, text: &str, done: &str) -> ExitCode {
+        let address = match self.route() {
+            Ok(Route::Log(address)) => address,
+            Ok(Route::Entry(_)) => return self.usage("begin goes to the log: --log-address"),
+            Err(message) => return self.usage(&message),
+        };
+        let outcome = begin_by_log(&address, text, QUIET, LIMIT);
+        match outcome {
+            Outcome::Unknown { .. } if !self.json => {
+                eprintln!("unknown: it may have been done; see `preset list` before another try");
+                ExitCode::from(EXIT_UNKNOWN)
+            }
+            outcome => self.finish(&outcome, done),
+        }
+    }
+
     /// Prints a fault of the command line or of a file.
     pub fn usage(&self, message: &str) -> ExitCode {
         match self.json {
--- a/src/cmd/preset.rs
+++ b/src/cmd/preset.rs
@@ -38,6 +38,17 @@
     }
 }
 
+/// Begins anew with a preset's file in force, where the log has forgotten all.
+pub fn begin(file: &Path, target: &Target) -> ExitCode {
+    match load(file, target) {
+        Ok((text, preset)) => {
+            let done = format!("all begins anew with preset {} in force", preset.name);
+            target.begin(&text, &done)
+        }
+        Err(code) => code,
+    }
+}
+
 /// Brings a preset into force.
 pub fn choose(name: &str, grounds: &Grounds, target: &Target) -> ExitCode {
     let change = Change::ChoosePreset {
@@ -76,6 +87,9 @@
         let services = preset.services.len();
         println!("{name:<20} {services:>3} services {endpoints:>4} endpoints  {mark}");
     }
+    if config.chosen.is_none() {
+        println!("no preset is in force: put one and choose it, or see /readyz of the entry host");
+    }
     for name in &config.leaving_centres {
         println!("data centre {name} is leaving");
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -92,6 +92,14 @@
             };
             cmd::preset::put(&f.file, &grounds, &target)
         }
+        PresetCmd::Begin(f) => {
+            let target = Target {
+                log_address: f.log_address,
+                entry: None,
+                json: f.json,
+            };
+            cmd::preset::begin(&f.file, &target)
+        }
         PresetCmd::List(f) => {
             let target = Target {
                 log_address: f.log_address,
--- a/tests/operator_commands.rs
+++ b/tests/operator_commands.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
 use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use stand_ins::log::{Behaviour, LogStandIn, Loss};
@@ -166,6 +167,42 @@
     assert!(at(&log, &["preset", "list"]).1.contains("revision 5"));
 }
 
+// Every entry host was gone while the log dropped its records. Putting a preset
+// can't work any more, and says so; beginning anew does, once, and a new entry
+// host is ready with that preset. Where the log still knows, it is refused.
+#[test]
+fn forgotten_log() {
+    let log = opened();
+    let (code, text) = at(&log, &["preset", "begin", PEAK]);
+    assert!(
+        code == 1 && text.contains("use put and choose"),
+        "{code} {text}"
+    );
+    log.change(|b| b.keep_records = Some(1));
+    for _ in 0..2 {
+        log.append("config", "noise".into());
+    }
+    let (code, text) = at(&log, &["preset", "put", PEAK]);
+    assert!(
+        code == 4 && text.contains("no snapshot has come yet"),
+        "{code} {text}"
+    );
+    let (code, text) = at(&log, &["preset", "begin", PEAK]);
+    assert_eq!(
+        (code, text.as_str()),
+        (
+            0,
+            "accepted, revision 6: all begins anew with preset peak in force\n"
+        )
+    );
+    let host = EntryHost::start(&log);
+    let start = Instant::now();
+    let listed = || operate(&["preset", "list", "--entry", &host.admin]).out;
+    while !listed().contains("endpoints  in force") {
+        assert!(start.elapsed() < Duration::from_secs(20), "{}", listed());
+    }
+}
+
 #[test]
 fn nobody_there() {
     let free = TcpListener::bind(("127.0.0.1", 0)).unwrap();
