benches: a soak of real entry hosts under one fault after another

Cause: nothing showed memory, threads and files flat under faults. Change: benches/soak.rs drives the process tests' harness through twelve kinds of fault by seed, prints what each entry host uses and every broken promise.

--- /dev/null
+++ b/benches/soak.rs
@@ -0,0 +1,195 @@
+//! A soak: real entry hosts under load for a long time while one fault follows another.
+//!
+//! `SOAK_SECONDS=900 SOAK_SEED=1 cargo bench --bench soak`. Prints what each
+//! entry host's process uses, then every broken promise; ends with 1 where
+//! there was one.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use common::{Resources, Rig, until};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use stand_ins::backend::{Knobs, Report};
+use stand_ins::history::Order;
+use stand_ins::history::check::{Limits, tally};
+use stand_ins::log::{Loss, Outage};
+use stand_ins::proxy::Fault;
+
+const SITE: &str = include_str!("../tests/common/small.toml");
+const SECONDS: u64 = 900;
+const SEED: u64 = 1;
+/// From one fault's end to the next one's start.
+const REST: Duration = Duration::from_secs(3);
+/// How long a fault lasts.
+const FAULT: Duration = Duration::from_secs(4);
+
+/// One kind of fault.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    Killed,
+    Paused,
+    Replaced,
+    Cold,
+    Restarted,
+    Slow,
+    CutAnswers,
+    Silence,
+    OneWay,
+    CentreLeaves,
+    LogDown,
+    LostAnswers,
+}
+
+const KINDS: [Kind; 12] = [
+    Kind::Killed,
+    Kind::Paused,
+    Kind::Replaced,
+    Kind::Cold,
+    Kind::Restarted,
+    Kind::Slow,
+    Kind::CutAnswers,
+    Kind::Silence,
+    Kind::OneWay,
+    Kind::CentreLeaves,
+    Kind::LogDown,
+    Kind::LostAnswers,
+];
+
+fn main() -> ExitCode {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(soak())
+}
+
+async fn soak() -> ExitCode {
+    let seconds = setting("SOAK_SECONDS", SECONDS);
+    let mut random = SmallRng::seed_from_u64(setting("SOAK_SEED", SEED));
+    let text = SITE.replace("seconds = 120", &format!("seconds = {}", seconds + 600));
+    let mut rig = Rig::proxied(&text).await;
+    let start = Instant::now();
+    let load = rig.load();
+    print(&rig, start, "start");
+    while start.elapsed().as_secs() < seconds {
+        tokio::time::sleep(REST).await;
+        let kind = KINDS[random.random_range(0..KINDS.len())];
+        let place = random.random_range(0..3);
+        cause(&mut rig, kind, place).await;
+        print(&rig, start, &format!("{kind:?} {place}"));
+    }
+    load.stop().await;
+    let faults = rig.faults(&Limits::default());
+    println!("{:?}", rig.tally());
+    for (check, count) in tally(&faults) {
+        println!("{check:?}: {count}");
+    }
+    for fault in faults.iter().take(20) {
+        println!("{fault}");
+    }
+    match faults.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
+
+/// Causes a fault at one of three places and ends it.
+async fn cause(rig: &mut Rig, kind: Kind, place: usize) {
+    match kind {
+        Kind::Killed => {
+            rig.kill(place);
+            tokio::time::sleep(FAULT).await;
+            rig.start_again(place);
+            ready(rig, place).await;
+        }
+        Kind::Paused => {
+            rig.pause(place);
+            tokio::time::sleep(FAULT).await;
+            rig.resume(place);
+            ready(rig, place).await;
+        }
+        Kind::Replaced => {
+            rig.shut_down(place).await;
+            rig.start_again(place);
+            ready(rig, place).await;
+        }
+        Kind::CentreLeaves => {
+            let centre = rig.site.deployment.data_centres[place].clone();
+            order(rig, Order::CentreLeaves, &centre).await;
+            tokio::time::sleep(FAULT).await;
+            order(rig, Order::CentreReturns, &centre).await;
+        }
+        Kind::LogDown => {
+            rig.site.log.change(|b| b.outage = Some(Outage::Silent));
+            tokio::time::sleep(FAULT).await;
+            rig.site.log.change(|b| b.outage = None);
+        }
+        Kind::LostAnswers => rig.site.log.change(|b| {
+            b.loss = Some(Loss::Gateway);
+            b.losses = 5;
+        }),
+        Kind::Silence => rig.site.proxies("hallboard")[place].silence(),
+        Kind::OneWay => {
+            let proxy = &rig.site.proxies("hallboard")[place];
+            proxy.set(Fault::LoseAnswers);
+            tokio::time::sleep(FAULT).await;
+            proxy.set(Fault::Pass);
+        }
+        Kind::Cold => set(rig, place, |k| k.turn_cold = true),
+        Kind::Restarted => set(rig, place, |k| k.restart = true),
+        Kind::CutAnswers => set(rig, place, |k| k.cut_answers = Some(3)),
+        Kind::Slow => {
+            set(rig, place, |k| {
+                k.slow = Some(20);
+                k.report = Some(Report::Idle);
+            });
+            tokio::time::sleep(FAULT).await;
+            set(rig, place, |k| {
+                k.slow = Some(1);
+                k.report = Some(Report::Honest);
+            });
+        }
+    }
+}
+
+fn set(rig: &Rig, place: usize, change: impl FnOnce(&mut Knobs)) {
+    let mut knobs = Knobs::default();
+    change(&mut knobs);
+    rig.site.backends("hallboard")[place].set(&knobs);
+}
+
+async fn order(rig: &Rig, order: Order, name: &str) {
+    if let Err(error) = rig.site.order(order, name).await {
+        println!("{order:?} {name}: {error}");
+    }
+}
+
+async fn ready(rig: &Rig, place: usize) {
+    until("the entry host is ready", || rig.targets[place].is_up()).await;
+}
+
+fn print(rig: &Rig, start: Instant, what: &str) {
+    let uses: Vec<String> = (0..rig.hosts.len())
+        .map(|host| {
+            let Resources {
+                memory_kb,
+                threads,
+                files,
+            } = rig.resources(host);
+            format!("{memory_kb:>6} kB {threads:>3} threads {files:>4} files")
+        })
+        .collect();
+    println!(
+        "{:>5} s  {what:<16} {}",
+        start.elapsed().as_secs(),
+        uses.join("  |  ")
+    );
+}
+
+fn setting(name: &str, usual: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(usual)
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,6 +57,14 @@
     next: AtomicU64,
 }
 
+/// What a process uses.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Resources {
+    pub memory_kb: u64,
+    pub threads: u64,
+    pub files: u64,
+}
+
 /// A load that goes on until it is stopped.
 pub struct Background {
     stop: Arc<AtomicBool>,
@@ -238,6 +246,11 @@
         self.hosts[host] = Host::start(&old.name, &old.centre, log, Some(old.ports), &self.history);
     }
 
+    /// Returns the memory, threads and open files of an entry host's process.
+    pub fn resources(&self, host: usize) -> Resources {
+        Resources::of(self.hosts[host].child.id())
+    }
+
     /// Returns an entry host's status page.
     pub async fn status(&self, host: usize) -> serde_json::Value {
         let url = format!("http://{}/status", self.hosts[host].ports.admin);
@@ -278,6 +291,23 @@
     }
 }
 
+impl Resources {
+    fn of(pid: u32) -> Resources {
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let field = |name: &str| {
+            let line = status.lines().find_map(|l| l.strip_prefix(name));
+            let number = line.and_then(|l| l.split_whitespace().next()?.parse().ok());
+            number.unwrap_or(0)
+        };
+        let files = std::fs::read_dir(format!("/proc/{pid}/fd"));
+        Resources {
+            memory_kb: field("VmRSS:"),
+            threads: field("Threads:"),
+            files: files.map_or(0, |f| f.count() as u64),
+        }
+    }
+}
+
 impl Background {
     /// Sends no more calls, and waits until all that were sent have ended.
     pub async fn stop(self) -> Vec<Sample> {
