--- a/components/stand_ins/src/load/bench.rs
+++ b/components/stand_ins/src/load/bench.rs
@@ -91,6 +91,15 @@
     let mut lines = vec![Summary::heading()];
     lines.extend(runs.iter().map(|run| run.measured.summary.row()));
     lines.extend(runs.first().map(|run| run.measured.summary.limit_row()));
+    for run in runs.iter().filter(|r| r.measured.summary.phases.len() > 1) {
+        lines.push(format!("\n{}", run.measured.summary.report.policy));
+        lines.extend(run.measured.summary.phase_rows());
+        for (centre, ms) in &run.measured.summary.servers.last_call_ms {
+            lines.push(format!(
+                "{centre}: last new call {ms} ms after its leaving was accepted"
+            ));
+        }
+    }
     lines.join("\n")
 }
 
--- a/components/stand_ins/src/load/measure.rs
+++ b/components/stand_ins/src/load/measure.rs
@@ -13,7 +13,7 @@
 use super::report::{Distributions, Figures, Report, Sample};
 use super::run::{Load, work_times};
 use crate::history::check::{Check, Fault, Limits, check, tally};
-use crate::history::{Event, Order, Record};
+use crate::history::{Event, Order, Outcome, Record};
 use crate::site::Site;
 
 /// Everything one run gave.
@@ -54,6 +54,10 @@
     pub until_ms: u64,
     /// The callers' figures.
     pub figures: Figures,
+    /// Calls that were in flight when it began.
+    pub in_flight: u64,
+    /// Those of them that were answered whole.
+    pub in_flight_complete: u64,
 }
 
 /// The backend servers' figures.
@@ -154,12 +158,20 @@
     for pair in times.windows(2) {
         let span = Duration::from_millis(pair[0])..Duration::from_millis(pair[1]);
         let mut distributions = Distributions::default();
+        let (mut in_flight, mut in_flight_complete) = (0, 0);
         for sample in samples {
-            if span.contains(&plan.calls[sample.call].at) {
+            let sent = plan.calls[sample.call].at;
+            if span.contains(&sent) {
                 distributions.add(sample, &ideals[sample.call]);
             }
+            if sent < span.start && sent + sample.latency > span.start {
+                in_flight += 1;
+                in_flight_complete += u64::from(sample.outcome == Outcome::Complete);
+            }
         }
         phases.push(Phase {
+            in_flight,
+            in_flight_complete,
             from_ms: pair[0],
             until_ms: pair[1],
             figures: distributions.figures((span.end - span.start).as_secs_f64()),
@@ -283,6 +295,29 @@
         cells.map(|c| format!("{c:>9}")).join(" ")
     }
 
+    /// Returns a line for each phase: what callers saw from one event to the next.
+    pub fn phase_rows(&self) -> Vec<String> {
+        let row = |phase: &Phase| {
+            let f = &phase.figures;
+            format!(
+                "{:>6} to {:>6} ms  {:>6} calls  {:>5} refused ({} at the limit)  {} hurt  p50 {:.1}  p99 {:.1} (limit {:.1})  wait99 {:.1}  in flight at its start {}, of them answered whole {}",
+                phase.from_ms,
+                phase.until_ms,
+                f.calls,
+                f.refused,
+                f.limit_refused,
+                f.unknown + f.broken + f.unreachable,
+                f.latency.p50,
+                f.latency.p99,
+                f.limit_latency.p99,
+                f.wait.p99,
+                phase.in_flight,
+                phase.in_flight_complete,
+            )
+        };
+        self.phases.iter().map(row).collect()
+    }
+
     /// Returns the same line for the limit.
     pub fn limit_row(&self) -> String {
         let all = &self.report.all;
