transport: fix a removal that comes before the host saw itself join; claims answer the edge

Cause: members_run::removed_and_back failed one time in four: a host that was removed before it had looked at its membership joined again under the removed incarnation, which the owner rule holds for ended. join_and_leave failed once in six: leave returned before the failure detector knew. Change: Joining notes each configuration that names it; leave waits for the detector; Claims implements the edge's KeyClaims, answers 20 ms before the deadline; a request carries deadline and key-seconds.

--- a/components/coordination/src/members/detector.rs
+++ b/components/coordination/src/members/detector.rs
@@ -239,11 +239,15 @@
         self.out.push(Action::Send(host, beat));
     }
 
+    /// Returns whether this process is a member of the configuration taken over last.
+    pub fn is_member(&self) -> bool {
+        self.map.member(self.me.host) == Some(self.me)
+    }
+
     /// Returns whether this host may act as an owner now.
     pub fn may_act(&self, now: Moment) -> bool {
         let watchers = self.map.watchers(self.me);
-        self.map.member(self.me.host) == Some(self.me)
-            && may_act(now, self.offset, self.log_read, watchers, &self.answers)
+        self.is_member() && may_act(now, self.offset, self.log_read, watchers, &self.answers)
     }
 
     /// Returns what is known of a previous owner after the change at `change`.
--- a/components/coordination/src/members/joining.rs
+++ b/components/coordination/src/members/joining.rs
@@ -54,6 +54,14 @@
         self.leaving = true;
     }
 
+    /// Notes that a configuration names this incarnation as a member.
+    ///
+    /// Membership may last a moment only. Unnoticed, the host would join again
+    /// under the incarnation that was removed, which others hold for ended.
+    pub fn joined(&mut self, now: Moment) {
+        self.joined.get_or_insert(now);
+    }
+
     /// Decides what to do.
     ///
     /// `member` is whether the configuration names this incarnation, and
@@ -64,11 +72,10 @@
         match (member, self.joined) {
             (true, _) if self.leaving => self.write(Step::Leave, current, now),
             (false, _) if self.leaving => Step::Wait,
-            (true, None) => {
-                self.joined = Some(now);
+            (true, _) => {
+                self.joined(now);
                 Step::Wait
             }
-            (true, Some(_)) => Step::Wait,
             (false, Some(since)) => {
                 self.joined = None;
                 self.pause = match now.since(since) {
--- a/components/transport/src/claims/entry.rs
+++ b/components/transport/src/claims/entry.rs
@@ -1,6 +1,7 @@
 //! The entry host's side: asks a key's home, and takes the first answer.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use super::worker::{Order, WorkerOptions};
 use super::{ClaimEnding, ClaimRequest, ClaimTicket, KEPT_ANSWER, Verdict};
 use crate::clock;
+use crate::edge::KeyClaims;
 use crate::log::LogClient;
 use crate::peers::Links;
 
@@ -31,6 +33,10 @@
 /// How often an ending is told at the most.
 const TELLS: usize = 10;
 
+/// How long before the deadline the verdict is due, so that its answer still
+/// reaches a caller who would otherwise see a time-out.
+const MARGIN: Duration = Duration::from_millis(20);
+
 /// When a caller without a verdict in time may come again.
 const RETRY: Duration = Duration::from_secs(1);
 
@@ -107,7 +113,8 @@
             digest: narrow(&request.digest),
             keep: request.keep,
         };
-        let deadline = Instant::now() + started.until(request.deadline);
+        let until = request.deadline - MARGIN;
+        let deadline = Instant::now() + started.until(until);
         let (sender, words) = unbounded_channel();
         lock(&self.asked).insert(ask.id, sender);
         let mut claim = Claim {
@@ -119,8 +126,8 @@
             decided: false,
         };
         let home = self.home(claim.ask.key);
-        claim.ask_at(home, request.deadline);
-        let answer = claim.wait(deadline, request.deadline).await;
+        claim.ask_at(home, until);
+        let answer = claim.wait(deadline, until).await;
         claim.decide(answer, started)
     }
 
@@ -227,6 +234,16 @@
     }
 }
 
+impl KeyClaims for Claims {
+    fn claim(&self, request: ClaimRequest) -> Pin<Box<dyn Future<Output = Verdict> + Send + '_>> {
+        Box::pin(Claims::claim(self, request))
+    }
+
+    fn end(&self, ticket: ClaimTicket, ending: ClaimEnding) {
+        Claims::end(self, ticket, ending);
+    }
+}
+
 impl Claim<'_> {
     fn ask_at(&mut self, home: HostKey, until: Moment) {
         if self.homes.contains(&home) {
--- a/components/transport/src/edge/call.rs
+++ b/components/transport/src/edge/call.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -43,6 +43,8 @@
     deadline: Moment,
     key: Option<String>,
     trace: CallTrace,
+    /// How long the call's key is remembered.
+    keep: Duration,
 }
 
 /// How one attempt failed.
@@ -101,6 +103,7 @@
         uri: target.uri,
         caller,
         deadline: arrived + allowed,
+        keep: Duration::from_secs(target.service.key_seconds),
         method: parts.method,
         fields: parts.headers,
         key,
@@ -141,6 +144,8 @@
         service: plan.service,
         key,
         digest: keyed::digest(plan.service, &plan.method, &plan.uri, &body.start),
+        keep: plan.keep,
+        deadline: plan.deadline,
     };
     let hop = plan.trace.inner("claim");
     let claimed = keyed::claim(edge.claims.get(), request, plan.deadline).await;
--- a/components/transport/src/peers/members.rs
+++ b/components/transport/src/peers/members.rs
@@ -114,10 +114,12 @@
     /// this host once they find it silent.
     pub async fn leave(&self, limit: Duration) -> bool {
         lock(&self.joining).leave();
-        let mut config = self.options.follower.config();
-        let me = self.me();
-        let left = config.wait_for(|c| !is_member(c, me));
-        matches!(tokio::time::timeout(limit, left).await, Ok(Ok(_)))
+        let left = async {
+            while self.detector().is_member() {
+                tokio::time::sleep(TICK).await;
+            }
+        };
+        tokio::time::timeout(limit, left).await.is_ok()
     }
 
     /// Ends all links and tasks.
@@ -242,6 +244,9 @@
     }
 
     fn configure(&self, config: &Config) {
+        if is_member(config, self.me()) {
+            lock(&self.joining).joined(clock::now());
+        }
         self.with_detector(|d| d.configure(config, clock::now()));
         let view = self.detector().view();
         self.links.publish(view);
--- a/components/transport/src/peers/mod.rs
+++ b/components/transport/src/peers/mod.rs
@@ -12,6 +12,7 @@
 mod socket;
 mod table;
 
+pub use coordination::members::LiveView;
 pub use handshake::{MeetError, fetch_config};
 pub use links::{Identity, Links, Receive};
 pub use members::{Members, MembersOptions, take};
--- a/components/transport/tests/keyed_calls.rs
+++ b/components/transport/tests/keyed_calls.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use coordination::claims::{ClaimId, ClaimKey};
 use support::{Reply, Server, Site, field, ok, until};
 use tokio::io::AsyncWriteExt;
 use transport::claims::{ClaimEnding, ClaimRequest, ClaimTicket, Verdict};
@@ -21,7 +22,7 @@
 }
 
 struct Row {
-    id: u128,
+    id: ClaimId,
     digest: [u8; 32],
     ending: Option<ClaimEnding>,
 }
@@ -46,7 +47,7 @@
 impl Table {
     fn decide(&self, request: ClaimRequest) -> Verdict {
         let mut rows = self.rows.lock().expect("rows");
-        let id = rows.len() as u128;
+        let id = ClaimId(rows.len() as u128);
         match rows.get(&request.key) {
             _ if *self.down.lock().expect("down") => Verdict::NotRun(Duration::from_secs(3)),
             None => {
@@ -59,7 +60,10 @@
                         ending: None,
                     },
                 );
-                Verdict::Go(ClaimTicket { id })
+                Verdict::Go(ClaimTicket {
+                    id,
+                    key: ClaimKey(0),
+                })
             }
             Some(row) if row.digest != request.digest => Verdict::Mismatch,
             Some(Row {
--- a/components/transport/tests/members_run.rs
+++ b/components/transport/tests/members_run.rs
@@ -12,11 +12,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn join_and_leave() {
     let site = Site::start(3, WorkerOptions::default()).await;
-    assert!(
-        site.hosts
-            .iter()
-            .all(|h| h.members.is_member() && h.members.may_act())
-    );
+    for host in &site.hosts {
+        until(|| host.members.is_member() && host.members.may_act()).await;
+    }
     assert!(site.hosts[0].members.leave(Duration::from_secs(20)).await);
     let left = site.hosts[0].key;
     for host in &site.hosts[1..] {
