tests: an entry host that was paused while a data centre left

Cause: that a paused host neither reverts nor sends work to a data centre that has left, with the record of it fallen off the log, was not shown by a process. Change: one test by SIGSTOP and SIGCONT.

--- /dev/null
+++ b/tests/paused_host.rs
@@ -0,0 +1,77 @@
+//! An entry host that was away while the configuration changed.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::Rig;
+use coordination::config::Record;
+use protocol::record::decode_record;
+use stand_ins::history::{Order, Outcome};
+use transport::log::{CONFIG_STREAM, LogClient, Timeouts};
+
+const SITE: &str = include_str!("common/small.toml");
+
+async fn revision(rig: &Rig, host: usize) -> u64 {
+    rig.status(host).await["revision"].as_u64().unwrap()
+}
+
+/// Waits until the hosts that run show a revision, before their next record falls off.
+async fn follow(rig: &Rig, made: u64) {
+    let limit = Instant::now() + common::LIMIT;
+    for host in [1, 2] {
+        while revision(rig, host).await < made {
+            assert!(Instant::now() < limit, "{made} is not in force");
+        }
+    }
+}
+
+/// Returns whether the log holds a snapshot for those who missed records.
+fn has_snapshot(rig: &Rig) -> bool {
+    let client = LogClient::new(&rig.site.log.address().to_string(), Timeouts::default());
+    let page = client.read(CONFIG_STREAM, 0, 256, Duration::ZERO).unwrap();
+    let mut records = page.records.iter().map(|r| decode_record(&r.data));
+    records.any(|r| matches!(r, Ok(Record::Snapshot(_))))
+}
+
+// An entry host's process is paused (a virtual machine is moved, say) while
+// operators take a data centre out and the log drops the record of it. Calls
+// that reach it meanwhile wait in its sockets. It runs on: no call is sent to
+// the data centre that has left, the revision it shows never goes down, and it
+// catches up though the records are gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn missed_leaving() {
+    let mut rig = Rig::start(SITE).await;
+    let before = revision(&rig, 0).await;
+    rig.pause(0);
+    let left = rig.site.order(Order::CentreLeaves, "trent").await.unwrap();
+    follow(&rig, left).await;
+    rig.site.log.change(|b| b.keep_records = Some(8));
+    let waiting: Vec<_> = (0..12)
+        .map(|_| rig.new_call("GET", "/hallboard/free?work-ms=5"))
+        .map(|call| rig.send(0, &call))
+        .collect();
+    for _ in 0..6 {
+        for order in [Order::CentreLeaves, Order::CentreReturns] {
+            let made = rig.site.order(order, "soar").await.unwrap();
+            follow(&rig, made).await;
+        }
+    }
+    let limit = Instant::now() + common::LIMIT;
+    while !has_snapshot(&rig) {
+        assert!(Instant::now() < limit, "no host writes a snapshot");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    rig.resume(0);
+    let mut shown = before;
+    while shown < left {
+        assert!(Instant::now() < limit, "revision {shown}, not {left}");
+        let now = revision(&rig, 0).await;
+        assert!(now >= shown, "revision {now} after {shown}");
+        shown = now;
+    }
+    for reply in waiting {
+        assert_eq!(reply.await.unwrap().outcome, Outcome::Complete);
+    }
+    rig.assert_kept();
+}
