--- /dev/null
+++ b/benches/http_libraries.rs
@@ -0,0 +1,229 @@
+//! Whether `tiny_http` bears callers, beside the edge that was chosen instead.
+//!
+//! Three burdens on each: callers that never end their head, callers that
+//! never send the body they announced, and what a prompt caller sees meanwhile.
+//! And whether `ureq` sends anything twice by itself.
+//!
+//! `cargo bench --bench http_libraries`
+
+use std::collections::BTreeMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use eyre::{Result, eyre};
+use state::preset::{DataCentre, Endpoint, Service};
+use state::{Config, Preset};
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use transport::dispatch::Dispatcher;
+use transport::edge::{Edge, Limits};
+
+const SLOW_HEADS: usize = 1_000;
+const SLOW_BODIES: usize = 200;
+const WORKERS: usize = 64;
+
+/// How long the slow callers are watched, longer than the edge's limit for a head.
+const WATCH: Duration = Duration::from_secs(13);
+
+/// When a prompt caller gives up.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+fn main() -> Result<()> {
+    let server = start_tiny()?;
+    burden("tiny_http", server, "/hallboard/")?;
+    let server = start_tiny()?;
+    let (edge, _runtime) = start_edge(server)?;
+    burden("edge", edge, "/hallboard/")?;
+    for method in ["GET", "POST"] {
+        let seen = sent_by_ureq(method)?;
+        println!("ureq {method} on a kept connection that is closed on receipt: sent {seen} times");
+    }
+    Ok(())
+}
+
+fn burden(name: &str, address: SocketAddr, path: &str) -> Result<()> {
+    let threads = threads()?;
+    let mut slow = Vec::new();
+    for _ in 0..SLOW_HEADS {
+        slow.push(begin(address, "G")?);
+    }
+    let prompt = prompt_call(address, path)?;
+    println!(
+        "{name}: {SLOW_HEADS} unended heads: {} more threads, prompt caller {prompt}",
+        self::threads()?.saturating_sub(threads)
+    );
+    thread::sleep(WATCH);
+    let held = slow.iter().filter(|s| is_open(s)).count();
+    println!(
+        "{name}: after {} s {held} of them are held",
+        WATCH.as_secs()
+    );
+    drop(slow);
+    let start = format!("POST {path} HTTP/1.1\r\nhost: e\r\ncontent-length: 100000\r\n\r\nabc");
+    let mut slow = Vec::new();
+    for _ in 0..SLOW_BODIES {
+        slow.push(begin(address, &start)?);
+    }
+    thread::sleep(Duration::from_millis(500));
+    let prompt = prompt_call(address, path)?;
+    println!("{name}: {SLOW_BODIES} bodies that don't come: prompt caller {prompt}");
+    Ok(())
+}
+
+fn begin(address: SocketAddr, bytes: &str) -> Result<TcpStream> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.write_all(bytes.as_bytes())?;
+    Ok(stream)
+}
+
+fn is_open(mut stream: &TcpStream) -> bool {
+    let mut sink = [0; 4096];
+    if stream.set_nonblocking(true).is_err() {
+        return false;
+    }
+    loop {
+        match stream.read(&mut sink) {
+            Ok(0) => return false,
+            Ok(_) => {}
+            Err(e) => return e.kind() == ErrorKind::WouldBlock,
+        }
+    }
+}
+
+fn prompt_call(address: SocketAddr, path: &str) -> Result<String> {
+    let start = Instant::now();
+    let mut stream = begin(
+        address,
+        &format!("GET {path} HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\r\n"),
+    )?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    let mut byte = [0; 1];
+    match stream.read(&mut byte) {
+        Ok(1) => Ok(format!("answered in {} us", start.elapsed().as_micros())),
+        Ok(_) => Ok("cut off".into()),
+        Err(_) => Ok(format!("not answered in {} s", PATIENCE.as_secs())),
+    }
+}
+
+fn threads() -> Result<usize> {
+    let status = std::fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|l| l.strip_prefix("Threads:"));
+    Ok(line.ok_or_else(|| eyre!("no Threads"))?.trim().parse()?)
+}
+
+/// Starts a `tiny_http` server whose workers answer at once.
+fn start_tiny() -> Result<SocketAddr> {
+    let server = tiny_http::Server::http("127.0.0.1:0").map_err(|e| eyre!("{e}"))?;
+    let server = Arc::new(server);
+    let address = server.server_addr().to_ip().ok_or_else(|| eyre!("no IP"))?;
+    for _ in 0..WORKERS {
+        let server = Arc::clone(&server);
+        thread::spawn(move || {
+            while let Ok(request) = server.recv() {
+                let _ = request.respond(tiny_http::Response::from_string("free"));
+            }
+        });
+    }
+    Ok(address)
+}
+
+/// Returns how often one call by `ureq` reached a server that closes on receipt.
+fn sent_by_ureq(method: &str) -> Result<usize> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let seen = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&seen);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let counter = Arc::clone(&counter);
+            thread::spawn(move || answer_first(stream, &counter));
+        }
+    });
+    let agent = ureq::Agent::new_with_defaults();
+    let call = || match method {
+        "POST" => agent
+            .post(format!("http://{address}/"))
+            .send("x")
+            .map(|a| drop(a.into_body().read_to_string())),
+        _ => agent
+            .get(format!("http://{address}/"))
+            .call()
+            .map(|a| drop(a.into_body().read_to_string())),
+    };
+    call()?;
+    let second = call();
+    if second.is_ok() {
+        return Err(eyre!("the second call was answered"));
+    }
+    Ok(seen.load(Ordering::SeqCst) - 1)
+}
+
+/// Answers the first request on the first connection, and closes on every other.
+fn answer_first(mut stream: TcpStream, seen: &AtomicUsize) {
+    let mut bytes = [0; 4096];
+    while let Ok(1..) = stream.read(&mut bytes) {
+        if seen.fetch_add(1, Ordering::SeqCst) > 0 {
+            return;
+        }
+        let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn start_edge(server: SocketAddr) -> Result<(SocketAddr, Runtime)> {
+    let runtime = Runtime::new()?;
+    let address = runtime.block_on(async {
+        let config = Arc::new(config(server));
+        let dispatcher = Arc::new(Dispatcher::default());
+        dispatcher.configure(&config);
+        let (sender, receiver) = watch::channel(config);
+        let edge = Edge::new(Limits::default(), dispatcher, receiver);
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        tokio::spawn(async move {
+            edge.serve(listener).await;
+            drop(sender);
+        });
+        Ok::<_, eyre::Report>(address)
+    })?;
+    Ok((address, runtime))
+}
+
+fn config(server: SocketAddr) -> Config {
+    let service = Service {
+        name: "hallboard".into(),
+        endpoints: vec![Endpoint {
+            address: server,
+            data_centre: "trent".into(),
+        }],
+        slots: 6,
+        cold_slots: 6,
+        connections: 200,
+        deadline_ms: 10_000,
+        queue: 400,
+        body_limit: 1024 * 1024,
+        retry_percent: 0,
+        probe_cost_ms: 6,
+        key_seconds: 60,
+    };
+    let preset = Preset {
+        name: "bench".into(),
+        data_centres: vec![DataCentre {
+            name: "trent".into(),
+            region: "midlands".into(),
+        }],
+        services: vec![service],
+    };
+    Config {
+        revision: 1,
+        presets: BTreeMap::from([("bench".into(), preset)]),
+        chosen: Some("bench".into()),
+        ..Config::default()
+    }
+}
