entry: run slots, members and claims as one host; let a shutdown end

Cause: the parts stood side by side; the dispatcher placed by its own counts only. With all wired, a host that shut down never ended: as holder, owner and broker it leased each slot it gave back to itself again (seen in a debugger: Slots::pump without end under Slots::stop). A stopping host leases nothing to itself and keeps no slot idle. Ruled out: the edge's drain (its callers had all ended) and the membership's end (not reached).

--- a/components/coordination/src/slots/handing.rs
+++ b/components/coordination/src/slots/handing.rs
@@ -24,6 +24,10 @@
         if self.serve_order(service, slot, now) {
             return false;
         }
+        if self.stopping {
+            self.dismiss(service, slot, now);
+            return false;
+        }
         if self.map.broker(service) == Some(self.me.host) {
             return self.settle_pooled(service, slot, now);
         }
--- a/components/coordination/src/slots/holding.rs
+++ b/components/coordination/src/slots/holding.rs
@@ -193,7 +193,13 @@
             if !self.holder.accept(handed, service, asked, now) {
                 continue;
             }
-            if site.leaving || self.stopping {
+            // Not given back while stopping: its owner still takes this host for
+            // the broker and would lease it here again at once, back and forth.
+            if self.stopping {
+                self.holder.release(slot);
+                continue;
+            }
+            if site.leaving {
                 self.holder.release(slot);
                 self.give_back(handed.lease, Reason::Idle);
                 continue;
--- a/components/coordination/src/slots/mod.rs
+++ b/components/coordination/src/slots/mod.rs
@@ -219,6 +219,24 @@
         self.pump(now);
     }
 
+    /// Begins a new life as a member, after this host was removed and joins anew.
+    ///
+    /// Other hosts may own by now what this one owned and have leased it to
+    /// others. Acting on what it knew then would put two calls on one slot, so
+    /// nothing of it is taken along; leases held end by their own term.
+    pub fn renew_life(&mut self, life: u64) {
+        if life == self.me.life {
+            return;
+        }
+        self.me.life = life;
+        self.serial = life;
+        self.confirmed = None;
+        self.tallied = None;
+        self.owned.clear();
+        self.estates.clear();
+        self.renewals.clear();
+    }
+
     /// Notes that the configuration has just been shown to be the current one.
     ///
     /// A host that was paused or cut off may own endpoints that another host
--- a/components/coordination/src/slots/owning.rs
+++ b/components/coordination/src/slots/owning.rs
@@ -151,6 +151,11 @@
         let Some(broker) = self.map.broker_of(endpoint) else {
             return;
         };
+        // A stopping host gives back at once what it is leased. Leasing to itself
+        // then would go on for ever, and a shutdown would never end.
+        if self.stopping && broker == self.me.host {
+            return;
+        }
         let Some(echo) = self.stamp_of(broker, now) else {
             return;
         };
--- a/components/stand_ins/src/fleet.rs
+++ b/components/stand_ins/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use state::policy::Policy;
 use transport::entry::{Entry, Settings, StartError};
 
 use crate::balancer::Balancer;
@@ -55,6 +56,7 @@
                 peers: ANY_PORT,
                 admin: ANY_PORT,
                 log: site.log.address(),
+                policy: Policy::Shared,
                 drain: DRAIN_LIMIT,
                 trace_every: 0,
             };
--- a/components/transport/src/dispatch/mod.rs
+++ b/components/transport/src/dispatch/mod.rs
@@ -142,6 +142,13 @@
         }
     }
 
+    /// Takes over this host's incarnation, where it has joined anew.
+    pub fn renew_life(&self, incarnation: u64) {
+        if let Way::Shared(shared) = &self.way {
+            shared.renew_life(incarnation);
+        }
+    }
+
     /// Notes that this host may act as an owner now.
     ///
     /// To be called each 100 ms or so while the failure detector says that the
--- a/components/transport/src/dispatch/shared.rs
+++ b/components/transport/src/dispatch/shared.rs
@@ -98,6 +98,11 @@
         });
     }
 
+    /// Takes over this host's incarnation, where it has joined anew.
+    pub fn renew_life(self: &Arc<Self>, incarnation: u64) {
+        self.act(|core, _| core.slots.renew_life(incarnation));
+    }
+
     /// Notes that this host may act as an owner now.
     pub fn confirm(self: &Arc<Self>) {
         self.act(|core, now| core.slots.confirm(now));
--- a/components/transport/src/entry/mod.rs
+++ b/components/transport/src/entry/mod.rs
@@ -1,25 +1,33 @@
 //! One entry host: its ports, what runs behind them, and its shutdown.
 
+mod router;
 mod settings;
 mod status;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, OnceLock, Weak};
 use std::time::Duration;
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use protocol::PeerMessage;
+use rand::Rng;
 use serde::Serialize;
+use state::Config;
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio::time::timeout;
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::admin::{Admin, AdminError};
-use crate::dispatch::Dispatcher;
+use crate::claims::{Claims, ClaimsOptions, WorkerOptions};
+use crate::dispatch::{Dispatcher, Setup};
 use crate::edge::{Edge, Limits};
 use crate::log::{Follower, FollowerOptions, LogClient, Submission, Timeouts};
+use crate::peers::{Identity, Links, LiveView, Members, MembersOptions};
 use crate::trace::Tracing;
+use router::Router;
 
 pub use settings::Settings;
 
@@ -35,11 +43,22 @@
 /// How often observed times are sorted into the metrics.
 const UPKEEP_EVERY: Duration = Duration::from_secs(5);
 
+/// How often a host that may act as an owner says so to its slots.
+///
+/// Well below the time for which that word holds, so that one late tick
+/// doesn't stop an owner.
+const CONFIRM_EVERY: Duration = Duration::from_millis(100);
+
+/// How long a leaving host waits for its removal to come into force.
+const LEAVE_LIMIT: Duration = Duration::from_secs(5);
+
+/// How long idle slots may take to reach other hosts before the links end.
+const HAND_BACK: Duration = Duration::from_millis(200);
+
 /// A running entry host.
 pub struct Entry {
     ports: Ports,
     drain: Duration,
-    edge: Arc<Edge>,
     host: Arc<Host>,
     _admin: Admin,
 }
@@ -71,13 +90,17 @@
     Admin(#[from] AdminError),
 }
 
-/// What the admin port sees of this host.
+/// The parts of a running host, as its admin port sees them too.
 struct Host {
     name: String,
     data_centre: String,
     stopping: AtomicBool,
     follower: Arc<Follower>,
     submission: Submission,
+    members: Arc<Members>,
+    links: Arc<Links>,
+    claims: Arc<Claims>,
+    dispatcher: Arc<Dispatcher>,
     edge: Arc<Edge>,
 }
 
@@ -94,33 +117,19 @@
             address: settings.admin,
             source,
         })?;
-        let client = LogClient::new(&settings.log.to_string(), Timeouts::default());
-        let follower = Arc::new(Follower::start(client.clone(), FollowerOptions::default()));
-        let config = follower.config();
-        let dispatcher = Arc::new(Dispatcher::default());
-        let recorder = recorder();
-        let exporter = opentelemetry_stdout::SpanExporter::default();
-        let tracing = Tracing::new(settings.trace_every, &settings.name, exporter);
-        let limits = Limits::default();
-        let edge = Edge::traced(limits, Arc::clone(&dispatcher), config.clone(), tracing);
-        let host = Arc::new(Host {
-            name: settings.name.clone(),
-            data_centre: settings.data_centre.clone(),
-            stopping: AtomicBool::new(false),
-            submission: Submission::new(client, Arc::clone(&follower), COMMAND_LIMIT),
-            follower,
-            edge: Arc::clone(&edge),
-        });
+        let callers_at = local(&callers, settings.callers)?;
+        let peers_at = local(&peers, settings.peers)?;
+        let host = Arc::new(Host::start(&settings, peers, peers_at));
         let answers: Arc<dyn crate::admin::Host> = Arc::clone(&host) as _;
+        let recorder = recorder();
         let admin = Admin::open(admin, &answers, recorder)?;
+        tokio::spawn(upkeep(recorder));
+        tokio::spawn(Arc::clone(&host.edge).serve(callers));
         let ports = Ports {
-            callers: local(&callers, settings.callers)?,
-            peers: local(&peers, settings.peers)?,
+            callers: callers_at,
+            peers: peers_at,
             admin: admin.address(),
         };
-        tokio::spawn(configure(config, dispatcher));
-        tokio::spawn(upkeep(recorder));
-        tokio::spawn(Arc::clone(&edge).serve(callers));
         log::info!(
             "E0502 host-started name={} callers={} peers={} admin={}",
             settings.name,
@@ -131,7 +140,6 @@
         Ok(Entry {
             ports,
             drain: settings.drain,
-            edge,
             host,
             _admin: admin,
         })
@@ -142,13 +150,88 @@
         &self.ports
     }
 
-    /// Takes no new call, lets every call in flight end, and stops.
+    /// Takes no new call, lets every call end that came before, and stops.
+    ///
+    /// Slots go to the other hosts only after the last call has ended: one that
+    /// still waits here came before the shutdown, and is served.
     pub async fn drain(self) {
-        log::info!("E0503 host-draining name={}", self.host.name);
-        self.host.stopping.store(true, Ordering::SeqCst);
-        let ended = timeout(self.drain, self.edge.drain(NOTICE)).await.is_ok();
-        let left = if ended { 0 } else { self.edge.callers() };
-        log::info!("E0504 host-stopped name={} left={left}", self.host.name);
+        let host = &self.host;
+        log::info!("E0503 host-draining name={}", host.name);
+        host.stopping.store(true, Ordering::SeqCst);
+        let ended = timeout(self.drain, host.edge.drain(NOTICE)).await.is_ok();
+        let left = if ended { 0 } else { host.edge.callers() };
+        host.dispatcher.stop();
+        sleep(HAND_BACK).await;
+        host.members.leave(LEAVE_LIMIT).await;
+        host.members.stop();
+        host.claims.stop();
+        log::info!("E0504 host-stopped name={} left={left}", host.name);
+    }
+}
+
+impl Host {
+    fn start(settings: &Settings, peers: TcpListener, peers_at: SocketAddr) -> Host {
+        let client = LogClient::new(&settings.log.to_string(), Timeouts::default());
+        let follower = Arc::new(Follower::start(client.clone(), FollowerOptions::default()));
+        let submission = Submission::new(client.clone(), Arc::clone(&follower), COMMAND_LIMIT);
+        let identity = Identity {
+            name: settings.name.clone(),
+            incarnation: rand::rng().random(),
+            data_centre: settings.data_centre.clone(),
+        };
+        let links = Links::new(identity.clone(), follower.config());
+        let router = Arc::new(Router::default());
+        let members = Members::start(
+            MembersOptions {
+                identity: identity.clone(),
+                address: peers_at,
+                follower: Arc::clone(&follower),
+                client: client.clone(),
+                submission: submission.clone(),
+            },
+            peers,
+            Arc::clone(&links),
+            Arc::clone(&router) as _,
+        );
+        let claims = Claims::start(ClaimsOptions {
+            client,
+            links: Arc::clone(&links),
+            worker: WorkerOptions::default(),
+        });
+        let sender = Arc::clone(&links);
+        let setup = Setup {
+            host: links.me(),
+            incarnation: identity.incarnation,
+            data_centre: settings.data_centre.clone(),
+            policy: settings.policy,
+        };
+        let dispatcher = Dispatcher::new(
+            &setup,
+            Arc::new(move |to, message| {
+                sender.send(to, &PeerMessage::Slots(message));
+            }),
+        );
+        router.set(Arc::clone(&dispatcher), Arc::clone(&claims));
+        let exporter = opentelemetry_stdout::SpanExporter::default();
+        let tracing = Tracing::new(settings.trace_every, &settings.name, exporter);
+        let limits = Limits::default();
+        let edge = Edge::traced(limits, Arc::clone(&dispatcher), follower.config(), tracing);
+        edge.claim_by(Arc::clone(&claims) as _);
+        tokio::spawn(configure(follower.config(), Arc::clone(&dispatcher)));
+        tokio::spawn(watch_members(links.view(), Arc::clone(&dispatcher)));
+        tokio::spawn(confirm(Arc::downgrade(&members), Arc::clone(&dispatcher)));
+        Host {
+            name: settings.name.clone(),
+            data_centre: settings.data_centre.clone(),
+            stopping: AtomicBool::new(false),
+            follower,
+            submission,
+            members,
+            links,
+            claims,
+            dispatcher,
+            edge,
+        }
     }
 }
 
@@ -181,10 +264,7 @@
 }
 
 /// Hands each configuration on to the dispatcher as it comes into force.
-async fn configure(
-    mut config: tokio::sync::watch::Receiver<Arc<state::Config>>,
-    dispatcher: Arc<Dispatcher>,
-) {
+async fn configure(mut config: watch::Receiver<Arc<Config>>, dispatcher: Arc<Dispatcher>) {
     loop {
         let current = Arc::clone(&config.borrow_and_update());
         dispatcher.configure(&current);
@@ -208,6 +288,31 @@
     }
 }
 
+/// Hands on who is alive.
+async fn watch_members(mut view: watch::Receiver<Arc<LiveView>>, dispatcher: Arc<Dispatcher>) {
+    loop {
+        let alive = view.borrow_and_update().alive().collect();
+        dispatcher.watch(alive);
+        if view.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells the slots while this host may act as an owner, and which life it leads.
+async fn confirm(members: Weak<Members>, dispatcher: Arc<Dispatcher>) {
+    let mut ticks = interval(CONFIRM_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    while let Some(members) = members.upgrade() {
+        dispatcher.renew_life(members.me().incarnation);
+        if members.may_act() {
+            dispatcher.confirm();
+        }
+        drop(members);
+        ticks.tick().await;
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
--- /dev/null
+++ b/components/transport/src/entry/router.rs
@@ -0,0 +1,35 @@
+//! Hands each message of a peer to the part it is for.
+
+use std::sync::{Arc, OnceLock};
+
+use protocol::PeerMessage;
+use state::HostKey;
+
+use crate::claims::Claims;
+use crate::dispatch::Dispatcher;
+use crate::peers::Receive;
+
+/// The parts that take messages, set once each as they start.
+#[derive(Default)]
+pub struct Router {
+    dispatcher: OnceLock<Arc<Dispatcher>>,
+    claims: OnceLock<Arc<Claims>>,
+}
+
+impl Router {
+    /// Sets where messages go; what came before is lost, as on a link that is not yet up.
+    pub fn set(&self, dispatcher: Arc<Dispatcher>, claims: Arc<Claims>) {
+        let _ = self.dispatcher.set(dispatcher);
+        let _ = self.claims.set(claims);
+    }
+}
+
+impl Receive for Router {
+    fn receive(&self, from: HostKey, message: PeerMessage) {
+        match (message, self.dispatcher.get(), self.claims.get()) {
+            (PeerMessage::Slots(message), Some(dispatcher), _) => dispatcher.receive(from, message),
+            (PeerMessage::Claim(message), _, Some(claims)) => claims.receive(from, message),
+            _ => {}
+        }
+    }
+}
--- a/components/transport/src/entry/settings.rs
+++ b/components/transport/src/entry/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use derives::value;
+use state::policy::Policy;
 
 /// An entry host's settings, already checked.
 #[value]
@@ -20,6 +21,8 @@
     pub admin: SocketAddr,
     /// Where the platform's log listens.
     pub log: SocketAddr,
+    /// How calls are placed.
+    pub policy: Policy,
     /// How long calls in flight may take to end on shutdown.
     pub drain: Duration,
     /// One call in this many is traced, none where 0.
--- a/components/transport/src/entry/status.rs
+++ b/components/transport/src/entry/status.rs
@@ -1,9 +1,13 @@
 //! The status page: what a host knows, as JSON.
 
+use std::collections::BTreeMap;
+
 use serde_json::{Value, json};
+use state::{Config, EndpointKey};
 
 use super::Host;
 use crate::clock;
+use crate::dispatch::EndpointStanding;
 
 /// Returns what `host` knows.
 pub fn page(host: &Host) -> Value {
@@ -19,7 +23,87 @@
         "log_age_ms": progress.end_seen.map(|seen| now.since(seen).as_millis()),
         "trouble": progress.trouble,
         "callers": host.edge.callers(),
+        "owner": host.members.may_act(),
+        "member": host.members.is_member(),
         "leaving_centres": config.leaving_centres,
         "leaving_hosts": config.leaving_hosts,
+        "members": members(host, &config),
+        "services": services(host, &config),
+        "endpoints": endpoints(host, &config),
     })
 }
+
+fn members(host: &Host, config: &Config) -> Vec<Value> {
+    let view = host.links.view().borrow().clone();
+    let alive: Vec<_> = view.alive().collect();
+    let row = |(key, member): (&state::HostKey, &state::config::Member)| {
+        let here = *key == host.links.me();
+        json!({
+            "host": member.name,
+            "data_centre": member.data_centre,
+            "state": if alive.contains(key) { "alive" } else { "suspected" },
+            "linked": here || host.links.is_linked(*key),
+            "joined": member.joined,
+        })
+    };
+    config.members.iter().map(row).collect()
+}
+
+fn services(host: &Host, config: &Config) -> Vec<Value> {
+    let services = config
+        .preset()
+        .map(|p| p.services.as_slice())
+        .unwrap_or_default();
+    let row = |service: &state::preset::Service| {
+        let standing = host.dispatcher.standing(service.key()).unwrap_or_default();
+        json!({
+            "service": service.name,
+            "waiting": standing.waiting,
+            "held": standing.held,
+            "idle": standing.idle,
+        })
+    };
+    services.iter().map(row).collect()
+}
+
+/// Lists all endpoints; what only the owner knows is blank for the others.
+fn endpoints(host: &Host, config: &Config) -> Vec<Value> {
+    let owned: BTreeMap<EndpointKey, EndpointStanding> = host
+        .dispatcher
+        .owned()
+        .into_iter()
+        .map(|s| (s.endpoint, s))
+        .collect();
+    let services = config
+        .preset()
+        .map(|p| p.services.as_slice())
+        .unwrap_or_default();
+    let mut rows = Vec::new();
+    for service in services {
+        for endpoint in &service.endpoints {
+            let standing = owned.get(&endpoint.key(service));
+            let leaving = config.is_leaving(&endpoint.data_centre, endpoint.address);
+            rows.push(json!({
+                "service": service.name,
+                "endpoint": endpoint.address,
+                "data_centre": endpoint.data_centre,
+                "state": state(leaving, service.slots, standing),
+                "slots": standing.map(|s| s.cap),
+                "out": standing.map(|s| s.out),
+                "report_age_ms": standing.and_then(|s| s.report_age).map(|age| age.as_millis()),
+            }));
+        }
+    }
+    rows
+}
+
+fn state(leaving: bool, slots: u32, standing: Option<&EndpointStanding>) -> &'static str {
+    match standing {
+        _ if leaving => "leaving",
+        None => "owned elsewhere",
+        Some(s) if s.fenced => "fenced",
+        Some(s) if s.doubted => "doubted",
+        Some(s) if s.cap < slots => "cold",
+        Some(_) => "warm",
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -25,6 +25,9 @@
             optional --admin-address address: String
             /// Where the platform's log listens, an IP number and a port.
             optional --log-address address: String
+            /// How calls are placed: shared (the default), or a baseline to measure
+            /// against: random, round-robin, least-in-flight, two-choices, fixed-share.
+            optional --policy policy: String
             /// How long calls in flight may take to end on shutdown, in seconds.
             optional --drain-seconds seconds: String
             /// Write one call in this many as a trace to standard output, 0 for none.
@@ -215,6 +218,7 @@
     pub peer_address: Option<String>,
     pub admin_address: Option<String>,
     pub log_address: Option<String>,
+    pub policy: Option<String>,
     pub drain_seconds: Option<String>,
     pub trace_every: Option<String>,
     pub log_level: Option<String>,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use log::LevelFilter;
+use state::policy::Policy;
 use transport::entry::Settings;
 
 use crate::cli;
@@ -46,6 +47,7 @@
     let peers = reader.required("peer-address", flags.peer_address);
     let admin = reader.required("admin-address", flags.admin_address);
     let log = reader.required("log-address", flags.log_address);
+    let policy = reader.optional("policy", flags.policy, Policy::Shared);
     let drain = reader.optional("drain-seconds", flags.drain_seconds, DEFAULT_DRAIN_SECONDS);
     let trace_every = reader.optional("trace-every", flags.trace_every, 0);
     let level = reader.optional("log-level", flags.log_level, LevelFilter::Info);
@@ -66,6 +68,7 @@
             peers: peers?,
             admin: admin?,
             log: log?,
+            policy,
             drain: Duration::from_secs(drain),
             trace_every,
         })
