--- /dev/null
+++ b/components/state/tests/slow_peers.rs
@@ -0,0 +1,43 @@
+//! How long a peer that moves bytes slowly is borne.
+
+use std::time::Duration;
+
+use state::pace::{LEAST_RATE, PATIENCE, Pace};
+
+/// Returns how many seconds a peer is borne that moves `bytes` each second.
+fn borne(bytes: u64) -> u64 {
+    let mut pace = Pace::default();
+    for second in 0..3_600 {
+        if pace.left() < Duration::from_secs(1) {
+            return second;
+        }
+        pace.waited(Duration::from_secs(1));
+        pace.moved(bytes);
+    }
+    3_600
+}
+
+/// A thousand callers move a byte a second, and each holds on for hours.
+#[test]
+fn trickle_ends() {
+    assert!(borne(1) <= PATIENCE.as_secs());
+}
+
+#[test]
+fn half_rate_ends() {
+    assert!(borne(LEAST_RATE / 2) <= 2 * PATIENCE.as_secs());
+}
+
+/// A slow line that is still fit for use carries a long upload to its end.
+#[test]
+fn least_rate_is_borne() {
+    assert_eq!(borne(LEAST_RATE), 3_600);
+}
+
+/// A fast beginning must not buy hours of silence.
+#[test]
+fn no_credit_for_the_past() {
+    let mut pace = Pace::default();
+    pace.moved(1 << 40);
+    assert_eq!(pace.left(), PATIENCE);
+}
--- a/components/transport/tests/bad_input.rs
+++ b/components/transport/tests/bad_input.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use support::{Answer, Reply, Server, Site, get, ok};
 use tokio::io::AsyncWriteExt;
@@ -193,3 +195,45 @@
     assert!(answer.contains("cardamomvale-outcome: unknown"), "{answer}");
     assert_eq!(server.seen(), [], "no whole request arrived");
 }
+
+/// Bytes of all kinds arrive at the callers' port. Each connection gets an
+/// answer with an outcome or is closed, and the host serves on.
+#[tokio::test]
+async fn random_bytes() {
+    let server = Server::always(Reply::Keep(ok("prompt"))).await;
+    let limits = Limits {
+        head_time: Duration::from_millis(200),
+        ..Limits::default()
+    };
+    let site = Site::with(&[&server], |_| {}, limits).await;
+    let mut random = SmallRng::seed_from_u64(24);
+    for round in 0..300 {
+        let request = mutated(&mut random);
+        let mut stream = site.connect().await;
+        stream.write_all(&request).await.expect("sent");
+        stream.shutdown().await.expect("half closed");
+        let answer = Answer::read(&mut stream).await;
+        let told = answer.head.is_empty() || !answer.outcome().is_empty();
+        assert!(
+            told,
+            "round {round}: {answer:?} to {:?}",
+            request.escape_ascii().to_string()
+        );
+    }
+    assert_eq!(site.ask(&get("/hallboard/")).await.text(), "prompt");
+}
+
+/// Returns a good request with some of its bytes changed, lost or doubled.
+fn mutated(random: &mut SmallRng) -> Vec<u8> {
+    let whole = "POST /hallboard/x HTTP/1.1\r\nhost: e\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    let mut bytes = whole.as_bytes().to_vec();
+    for _ in 0..random.random_range(1..6) {
+        let at = random.random_range(0..bytes.len());
+        match random.random_range(0..3) {
+            0 => bytes[at] = random.random(),
+            1 => drop(bytes.remove(at)),
+            _ => bytes.insert(at, bytes[at]),
+        }
+    }
+    bytes
+}
--- a/components/transport/tests/deadlines.rs
+++ b/components/transport/tests/deadlines.rs
@@ -2,16 +2,10 @@
 
 mod support;
 
-use support::{Answer, Reply, Server, Site, field, ok, until};
+use support::{Answer, Reply, Server, Site, field, get_within, ok, until};
 use tokio::io::AsyncWriteExt;
 use transport::edge::Limits;
 
-fn get_within(path: &str, millis: u64) -> String {
-    format!(
-        "GET {path} HTTP/1.1\r\nhost: e\r\ncardamomvale-deadline-ms: {millis}\r\nconnection: close\r\n\r\n"
-    )
-}
-
 fn time_told(server: &Server) -> u64 {
     let head = &server.seen()[0].head;
     let time = field(head, "cardamomvale-deadline-ms").expect("a deadline");
--- a/components/transport/tests/hang_up.rs
+++ b/components/transport/tests/hang_up.rs
@@ -2,8 +2,9 @@
 
 mod support;
 
-use support::{Reply, Server, Site, get, ok, until};
+use support::{Reply, Server, Site, get, get_within, ok, until};
 use tokio::io::AsyncWriteExt;
+use transport::edge::Limits;
 
 /// A secretary closes the page while the hall board still works on it. The
 /// work must be cancelled at once, by the closing of its connection.
@@ -75,3 +76,60 @@
     let seen = server.seen();
     assert_ne!(seen[0].connection, seen[1].connection);
 }
+
+/// A backend server takes no notice of the hang-up and works on. Its slot must
+/// not go to the next call meanwhile: it would hold more than it can bear.
+#[tokio::test]
+async fn slot_held_to_the_end() {
+    let server = Server::start(|n, _| match n {
+        0 => Reply::Deaf,
+        _ => Reply::Keep(ok("free")),
+    })
+    .await;
+    let one_slot = |service: &mut state::preset::Service| service.slots = 1;
+    let site = Site::with(&[&server], one_slot, Limits::default()).await;
+    let mut first = site.connect().await;
+    let request = get_within("/hallboard/1", 5_000);
+    first.write_all(request.as_bytes()).await.expect("sent");
+    until(|| server.seen().len() == 1).await;
+    drop(first);
+    until(|| site.edge.callers() == 0).await;
+    let second = site.ask(&get_within("/hallboard/2", 200)).await;
+    assert_eq!(
+        (second.status(), second.outcome().as_str()),
+        (503, "not-run"),
+        "{second:?}"
+    );
+    assert_eq!(
+        server.seen().len(),
+        1,
+        "two calls at a server with one slot"
+    );
+    let third = site.ask(&get("/hallboard/3")).await;
+    assert_eq!(third.text(), "free", "{third:?}");
+}
+
+/// The backend server accepts the cancellation. Its slot serves the next call
+/// long before the first one's deadline.
+#[tokio::test]
+async fn slot_free_once_cancelled() {
+    let server = Server::start(|n, _| match n {
+        0 => Reply::Hang(String::new()),
+        _ => Reply::Keep(ok("free")),
+    })
+    .await;
+    let one_slot = |service: &mut state::preset::Service| {
+        service.slots = 1;
+        service.deadline_ms = 600_000;
+    };
+    let site = Site::with(&[&server], one_slot, Limits::default()).await;
+    let mut first = site.connect().await;
+    first
+        .write_all(get("/hallboard/1").as_bytes())
+        .await
+        .expect("sent");
+    until(|| server.seen().len() == 1).await;
+    drop(first);
+    let second = site.ask(&get("/hallboard/2")).await;
+    assert_eq!(second.text(), "free", "{second:?}");
+}
--- a/components/transport/tests/silence.rs
+++ b/components/transport/tests/silence.rs
@@ -5,13 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use support::{Reply, Server, Site, get, ok, until};
-
-fn get_within(path: &str, millis: u64) -> String {
-    format!(
-        "GET {path} HTTP/1.1\r\nhost: e\r\ncardamomvale-deadline-ms: {millis}\r\nconnection: close\r\n\r\n"
-    )
-}
+use support::{Reply, Server, Site, get, get_within, ok, until};
 
 /// Something between the two ends loses track of all open connections. The
 /// first call on a kept one is lost; those after it must not try the others.
--- a/components/transport/tests/support/mod.rs
+++ b/components/transport/tests/support/mod.rs
@@ -7,13 +7,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use state::policy::Policy;
 use state::preset::{DataCentre, Endpoint, Service};
-use state::{Config, Preset};
+use state::{Config, HostKey, Preset};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use transport::dispatch::Dispatcher;
+use transport::dispatch::{Dispatcher, Setup};
 use transport::edge::{Edge, Limits};
 use transport::trace::Tracing;
 
@@ -29,6 +30,8 @@
     Close(String),
     /// Writes these bytes and then nothing, until the other end closes.
     Hang(String),
+    /// Writes nothing and keeps its end open, whatever the other end does.
+    Deaf,
 }
 
 /// A request as a scripted backend server saw it.
@@ -131,6 +134,7 @@
             journal.seen.len() - 1
         };
         let (text, more) = match script(number, &seen) {
+            Reply::Deaf => return std::future::pending().await,
             Reply::Keep(text) => (text, None),
             Reply::Close(text) => (text, Some(false)),
             Reply::Hang(text) => (text, Some(true)),
@@ -240,7 +244,7 @@
         let mut service = hallboard(&addresses);
         change(&mut service);
         let config = Arc::new(config(service));
-        let dispatcher = Arc::new(Dispatcher::default());
+        let dispatcher = Dispatcher::new(&alone(), Arc::new(|_, _| {}));
         dispatcher.configure(&config);
         let (sender, receiver) = watch::channel(config);
         let edge = Edge::traced(limits, dispatcher, receiver, tracing);
@@ -330,6 +334,13 @@
     format!("GET {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n")
 }
 
+/// Returns a GET of `path` with a deadline, that ends its connection.
+pub fn get_within(path: &str, millis: u64) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: e\r\ncardamomvale-deadline-ms: {millis}\r\nconnection: close\r\n\r\n"
+    )
+}
+
 /// Returns a POST of `path` with a body, that ends its connection.
 pub fn post(path: &str, body: &str) -> String {
     let length = body.len();
@@ -350,6 +361,16 @@
         .expect("the condition comes to hold");
 }
 
+/// Returns the setup of the only entry host: all slots are its own, and no more.
+fn alone() -> Setup {
+    Setup {
+        host: HostKey::named("alone"),
+        incarnation: 1,
+        data_centre: "trent".into(),
+        policy: Policy::FixedShare,
+    }
+}
+
 fn hallboard(addresses: &[SocketAddr]) -> Service {
     Service {
         name: "hallboard".into(),
