coordination: a holder yields a slot only to an older call

Cause: an order to hand a slot over was followed even where a call that had waited longer stood in the holder's own queue. Change: the order names how long its call waits; the holder compares.

--- a/components/coordination/src/slots/broker.rs
+++ b/components/coordination/src/slots/broker.rs
@@ -48,6 +48,8 @@
     pub to: HostKey,
     /// The stamp of the host that gets it.
     pub echo: Stamp,
+    /// How long the call waits that it is for.
+    pub oldest: Duration,
 }
 
 /// A slot on its way is forgotten after this: the giver may have had none free.
@@ -190,7 +192,12 @@
                 giver.leaving.push_back(now);
                 giver.spoken = now;
             }
-            moves.push(Move { from, to, echo });
+            moves.push(Move {
+                from,
+                to,
+                echo,
+                oldest: wait,
+            });
         }
         moves
     }
--- a/components/coordination/src/slots/desk.rs
+++ b/components/coordination/src/slots/desk.rs
@@ -20,6 +20,8 @@
     pub echo: Stamp,
     /// How many.
     pub count: u32,
+    /// When the oldest call that they are for arrived.
+    pub since: Moment,
     /// After this it is void.
     pub until: Moment,
 }
@@ -144,16 +146,17 @@
         surplus
     }
 
-    /// Takes the next valid order of the broker.
+    /// Takes the next valid order of the broker, where its call is older than those here.
     pub fn take_order(&mut self, now: Moment) -> Option<Order> {
-        while let Some(order) = self.orders.front_mut() {
-            if order.until > now && order.count > 0 {
-                order.count -= 1;
-                return Some(order.clone());
-            }
-            self.orders.pop_front();
-        }
-        None
+        self.orders.retain(|o| o.until > now && o.count > 0);
+        let oldest = self.queue.oldest(now);
+        let empty = self.queue.is_empty();
+        let order = self
+            .orders
+            .iter_mut()
+            .find(|o| empty || now.since(o.since) > oldest)?;
+        order.count -= 1;
+        Some(order.clone())
     }
 
     /// Returns when the next report to the broker is due, if one is.
--- a/components/coordination/src/slots/handing.rs
+++ b/components/coordination/src/slots/handing.rs
@@ -11,7 +11,7 @@
 use super::{Parcel, Slots};
 
 /// An order to hand slots over is void after this.
-const ORDER: Duration = Duration::from_millis(10);
+pub(super) const ORDER: Duration = Duration::from_millis(10);
 
 impl Slots {
     /// Decides about one idle slot; returns whether it stays idle here.
@@ -84,22 +84,14 @@
         &mut self,
         from: HostKey,
         service: ServiceKey,
-        to: HostKey,
-        echo: Stamp,
-        count: u32,
+        order: Order,
         now: Moment,
     ) {
         if self.map.broker(service) != Some(from) {
             return;
         }
         if let Some(desk) = self.desks.get_mut(&service) {
-            let until = now + ORDER;
-            desk.orders.push_back(Order {
-                to,
-                echo,
-                count,
-                until,
-            });
+            desk.orders.push_back(order);
         }
         self.settle(service, now);
     }
@@ -186,6 +178,7 @@
                     to: step.to,
                     echo: step.echo,
                     count: 1,
+                    oldest: step.oldest,
                 };
                 messages.push((step.from, body));
             }
--- a/components/coordination/src/slots/message.rs
+++ b/components/coordination/src/slots/message.rs
@@ -98,6 +98,8 @@
         echo: Stamp,
         /// How many.
         count: u32,
+        /// How long the oldest call waits that they are for.
+        oldest: Duration,
     },
     /// Broker to host: whether calls wait that no idle slot can serve.
     Pulse {
--- a/components/coordination/src/slots/mod.rs
+++ b/components/coordination/src/slots/mod.rs
@@ -28,7 +28,8 @@
 use state::{Config, DataCentreKey, EndpointKey, HostKey, Moment, ServiceKey};
 
 use broker::Broker;
-use desk::Desk;
+use desk::{Desk, Order};
+use handing::ORDER;
 use holder::Holder;
 use map::Map;
 use message::{Estate, Handed, LeaseKey, Returned, Seen, SlotBody, SlotKey, SlotMessage, Stamp};
@@ -377,7 +378,17 @@
                 to,
                 echo,
                 count,
-            } => self.on_yield(from, service, to, echo, count, now),
+                oldest,
+            } => {
+                let order = Order {
+                    to,
+                    echo,
+                    count,
+                    since: now - oldest,
+                    until: now + ORDER,
+                };
+                self.on_yield(from, service, order, now);
+            }
             SlotBody::Pulse { service, hungry } => self.on_pulse(from, service, hungry, now),
             SlotBody::Handoff(estates) => self.on_handoff(from, estates, now),
         }
--- a/components/protocol/src/slots.rs
+++ b/components/protocol/src/slots.rs
@@ -165,6 +165,8 @@
     echo: Option<WireStamp>,
     #[prost(uint32, tag = "4")]
     count: u32,
+    #[prost(uint64, tag = "5")]
+    oldest_us: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -246,11 +248,13 @@
                 to,
                 echo,
                 count,
+                oldest,
             } => WireKind::Yield(WireYield {
                 service: service.0,
                 to: to.0,
                 echo: Some(echo.into()),
                 count: *count,
+                oldest_us: micros(*oldest),
             }),
             SlotBody::Pulse { service, hungry } => WireKind::Pulse(WirePulse {
                 service: service.0,
@@ -391,6 +395,7 @@
                 to: HostKey(w.to),
                 echo: stamp(w.echo)?,
                 count: w.count.min(NUMBER),
+                oldest: Duration::from_micros(w.oldest_us),
             },
             WireKind::Pulse(w) => SlotBody::Pulse {
                 service: ServiceKey(w.service),
--- a/components/protocol/tests/slot_messages.rs
+++ b/components/protocol/tests/slot_messages.rs
@@ -59,7 +59,7 @@
     idle: 2,
     got: 99,
 }))]
-#[case(SlotBody::Yield { service: ServiceKey(3), to: HostKey(4), echo: STAMP, count: 2 })]
+#[case(SlotBody::Yield { service: ServiceKey(3), to: HostKey(4), echo: STAMP, count: 2, oldest: TERM })]
 #[case(SlotBody::Pulse { service: ServiceKey(3), hungry: true })]
 #[case(SlotBody::Handoff(vec![Estate {
     endpoint: EndpointKey(1),
