members, slots: a host that is told to stop hands its roles on before it goes

Cause: a graceful shutdown removed the host from the members at one stroke. Its endpoints' next owners had to wait behind their fence for what the old one had left, since the links were gone with the membership; and an estate sent before a link stood was lost for good, as when hosts join one after another. Change: a Drain command on the config stream marks a member; owners and brokers are elected among the others while it still serves and has its links; the mark ends with the membership. What an owner leaves to the next is sent again until there is a link. A host is ready only as a member with links to half of the living others.

--- a/components/coordination/src/config/command.rs
+++ b/components/coordination/src/config/command.rs
@@ -112,6 +112,13 @@
         /// The data centre it stands in.
         data_centre: String,
     },
+    /// Has a member hand its roles on before it leaves.
+    Drain {
+        /// The member.
+        host: HostKey,
+        /// The process that is meant.
+        incarnation: u64,
+    },
     /// Ends an entry host's membership, unless it has been started anew since.
     Remove {
         /// The member.
@@ -220,7 +227,7 @@
             }
             Change::LeaveHost { name } | Change::ReturnHost { name } => Subject::Host(name.clone()),
             Change::Join { name, .. } => Subject::Member(HostKey::named(name)),
-            Change::Remove { host, .. } => Subject::Member(*host),
+            Change::Drain { host, .. } | Change::Remove { host, .. } => Subject::Member(*host),
         })
     }
 }
--- a/components/coordination/src/config/decide.rs
+++ b/components/coordination/src/config/decide.rs
@@ -71,6 +71,7 @@
             };
             join(config, touched, member)
         }
+        Change::Drain { host, incarnation } => drain(config, touched, *host, *incarnation),
         Change::Remove { host, incarnation } => remove(config, touched, *host, *incarnation),
     }
 }
@@ -156,10 +157,35 @@
         }
         _ => touched.check(subject.clone())?,
     }
+    config.draining.remove(&key);
     config.members.insert(key, member);
     Ok(Decision::Changed(subject))
 }
 
+/// Decides that a member hands its roles on.
+///
+/// A host that went without it would take the slots of its endpoints out of
+/// use until the next owner could be sure that nothing of them is out. Callers
+/// would see calls refused at each restart of an entry host.
+fn drain(
+    config: &mut Config,
+    touched: &Touched,
+    host: HostKey,
+    incarnation: u64,
+) -> Result<Decision, Refusal> {
+    let subject = Subject::Member(host);
+    match config.members.get(&host) {
+        Some(member) if member.incarnation == incarnation => {}
+        _ => return Err(Refusal::UnknownMember),
+    }
+    if config.draining.contains(&host) {
+        return Ok(Decision::Already(touched.since(&subject)));
+    }
+    touched.check(subject.clone())?;
+    config.draining.insert(host);
+    Ok(Decision::Changed(subject))
+}
+
 /// Decides a removal. It names the process, so that a host that has been
 /// started anew since is not removed for its forerunner's silence.
 fn remove(
@@ -174,6 +200,7 @@
         _ => return Err(Refusal::UnknownMember),
     }
     config.members.remove(&host);
+    config.draining.remove(&host);
     Ok(Decision::Changed(subject))
 }
 
--- a/components/coordination/src/slots/map.rs
+++ b/components/coordination/src/slots/map.rs
@@ -86,7 +86,7 @@
         let peers = config
             .members
             .iter()
-            .map(|(key, member)| (*key, peer(config, member, &regions)))
+            .map(|(key, member)| (*key, peer(config, *key, member, &regions)))
             .collect();
         let mut map = Map {
             peers,
@@ -195,13 +195,19 @@
         .collect()
 }
 
-fn peer(config: &Config, member: &Member, regions: &BTreeMap<DataCentreKey, RegionKey>) -> Peer {
+fn peer(
+    config: &Config,
+    key: HostKey,
+    member: &Member,
+    regions: &BTreeMap<DataCentreKey, RegionKey>,
+) -> Peer {
     let centre = DataCentreKey::named(&member.data_centre);
     Peer {
         life: member.incarnation,
         centre,
         region: regions.get(&centre).copied().unwrap_or(RegionKey(0)),
-        leaving: config.is_leaving(&member.data_centre, member.peer)
+        leaving: config.draining.contains(&key)
+            || config.is_leaving(&member.data_centre, member.peer)
             || config.leaving_hosts.contains(&member.name),
     }
 }
--- a/components/coordination/tests/config_fold.rs
+++ b/components/coordination/tests/config_fold.rs
@@ -468,3 +468,39 @@
         prop_assert!(!host.is_behind());
     }
 }
+
+/// An entry host is told to stop, and hands its roles on before it goes. The
+/// mark must not outlive it: the same host, started again, would own nothing.
+#[test]
+fn drain_ends() {
+    let mut fold = started();
+    let north = HostKey::named("north");
+    let drain = |incarnation| Change::Drain {
+        host: north,
+        incarnation,
+    };
+    assert!(matches!(
+        give(&mut fold, 4, drain(1)),
+        Answer::Refused { .. }
+    ));
+    give(&mut fold, 4, join("north", 1));
+    assert!(matches!(
+        give(&mut fold, 5, drain(2)),
+        Answer::Refused { .. }
+    ));
+    assert_eq!(
+        give(&mut fold, 5, drain(1)),
+        Answer::Accepted { revision: 6 }
+    );
+    assert!(fold.config().draining.contains(&north));
+    assert_eq!(
+        give(&mut fold, 6, drain(1)),
+        Answer::Accepted { revision: 6 }
+    );
+    give(&mut fold, 6, remove("north", 1));
+    assert!(fold.config().draining.is_empty());
+    give(&mut fold, 7, join("north", 3));
+    give(&mut fold, 8, drain(3));
+    give(&mut fold, 9, join("north", 4));
+    assert!(fold.config().draining.is_empty());
+}
--- a/components/coordination/tests/slot_shutdown.rs
+++ b/components/coordination/tests/slot_shutdown.rs
@@ -1,6 +1,7 @@
 //! An entry host that shuts down leaves its slots to the others.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use coordination::slots::{Arrival, Effect, Ending, Identity, Slots};
 use state::config::Member;
@@ -103,3 +104,66 @@
         .expect("the service is known");
     assert_eq!(standing.idle, 0);
 }
+
+/// An operator restarts one of two entry hosts. Once its endpoints' free slots
+/// rested until the next owner could be sure of them, and callers of the other
+/// host were refused for seconds. Marked as draining it hands them on at once.
+#[test]
+fn roles_handed_on() {
+    let names = ["north", "south"];
+    let keys = names.map(HostKey::named);
+    let mut hosts = [host("north", 1), host("south", 2)];
+    let alive = BTreeSet::from(keys);
+    let mut now = Moment::from_millis(1);
+    let mut config = config(&["north"]);
+    for slots in &mut hosts {
+        slots.configure(&self::config(&[]), &BTreeSet::new(), now);
+        slots.configure(&config, &alive, now);
+    }
+    run(&mut hosts, keys, &mut now, 20);
+    config = self::config(&names);
+    for slots in &mut hosts {
+        slots.configure(&config, &alive, now);
+    }
+    run(&mut hosts, keys, &mut now, 200);
+    assert!(
+        hosts.iter().all(|slots| slots.owned().len() == 1),
+        "each owns one endpoint"
+    );
+
+    config.draining.insert(keys[0]);
+    for slots in &mut hosts {
+        slots.configure(&config, &alive, now);
+    }
+    run(&mut hosts, keys, &mut now, 100);
+    assert!(hosts[0].owned().is_empty());
+    assert_eq!(hosts[1].owned().len(), 2);
+    assert!(
+        hosts[1]
+            .owned()
+            .values()
+            .all(|owned| owned.ledger.is_open(now))
+    );
+}
+
+/// Runs both hosts for some milliseconds; messages take one.
+fn run(hosts: &mut [Slots; 2], keys: [HostKey; 2], now: &mut Moment, millis: u64) {
+    let mut mail = Vec::new();
+    for _ in 0..millis {
+        *now = *now + Duration::from_millis(1);
+        for (from, to, message) in std::mem::take(&mut mail) {
+            if let Some(index) = keys.iter().position(|key| *key == to) {
+                hosts[index].receive(from, message, *now);
+            }
+        }
+        for (slots, key) in hosts.iter_mut().zip(keys) {
+            slots.confirm(*now);
+            slots.tick(*now);
+            for effect in slots.drain() {
+                if let Effect::Send(to, message) = effect {
+                    mail.push((key, to, message));
+                }
+            }
+        }
+    }
+}
--- a/components/protocol/src/record.rs
+++ b/components/protocol/src/record.rs
@@ -50,7 +50,7 @@
     id_low: u64,
     #[prost(uint64, tag = "3")]
     decided_on: u64,
-    #[prost(oneof = "ChangeBody", tags = "4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "ChangeBody", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12")]
     change: Option<ChangeBody>,
 }
 
@@ -71,7 +71,9 @@
     #[prost(message, tag = "10")]
     Join(JoinBody),
     #[prost(message, tag = "11")]
-    Remove(RemoveBody),
+    Remove(MemberBody),
+    #[prost(message, tag = "12")]
+    Drain(MemberBody),
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -87,7 +89,7 @@
 }
 
 #[derive(Clone, PartialEq, Message)]
-struct RemoveBody {
+struct MemberBody {
     #[prost(fixed64, tag = "1")]
     host: u64,
     #[prost(fixed64, tag = "2")]
@@ -200,10 +202,15 @@
             peer: peer.to_string(),
             data_centre: data_centre.clone(),
         }),
-        Change::Remove { host, incarnation } => ChangeBody::Remove(RemoveBody {
-            host: host.0,
-            incarnation: *incarnation,
-        }),
+        Change::Remove { host, incarnation } => ChangeBody::Remove(member(*host, *incarnation)),
+        Change::Drain { host, incarnation } => ChangeBody::Drain(member(*host, *incarnation)),
+    }
+}
+
+fn member(host: HostKey, incarnation: u64) -> MemberBody {
+    MemberBody {
+        host: host.0,
+        incarnation,
     }
 }
 
@@ -225,6 +232,10 @@
             host: HostKey(remove.host),
             incarnation: remove.incarnation,
         },
+        ChangeBody::Drain(drain) => Change::Drain {
+            host: HostKey(drain.host),
+            incarnation: drain.incarnation,
+        },
     };
     Some(Command {
         id: CommandId((u128::from(body.id_high) << 64) | u128::from(body.id_low)),
--- a/components/protocol/tests/config_record.rs
+++ b/components/protocol/tests/config_record.rs
@@ -32,6 +32,7 @@
 #[case(Change::LeaveHost { name: "127.2.1.1".to_owned() })]
 #[case(Change::ReturnHost { name: "127.2.1.1".to_owned() })]
 #[case(Change::Join { name: "a-1".to_owned(), incarnation: u64::MAX, peer: "[::1]:9".parse().unwrap(), data_centre: "a".to_owned() })]
+#[case(Change::Drain { host: HostKey(7), incarnation: u64::MAX })]
 #[case(Change::Remove { host: HostKey(u64::MAX), incarnation: 1 })]
 fn there_and_back(#[case] change: Change) {
     let command = command(change);
--- a/components/stand_ins/src/config_run/check.rs
+++ b/components/stand_ins/src/config_run/check.rs
@@ -258,6 +258,7 @@
                 .members
                 .values()
                 .any(|m| m.name == *name && m.incarnation == *incarnation),
+            Change::Drain { host, .. } => config.draining.contains(host),
             Change::Remove { host, .. } => !config.members.contains_key(host),
         }
     }
--- a/components/stand_ins/src/history/check/servers.rs
+++ b/components/stand_ins/src/history/check/servers.rs
@@ -90,6 +90,7 @@
             } => {
                 centres.insert(*endpoint, data_centre);
             }
+            Event::Asked { order, name } => out.asked(*order, name),
             Event::Ordered { order, name, .. } => out.order(*order, name, record.at),
             Event::Draining {
                 endpoint,
@@ -132,6 +133,18 @@
 }
 
 impl Out {
+    /// Ends what is out as soon as an operator asks for its return.
+    ///
+    /// Entry hosts act on the return before its author has the answer: calls
+    /// that came between the two were once taken for calls to a data centre
+    /// that had left.
+    fn asked(&mut self, order: Order, name: &str) {
+        match order {
+            Order::CentreReturns | Order::HostReturns => self.order(order, name, 0),
+            Order::CentreLeaves | Order::HostLeaves | Order::Choose => {}
+        }
+    }
+
     fn order(&mut self, order: Order, name: &str, at: u64) {
         match order {
             Order::CentreLeaves => {
--- a/components/stand_ins/src/history/event.rs
+++ b/components/stand_ins/src/history/event.rs
@@ -97,6 +97,13 @@
         /// Whether it drains.
         draining: bool,
     },
+    /// An operator's command is about to be sent: it may be in force from now on.
+    Asked {
+        /// The command.
+        order: Order,
+        /// The data centre, host or preset it names.
+        name: String,
+    },
     /// An operator's command was accepted.
     Ordered {
         /// The command.
--- a/components/stand_ins/src/load/measure.rs
+++ b/components/stand_ins/src/load/measure.rs
@@ -226,16 +226,20 @@
             } => {
                 centres.insert(*endpoint, data_centre);
             }
-            Event::Ordered { order, name, .. } => match order {
-                Order::CentreLeaves => {
-                    left.insert(name, record.at);
-                    last.entry(name.clone()).or_insert(0);
-                }
-                Order::CentreReturns => {
-                    left.remove(name);
-                }
-                _ => {}
-            },
+            Event::Ordered {
+                order: Order::CentreLeaves,
+                name,
+                ..
+            } => {
+                left.insert(name, record.at);
+                last.entry(name.clone()).or_insert(0);
+            }
+            Event::Asked {
+                order: Order::CentreReturns,
+                name,
+            } => {
+                left.remove(name);
+            }
             Event::Received { endpoint, .. } => {
                 let centre = centres.get(endpoint).copied();
                 let since = centre.and_then(|c| Some((c, left.get(c)?)));
--- a/components/stand_ins/src/site.rs
+++ b/components/stand_ins/src/site.rs
@@ -193,6 +193,10 @@
             Order::HostReturns => Change::ReturnHost { name: owned },
             Order::Choose => Change::ChoosePreset { name: owned },
         };
+        self.history.add(Event::Asked {
+            order,
+            name: name.to_owned(),
+        });
         let revision = self.command(looked, change).await?;
         self.history.add(Event::Ordered {
             order,
--- a/components/stand_ins/tests/history_checks.rs
+++ b/components/stand_ins/tests/history_checks.rs
@@ -61,6 +61,13 @@
     }
 }
 
+fn asked(order: Order, name: &str) -> Event {
+    Event::Asked {
+        order,
+        name: name.to_owned(),
+    }
+}
+
 fn seen(host: &str, revision: u64, preset: &str) -> Event {
     Event::Seen {
         host: host.to_owned(),
@@ -104,6 +111,8 @@
         at(10, ordered(Order::CentreLeaves, "trent", 2)),
         at(11, received(5, None)),
         at(12, seen("entry-1", 2, "ordinary")),
+        at(18, asked(Order::CentreReturns, "trent")),
+        at(19, received(10, None)),
         at(20, ordered(Order::CentreReturns, "trent", 3)),
         at(21, received(6, None)),
         at(21, seen("entry-1", 3, "ordinary")),
--- a/components/state/src/config.rs
+++ b/components/state/src/config.rs
@@ -28,6 +28,10 @@
     pub leaving_centres: BTreeSet<String>,
     /// Entry hosts and backend server hosts (by IP number or name) taken out.
     pub leaving_hosts: BTreeSet<String>,
+    /// Members that are shutting down: they serve their calls to the end, and
+    /// their roles go to others.
+    #[serde(default)]
+    pub draining: BTreeSet<HostKey>,
     /// The entry hosts that own slots and claims, by key.
     pub members: BTreeMap<HostKey, Member>,
 }
--- a/components/transport/src/entry/mod.rs
+++ b/components/transport/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! One entry host: its ports, what runs behind them, and its shutdown.
 
 mod router;
+mod sender;
 mod settings;
 mod status;
 
@@ -11,7 +12,6 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use protocol::PeerMessage;
 use rand::Rng;
 use serde::Serialize;
 use state::Config;
@@ -40,6 +40,9 @@
 /// no request is on its way to a connection that is being closed.
 const NOTICE: Duration = Duration::from_millis(500);
 
+/// Why a host that no one knows takes no calls.
+const NO_MEMBER: &str = "not a member, so no slots: is the log up? see E0412 and E0414";
+
 /// How often observed times are sorted into the metrics.
 const UPKEEP_EVERY: Duration = Duration::from_secs(5);
 
@@ -49,6 +52,9 @@
 /// doesn't stop an owner.
 const CONFIRM_EVERY: Duration = Duration::from_millis(100);
 
+/// How long a shutdown waits for the host's roles to be handed on.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+
 /// How long a leaving host waits for its removal to come into force.
 const LEAVE_LIMIT: Duration = Duration::from_secs(5);
 
@@ -95,6 +101,7 @@
     name: String,
     data_centre: String,
     stopping: AtomicBool,
+    settled: AtomicBool,
     follower: Arc<Follower>,
     submission: Submission,
     members: Arc<Members>,
@@ -152,12 +159,14 @@
 
     /// Takes no new call, lets every call end that came before, and stops.
     ///
-    /// Slots go to the other hosts only after the last call has ended: one that
+    /// What this host owns goes to others first, while it still serves, so
+    /// that no slot is out of use. Slots it holds go only after the last call has ended: one that
     /// still waits here came before the shutdown, and is served.
     pub async fn drain(self) {
         let host = &self.host;
         log::info!("E0503 host-draining name={}", host.name);
         host.stopping.store(true, Ordering::SeqCst);
+        host.members.drain(DRAIN_LIMIT).await;
         let ended = timeout(self.drain, host.edge.drain(NOTICE)).await.is_ok();
         let left = if ended { 0 } else { host.edge.callers() };
         host.dispatcher.stop();
@@ -198,19 +207,13 @@
             links: Arc::clone(&links),
             worker: WorkerOptions::default(),
         });
-        let sender = Arc::clone(&links);
         let setup = Setup {
             host: links.me(),
             incarnation: identity.incarnation,
             data_centre: settings.data_centre.clone(),
             policy: settings.policy,
         };
-        let dispatcher = Dispatcher::new(
-            &setup,
-            Arc::new(move |to, message| {
-                sender.send(to, &PeerMessage::Slots(message));
-            }),
-        );
+        let dispatcher = Dispatcher::new(&setup, sender::start(Arc::clone(&links)));
         router.set(Arc::clone(&dispatcher), Arc::clone(&claims));
         let exporter = opentelemetry_stdout::SpanExporter::default();
         let tracing = Tracing::new(settings.trace_every, &settings.name, exporter);
@@ -224,6 +227,7 @@
             name: settings.name.clone(),
             data_centre: settings.data_centre.clone(),
             stopping: AtomicBool::new(false),
+            settled: AtomicBool::new(false),
             follower,
             submission,
             members,
@@ -235,17 +239,33 @@
     }
 }
 
+impl Host {
+    /// Returns whether this host has once had links to most living members.
+    ///
+    /// A host that took calls before could get no slots for them. Asked only
+    /// once: later on a cut link must not take all hosts out at a time.
+    fn is_settled(&self) -> bool {
+        if self.settled.load(Ordering::SeqCst) {
+            return true;
+        }
+        let others = self.links.view().borrow().alive().count().saturating_sub(1);
+        let settled = self.links.linked() * 2 >= others;
+        self.settled.store(settled, Ordering::SeqCst);
+        settled
+    }
+}
+
 impl crate::admin::Host for Host {
     fn unready(&self) -> Option<String> {
         let progress = self.follower.progress();
         let progress = progress.borrow();
-        match self.follower.config().borrow().preset() {
+        match (self.follower.config().borrow().preset(), &progress.trouble) {
             _ if self.stopping.load(Ordering::SeqCst) => Some("shutting down".to_owned()),
-            Some(_) => None,
-            None => Some(match &progress.trouble {
-                Some(trouble) => format!("no configuration yet: {trouble}"),
-                None => "no preset has been chosen: use `preset choose`".to_owned(),
-            }),
+            (None, Some(trouble)) => Some(format!("no configuration yet: {trouble}")),
+            (None, None) => Some("no preset has been chosen: use `preset choose`".to_owned()),
+            _ if !self.members.is_member() => Some(NO_MEMBER.to_owned()),
+            _ if !self.is_settled() => Some("links to the other hosts are being made".to_owned()),
+            _ => None,
         }
     }
 
--- a/components/transport/src/peers/members.rs
+++ b/components/transport/src/peers/members.rs
@@ -108,6 +108,18 @@
         is_member(&self.config(), self.me())
     }
 
+    /// Has this host's roles handed on; false where that was not in force within `limit`.
+    pub async fn drain(&self, limit: Duration) -> bool {
+        let me = self.me();
+        let mut config = self.options.follower.config();
+        self.submit(Change::Drain {
+            host: me.host,
+            incarnation: me.incarnation,
+        });
+        let drained = config.wait_for(|c| c.draining.contains(&me.host));
+        matches!(tokio::time::timeout(limit, drained).await, Ok(Ok(_)))
+    }
+
     /// Leaves: writes the removal of this host and waits until it is in force.
     ///
     /// False where that did not happen within `limit`; the others then remove
