benches: added latency with leased slots, where dispatch shows

Cause: the bench went by the least-in-flight baseline, which no entry host runs. Change: six services of ten endpoints with six slots each, slots leased, probes answered.

--- a/benches/added_latency.rs
+++ b/benches/added_latency.rs
@@ -6,7 +6,7 @@
 //!
 //! `cargo bench --bench added_latency`
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,15 +24,31 @@
 use hyper_util::rt::TokioIo;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use state::config::Member;
+use state::policy::Policy;
 use state::preset::{DataCentre, Endpoint, Service};
-use state::{Config, Preset};
+use state::{Config, HostKey, Preset};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
-use transport::dispatch::Dispatcher;
+use transport::dispatch::{Dispatcher, Setup};
 use transport::edge::{Edge, Limits};
 
-const SERVICE: &str = "hallboard";
+/// As many as the brief's deployments have together.
+const SERVICES: [&str; 6] = [
+    "hallboard",
+    "ledgerhouse",
+    "fiddlebook",
+    "dossier",
+    "endorse",
+    "archive",
+];
+const HOST: &str = "alone";
+/// Backend servers of each service, with six slots each: 300 calls in flight leave a sixth free.
+const ENDPOINTS: usize = 10;
+const REPORT: &str = r#"{"boot":"bench","state":"warm","running":0,"slots":6}"#;
+const CONFIRM_EVERY: Duration = Duration::from_millis(100);
+const READY_TRIES: usize = 200;
 const WORKED: &str = "x-worked-us";
 const CHUNK: usize = 64 * 1024;
 const LARGE: usize = 100 * 1024 * 1024;
@@ -76,8 +92,10 @@
     let servers = runtime(2)?;
     let hosts = runtime(4)?;
     let callers = runtime(2)?;
-    let server = servers.block_on(start_server())?;
-    let host = hosts.block_on(start_edge(server))?;
+    let endpoints = servers.block_on(start_servers())?;
+    let server = endpoints[0];
+    let host = hosts.block_on(start_edge(&endpoints))?;
+    callers.block_on(until_served(host))?;
     println!("in flight | straight p50 p99 p99.9 | through p50 p99 p99.9 | added p50 p99 (us)");
     for step in STEPS {
         let times = callers.block_on(measure(&step, server, host))?;
@@ -136,6 +154,7 @@
     // and come back at once; what is wanted is calls spread over time.
     let mut random = SmallRng::seed_from_u64(number as u64);
     let work = u64::try_from(work.as_micros())?;
+    let service = SERVICES[number % SERVICES.len()];
     let warm = calls / 10;
     let mut times = times()?;
     for call in 0..calls + warm {
@@ -144,7 +163,7 @@
             _ => (&mut through, &mut times.through),
         };
         let us = random.random_range(work / 2..=work * 3 / 2);
-        let path = format!("/{SERVICE}/work?us={us}");
+        let path = format!("/{service}/work?us={us}");
         let took = timed_call(sender, &path).await?;
         if call >= warm {
             histogram.record(took)?;
@@ -177,7 +196,7 @@
     let before = resident()?;
     let mut most = before;
     for _ in 0..LARGE_ROUNDS {
-        let request = Request::get(format!("/{SERVICE}/large?size={LARGE}"))
+        let request = Request::get(format!("/{}/large?size={LARGE}", SERVICES[0]))
             .header("host", "bench")
             .body(Full::new(Bytes::new()))?;
         sender.ready().await?;
@@ -223,6 +242,15 @@
     Ok(sender)
 }
 
+/// Starts the backend servers of one service.
+async fn start_servers() -> Result<Vec<SocketAddr>> {
+    let mut addresses = Vec::new();
+    for _ in 0..ENDPOINTS * SERVICES.len() {
+        addresses.push(start_server().await?);
+    }
+    Ok(addresses)
+}
+
 async fn start_server() -> Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
@@ -245,6 +273,7 @@
     let (name, number) = query.split_once('=').unwrap_or_default();
     let number: u64 = number.parse().unwrap_or(0);
     let body = match name {
+        _ if request.uri().path() == "/-/load" => Full::new(Bytes::from(REPORT)).boxed_unsync(),
         "size" => large(number as usize),
         _ if number > 0 => {
             tokio::time::sleep(Duration::from_micros(number)).await;
@@ -264,10 +293,18 @@
     StreamBody::new(futures_util::stream::iter(frames)).boxed_unsync()
 }
 
-async fn start_edge(server: SocketAddr) -> Result<SocketAddr> {
-    let config = Arc::new(config(server));
-    let dispatcher = Arc::new(Dispatcher::default());
+async fn start_edge(endpoints: &[SocketAddr]) -> Result<SocketAddr> {
+    let config = Arc::new(config(endpoints));
+    let setup = Setup {
+        host: HostKey::named(HOST),
+        incarnation: 1,
+        data_centre: "trent".into(),
+        policy: Policy::Shared,
+    };
+    let dispatcher = Dispatcher::new(&setup, Arc::new(|_, _| {}));
     dispatcher.configure(&config);
+    dispatcher.watch(BTreeSet::from([setup.host]));
+    tokio::spawn(confirm(Arc::clone(&dispatcher)));
     let (sender, receiver) = watch::channel(config);
     let edge = Edge::new(Limits::default(), dispatcher, receiver);
     let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -279,35 +316,79 @@
     Ok(address)
 }
 
-fn config(server: SocketAddr) -> Config {
-    let service = Service {
-        name: SERVICE.into(),
-        endpoints: vec![Endpoint {
-            address: server,
-            data_centre: "trent".into(),
-        }],
-        slots: 400,
-        cold_slots: 400,
-        connections: 1_000,
-        deadline_ms: 60_000,
-        queue: 400,
-        body_limit: 1024 * 1024,
-        retry_percent: 0,
-        probe_cost_ms: 6,
-        key_seconds: 60,
-    };
+/// Says again and again that this host may act as an owner.
+async fn confirm(dispatcher: Arc<Dispatcher>) {
+    loop {
+        dispatcher.confirm();
+        tokio::time::sleep(CONFIRM_EVERY).await;
+    }
+}
+
+/// Waits until the edge has slots to serve calls with.
+async fn until_served(host: SocketAddr) -> Result<()> {
+    for service in SERVICES {
+        let path = format!("/{service}/work");
+        let mut tries = 0;
+        while timed_call(&mut connect(host).await?, &path).await.is_err() {
+            tries += 1;
+            eyre::ensure!(tries < READY_TRIES, "the edge doesn't serve {service}");
+            tokio::time::sleep(CONFIRM_EVERY).await;
+        }
+    }
+    Ok(())
+}
+
+fn config(endpoints: &[SocketAddr]) -> Config {
+    let services = SERVICES
+        .iter()
+        .zip(endpoints.chunks(ENDPOINTS))
+        .map(|(name, endpoints)| service(name, endpoints));
     let preset = Preset {
         name: "bench".into(),
         data_centres: vec![DataCentre {
             name: "trent".into(),
             region: "midlands".into(),
         }],
-        services: vec![service],
+        services: services.collect(),
     };
     Config {
         revision: 1,
         presets: BTreeMap::from([("bench".into(), preset)]),
         chosen: Some("bench".into()),
+        members: BTreeMap::from([(HostKey::named(HOST), member(endpoints[0]))]),
         ..Config::default()
     }
 }
+
+/// Returns the only entry host; nobody links to it.
+fn member(address: SocketAddr) -> Member {
+    Member {
+        name: HOST.into(),
+        incarnation: 1,
+        peer: address,
+        data_centre: "trent".into(),
+        joined: 1,
+    }
+}
+
+fn service(name: &str, endpoints: &[SocketAddr]) -> Service {
+    Service {
+        name: name.into(),
+        endpoints: endpoints
+            .iter()
+            .map(|address| Endpoint {
+                address: *address,
+                data_centre: "trent".into(),
+            })
+            .collect(),
+        slots: 6,
+        cold_slots: 6,
+        connections: 200,
+        deadline_ms: 60_000,
+        queue: 400,
+        body_limit: 1024 * 1024,
+        retry_percent: 0,
+        probe_cost_ms: 6,
+        key_seconds: 60,
+    }
+}
