config_run: joins are told apart too, so that more answers can be checked

Cause: only puts without an id showed whether "nothing was done" was true. Change: each join has an incarnation of its own, removals name the member there.

--- a/components/stand_ins/src/config_run/check.rs
+++ b/components/stand_ins/src/config_run/check.rs
@@ -74,6 +74,7 @@
     configs: BTreeMap<u64, Arc<Config>>,
     answers: BTreeMap<CommandId, Answer>,
     texts: BTreeSet<String>,
+    incarnations: BTreeSet<u64>,
     choices: Vec<Choice>,
 }
 
@@ -137,6 +138,7 @@
             configs: BTreeMap::from([(0, Arc::clone(fold.config()))]),
             answers: BTreeMap::new(),
             texts: BTreeSet::new(),
+            incarnations: BTreeSet::new(),
             choices: Vec::new(),
         };
         for (offset, data) in (0..).zip(records) {
@@ -164,6 +166,9 @@
             (Change::PutPreset { text }, _) => {
                 self.texts.insert(text);
             }
+            (Change::Join { incarnation, .. }, _) => {
+                self.incarnations.insert(incarnation);
+            }
             (Change::ChoosePreset { name }, Some(revision)) => self.choices.push(Choice {
                 revision,
                 decided_on: command.decided_on,
@@ -263,10 +268,11 @@
         }
     }
 
-    /// Returns whether a preset's text, which no other command has, stands on the log.
+    /// Returns whether a put or a join, which no other command is like, stands on the log.
     fn stands(&self, change: &Change) -> bool {
         match change {
             Change::PutPreset { text } => self.texts.contains(text),
+            Change::Join { incarnation, .. } => self.incarnations.contains(incarnation),
             _ => false,
         }
     }
--- a/components/stand_ins/src/config_run/operators.rs
+++ b/components/stand_ins/src/config_run/operators.rs
@@ -7,7 +7,7 @@
 use derives::value;
 use rand::Rng;
 use rand::rngs::StdRng;
-use state::HostKey;
+use state::{Config, HostKey};
 use transport::log::{CommandRequest, Outcome};
 
 use super::hosts::Hosts;
@@ -43,7 +43,8 @@
     let mut seen_revision = 0;
     for number in 0..count {
         let host = draw.random_range(0..hosts.count());
-        let mark = hosts.follower(host).fold().mark();
+        let fold = hosts.follower(host).fold();
+        let mark = fold.mark();
         let named = draw.random_bool(0.5);
         let stale = draw.random_bool(0.3) && seen_revision > 0;
         let request = CommandRequest {
@@ -53,7 +54,7 @@
                 (false, true) => Some(mark.revision),
                 (false, false) => None,
             },
-            change: change(operator * 10_000 + number, &mut draw),
+            change: change(operator * 10_000 + number, fold.config(), &mut draw),
         };
         let outcome = hosts.submission(host, LIMIT).submit(&request);
         seen_revision = mark.revision;
@@ -83,7 +84,8 @@
     told
 }
 
-fn change(unique: usize, draw: &mut StdRng) -> Change {
+/// Draws a change; puts and joins are unlike all others by `unique`.
+fn change(unique: usize, config: &Config, draw: &mut StdRng) -> Change {
     let which = draw.random_range(0..3);
     let centre = CENTRES[which].to_owned();
     let member = MEMBERS[which].to_owned();
@@ -98,14 +100,15 @@
         7 => Change::ReturnCentre { name: centre },
         8 => Change::Join {
             name: member,
-            incarnation: draw.random_range(0..3),
+            incarnation: unique as u64,
             peer: ([127, 0, 0, 1], 9_000).into(),
             data_centre: centre,
         },
-        _ => Change::Remove {
-            host: HostKey::named(&member),
-            incarnation: draw.random_range(0..3),
-        },
+        _ => {
+            let host = HostKey::named(&member);
+            let incarnation = config.members.get(&host).map_or(0, |m| m.incarnation);
+            Change::Remove { host, incarnation }
+        }
     }
 }
 
