config_run: late repeats of records; a command decided twice is a broken promise

Change: a fault appends an earlier record once more, as an append that lands late; the checker keeps the first decision, and a second is a broken promise.

--- a/benches/config_history.rs
+++ b/benches/config_history.rs
@@ -50,6 +50,7 @@
         sum.restarts += one.restarts;
         sum.words += one.words;
         sum.damaged += one.damaged;
+        sum.repeats += one.repeats;
     }
 }
 
--- a/components/stand_ins/src/config_run/check.rs
+++ b/components/stand_ins/src/config_run/check.rs
@@ -1,10 +1,11 @@
 //! Holds a run's history against what stands on its log.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::Arc;
 
-use coordination::config::{Answer, Change, Command, CommandId, Fold, Record, Step};
+use coordination::config::{Answer, Change, Command, CommandId, Fold, Record, Refusal, Step};
 use derives::value;
 use protocol::record::decode_record;
 use state::Config;
@@ -42,6 +43,11 @@
         /// The revision of the choice that was overwritten.
         revision: u64,
     },
+    /// A command was decided again under the same id.
+    Repeated {
+        /// The id.
+        id: CommandId,
+    },
     /// An operator was told what is not so.
     Untrue {
         /// The command.
@@ -75,6 +81,7 @@
     answers: BTreeMap<CommandId, Answer>,
     texts: BTreeSet<String>,
     incarnations: BTreeSet<u64>,
+    repeated: Vec<CommandId>,
     choices: Vec<Choice>,
 }
 
@@ -93,6 +100,7 @@
     broken.extend(differences(history, &truth));
     broken.extend(truth.missing_presets());
     broken.extend(truth.lost_choices());
+    broken.extend(truth.repeated.iter().map(|id| Broken::Repeated { id: *id }));
     broken.extend(history.told.iter().flat_map(|t| truth.untruths(t)));
     broken.extend(left_behind(history, &truth));
     broken
@@ -139,6 +147,7 @@
             answers: BTreeMap::new(),
             texts: BTreeSet::new(),
             incarnations: BTreeSet::new(),
+            repeated: Vec::new(),
             choices: Vec::new(),
         };
         for (offset, data) in (0..).zip(records) {
@@ -153,7 +162,7 @@
                 .configs
                 .insert(fold.mark().revision, Arc::clone(fold.config()));
             if let (Some(command), Step::Decided(id, answer)) = (command, step) {
-                truth.answers.insert(id, answer);
+                truth.decided(id, answer);
                 let changed = fold.mark().revision > before;
                 truth.note(command, changed.then_some(fold.mark().revision));
             }
@@ -161,6 +170,19 @@
         truth
     }
 
+    /// Notes a decision. A command that is forgotten may be decided once more,
+    /// if only as too old.
+    fn decided(&mut self, id: CommandId, answer: Answer) {
+        let refusal = Refusal::TooOld;
+        match self.answers.entry(id) {
+            Entry::Vacant(entry) => {
+                entry.insert(answer);
+            }
+            Entry::Occupied(_) if answer == Answer::Refused { refusal } => {}
+            Entry::Occupied(_) => self.repeated.push(id),
+        }
+    }
+
     fn note(&mut self, command: Command, changed: Option<u64>) {
         match (command.change, changed) {
             (Change::PutPreset { text }, _) => {
--- a/components/stand_ins/src/config_run/faults.rs
+++ b/components/stand_ins/src/config_run/faults.rs
@@ -7,6 +7,8 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
+use transport::log::CONFIG_STREAM;
+
 use super::hosts::Hosts;
 use crate::log::{LogStandIn, Loss, Outage};
 use crate::proxy::Fault;
@@ -29,6 +31,8 @@
     pub words: u32,
     /// A record that nobody can read came to stand on the log.
     pub damaged: u32,
+    /// A record came to stand on the log once more: a repeated append landed late.
+    pub repeats: u32,
 }
 
 /// Causes `count` faults and mends what is left of them.
@@ -43,7 +47,7 @@
     for _ in 0..count {
         let host = draw.random_range(0..hosts.count());
         let long = Duration::from_millis(draw.random_range(20..150));
-        match draw.random_range(0..12) {
+        match draw.random_range(0..14) {
             0 => outage(log, Outage::Refusing, long, &mut counts),
             1 => outage(log, Outage::Silent, long, &mut counts),
             2 => lose(log, Loss::Gateway, &mut draw, &mut counts),
@@ -73,9 +77,15 @@
                     hosts.follower(to).take_record(word);
                 }
             }
-            _ => {
+            11 => {
                 counts.damaged += 1;
-                log.append(transport::log::CONFIG_STREAM, Bytes::from_static(b"noise"));
+                log.append(CONFIG_STREAM, Bytes::from_static(b"noise"));
+            }
+            _ => {
+                counts.repeats += 1;
+                let records = log.journal(CONFIG_STREAM);
+                let late = pick(&records, &mut draw).cloned();
+                late.and_then(|record| log.append(CONFIG_STREAM, record));
             }
         }
         std::thread::sleep(Duration::from_millis(draw.random_range(5..30)));
