--- a/components/coordination/src/claims/kept.rs
+++ b/components/coordination/src/claims/kept.rs
@@ -7,11 +7,11 @@
 
 use super::{ClaimId, ClaimKey, KeptAnswer};
 
-/// The largest answer that is kept, in bytes.
-pub const KEPT_ANSWER: usize = 32 * 1_024;
+/// The largest answer that is kept, in bytes: a body of 64 KiB with its fields.
+pub const KEPT_ANSWER: usize = 80 * 1_024;
 
 /// All kept answers of one stream together, in bytes.
-pub const KEPT_BYTES: usize = 2 * 1_024 * 1_024;
+pub const KEPT_BYTES: usize = 4 * 1_024 * 1_024;
 
 /// How long an answer is kept. A repeat that comes later is told that the call was started.
 pub const KEPT_FOR: Duration = Duration::from_secs(600);
--- /dev/null
+++ b/components/coordination/tests/claim_bounds.rs
@@ -0,0 +1,117 @@
+//! What a home of claims spends and keeps at the most.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use coordination::claims::{
+    Answer, Ask, Batch, Budget, CARRY_AFTER, ClaimId, ClaimKey, Ending, Entry, Home, KEPT_ANSWER,
+    KEPT_BYTES, KEPT_FOR, KeptAnswer, TABLE_LIMIT,
+};
+use rstest::rstest;
+use state::{HostKey, Moment};
+
+const ENTRY: HostKey = HostKey(9);
+const KEEP: Duration = Duration::from_secs(7_200);
+
+fn second(seconds: u64) -> Moment {
+    Moment::from_millis(seconds * 1_000)
+}
+
+fn ask(number: u128) -> Ask {
+    Ask {
+        id: ClaimId(number),
+        key: ClaimKey(number),
+        digest: 0,
+        keep: KEEP,
+    }
+}
+
+fn claims(numbers: std::ops::Range<u128>) -> Batch {
+    let entries = numbers.map(|n| Entry::Claim {
+        id: ClaimId(n),
+        key: ClaimKey(n),
+        digest: 0,
+        keep: 7_200_000,
+    });
+    Batch {
+        entries: entries.collect(),
+    }
+}
+
+fn answer(size: usize) -> KeptAnswer {
+    KeptAnswer {
+        status: 200,
+        fields: Vec::new(),
+        body: Bytes::from(vec![7; size]),
+    }
+}
+
+/// Returns a home where the claims of `keys` have been answered with `size` bytes each.
+fn answered(keys: u128, size: usize, now: Moment) -> Home {
+    let mut home = Home::new(CARRY_AFTER);
+    home.caught_up();
+    home.fold(0, Some(&claims(0..keys)), now);
+    for number in 0..keys {
+        let ending = Ending::Answered(answer(size));
+        home.end(ClaimId(number), ClaimKey(number), ending, now);
+    }
+    home
+}
+
+fn repeat(home: &mut Home, key: u128, now: Moment) -> Answer {
+    let again = Ask {
+        id: ClaimId(u128::MAX),
+        ..ask(key)
+    };
+    home.ask(ENTRY, again, now + KEEP, now);
+    home.replies().pop().expect("a repeat is answered").answer
+}
+
+// The log's appends are for the whole site: a home with more claims than ever
+// must not take those that operators need.
+#[test]
+fn append_budget() {
+    let mut budget = Budget::new(30.0, 10.0, second(0));
+    let tries = (0..10_000).map(Moment::from_millis);
+    let spent = tries.filter(|now| budget.take(*now).is_ok()).count();
+    assert!((300..=310).contains(&spent), "{spent} appends in 10 s");
+}
+
+// Too many keys in two hours. A home that forgot the oldest would let a deposit
+// run twice; new ones are refused instead, and nothing of them is appended.
+#[test]
+fn full_table() {
+    let mut home = Home::new(CARRY_AFTER);
+    home.caught_up();
+    for (offset, first) in (0..TABLE_LIMIT as u128).step_by(1_000).enumerate() {
+        home.fold(offset as u64, Some(&claims(first..first + 1_000)), second(1));
+    }
+    home.ask(ENTRY, ask(u128::MAX), second(30), second(2));
+    let told = home.replies().pop().map(|r| r.answer);
+    assert!(matches!(told, Some(Answer::NotRun(_))), "{told:?}");
+    assert!(!home.has_claims());
+    assert_eq!(repeat(&mut home, 0, second(2)), Answer::Started);
+}
+
+// Answers are kept for repeats. They may not take all memory, whatever their
+// size; a repeat of one that was dropped hears that the call was started.
+#[rstest]
+#[case::few_small(10, 1_000, true)]
+#[case::too_large(10, KEPT_ANSWER, false)]
+#[case::too_many(1_000, KEPT_BYTES / 500, false)]
+fn kept_answers(#[case] keys: u128, #[case] size: usize, #[case] first_is_kept: bool) {
+    let mut home = answered(keys, size, second(1));
+    let told = repeat(&mut home, 0, second(2));
+    match first_is_kept {
+        true => assert_eq!(told, Answer::Known(answer(size))),
+        false => assert_eq!(told, Answer::Started),
+    }
+}
+
+#[test]
+fn old_answer() {
+    let mut home = answered(1, 100, second(1));
+    let later = second(1) + KEPT_FOR;
+    home.expire(later);
+    assert_eq!(repeat(&mut home, 0, later), Answer::Started);
+}
