--- a/components/coordination/tests/claim_bounds.rs
+++ b/components/coordination/tests/claim_bounds.rs
@@ -84,7 +84,11 @@
     let mut home = Home::new(CARRY_AFTER);
     home.caught_up();
     for (offset, first) in (0..TABLE_LIMIT as u128).step_by(1_000).enumerate() {
-        home.fold(offset as u64, Some(&claims(first..first + 1_000)), second(1));
+        home.fold(
+            offset as u64,
+            Some(&claims(first..first + 1_000)),
+            second(1),
+        );
     }
     home.ask(ENTRY, ask(u128::MAX), second(30), second(2));
     let told = home.replies().pop().map(|r| r.answer);
