state: a standing queue tightens slowly

Cause: after one second that a queue was never empty, calls were admitted only to 100 ms of wait; a mix of 1 ms and 2 s work has such seconds below full load, and calls that could be served were refused. Change: the wait admitted is a second over the seconds that the queue has stood, down to 100 ms from ten seconds on.

--- a/components/state/src/admission.rs
+++ b/components/state/src/admission.rs
@@ -26,9 +26,10 @@
 /// - A call whose estimated wait is past its deadline is refused at once, while
 ///   "not run" is true and the caller can still go elsewhere.
 /// - A queue that has not been empty for [`STANDING`] is a standing queue: it
-///   adds delay and serves nobody better. New calls are then admitted only
-///   while the estimated wait is under [`TARGET`]. A burst shorter than
-///   [`STANDING`] is queued whole.
+///   adds delay and serves nobody better. The longer it stands, the shorter
+///   the wait up to which new calls are admitted, down to [`TARGET`]. A burst
+///   shorter than [`STANDING`] is queued whole, and a busy spell of a few
+///   seconds below full load still costs no call.
 #[value]
 pub struct Gate {
     interval: Duration,
@@ -94,18 +95,24 @@
         Some(spacing.max(silence))
     }
 
-    /// Returns whether the queue has been standing for too long.
-    pub fn is_standing(&self, now: Moment) -> bool {
-        now.since(self.emptied) > STANDING
+    /// Returns the wait up to which calls are admitted.
+    ///
+    /// A second over the seconds for which the queue has stood: 500 ms after
+    /// two, 100 ms from ten on.
+    fn allowed(&self, now: Moment) -> Duration {
+        let stood = now.since(self.emptied);
+        if stood <= STANDING {
+            return Duration::MAX;
+        }
+        STANDING.div_f64(stood.as_secs_f64()).max(TARGET)
     }
 
     /// Decides about a call that would wait behind `ahead` others.
     pub fn decide(&self, ahead: usize, full: bool, left: Duration, now: Moment) -> Admission {
         let wait = self.estimate(ahead, now);
-        let limit = if self.is_standing(now) && ahead > 0 {
-            left.min(TARGET)
-        } else {
-            left
+        let limit = match ahead {
+            0 => left,
+            _ => left.min(self.allowed(now)),
         };
         match wait {
             _ if full => Admission::Full,
