coordination: lend one idle slot a step while calls wait elsewhere

Cause: told that calls wait, every host gave all its idle slots to the broker and asked for some back a moment later. Change: one slot a step. benches/slots gains runs that show slopes.

--- a/benches/slots/main.rs
+++ b/benches/slots/main.rs
@@ -1,7 +1,9 @@
 //! Compares placing calls by shared slots with the baselines and with the limit.
 //!
 //! `cargo bench --bench slots` runs everything and writes the plot;
-//! `cargo bench --bench slots -- 80%` only the loads whose name contains that.
+//! `cargo bench --bench slots -- 80%` only the loads whose name contains that;
+//! `cargo bench --bench slots -- slope` shows how control traffic grows.
+//! `SLOTS_ONLY=1` leaves the baselines out, `SLOTS_KINDS=1` adds messages by kind.
 
 mod baseline;
 mod outcome;
@@ -43,7 +45,12 @@
         "cpu%"
     );
     let mut rows = Vec::new();
-    for setting in settings().iter().filter(|s| chosen(s)) {
+    let slopes = if wanted.is_empty() {
+        Vec::new()
+    } else {
+        slopes()
+    };
+    for setting in settings().iter().chain(&slopes).filter(|s| chosen(s)) {
         let jobs = setting.jobs(SEED);
         let mut add = |policy: &str, outcome: Outcome| {
             print(setting.name, policy, &outcome);
@@ -66,6 +73,69 @@
     }
 }
 
+/// Returns the runs that show how control traffic grows, all at 60%.
+///
+/// Calls grow with the endpoints, so that each slot is as busy in every run.
+fn slopes() -> Vec<Setting> {
+    let base = Setting {
+        load: 0.6,
+        calls: 60_000,
+        ..Setting::HALLBOARD
+    };
+    vec![
+        Setting {
+            name: "slope 4 hosts",
+            hosts: 4,
+            ..base
+        },
+        Setting {
+            name: "slope 8 hosts",
+            hosts: 8,
+            ..base
+        },
+        Setting {
+            name: "slope 15 hosts",
+            ..base
+        },
+        Setting {
+            name: "slope 30 hosts",
+            hosts: 30,
+            ..base
+        },
+        Setting {
+            name: "slope 60 hosts",
+            hosts: 60,
+            ..base
+        },
+        Setting {
+            name: "slope 6 endpoints",
+            endpoints: 6,
+            ..base
+        },
+        Setting {
+            name: "slope 22 endpoints",
+            endpoints: 22,
+            ..base
+        },
+        Setting {
+            name: "slope 44 endpoints",
+            endpoints: 44,
+            ..base
+        },
+        Setting {
+            name: "slope 88 endpoints",
+            endpoints: 88,
+            ..base
+        },
+        Setting {
+            name: "slope idle",
+            load: 0.001,
+            calls: 100,
+            ..base
+        },
+    ]
+}
+
 fn settings() -> Vec<Setting> {
     let base = Setting::HALLBOARD;
     let mixed = Setting {
--- a/components/coordination/src/slots/desk.rs
+++ b/components/coordination/src/slots/desk.rs
@@ -43,6 +43,7 @@
     pub got: u32,
     /// The broker says that calls wait elsewhere.
     pub hungry: bool,
+    lent: Moment,
     /// Slots promised to other hosts.
     pub orders: VecDeque<Order>,
     rate: Rate,
@@ -88,6 +89,7 @@
             held: 0,
             got: 0,
             hungry: false,
+            lent: Moment(0),
             orders: VecDeque::new(),
             rate: Rate {
                 second: 0.0,
@@ -134,6 +136,18 @@
         (expected + expected.sqrt()).ceil() as u32
     }
 
+    /// Returns whether an idle slot goes to the broker now, and counts it.
+    ///
+    /// One a step: calls that wait elsewhere are few as a rule, and a host that
+    /// gave all its idle slots for them would have to ask for some at once.
+    pub fn lends(&mut self, now: Moment) -> bool {
+        let lends = self.hungry && self.lent < now;
+        if lends {
+            self.lent = now;
+        }
+        lends
+    }
+
     /// Moves the windows on; returns how many idle slots to give up.
     pub fn review(&mut self, now: Moment) -> u32 {
         if now.since(self.window) < SURPLUS {
--- a/components/coordination/src/slots/handing.rs
+++ b/components/coordination/src/slots/handing.rs
@@ -34,7 +34,7 @@
         if self.start_next(service, slot, now) {
             return false;
         }
-        let hungry = self.desks.get(&service).is_some_and(|d| d.hungry);
+        let hungry = self.desks.get_mut(&service).is_some_and(|d| d.lends(now));
         let broker = self.map.broker(service);
         match broker {
             Some(broker) if hungry && self.hand_to(broker, None, slot, now) => {
