coordination: an estate follows the endpoint; faults as a few hosts meet them

Cause: when hosts join one after another, an endpoint changes hands faster than its estate travels. The estate came to a host that no longer owned the endpoint, and the last owner waited 5 s behind its fence: of 24 slots 18 were out (found by all_slots_out), callers were refused in the first seconds. Change: such a host passes the estate on, unless it leased a slot of the endpoint itself meanwhile. Tests: cold at peak, warm again, one slow server, all slow, a data centre that leaves and returns, a holder, a broker or an owner that goes, probes with 3 and 9 hosts, saturation.

--- a/components/coordination/src/slots/ledger.rs
+++ b/components/coordination/src/slots/ledger.rs
@@ -80,7 +80,7 @@
     }
 
     /// Returns what the next owner has to know.
-    pub fn estate(&self, cap: u32, now: Moment) -> Estate {
+    pub fn estate(&self, cap: u32, revision: u64, now: Moment) -> Estate {
         let leases = self.slots.iter().filter_map(|slip| match *slip {
             Slip::Out {
                 lease,
@@ -95,6 +95,7 @@
         });
         Estate {
             endpoint: self.endpoint,
+            revision,
             fence: now.until(self.fence),
             cap,
             leases: leases.collect(),
@@ -117,6 +118,11 @@
         self.fence <= now
     }
 
+    /// Returns whether nothing was ever leased or adopted here.
+    pub fn is_virgin(&self, now: Moment) -> bool {
+        !self.is_open(now) && self.out() == 0
+    }
+
     /// Returns how many slots are out.
     pub fn out(&self) -> u32 {
         self.leases().count() as u32
--- a/components/coordination/src/slots/message.rs
+++ b/components/coordination/src/slots/message.rs
@@ -178,6 +178,8 @@
 pub struct Estate {
     /// The endpoint.
     pub endpoint: EndpointKey,
+    /// The revision of the configuration by which the giver laid it down.
+    pub revision: u64,
     /// How long slots that are not named may still be in use by leases unknown to the giver.
     pub fence: Duration,
     /// The cap on slots out.
--- a/components/coordination/src/slots/mod.rs
+++ b/components/coordination/src/slots/mod.rs
@@ -137,6 +137,9 @@
     brokers: BTreeMap<ServiceKey, Broker>,
     stamps: BTreeMap<HostKey, Heard>,
     estates: BTreeMap<EndpointKey, Left>,
+    /// Endpoints laid down lately of which slots had been leased here.
+    leased: BTreeMap<EndpointKey, Moment>,
+    revision: u64,
     tally: BTreeMap<EndpointKey, Seen>,
     tallied: Option<Moment>,
     renewals: BTreeMap<HostKey, Moment>,
@@ -192,6 +195,8 @@
             brokers: BTreeMap::new(),
             stamps: BTreeMap::new(),
             estates: BTreeMap::new(),
+            leased: BTreeMap::new(),
+            revision: 0,
             tally: BTreeMap::new(),
             tallied: None,
             renewals: BTreeMap::new(),
@@ -208,6 +213,7 @@
 
     /// Takes over a configuration, or a new view of who is alive.
     pub fn configure(&mut self, config: &Config, alive: &BTreeSet<HostKey>, now: Moment) {
+        self.revision = config.revision;
         let before = std::mem::replace(&mut self.map, Map::new(config, self.me.host, alive));
         self.configure_desks(&before, now);
         self.configure_owned(self.is_first(config), now);
@@ -300,6 +306,7 @@
             self.renew(now);
             self.estates
                 .retain(|_, left| now.since(left.at) < UNCLAIMED);
+            self.leased.retain(|_, at| now.since(*at) < UNCLAIMED);
         }
         self.pump(now);
     }
--- a/components/coordination/src/slots/owning.rs
+++ b/components/coordination/src/slots/owning.rs
@@ -81,10 +81,12 @@
             let fresh = self
                 .owned
                 .get(&endpoint)
-                .is_some_and(|o| !o.ledger.is_open(now) && o.ledger.out() == 0);
+                .is_some_and(|o| o.lost.is_none() && o.ledger.is_virgin(now));
             if fresh {
                 self.inherit(&estate, now);
                 self.lease_out(endpoint, now);
+            } else if self.revision >= estate.revision && !self.owns(endpoint) {
+                self.pass_estate(estate, now);
             } else if !self.owned.contains_key(&endpoint) {
                 let left = Left {
                     from,
@@ -96,6 +98,28 @@
         }
     }
 
+    /// Passes an estate on that came when this host was no longer the owner.
+    ///
+    /// When hosts join one after another, an endpoint changes hands faster
+    /// than its estate travels; its last owner would wait behind its fence and
+    /// callers would miss its slots for seconds. Not where this host leased
+    /// any of its slots meanwhile: the estate does not tell of those.
+    fn pass_estate(&mut self, estate: Estate, now: Moment) {
+        let leased = self.leased.get(&estate.endpoint);
+        let site = self.map.sites.get(&estate.endpoint);
+        let next = site.and_then(|s| s.owner).filter(|_| leased.is_none());
+        if let Some(next) = next {
+            let revision = self.revision;
+            let estate = Estate { revision, ..estate };
+            self.send(next, SlotBody::Handoff(vec![estate]), now);
+        }
+    }
+
+    fn owns(&self, endpoint: EndpointKey) -> bool {
+        let site = self.map.sites.get(&endpoint);
+        site.and_then(|s| s.owner) == Some(self.me.host)
+    }
+
     /// Takes up and lays down ownership as the configuration says.
     pub(super) fn configure_owned(&mut self, first: bool, now: Moment) {
         let me = Some(self.me.host);
@@ -122,6 +146,13 @@
         for endpoint in mine {
             self.take_up(endpoint, now);
         }
+        let revision = self.revision;
+        let passed = self
+            .estates
+            .extract_if(.., |_, left| left.estate.revision <= revision);
+        for left in passed.map(|(_, left)| left).collect::<Vec<_>>() {
+            self.pass_estate(left.estate, now);
+        }
     }
 
     /// Does what is due at the endpoints owned: ends, growth, recalls, leases, probes.
@@ -233,7 +264,8 @@
     /// waits behind its fence.
     fn hand_off(&mut self, now: Moment) {
         let fresh = self.has_authority(now);
-        let sites = &self.map.sites;
+        let revision = self.revision;
+        let (sites, leased) = (&self.map.sites, &mut self.leased);
         let mut estates: BTreeMap<HostKey, Vec<Estate>> = BTreeMap::new();
         self.owned.retain(|endpoint, owned| {
             let Some(lost) = owned.lost else {
@@ -243,7 +275,10 @@
                 return now.since(lost) <= FRESHNESS;
             }
             if let Some(next) = sites.get(endpoint).and_then(|s| s.owner) {
-                let estate = owned.ledger.estate(owned.warmth.reached(), now);
+                let estate = owned.ledger.estate(owned.warmth.reached(), revision, now);
+                if !owned.ledger.is_virgin(now) {
+                    leased.insert(*endpoint, now);
+                }
                 estates.entry(next).or_default().push(estate);
             }
             false
@@ -259,6 +294,7 @@
         for endpoint in endpoints {
             let estate = Estate {
                 endpoint,
+                revision: self.revision,
                 fence: Duration::ZERO,
                 cap: 0,
                 leases: Vec::new(),
--- a/components/coordination/tests/slot_leases.rs
+++ b/components/coordination/tests/slot_leases.rs
@@ -104,7 +104,7 @@
     let (mut before, opens) = open();
     before.resize(2);
     let lease = before.grant(A, 1, opens).unwrap();
-    let estate = before.estate(2, opens);
+    let estate = before.estate(2, 1, opens);
     let mut after = Ledger::inherited(&estate, 2, opens);
     assert_eq!(after.out(), 1);
     assert_eq!(after.renew(lease, A, opens), Renewal::Kept);
--- a/components/protocol/src/slots.rs
+++ b/components/protocol/src/slots.rs
@@ -193,6 +193,8 @@
     cap: u32,
     #[prost(message, repeated, tag = "4")]
     leases: Vec<WireEstateLease>,
+    #[prost(uint64, tag = "5")]
+    revision: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -344,6 +346,7 @@
         });
         WireEstate {
             endpoint: estate.endpoint.0,
+            revision: estate.revision,
             fence_us: micros(estate.fence),
             cap: estate.cap,
             leases: leases.collect(),
@@ -469,6 +472,7 @@
     fn try_from(wire: WireEstate) -> Result<Estate, ProtocolError> {
         Ok(Estate {
             endpoint: EndpointKey(wire.endpoint),
+            revision: wire.revision,
             fence: Duration::from_micros(wire.fence_us).min(FENCE),
             cap: wire.cap,
             leases: list(wire.leases)?,
--- a/components/protocol/tests/slot_messages.rs
+++ b/components/protocol/tests/slot_messages.rs
@@ -63,6 +63,7 @@
 #[case(SlotBody::Pulse { service: ServiceKey(3), hungry: true })]
 #[case(SlotBody::Handoff(vec![Estate {
     endpoint: EndpointKey(1),
+    revision: 12,
     fence: Duration::from_millis(5),
     cap: 3,
     leases: vec![EstateLease { lease: lease(0), holder: HostKey(8), left: TERM }],
