--- a/components/stand_ins/tests/config_history.rs
+++ b/components/stand_ins/tests/config_history.rs
@@ -18,6 +18,8 @@
 #[case(2)]
 #[case(3)]
 #[case(4)]
+#[case(9)]
+#[case(31)]
 fn racing_operators(#[case] seed: u64) {
     let options = RunOptions {
         seed,
