claims: a go taken up after its call's deadline gives the claim up

Change: a Go after the deadline gives the claim up (may_go); a key is remembered 60 s longer than its call may take (remembered), however short key-seconds is. Ruled out: a fault of the fold (all homes agreed on every record).

--- a/components/coordination/src/claims/mod.rs
+++ b/components/coordination/src/claims/mod.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use derives::{key, value};
+use state::Moment;
 
 pub use budget::Budget;
 pub use home::{CARRY_AFTER, Home, Reply};
@@ -108,6 +109,26 @@
     Noted(ClaimId),
 }
 
+/// How much longer than its call a key is remembered at the least.
+const OUTLIVES: Duration = Duration::from_secs(60);
+
+/// Returns how long a key is remembered: `keep`, but longer than its call may take.
+///
+/// Were it forgotten while its call can still be sent, a repeat would claim it
+/// anew, and both would run. `left` is the time to the call's deadline.
+pub fn remembered(keep: Duration, left: Duration) -> Duration {
+    keep.max(left + OUTLIVES)
+}
+
+/// Decides whether a `Go` that is taken up at `now` still lets the call be sent.
+///
+/// An entry host that was paused finds the answer waiting when it resumes, long
+/// after it was given. By then the key's time may be over and another call may
+/// have run under it; after the deadline nobody waits for this one anyway.
+pub fn may_go(now: Moment, deadline: Moment) -> bool {
+    now < deadline
+}
+
 impl ClaimKey {
     /// Returns the number of the stream the key is claimed on.
     pub fn stream(self) -> u64 {
--- a/components/transport/src/claims/entry.rs
+++ b/components/transport/src/claims/entry.rs
@@ -5,7 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
-use coordination::claims::{Answer, Ask, ClaimId, ClaimKey, ClaimMessage, Reply};
+use coordination::claims::{
+    Answer, Ask, ClaimId, ClaimKey, ClaimMessage, Reply, may_go, remembered,
+};
 use coordination::members::LiveView;
 use protocol::PeerMessage;
 use rand::Rng;
@@ -111,7 +113,7 @@
             id: ClaimId(rand::rng().random()),
             key: key_of(&request),
             digest: narrow(&request.digest),
-            keep: request.keep,
+            keep: remembered(request.keep, started.until(request.deadline)),
         };
         let until = request.deadline - MARGIN;
         let deadline = Instant::now() + started.until(until);
@@ -128,7 +130,7 @@
         let home = self.home(claim.ask.key);
         claim.ask_at(home, until);
         let answer = claim.wait(deadline, until).await;
-        claim.decide(answer, started)
+        claim.decide(answer, started, until)
     }
 
     /// Tells how a claimed call ended. Never blocks.
@@ -299,10 +301,12 @@
         }
     }
 
-    fn decide(&mut self, answer: Option<Answer>, started: Moment) -> Verdict {
-        let taken = clock::now().since(started);
+    fn decide(&mut self, answer: Option<Answer>, started: Moment, until: Moment) -> Verdict {
+        let now = clock::now();
+        let taken = now.since(started);
         metrics::histogram!("claims_seconds").record(taken.as_secs_f64());
         let verdict = match answer {
+            Some(Answer::Go) if !may_go(now, until) => Verdict::NotRun(RETRY),
             Some(Answer::Go) => Verdict::Go(ClaimTicket {
                 id: self.ask.id,
                 key: self.ask.key,
