cmd, config: say once what stood twice

Change: each command takes its own flags; Action and Target::new in operator.rs; one function marks what is leaving. Measured: not measured, no behaviour changed; the same tests pass.

--- a/components/coordination/src/config/decide.rs
+++ b/components/coordination/src/config/decide.rs
@@ -111,17 +111,11 @@
     name: &str,
     leave: bool,
 ) -> Result<Decision, Refusal> {
-    let subject = Subject::Centre(name.to_owned());
-    let leaving = config.leaving_centres.contains(name);
-    if !leaving && !names_centre(config, name) {
+    if !config.leaving_centres.contains(name) && !names_centre(config, name) {
         return Err(Refusal::UnknownCentre(name.to_owned()));
     }
-    if leaving == leave {
-        return Ok(Decision::Already(touched.since(&subject)));
-    }
-    touched.check(subject.clone())?;
-    mark(&mut config.leaving_centres, name, leave);
-    Ok(Decision::Changed(subject))
+    let subject = Subject::Centre(name.to_owned());
+    mark(&mut config.leaving_centres, touched, subject, name, leave)
 }
 
 fn host(
@@ -130,16 +124,29 @@
     name: &str,
     leave: bool,
 ) -> Result<Decision, Refusal> {
-    let subject = Subject::Host(name.to_owned());
-    let leaving = config.leaving_hosts.contains(name);
-    if !leaving && !names_host(config, name) {
+    if !config.leaving_hosts.contains(name) && !names_host(config, name) {
         return Err(Refusal::UnknownHost(name.to_owned()));
     }
-    if leaving == leave {
+    let subject = Subject::Host(name.to_owned());
+    mark(&mut config.leaving_hosts, touched, subject, name, leave)
+}
+
+/// Puts a name into the set of those that are leaving, or takes it from there.
+fn mark(
+    leaving: &mut BTreeSet<String>,
+    touched: &Touched,
+    subject: Subject,
+    name: &str,
+    leave: bool,
+) -> Result<Decision, Refusal> {
+    if leaving.contains(name) == leave {
         return Ok(Decision::Already(touched.since(&subject)));
     }
     touched.check(subject.clone())?;
-    mark(&mut config.leaving_hosts, name, leave);
+    match leave {
+        true => leaving.insert(name.to_owned()),
+        false => leaving.remove(name),
+    };
     Ok(Decision::Changed(subject))
 }
 
@@ -204,13 +211,6 @@
     Ok(Decision::Changed(subject))
 }
 
-fn mark(set: &mut BTreeSet<String>, name: &str, leave: bool) {
-    match leave {
-        true => set.insert(name.to_owned()),
-        false => set.remove(name),
-    };
-}
-
 fn names_centre(config: &Config, name: &str) -> bool {
     let named = |preset: &Preset| preset.data_centres.iter().any(|c| c.name == name);
     config.presets.values().any(named)
--- a/src/cmd/data_centre.rs
+++ b/src/cmd/data_centre.rs
@@ -4,20 +4,25 @@
 
 use coordination::config::Change;
 
-use super::operator::{Grounds, Target};
+use super::operator::{Action, Grounds, Target};
+use crate::cli;
 
 /// Runs `data-centre leave NAME` or `data-centre return NAME`.
-pub fn run(action: &str, name: &str, grounds: &Grounds, target: &Target) -> ExitCode {
-    let name = name.to_owned();
-    match action {
-        "leave" => {
-            let done = format!("data centre {name} gets no new work");
-            target.submit(Change::LeaveCentre { name }, grounds, &done)
-        }
-        "return" => {
-            let done = format!("data centre {name} takes work again");
-            target.submit(Change::ReturnCentre { name }, grounds, &done)
-        }
-        other => target.usage(&format!("\"{other}\" is no action: say leave or return")),
-    }
+pub fn run(flags: cli::DataCentre) -> ExitCode {
+    let target = Target::new(flags.log_address, flags.entry, flags.json);
+    let grounds = Grounds {
+        revision: flags.revision,
+        id: flags.id,
+    };
+    let name = flags.name;
+    let whose = format!("data centre {name}");
+    let action: Action = match flags.action.parse() {
+        Ok(action) => action,
+        Err(message) => return target.usage(&message),
+    };
+    let change = match action {
+        Action::Leave => Change::LeaveCentre { name },
+        Action::Return => Change::ReturnCentre { name },
+    };
+    target.submit(change, &grounds, &action.done(&whose))
 }
--- a/src/cmd/host.rs
+++ b/src/cmd/host.rs
@@ -4,20 +4,25 @@
 
 use coordination::config::Change;
 
-use super::operator::{Grounds, Target};
+use super::operator::{Action, Grounds, Target};
+use crate::cli;
 
 /// Runs `host leave NAME` or `host return NAME`.
-pub fn run(action: &str, name: &str, grounds: &Grounds, target: &Target) -> ExitCode {
-    let name = name.to_owned();
-    match action {
-        "leave" => {
-            let done = format!("host {name} gets no new work");
-            target.submit(Change::LeaveHost { name }, grounds, &done)
-        }
-        "return" => {
-            let done = format!("host {name} takes work again");
-            target.submit(Change::ReturnHost { name }, grounds, &done)
-        }
-        other => target.usage(&format!("\"{other}\" is no action: say leave or return")),
-    }
+pub fn run(flags: cli::Host) -> ExitCode {
+    let target = Target::new(flags.log_address, flags.entry, flags.json);
+    let grounds = Grounds {
+        revision: flags.revision,
+        id: flags.id,
+    };
+    let name = flags.name;
+    let whose = format!("host {name}");
+    let action: Action = match flags.action.parse() {
+        Ok(action) => action,
+        Err(message) => return target.usage(&message),
+    };
+    let change = match action {
+        Action::Leave => Change::LeaveHost { name },
+        Action::Return => Change::ReturnHost { name },
+    };
+    target.submit(change, &grounds, &action.done(&whose))
 }
--- a/src/cmd/operator.rs
+++ b/src/cmd/operator.rs
@@ -1,11 +1,12 @@
 //! What the operators' commands share: where they go, what they print, how they end.
 
 use std::process::ExitCode;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use coordination::config::{Change, CommandId};
-use derives::value;
+use derives::{tag, value};
 use state::Config;
 use transport::log::{
     CommandRequest, Outcome, begin_by_log, read_by_entry, read_by_log, submit_by_entry,
@@ -57,7 +58,47 @@
     Entry(String),
 }
 
+/// What an operator says of a data centre or a host.
+#[tag]
+pub enum Action {
+    /// It is taken out.
+    Leave,
+    /// It is brought back.
+    Return,
+}
+
+impl FromStr for Action {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Action, String> {
+        match text {
+            "leave" => Ok(Action::Leave),
+            "return" => Ok(Action::Return),
+            other => Err(format!("\"{other}\" is no action: say leave or return")),
+        }
+    }
+}
+
+impl Action {
+    /// Returns what is said once it is done to what `whose` names.
+    pub fn done(self, whose: &str) -> String {
+        match self {
+            Action::Leave => format!("{whose} gets no new work"),
+            Action::Return => format!("{whose} takes work again"),
+        }
+    }
+}
+
 impl Target {
+    /// Returns where a command goes, and how it prints.
+    pub fn new(log_address: Option<String>, entry: Option<String>, json: bool) -> Target {
+        Target {
+            log_address,
+            entry,
+            json,
+        }
+    }
+
     fn route(&self) -> Result<Route, String> {
         let variable = std::env::var(LOG_VARIABLE).ok();
         match (&self.log_address, &self.entry, variable) {
--- a/src/cmd/preset.rs
+++ b/src/cmd/preset.rs
@@ -8,9 +8,39 @@
 use state::Preset;
 
 use super::operator::{Grounds, Target};
+use crate::cli::{self, PresetCmd};
+
+/// Runs one of the `preset` commands.
+pub fn run(flags: cli::Preset) -> ExitCode {
+    match flags.subcommand {
+        PresetCmd::Check(f) => check(&f.file, &Target::new(None, None, f.json)),
+        PresetCmd::Put(f) => {
+            let grounds = Grounds {
+                revision: None,
+                id: f.id,
+            };
+            let target = Target::new(f.log_address, f.entry, f.json);
+            put(&f.file, &grounds, &target)
+        }
+        PresetCmd::Begin(f) => begin(&f.file, &Target::new(f.log_address, None, f.json)),
+        PresetCmd::List(f) => list(&Target::new(f.log_address, f.entry, f.json)),
+        PresetCmd::Show(f) => {
+            let target = Target::new(f.log_address, f.entry, f.json);
+            show(f.name.as_deref(), &target)
+        }
+        PresetCmd::Choose(f) => {
+            let grounds = Grounds {
+                revision: f.revision,
+                id: f.id,
+            };
+            let target = Target::new(f.log_address, f.entry, f.json);
+            choose(&f.name, &grounds, &target)
+        }
+    }
+}
 
 /// Checks a preset's file without taking it.
-pub fn check(file: &Path, target: &Target) -> ExitCode {
+fn check(file: &Path, target: &Target) -> ExitCode {
     let (_, preset) = match load(file, target) {
         Ok(loaded) => loaded,
         Err(code) => return code,
@@ -28,7 +58,7 @@
 }
 
 /// Offers a preset's file to the log; it is taken whole or not at all.
-pub fn put(file: &Path, grounds: &Grounds, target: &Target) -> ExitCode {
+fn put(file: &Path, grounds: &Grounds, target: &Target) -> ExitCode {
     match load(file, target) {
         Ok((text, preset)) => {
             let done = format!("preset {} is put", preset.name);
@@ -39,7 +69,7 @@
 }
 
 /// Begins anew with a preset's file in force, where the log has forgotten all.
-pub fn begin(file: &Path, target: &Target) -> ExitCode {
+fn begin(file: &Path, target: &Target) -> ExitCode {
     match load(file, target) {
         Ok((text, preset)) => {
             let done = format!("all begins anew with preset {} in force", preset.name);
@@ -50,7 +80,7 @@
 }
 
 /// Brings a preset into force.
-pub fn choose(name: &str, grounds: &Grounds, target: &Target) -> ExitCode {
+fn choose(name: &str, grounds: &Grounds, target: &Target) -> ExitCode {
     let change = Change::ChoosePreset {
         name: name.to_owned(),
     };
@@ -58,7 +88,7 @@
 }
 
 /// Lists the presets, the one in force marked, with what is leaving.
-pub fn list(target: &Target) -> ExitCode {
+fn list(target: &Target) -> ExitCode {
     let config = match target.read() {
         Ok(config) => config,
         Err(code) => return code,
@@ -100,7 +130,7 @@
 }
 
 /// Shows a preset as TOML, or JSON; the one in force where no name is given.
-pub fn show(name: Option<&str>, target: &Target) -> ExitCode {
+fn show(name: Option<&str>, target: &Target) -> ExitCode {
     let config = match target.read() {
         Ok(config) => config,
         Err(code) => return code,
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,8 +2,7 @@
 
 use std::process::ExitCode;
 
-use crate::cli::{Cardamomvale, CardamomvaleCmd, PresetCmd};
-use crate::cmd::operator::{Grounds, Target};
+use crate::cli::{Cardamomvale, CardamomvaleCmd};
 
 #[allow(dead_code, reason = "the grammar names commands that land one by one")]
 mod cli;
@@ -40,93 +39,10 @@
         CardamomvaleCmd::Entry(flags) => cmd::entry::run(flags),
         CardamomvaleCmd::StandIn(flags) => cmd::stand_in::run(flags),
         CardamomvaleCmd::Status(flags) => cmd::status::run(flags),
-        CardamomvaleCmd::Preset(flags) => Ok(run_preset(flags)),
-        CardamomvaleCmd::DataCentre(f) => {
-            let grounds = Grounds {
-                revision: f.revision,
-                id: f.id,
-            };
-            let target = Target {
-                log_address: f.log_address,
-                entry: f.entry,
-                json: f.json,
-            };
-            Ok(cmd::data_centre::run(&f.action, &f.name, &grounds, &target))
-        }
-        CardamomvaleCmd::Host(f) => {
-            let grounds = Grounds {
-                revision: f.revision,
-                id: f.id,
-            };
-            let target = Target {
-                log_address: f.log_address,
-                entry: f.entry,
-                json: f.json,
-            };
-            Ok(cmd::host::run(&f.action, &f.name, &grounds, &target))
-        }
+        CardamomvaleCmd::Preset(flags) => Ok(cmd::preset::run(flags)),
+        CardamomvaleCmd::DataCentre(flags) => Ok(cmd::data_centre::run(flags)),
+        CardamomvaleCmd::Host(flags) => Ok(cmd::host::run(flags)),
         CardamomvaleCmd::Demo(flags) => cmd::demo::run(&flags),
         CardamomvaleCmd::Load(flags) => cmd::load::run(&flags),
     }
 }
-
-fn run_preset(flags: cli::Preset) -> ExitCode {
-    match flags.subcommand {
-        PresetCmd::Check(f) => {
-            let target = Target {
-                log_address: None,
-                entry: None,
-                json: f.json,
-            };
-            cmd::preset::check(&f.file, &target)
-        }
-        PresetCmd::Put(f) => {
-            let grounds = Grounds {
-                revision: None,
-                id: f.id,
-            };
-            let target = Target {
-                log_address: f.log_address,
-                entry: f.entry,
-                json: f.json,
-            };
-            cmd::preset::put(&f.file, &grounds, &target)
-        }
-        PresetCmd::Begin(f) => {
-            let target = Target {
-                log_address: f.log_address,
-                entry: None,
-                json: f.json,
-            };
-            cmd::preset::begin(&f.file, &target)
-        }
-        PresetCmd::List(f) => {
-            let target = Target {
-                log_address: f.log_address,
-                entry: f.entry,
-                json: f.json,
-            };
-            cmd::preset::list(&target)
-        }
-        PresetCmd::Show(f) => {
-            let target = Target {
-                log_address: f.log_address,
-                entry: f.entry,
-                json: f.json,
-            };
-            cmd::preset::show(f.name.as_deref(), &target)
-        }
-        PresetCmd::Choose(f) => {
-            let grounds = Grounds {
-                revision: f.revision,
-                id: f.id,
-            };
-            let target = Target {
-                log_address: f.log_address,
-                entry: f.entry,
-                json: f.json,
-            };
-            cmd::preset::choose(&f.name, &grounds, &target)
-        }
-    }
-}
