tests, stand_ins: process tests of the hard cases, on slots and claims as wired

Cause: the promises were not shown with real processes. A new site is driven until its backend servers are warm, since unknown ones count as cold.

--- a/components/stand_ins/src/backend.rs
+++ b/components/stand_ins/src/backend.rs
@@ -25,6 +25,9 @@
 
 /// Header field with a call's number, sent by callers and echoed by the backend server.
 pub const CALL_FIELD: &str = "stand-in-call";
+/// Header field with the number whose text the answer repeats: for repeats of
+/// one idempotency key the number of the first, since each may get any's answer.
+pub const ANSWER_FIELD: &str = "stand-in-answer";
 /// Header field of an answer with the time the work really took, in microseconds.
 pub const WORK_FIELD: &str = "stand-in-work-us";
 
--- a/components/stand_ins/src/demo.rs
+++ b/components/stand_ins/src/demo.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use state::policy::Policy;
 
 use crate::fleet::Fleet;
 use crate::history::History;
@@ -67,7 +68,9 @@
         let site = Site::start(deployment, &SiteOptions::default(), History::default())
             .await
             .map_err(BenchError::from)?;
-        let fleet = Fleet::start(&site).await.map_err(BenchError::from)?;
+        let fleet = Fleet::start(&site, Policy::Shared)
+            .await
+            .map_err(BenchError::from)?;
         Ok(Demo {
             experiment: Arc::new(experiment),
             site: Arc::new(site),
@@ -120,7 +123,7 @@
             progress,
         ));
         let targets = &self.fleet.targets;
-        let measured = measure(&self.experiment, &self.site, targets, "shared").await;
+        let measured = measure(&self.experiment, &self.site, targets, Policy::Shared.name()).await;
         ticking.abort();
         let all = &measured.summary.report.all;
         Shown {
--- a/components/stand_ins/src/fleet.rs
+++ b/components/stand_ins/src/fleet.rs
@@ -7,14 +7,16 @@
 use state::policy::Policy;
 use transport::entry::{Entry, Settings, StartError};
 
-use crate::balancer::Balancer;
+use crate::balancer::{Balancer, settled};
 use crate::history::{Event, History};
 use crate::load::Target;
+use crate::load::warm_up::warm_up;
 use crate::site::Site;
 
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const DRAIN_LIMIT: Duration = Duration::from_secs(20);
+const BASELINE_WARM_UP: Duration = Duration::from_secs(2);
 const POLL: Duration = Duration::from_millis(20);
 
 /// Why entry hosts could not be started.
@@ -23,6 +25,9 @@
     /// One could not start.
     #[error(transparent)]
     Start(#[from] StartError),
+    /// A backend server stayed cold.
+    #[error("a backend server is still taken for cold after {READY_LIMIT:?}: see `status`")]
+    NotWarm,
     /// One did not become ready.
     #[error("entry host {0} is not ready after {READY_LIMIT:?}: see its log lines")]
     NotReady(String),
@@ -36,6 +41,7 @@
     pub entries: Vec<Entry>,
     history: History,
     balancer: Balancer,
+    policy: Policy,
 }
 
 impl Fleet {
@@ -44,7 +50,7 @@
     /// # Errors
     ///
     /// Fails where one doesn't start or doesn't become ready.
-    pub async fn start(site: &Site) -> Result<Fleet, FleetError> {
+    pub async fn start(site: &Site, policy: Policy) -> Result<Fleet, FleetError> {
         let mut entries = Vec::new();
         let mut targets = Vec::new();
         for index in 0..site.deployment.entry_hosts {
@@ -56,7 +62,7 @@
                 peers: ANY_PORT,
                 admin: ANY_PORT,
                 log: site.log.address(),
-                policy: Policy::Shared,
+                policy,
                 drain: DRAIN_LIMIT,
                 trace_every: 0,
             };
@@ -75,8 +81,18 @@
             entries,
             history: site.history.clone(),
             balancer,
+            policy,
         };
         fleet.ready().await?;
+        // A baseline has no notion of warmth: it is driven for a fixed time.
+        let limit = match policy {
+            Policy::Shared => READY_LIMIT,
+            _ => BASELINE_WARM_UP,
+        };
+        let warm = warm_up(&site.deployment, &fleet.targets, &admins, limit).await;
+        if !warm && policy == Policy::Shared {
+            return Err(FleetError::NotWarm);
+        }
         Ok(fleet)
     }
 
@@ -101,6 +117,19 @@
             }
             tokio::time::sleep(POLL).await;
         }
+        // A new site serves once its hosts have found each other.
+        while self.policy == Policy::Shared && !self.settled().await {
+            if Instant::now() > end {
+                return Err(FleetError::NotReady("any".to_owned()));
+            }
+            tokio::time::sleep(POLL).await;
+        }
         Ok(())
     }
+
+    async fn settled(&self) -> bool {
+        let admins: Vec<_> = self.entries.iter().map(|e| e.ports().admin).collect();
+        let asked = tokio::task::spawn_blocking(move || settled(&admins));
+        asked.await.unwrap_or(false)
+    }
 }
--- a/components/stand_ins/src/load.rs
+++ b/components/stand_ins/src/load.rs
@@ -11,6 +11,7 @@
 pub mod plot;
 pub mod report;
 pub mod run;
+pub mod warm_up;
 
 pub use caller::{Call, Caller, Reply, Target};
 pub use experiment::{Experiment, ExperimentError};
--- a/components/stand_ins/src/load/bench.rs
+++ b/components/stand_ins/src/load/bench.rs
@@ -5,6 +5,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
+use state::policy::Policy;
+
 use super::experiment::Experiment;
 use super::measure::{Measured, Summary, measure};
 use super::plot::{Course, Curve, PlotError, draw};
@@ -43,7 +45,7 @@
     pub records: Vec<Record>,
 }
 
-/// Starts the deployment of `experiment` in this process and runs it.
+/// Starts the deployment of `experiment` in this process and runs it with `policy`.
 ///
 /// # Errors
 ///
@@ -52,13 +54,13 @@
 /// # Panics
 ///
 /// Panics outside a tokio runtime.
-pub async fn bench(experiment: &Arc<Experiment>) -> Result<Run, BenchError> {
+pub async fn bench(experiment: &Arc<Experiment>, policy: Policy) -> Result<Run, BenchError> {
     let history = History::default();
     let deployment = experiment.deployment.clone();
     let site = Site::start(deployment, &SiteOptions::default(), history).await?;
-    let fleet = Fleet::start(&site).await?;
+    let fleet = Fleet::start(&site, policy).await?;
     let site = Arc::new(site);
-    let measured = measure(experiment, &site, &fleet.targets, "shared").await;
+    let measured = measure(experiment, &site, &fleet.targets, policy.name()).await;
     let records = site.history.sorted();
     fleet.stop().await;
     Ok(Run { measured, records })
--- a/components/stand_ins/src/load/report.rs
+++ b/components/stand_ins/src/load/report.rs
@@ -30,6 +30,8 @@
     pub lag: Duration,
     /// The time its work took.
     pub work: Option<Duration>,
+    /// The line that says why it was not answered whole.
+    pub why: String,
 }
 
 /// The figures of a run.
--- a/components/stand_ins/src/load/run.rs
+++ b/components/stand_ins/src/load/run.rs
@@ -109,6 +109,7 @@
             latency: due.elapsed(),
             lag,
             work: reply.work.filter(|_| reply.outcome == Outcome::Complete),
+            why: reply.why,
         };
         // The receiver outlives all senders.
         let _ = self.sender.send(sample);
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -3,10 +3,11 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, eyre};
 use log::LevelFilter;
 use stand_ins::load::Experiment;
 use stand_ins::load::bench::{bench, table, write};
+use state::policy::Policy;
 
 use crate::{cli, logs};
 
@@ -23,8 +24,12 @@
         std::fs::read_to_string(&flags.file).wrap_err_with(|| format!("can't read {file}"))?;
     let experiment = Experiment::parse(&text).wrap_err_with(|| format!("{file} is at fault"))?;
     let experiment = Arc::new(experiment);
+    let policies = policies(flags.policies.as_deref())?;
     let runtime = tokio::runtime::Runtime::new().wrap_err("can't start the runtime")?;
-    let runs = vec![runtime.block_on(bench(&experiment))?];
+    let mut runs = Vec::new();
+    for policy in policies {
+        runs.push(runtime.block_on(bench(&experiment, policy))?);
+    }
     match flags.json {
         true => {
             let summaries: Vec<_> = runs.iter().map(|r| &r.measured.summary).collect();
@@ -35,7 +40,10 @@
     if let Some(directory) = &flags.out {
         write(&experiment, &runs, directory)?;
     }
-    let faults: Vec<_> = runs.iter().flat_map(|r| &r.measured.faults).collect();
+    let ours = runs
+        .iter()
+        .filter(|r| r.measured.summary.report.policy == Policy::Shared.name());
+    let faults: Vec<_> = ours.flat_map(|r| &r.measured.faults).collect();
     for fault in faults.iter().take(10) {
         eprintln!("broken promise: {fault}");
     }
@@ -44,3 +52,14 @@
         false => ExitCode::FAILURE,
     })
 }
+
+fn policies(names: Option<&str>) -> Result<Vec<Policy>> {
+    match names {
+        None => Ok(vec![Policy::Shared]),
+        Some("all") => Ok(Policy::ALL.to_vec()),
+        Some(names) => names
+            .split(',')
+            .map(|name| name.parse().map_err(|e| eyre!("{e}")))
+            .collect(),
+    }
+}
--- /dev/null
+++ b/tests/backend_faults.rs
@@ -0,0 +1,66 @@
+//! Backend servers slow down, turn cold and go silent in the middle of a peak.
+
+mod common;
+
+use common::Rig;
+use stand_ins::backend::{Knobs, Report};
+use stand_ins::history::{Event, Outcome};
+
+const SITE: &str = include_str!("common/small.toml");
+
+// A noisy neighbour makes one backend server 20 times slower, while its load report
+// says that it is idle. Callers notice slow answers only as long as it takes to
+// see them: it must lose its share of the work.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_with_lying_report() {
+    let mut rig = Rig::start(SITE).await;
+    let load = rig.load();
+    rig.more_answers(500).await;
+    let slow = &rig.site.backends("hallboard")[0];
+    let others: Vec<_> = rig.site.backends("hallboard")[1..].iter().collect();
+    slow.set(&Knobs {
+        slow: Some(20),
+        report: Some(Report::Idle),
+        ..Knobs::default()
+    });
+    rig.more_answers(1_000).await;
+    let before = (slow.counts().started, others[0].counts().started);
+    rig.more_answers(1_500).await;
+    let got = slow.counts().started - before.0;
+    let fair = others[0].counts().started - before.1;
+    assert!(
+        got * 10 < fair,
+        "the slow one got {got} calls, another {fair}"
+    );
+    let samples = load.stop().await;
+    let broken: Vec<_> = samples
+        .iter()
+        .filter(|s| s.outcome == Outcome::Broken)
+        .collect();
+    assert_eq!(broken.len(), 0);
+    rig.assert_kept();
+}
+
+// A box between the hosts loses track of its connections: the open ones go silent
+// for good, new ones work. Calls on them can be lost, but within their deadline
+// callers are told so, and calls after that go over new connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections() {
+    let mut rig = Rig::proxied(SITE).await;
+    let load = rig.load();
+    rig.more_answers(300).await;
+    rig.site.proxies("hallboard")[0].silence();
+    let silent = rig.site.backends("hallboard")[0].address();
+    rig.more_answers(500).await;
+    let since = rig.history.sorted().last().unwrap().at;
+    let answered = |r: &stand_ins::history::Record| match r.event {
+        Event::Received { endpoint, .. } if endpoint == silent && r.at > since => Some(()),
+        _ => None,
+    };
+    common::until("new connections are used", || {
+        !rig.picked(answered).is_empty()
+    })
+    .await;
+    load.stop().await;
+    rig.assert_kept();
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,11 +15,12 @@
 use nix::unistd::Pid;
 use serde::Deserialize;
 use stand_ins::backend::Options;
-use stand_ins::balancer::Balancer;
+use stand_ins::balancer::{Balancer, settled};
 use stand_ins::history::check::{Fault, Limits, Tally, check};
-use stand_ins::history::{Event, History, Record};
+use stand_ins::history::{Event, History, Outcome, Record};
 use stand_ins::load::run::Load;
-use stand_ins::load::{Call, Caller, Experiment, Plan, Reply, Sample, Target};
+use stand_ins::load::warm_up::{FIRST as WARM_UP, warm_up};
+use stand_ins::load::{Call, Caller, Experiment, Plan, Planned, Reply, Sample, Target};
 use stand_ins::site::{Site, SiteOptions};
 use tokio::task::JoinHandle;
 
@@ -127,6 +128,12 @@
             next: AtomicU64::new(1),
         };
         rig.all_ready().await;
+        rig.all_settled().await;
+        let deployment = &rig.site.deployment;
+        assert!(
+            warm_up(deployment, &rig.targets, &admins, LIMIT).await,
+            "a backend server stays cold"
+        );
         rig
     }
 
@@ -138,6 +145,24 @@
         .await;
     }
 
+    /// Waits until the entry hosts have found each other and share all slots.
+    pub async fn all_settled(&self) {
+        let admins: Vec<_> = self.hosts.iter().map(|h| h.ports.admin).collect();
+        let end = Instant::now() + LIMIT;
+        loop {
+            let admins = admins.clone();
+            let asked = tokio::task::spawn_blocking(move || settled(&admins));
+            if asked.await.unwrap() {
+                return;
+            }
+            assert!(
+                Instant::now() < end,
+                "the entry hosts don't share all slots"
+            );
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
     /// Sends the experiment's flows until it is stopped.
     pub fn load(&self) -> Background {
         let stop = Arc::new(AtomicBool::new(false));
@@ -266,6 +291,40 @@
         serde_json::from_str(&text).unwrap()
     }
 
+    /// Returns how often work was started, the warm-up left out.
+    pub fn runs(&self) -> usize {
+        let run = |r: &Record| match r.event {
+            Event::Received {
+                call,
+                started: true,
+                ..
+            } => (call < WARM_UP).then_some(()),
+            _ => None,
+        };
+        self.picked(run).len()
+    }
+
+    /// Returns the number of a background load's call in the history.
+    pub fn number(&self, sample: &Sample) -> u64 {
+        LOAD_FIRST + sample.call as u64
+    }
+
+    /// Returns the calls of `samples` that came to harm: broken off, not
+    /// connected, or told "unknown" though no other call had their key.
+    pub fn harmed<'a>(&self, samples: &'a [Sample]) -> Vec<&'a Sample> {
+        let plan = Plan::draw(&self.experiment);
+        let harmed = |s: &&Sample| match s.outcome {
+            Outcome::Complete | Outcome::NotRun => false,
+            // It may be told that another call of its key was started and is not yet known.
+            Outcome::Unknown => {
+                let repeated = |c: &Planned| c.repeats == Some(s.call);
+                plan.calls[s.call].repeats.is_none() && !plan.calls.iter().any(repeated)
+            }
+            Outcome::Broken | Outcome::Unreachable => true,
+        };
+        samples.iter().filter(harmed).collect()
+    }
+
     /// Returns every promise that was broken, once all is over.
     pub fn faults(&mut self, limits: &Limits) -> Vec<Fault> {
         self.balancer = None;
--- /dev/null
+++ b/tests/overload.rs
@@ -0,0 +1,39 @@
+//! More calls than all slots can bear.
+
+mod common;
+
+use common::Rig;
+use stand_ins::history::Outcome;
+
+const SITE: &str = include_str!("common/overload.toml");
+
+// On the morning when the hall calendar opens, twice as many calls come as all
+// slots can serve. Half must be refused, truly not run and at once, with a hint when
+// to come back; the other half must be served; no backend server gets a seventh call.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_is_served() {
+    let mut rig = Rig::start(SITE).await;
+    let load = rig.load();
+    rig.more_answers(2_000).await;
+    let mut asked = Vec::new();
+    for _ in 0..40 {
+        let call = rig.new_call("GET", "/hallboard/free?work-ms=20");
+        asked.push(rig.call(1, &call).await);
+    }
+    let samples = load.stop().await;
+    let count = |outcome| samples.iter().filter(|s| s.outcome == outcome).count();
+    let (complete, refused) = (count(Outcome::Complete), count(Outcome::NotRun));
+    assert_eq!(
+        complete + refused,
+        samples.len(),
+        "some were neither served nor refused"
+    );
+    assert!(
+        refused > 0 && complete * 5 > samples.len() * 2,
+        "{complete} of {}",
+        samples.len()
+    );
+    let told = |r: &stand_ins::load::Reply| r.outcome != Outcome::NotRun || r.retry_after.is_some();
+    assert!(asked.iter().all(told), "a refusal without Retry-After");
+    rig.assert_kept();
+}
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -30,3 +30,14 @@
     assert_eq!((reply.outcome, reply.status), (Outcome::NotRun, Some(404)));
     rig.assert_kept();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn mixed_load() {
+    let mut rig = Rig::start(SITE).await;
+    let load = rig.load();
+    rig.more_answers(1_000).await;
+    let samples = load.stop().await;
+    let hurt = samples.iter().filter(|s| s.outcome != Outcome::Complete);
+    assert_eq!(hurt.count(), 0);
+    rig.assert_kept();
+}
