members, slots: an owner's authority counts from the proof, not from hearing of it

Cause: the failure detector lets an owner act for 2 s after the log's end was read or its watchers vouched; the entry host then told the slots 'now', and they let it act for 2 s more. Its successor's fence allows for 2 s and a term (5.1 s), while the owner could act for 4 s: two hosts might have leased one slot for up to 1.9 s after a removal. Change: quorum::current_at gives the moment of the proof (one rule with may_act), which goes down to Slots::confirm; a gap counts between proofs. Measured: no figure; the tests of the owner rule, the slots' safety (proptest) and the entry hosts pass. A test of two owners is not possible in one machine of the state; the fence's bound is now the one that terms.rs states.

--- a/benches/added_latency.rs
+++ b/benches/added_latency.rs
@@ -31,6 +31,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
+use transport::clock;
 use transport::dispatch::{Dispatcher, Setup};
 use transport::edge::{Edge, Limits};
 
@@ -319,7 +320,7 @@
 /// Says again and again that this host may act as an owner.
 async fn confirm(dispatcher: Arc<Dispatcher>) {
     loop {
-        dispatcher.confirm();
+        dispatcher.confirm(clock::now());
         tokio::time::sleep(CONFIRM_EVERY).await;
     }
 }
--- a/components/coordination/src/members/detector.rs
+++ b/components/coordination/src/members/detector.rs
@@ -7,7 +7,7 @@
 use state::{Config, HostKey, Moment};
 
 use super::message::{Beat, Doubt, MemberMessage, News, Rumour};
-use super::quorum::{Evidence, History, Settled, may_act};
+use super::quorum::{Evidence, History, Settled, current_at, may_act};
 use super::removal::{Listed, Poll};
 use super::rumour::Rumours;
 use super::subject::Subject;
@@ -235,6 +235,13 @@
         self.is_member() && may_act(now, self.offset, self.log_read, watchers, &self.answers)
     }
 
+    /// Returns when a member's configuration was last shown to be the current one.
+    pub fn current_at(&self) -> Option<Moment> {
+        let watchers = self.map.watchers(self.me);
+        let shown = current_at(self.offset, self.log_read, watchers, &self.answers);
+        shown.filter(|_| self.is_member())
+    }
+
     /// Returns what is known of a previous owner after the change at `change`.
     pub fn settled(&self, owner: MemberId, change: u64) -> Settled {
         self.history.settled(owner, change, self.rumours.shown())
--- a/components/coordination/src/members/mod.rs
+++ b/components/coordination/src/members/mod.rs
@@ -13,7 +13,7 @@
 
 pub use detector::{Action, Detector};
 pub use message::{Answer, Beat, Doubt, Heard, MemberMessage, News, Rumour};
-pub use quorum::{Evidence, History, Settled, Takeover, may_act};
+pub use quorum::{Evidence, History, Settled, Takeover, current_at, may_act};
 pub use removal::gone;
 pub use view::{LiveView, PeerState};
 pub use watch::{MemberId, WatchMap};
--- a/components/coordination/src/members/quorum.rs
+++ b/components/coordination/src/members/quorum.rs
@@ -38,31 +38,43 @@
     pub asked: Moment,
 }
 
-/// Decides whether this host may act as an owner.
+/// Decides whether this host may act as an owner: see [`current_at`].
+pub fn may_act(
+    now: Moment,
+    offset: u64,
+    log_read: Option<Moment>,
+    watchers: &[MemberId],
+    answers: &BTreeMap<MemberId, Evidence>,
+) -> bool {
+    let shown = current_at(offset, log_read, watchers, answers);
+    shown.is_some_and(|at| now.since(at) < ACT_WINDOW)
+}
+
+/// Returns the latest moment at which the configuration known here was shown
+/// to be the current one.
 ///
 /// `log_read` is when it last asked the log for more and was told that there
 /// is none. Answers count from the moment of asking, so that a pause between
 /// the question and the decision makes them old. An answer from a watcher
 /// that is ahead does not count: it knows of a change that this host lacks.
-pub fn may_act(
-    now: Moment,
+pub fn current_at(
     offset: u64,
     log_read: Option<Moment>,
     watchers: &[MemberId],
     answers: &BTreeMap<MemberId, Evidence>,
-) -> bool {
-    let fresh = |asked: Moment| now.since(asked) < ACT_WINDOW;
-    let agrees = |e: &Evidence| e.offset <= offset && fresh(e.asked);
-    match log_read {
-        Some(asked) if fresh(asked) => true,
-        _ if watchers.is_empty() => false,
-        _ => {
-            let agreed = watchers
-                .iter()
-                .filter(|w| answers.get(w).is_some_and(agrees));
-            agreed.count() >= majority(watchers.len())
-        }
-    }
+) -> Option<Moment> {
+    let agreed = watchers.iter().filter_map(|w| answers.get(w));
+    let mut asked: Vec<Moment> = agreed
+        .filter(|e| e.offset <= offset)
+        .map(|e| e.asked)
+        .collect();
+    asked.sort_unstable_by(|a, b| b.cmp(a));
+    let needed = majority(watchers.len());
+    let vouched = match watchers {
+        [] => None,
+        _ => asked.get(needed - 1).copied(),
+    };
+    log_read.max(vouched)
 }
 
 /// What is known of a previous owner after a change of the configuration.
--- a/components/coordination/src/slots/mod.rs
+++ b/components/coordination/src/slots/mod.rs
@@ -244,14 +244,17 @@
         self.renewals.clear();
     }
 
-    /// Notes that the configuration has just been shown to be the current one.
+    /// Notes that the configuration was shown to be the current one at `shown`.
     ///
     /// A host that was paused or cut off may own endpoints that another host
     /// has owned meanwhile. One would notice two calls on one slot. So an
-    /// owner acts only while this was said within [`FRESHNESS`], and after a
-    /// longer gap takes nothing it knew for granted.
-    pub fn confirm(&mut self, now: Moment) {
-        let gap = self.confirmed.map_or(Duration::ZERO, |at| now.since(at));
+    /// owner acts only within [`FRESHNESS`] of that moment, and after a
+    /// longer gap takes nothing it knew for granted. The moment is that of the
+    /// proof and not of hearing of it: counted from the latter, an owner would
+    /// act for twice as long as its successor waits.
+    pub fn confirm(&mut self, shown: Moment) {
+        let gap = self.confirmed.map_or(Duration::ZERO, |at| shown.since(at));
+        let now = self.confirmed.map_or(shown, |at| at.max(shown));
         self.confirmed = Some(now);
         if gap > FRESHNESS {
             for (endpoint, owned) in &mut self.owned {
--- a/components/transport/src/dispatch/mod.rs
+++ b/components/transport/src/dispatch/mod.rs
@@ -149,13 +149,13 @@
         }
     }
 
-    /// Notes that this host may act as an owner now.
+    /// Notes that the configuration known here was shown to be current at `shown`.
     ///
-    /// To be called each 100 ms or so while the failure detector says that the
-    /// configuration known here is the current one.
-    pub fn confirm(&self) {
+    /// This host may act as an owner for some time after. To be called each
+    /// 100 ms or so with the failure detector's latest word.
+    pub fn confirm(&self, shown: Moment) {
         if let Way::Shared(shared) = &self.way {
-            shared.confirm();
+            shared.confirm(shown);
         }
     }
 
--- a/components/transport/src/dispatch/shared.rs
+++ b/components/transport/src/dispatch/shared.rs
@@ -104,8 +104,8 @@
     }
 
     /// Notes that this host may act as an owner now.
-    pub fn confirm(self: &Arc<Self>) {
-        self.act(|core, now| core.slots.confirm(now));
+    pub fn confirm(self: &Arc<Self>, shown: Moment) {
+        self.act(|core, _| core.slots.confirm(shown));
     }
 
     /// Takes in a message.
--- a/components/transport/src/entry/mod.rs
+++ b/components/transport/src/entry/mod.rs
@@ -325,8 +325,8 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while let Some(members) = members.upgrade() {
         dispatcher.renew_life(members.me().incarnation);
-        if members.may_act() {
-            dispatcher.confirm();
+        if let Some(shown) = members.current_at() {
+            dispatcher.confirm(shown);
         }
         drop(members);
         ticks.tick().await;
--- a/components/transport/src/peers/members.rs
+++ b/components/transport/src/peers/members.rs
@@ -11,7 +11,7 @@
 use protocol::peer::{ConfigOffer, MESSAGE_LIMIT};
 use protocol::record::encode_snapshot;
 use rand::Rng;
-use state::{Config, HostKey};
+use state::{Config, HostKey, Moment};
 use tokio::net::TcpListener;
 use tokio::sync::broadcast;
 use tokio::sync::broadcast::error::RecvError;
@@ -88,6 +88,11 @@
         self.detector().may_act(clock::now())
     }
 
+    /// Returns when the configuration of this member was last shown to be current.
+    pub fn current_at(&self) -> Option<Moment> {
+        self.detector().current_at()
+    }
+
     /// Returns what is known of a previous owner after the change at offset `change`.
     pub fn settled(&self, owner: MemberId, change: u64) -> Settled {
         self.detector().settled(owner, change)
--- a/components/transport/tests/load_reports.rs
+++ b/components/transport/tests/load_reports.rs
@@ -12,6 +12,7 @@
 use state::preset::{DataCentre, Endpoint, Preset, Service};
 use state::{Config, HostKey};
 use tokio::time::{sleep, timeout};
+use transport::clock;
 use transport::dispatch::{Dispatcher, Setup};
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -89,12 +90,12 @@
         joined: 2,
     };
     config.members.insert(host, member);
-    dispatcher.confirm();
+    dispatcher.confirm(clock::now());
     dispatcher.configure(&config);
 
     let all_warm = async {
         loop {
-            dispatcher.confirm();
+            dispatcher.confirm(clock::now());
             let owned = dispatcher.owned();
             if owned.len() == backends.len() && owned.iter().all(|e| e.cap == SLOTS) {
                 return;
--- a/components/transport/tests/slot_dispatch.rs
+++ b/components/transport/tests/slot_dispatch.rs
@@ -130,7 +130,7 @@
 
     fn confirm_once(&self) {
         for (_, host) in &self.hosts {
-            host.confirm();
+            host.confirm(clock::now());
         }
     }
 
@@ -140,7 +140,7 @@
             let host = Arc::downgrade(host);
             tokio::spawn(async move {
                 while let Some(host) = host.upgrade() {
-                    host.confirm();
+                    host.confirm(clock::now());
                     drop(host);
                     tokio::time::sleep(Duration::from_millis(100)).await;
                 }
@@ -249,7 +249,7 @@
     };
     let host = Dispatcher::new(&setup, Arc::new(|_, _| {}));
     host.configure(&config(1));
-    host.confirm();
+    host.confirm(clock::now());
     let found = host.acquire(&call(Duration::from_millis(30))).await;
     assert_eq!(found.err(), Some(Refusal::Expired));
     let unknown = Call {
