coordination, transport: fresher reports of a queue that stays; metrics' prefix

Cause: where the oldest call's wait at a host was reported each 10 ms only, the broker moved slots by stale ages. Change: each 4 ms. The slots' metrics carry the project's prefix as others do.

--- a/components/coordination/src/slots/desk.rs
+++ b/components/coordination/src/slots/desk.rs
@@ -70,7 +70,7 @@
 /// The least time between two reports where little has changed.
 const SOON: Duration = Duration::from_millis(2);
 /// The time between reports of an unchanged queue.
-const REFRESH: Duration = Duration::from_millis(10);
+const REFRESH: Duration = Duration::from_millis(4);
 /// The time between reports where nothing is wanted.
 const KEEPALIVE: Duration = Duration::from_millis(1_000);
 /// Slots that stay idle for this long beyond the spare are given up.
--- a/components/transport/src/dispatch/counters.rs
+++ b/components/transport/src/dispatch/counters.rs
@@ -14,24 +14,25 @@
         Refusal::NoBackend => "no-backend",
         Refusal::Stopping => "stopping",
     };
-    metrics::counter!("slot_refusals_total", "reason" => reason).increment(1);
+    metrics::counter!("cardamomvale_slot_refusals_total", "reason" => reason).increment(1);
 }
 
 /// Counts a call that was given a slot after waiting.
 pub fn waited(wait: Duration) {
-    metrics::histogram!("slot_wait_seconds").record(wait.as_secs_f64());
+    metrics::histogram!("cardamomvale_slot_wait_seconds").record(wait.as_secs_f64());
 }
 
 /// Counts a probe and what it costs the endpoint.
 pub fn probed(cost: Duration, answered: bool) {
     let outcome = if answered { "answered" } else { "unanswered" };
-    metrics::counter!("slot_probes_total", "outcome" => outcome).increment(1);
-    metrics::counter!("slot_probe_cost_microseconds_total").increment(cost.as_micros() as u64);
+    metrics::counter!("cardamomvale_slot_probes_total", "outcome" => outcome).increment(1);
+    metrics::counter!("cardamomvale_slot_probe_cost_microseconds_total")
+        .increment(cost.as_micros() as u64);
 }
 
 /// Shows how the slots stand at this host.
 pub fn standing(waiting: u32, held: u32, idle: u32) {
-    metrics::gauge!("slot_waiting_calls").set(f64::from(waiting));
-    metrics::gauge!("slot_held").set(f64::from(held));
-    metrics::gauge!("slot_idle").set(f64::from(idle));
+    metrics::gauge!("cardamomvale_slot_waiting_calls").set(f64::from(waiting));
+    metrics::gauge!("cardamomvale_slot_held").set(f64::from(held));
+    metrics::gauge!("cardamomvale_slot_idle").set(f64::from(idle));
 }
