--- a/components/coordination/src/slots/mod.rs
+++ b/components/coordination/src/slots/mod.rs
@@ -16,6 +16,7 @@
 pub mod message;
 pub mod owned;
 mod owning;
+mod renewing;
 pub mod terms;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
