--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,309 @@
+//! What an entry host costs as a process: by hosts, by endpoints, by calls.
+//!
+//! Entry hosts are processes of their own; log and backend servers are
+//! stand-ins in this one. Processor time and memory are those that the system
+//! counts for the entry hosts, bytes those on the peer links.
+//!
+//! `cargo bench --bench capacity`
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use coordination::config::Change;
+use eyre::{Result, ensure, eyre};
+use stand_ins::backend::{Backend, Options};
+use stand_ins::history::History;
+use stand_ins::log::{Behaviour, LogStandIn};
+use transport::log::{CommandRequest, Outcome, submit_by_log};
+
+const WINDOW: Duration = Duration::from_secs(10);
+const READY: Duration = Duration::from_secs(60);
+const CENTRES: [&str; 3] = ["trent", "severn", "soar"];
+/// Ticks of processor time a second, as Linux counts them in `/proc`.
+const TICKS: f64 = 100.0;
+/// Endpoints of one service, about as many as letter 1's services have.
+const EACH: usize = 10;
+
+/// An entry host as a process, ended with its owner.
+struct Host {
+    child: Child,
+    callers: SocketAddr,
+    admin: SocketAddr,
+}
+
+/// A log, backend servers, and entry hosts.
+struct Site {
+    hosts: Vec<Host>,
+    _log: LogStandIn,
+    _backends: Vec<Backend>,
+}
+
+/// What hosts have spent, on average.
+struct Spent {
+    processor: f64,
+    memory: u64,
+    bytes: f64,
+    messages: f64,
+}
+
+fn main() -> Result<()> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let _entered = runtime.enter();
+    println!("idle, by hosts (30 endpoints of 3 services)");
+    println!("hosts | core % | resident KiB | peer bytes/s out | messages/s out");
+    for hosts in [2, 4, 8, 17] {
+        show(&hosts.to_string(), &Site::start(hosts, 30)?)?;
+    }
+    println!("idle, by endpoints (8 hosts)");
+    println!("endpoints | core % | resident KiB | peer bytes/s out | messages/s out");
+    for endpoints in [30, 120, 310, 630] {
+        show(&endpoints.to_string(), &Site::start(8, endpoints)?)?;
+    }
+    println!("calls of 1 ms (1 host, 30 endpoints)");
+    println!("at once | calls/s | µs of processor a call | resident KiB");
+    let site = Site::start(1, 30)?;
+    for callers in [1, 4, 8, 16] {
+        drive(&site, callers)?;
+    }
+    Ok(())
+}
+
+fn show(size: &str, site: &Site) -> Result<()> {
+    let spent = site.rest()?;
+    println!(
+        "{size} | {:.2} | {} | {:.0} | {:.1}",
+        spent.processor * 100.0,
+        spent.memory,
+        spent.bytes,
+        spent.messages
+    );
+    Ok(())
+}
+
+/// Calls in a closed loop from `callers` threads, and prints what a call cost.
+fn drive(site: &Site, callers: usize) -> Result<()> {
+    let host = &site.hosts[0];
+    let stop = Arc::new(AtomicBool::new(false));
+    let calls = Arc::new(AtomicU64::new(0));
+    let before = host.processor()?;
+    let began = Instant::now();
+    let threads: Vec<_> = (0..callers)
+        .map(|n| {
+            let (stop, calls) = (Arc::clone(&stop), Arc::clone(&calls));
+            let url = format!("http://{}/service-{}/x?work-ms=1", host.callers, n % 3);
+            thread::spawn(move || {
+                let agent = ureq::agent();
+                while !stop.load(Ordering::Relaxed) {
+                    let whole = agent
+                        .get(&url)
+                        .call()
+                        .and_then(|mut a| a.body_mut().read_to_vec());
+                    if whole.is_ok() {
+                        calls.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            })
+        })
+        .collect();
+    thread::sleep(WINDOW);
+    stop.store(true, Ordering::Relaxed);
+    for thread in threads {
+        thread
+            .join()
+            .map_err(|_| eyre!("a caller's thread panicked"))?;
+    }
+    let spent = host.processor()? - before;
+    let calls = calls.load(Ordering::Relaxed);
+    ensure!(calls > 0, "no call was answered");
+    println!(
+        "{callers} | {:.0} | {:.0} | {}",
+        calls as f64 / began.elapsed().as_secs_f64(),
+        spent * 1e6 / calls as f64,
+        host.memory()?
+    );
+    Ok(())
+}
+
+impl Site {
+    fn start(hosts: usize, endpoints: usize) -> Result<Site> {
+        let history = History::default();
+        let log = LogStandIn::on_loopback(Behaviour::default())?;
+        let mut backends = Vec::new();
+        for n in 0..endpoints {
+            let options = Options {
+                data_centre: CENTRES[n % 3].to_owned(),
+                ..Options::default()
+            };
+            let listener = TcpListener::bind(("127.0.0.1", 0))?;
+            backends.push(Backend::start(listener, options, history.clone())?);
+        }
+        let address = log.address().to_string();
+        give(
+            &address,
+            Change::PutPreset {
+                text: preset(&backends),
+            },
+        )?;
+        let name = "ordinary".to_owned();
+        give(&address, Change::ChoosePreset { name })?;
+        let mut site = Site {
+            hosts: Vec::new(),
+            _log: log,
+            _backends: backends,
+        };
+        for n in 0..hosts {
+            site.hosts.push(Host::start(n, &address)?);
+        }
+        for host in &site.hosts {
+            host.await_ready()?;
+        }
+        thread::sleep(WINDOW / 2);
+        Ok(site)
+    }
+
+    /// Lets the hosts be for a while and tells what that cost each.
+    fn rest(&self) -> Result<Spent> {
+        let before = self.totals()?;
+        thread::sleep(WINDOW);
+        let after = self.totals()?;
+        let a_host = |n: f64| n / self.hosts.len() as f64;
+        let a_second = |n: f64| a_host(n) / WINDOW.as_secs_f64();
+        Ok(Spent {
+            processor: a_second(after.processor - before.processor),
+            memory: after.memory / self.hosts.len() as u64,
+            bytes: a_second(after.bytes - before.bytes),
+            messages: a_second(after.messages - before.messages),
+        })
+    }
+
+    fn totals(&self) -> Result<Spent> {
+        let mut sum = Spent {
+            processor: 0.0,
+            memory: 0,
+            bytes: 0.0,
+            messages: 0.0,
+        };
+        for host in &self.hosts {
+            sum.processor += host.processor()?;
+            sum.memory += host.memory()?;
+            sum.bytes += host.metric("peer_bytes_sent_total")?;
+            sum.messages += host.metric("peer_messages_sent_total")?;
+        }
+        Ok(sum)
+    }
+}
+
+impl Host {
+    fn start(n: usize, log: &str) -> Result<Host> {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cardamomvale"))
+            .args(["entry", "--log-level", "error", "--log-address", log])
+            .args([
+                "--name",
+                &format!("entry-{n}"),
+                "--data-centre",
+                CENTRES[n % 3],
+            ])
+            .args([
+                "--caller-address",
+                "127.0.0.1:0",
+                "--peer-address",
+                "127.0.0.1:0",
+            ])
+            .args(["--admin-address", "127.0.0.1:0"])
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let out = child.stdout.take().ok_or_else(|| eyre!("no output"))?;
+        let mut line = String::new();
+        BufReader::new(out).read_line(&mut line)?;
+        let ports: serde_json::Value = serde_json::from_str(&line)?;
+        let port = |name: &str| -> Result<SocketAddr> {
+            Ok(ports[name].as_str().unwrap_or_default().parse()?)
+        };
+        Ok(Host {
+            callers: port("callers")?,
+            admin: port("admin")?,
+            child,
+        })
+    }
+
+    fn await_ready(&self) -> Result<()> {
+        let end = Instant::now() + READY;
+        while ureq::get(format!("http://{}/readyz", self.admin))
+            .call()
+            .is_err()
+        {
+            ensure!(Instant::now() < end, "an entry host does not get ready");
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(())
+    }
+
+    /// Returns the seconds of processor time the process has spent.
+    fn processor(&self) -> Result<f64> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        let (_, fields) = stat.rsplit_once(')').ok_or_else(|| eyre!("no process"))?;
+        let fields: Vec<&str> = fields.split_whitespace().collect();
+        let (user, system): (f64, f64) = (fields[11].parse()?, fields[12].parse()?);
+        Ok((user + system) / TICKS)
+    }
+
+    /// Returns the memory the process holds, in KiB.
+    fn memory(&self) -> Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let text = line.ok_or_else(|| eyre!("no resident size"))?;
+        Ok(text.trim().trim_end_matches(" kB").parse()?)
+    }
+
+    fn metric(&self, name: &str) -> Result<f64> {
+        let mut answer = ureq::get(format!("http://{}/metrics", self.admin)).call()?;
+        let page = answer.body_mut().read_to_string()?;
+        let values = page
+            .lines()
+            .filter(|l| !l.starts_with('#') && l.contains(name));
+        let numbers = values.filter_map(|l| l.rsplit_once(' ')?.1.parse::<f64>().ok());
+        Ok(numbers.sum())
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn give(log: &str, change: Change) -> Result<()> {
+    let request = CommandRequest {
+        id: None,
+        decided_on: None,
+        change,
+    };
+    match submit_by_log(log, &request, Duration::from_secs(10)) {
+        Outcome::Accepted { .. } => Ok(()),
+        other => Err(eyre!("the log did not take the preset: {other:?}")),
+    }
+}
+
+fn preset(backends: &[Backend]) -> String {
+    let mut text = "name = \"ordinary\"\n".to_owned();
+    for centre in CENTRES {
+        text += &format!("[[data-centre]]\nname = \"{centre}\"\nregion = \"midlands\"\n");
+    }
+    for (n, endpoints) in backends.chunks(EACH).enumerate() {
+        text += &format!("[[service]]\nname = \"service-{n}\"\nendpoints = [\n");
+        for (m, backend) in endpoints.iter().enumerate() {
+            let centre = CENTRES[(n * EACH + m) % 3];
+            let address = backend.address();
+            text += &format!("  {{ address = \"{address}\", data-centre = \"{centre}\" }},\n");
+        }
+        text += "]\n";
+    }
+    text
+}
