--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -192,8 +192,8 @@
         for host in &self.hosts {
             sum.processor += host.processor()?;
             sum.memory += host.memory()?;
-            sum.bytes += host.metric("peer_bytes_sent_total")?;
-            sum.messages += host.metric("peer_messages_sent_total")?;
+            sum.bytes += host.metric("cardamomvale_peer_bytes_sent_total")?;
+            sum.messages += host.metric("cardamomvale_peer_messages_sent_total")?;
         }
         Ok(sum)
     }
--- a/benches/members.rs
+++ b/benches/members.rs
@@ -129,8 +129,8 @@
     fn take(handle: &PrometheusHandle) -> Sample {
         let page = handle.render();
         Sample {
-            messages: counter(&page, "peer_messages_sent_total"),
-            bytes: counter(&page, "peer_bytes_sent_total"),
+            messages: counter(&page, "cardamomvale_peer_messages_sent_total"),
+            bytes: counter(&page, "cardamomvale_peer_bytes_sent_total"),
             processor: processor_seconds(),
         }
     }
--- a/components/transport/src/claims/entry.rs
+++ b/components/transport/src/claims/entry.rs
@@ -285,7 +285,7 @@
                     Err(_) if limit == deadline => return None,
                     Err(_) => {
                         quick = None;
-                        metrics::counter!("claims_home_silent_total").increment(1);
+                        metrics::counter!("cardamomvale_claims_home_silent_total").increment(1);
                         self.ask_at(self.claims.me, until);
                     }
                 },
@@ -304,7 +304,7 @@
     fn decide(&mut self, answer: Option<Answer>, started: Moment, until: Moment) -> Verdict {
         let now = clock::now();
         let taken = now.since(started);
-        metrics::histogram!("claims_seconds").record(taken.as_secs_f64());
+        metrics::histogram!("cardamomvale_claims_seconds").record(taken.as_secs_f64());
         let verdict = match answer {
             Some(Answer::Go) if !may_go(now, until) => Verdict::NotRun(RETRY),
             Some(Answer::Go) => Verdict::Go(ClaimTicket {
@@ -327,7 +327,8 @@
             }
             Verdict::NotRun(_) => false,
         };
-        metrics::counter!("claims_verdicts_total", "verdict" => label(&verdict)).increment(1);
+        metrics::counter!("cardamomvale_claims_verdicts_total", "verdict" => label(&verdict))
+            .increment(1);
         verdict
     }
 }
--- a/components/transport/src/claims/worker.rs
+++ b/components/transport/src/claims/worker.rs
@@ -221,7 +221,7 @@
     fn append(&mut self, is_home: bool) {
         let now = clock::now();
         if let Err(wait) = self.budget.take(now) {
-            metrics::counter!("claims_budget_waits_total").increment(1);
+            metrics::counter!("cardamomvale_claims_budget_waits_total").increment(1);
             std::thread::sleep(wait);
             return;
         }
@@ -229,8 +229,9 @@
             return;
         };
         self.written = now;
-        metrics::counter!("claims_appends_total", "stream" => self.stream.clone()).increment(1);
-        metrics::histogram!("claims_batch_entries").record(batch.entries.len() as f64);
+        metrics::counter!("cardamomvale_claims_appends_total", "stream" => self.stream.clone())
+            .increment(1);
+        metrics::histogram!("cardamomvale_claims_batch_entries").record(batch.entries.len() as f64);
         let record: Bytes = encode_batch(&batch);
         match self.setup.client.append(&self.stream, &record) {
             // Nothing came in between: what stands there is known without reading.
@@ -324,7 +325,7 @@
     }
 
     fn fail(&mut self, reason: &str, refused: bool) {
-        metrics::counter!("claims_log_failures_total", "stream" => self.stream.clone())
+        metrics::counter!("cardamomvale_claims_log_failures_total", "stream" => self.stream.clone())
             .increment(1);
         if !std::mem::replace(&mut self.failing, true) {
             log::warn!(
@@ -347,7 +348,7 @@
     }
 
     fn count_keys(&self) {
-        metrics::gauge!("claims_keys", "stream" => self.stream.clone())
+        metrics::gauge!("cardamomvale_claims_keys", "stream" => self.stream.clone())
             .set(self.home.table().len() as f64);
     }
 
--- a/components/transport/src/peers/counters.rs
+++ b/components/transport/src/peers/counters.rs
@@ -6,27 +6,27 @@
 
 /// Counts one message sent, with its bytes on the link.
 pub fn sent(bytes: usize) {
-    metrics::counter!("peer_messages_sent_total").increment(1);
-    metrics::counter!("peer_bytes_sent_total").increment(bytes as u64);
+    metrics::counter!("cardamomvale_peer_messages_sent_total").increment(1);
+    metrics::counter!("cardamomvale_peer_bytes_sent_total").increment(bytes as u64);
 }
 
 /// Counts one message received, with its bytes on the link.
 pub fn received(bytes: usize) {
-    metrics::counter!("peer_messages_received_total").increment(1);
-    metrics::counter!("peer_bytes_received_total").increment(bytes as u64);
+    metrics::counter!("cardamomvale_peer_messages_received_total").increment(1);
+    metrics::counter!("cardamomvale_peer_bytes_received_total").increment(bytes as u64);
 }
 
 /// Counts messages dropped, for `reason`.
 pub fn dropped(reason: &'static str, count: usize) {
     if count > 0 {
-        metrics::counter!("peer_messages_dropped_total", "reason" => reason)
+        metrics::counter!("cardamomvale_peer_messages_dropped_total", "reason" => reason)
             .increment(count as u64);
     }
 }
 
 /// Counts a peer refused, for `reason`.
 pub fn refused(reason: &'static str) {
-    metrics::counter!("peer_refused_total", "reason" => reason).increment(1);
+    metrics::counter!("cardamomvale_peer_refused_total", "reason" => reason).increment(1);
 }
 
 /// Lets one event through each second, so that a flood of bad peers is no flood of logs.
--- a/components/transport/src/peers/links.rs
+++ b/components/transport/src/peers/links.rs
@@ -239,7 +239,7 @@
             let member = config.members.get(&host);
             member.is_some_and(|m| incarnation.is_none_or(|i| i == m.incarnation))
         });
-        metrics::gauge!("peer_links").set(table.linked() as f64);
+        metrics::gauge!("cardamomvale_peer_links").set(table.linked() as f64);
         if !config.members.contains_key(&self.me) {
             return;
         }
--- a/components/transport/src/peers/members.rs
+++ b/components/transport/src/peers/members.rs
@@ -298,12 +298,12 @@
                 self.links.send(host, &PeerMessage::AskConfig);
             }
             Action::Suspected(host) => {
-                metrics::counter!("peer_suspected_total").increment(1);
+                metrics::counter!("cardamomvale_peer_suspected_total").increment(1);
                 log::warn!("E0410 peer-suspected host={}", self.name(host));
             }
             Action::Refuted(host) => log::info!("E0411 peer-lives host={}", self.name(host)),
             Action::Remove(id) => {
-                metrics::counter!("peer_removals_total").increment(1);
+                metrics::counter!("cardamomvale_peer_removals_total").increment(1);
                 log::warn!("E0415 peer-removed host={}", self.name(id.host));
                 self.submit(Change::Remove {
                     host: id.host,
