peers: a host that some don't know yet is no alarm

Cause: each start of a site logged a dozen warnings, since hosts learn of a join one after another and refuse the newcomer's links for some milliseconds. Change: E0402 with no_member is info, the rest stays a warning.

--- a/components/transport/src/peers/handshake.rs
+++ b/components/transport/src/peers/handshake.rs
@@ -60,6 +60,15 @@
 }
 
 impl MeetError {
+    /// Returns whether one of the two is not known to the other as a member.
+    pub fn is_no_member(&self) -> bool {
+        match self {
+            MeetError::Refused(reason) => *reason == RefusedReason::NoMember,
+            MeetError::RefusedBy(refused) => refused.reason == RefusedReason::NoMember,
+            _ => false,
+        }
+    }
+
     /// Returns the reason's name, as metrics name it.
     pub fn label(&self) -> &'static str {
         match self {
--- a/components/transport/src/peers/links.rs
+++ b/components/transport/src/peers/links.rs
@@ -353,8 +353,14 @@
 
     fn report(&self, host: &str, error: &MeetError) {
         counters::refused(error.label());
+        // A host that has just joined is known to some before others: no alarm.
+        let level = match error.is_no_member() {
+            true => log::Level::Info,
+            false => log::Level::Warn,
+        };
         if self.throttle.allows() {
-            log::warn!(
+            log::log!(
+                level,
                 "E0402 peer-refused host={host} why={} error={error:?}",
                 error.label()
             );
