claims: a repeat of a running call has its final word after a second

Cause: a repeat whose first call hung was told 'started' only near its own deadline (9.98 s of 10 in one run of the process tests). The users don't accept a final answer held back. Ruled out: the home's loss of a runner, which answers as soon as it is suspected.

--- a/components/transport/src/claims/entry.rs
+++ b/components/transport/src/claims/entry.rs
@@ -39,6 +39,12 @@
 /// reaches a caller who would otherwise see a time-out.
 const MARGIN: Duration = Duration::from_millis(20);
 
+/// How long a repeat waits for the first call's answer.
+///
+/// A double click is served by it. A caller whose first call hangs has its
+/// final word, "it was started", at once after that and not near its deadline.
+const REPEAT_WAIT: Duration = Duration::from_secs(1);
+
 /// When a caller without a verdict in time may come again.
 const RETRY: Duration = Duration::from_secs(1);
 
@@ -267,7 +273,7 @@
 
     /// Waits for the first answer that settles the claim. Acts as home itself where
     /// the home does not say that it has the ask, and asks anew where it is lost.
-    async fn wait(&mut self, deadline: Instant, until: Moment) -> Option<Answer> {
+    async fn wait(&mut self, mut deadline: Instant, until: Moment) -> Option<Answer> {
         let mut view = self.claims.links.view();
         let mut quick = Some(Instant::now() + GOT_LIMIT);
         loop {
@@ -279,6 +285,7 @@
                     Ok(Some(Word::Answer(Answer::Waits))) => {
                         quick = None;
                         self.waits = true;
+                        deadline = deadline.min(Instant::now() + REPEAT_WAIT);
                     }
                     Ok(Some(Word::Answer(answer))) => return Some(answer),
                     Ok(None) => return None,
