--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,6 @@
 
 use crate::cli::{Cardamomvale, CardamomvaleCmd};
 
-#[allow(dead_code, reason = "the grammar names commands that land one by one")]
 mod cli;
 mod cmd;
 mod logs;
