--- a/components/transport/src/upstream/pool.rs
+++ b/components/transport/src/upstream/pool.rs
@@ -89,6 +89,10 @@
         let (kept, dropped) = split(std::mem::take(&mut shelf.idle), |c| c.idle_since >= silent);
         shelf.idle = kept;
         drop(shelves);
+        // A call of long work looks the same; it is no event where none lay idle.
+        if dropped.is_empty() {
+            return;
+        }
         log::info!(
             "E0110 connections-doubted endpoint={:016x} dropped={}",
             endpoint.0,
