--- a/components/transport/src/entry/status.rs
+++ b/components/transport/src/entry/status.rs
@@ -27,12 +27,26 @@
         "member": host.members.is_member(),
         "leaving_centres": config.leaving_centres,
         "leaving_hosts": config.leaving_hosts,
+        "data_centres": data_centres(&config),
         "members": members(host, &config),
         "services": services(host, &config),
         "endpoints": endpoints(host, &config),
     })
 }
 
+fn data_centres(config: &Config) -> Vec<Value> {
+    let centres = config.preset().map(|p| p.data_centres.as_slice());
+    let row = |centre: &state::preset::DataCentre| {
+        let leaving = config.leaving_centres.contains(&centre.name);
+        json!({
+            "data_centre": centre.name,
+            "region": centre.region,
+            "state": if leaving { "leaving" } else { "in service" },
+        })
+    };
+    centres.unwrap_or_default().iter().map(row).collect()
+}
+
 fn members(host: &Host, config: &Config) -> Vec<Value> {
     let view = host.links.view().borrow().clone();
     let alive: Vec<_> = view.alive().collect();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -136,10 +136,12 @@
             /// Print JSON for scripts.
             optional --json
         }
-        /// Show what an entry host knows.
+        /// Show what an entry host knows, or what the log says of the configuration.
         cmd status {
             /// The entry host's admin port.
             optional --entry address: String
+            /// Where the platform's log listens, where no entry host is asked.
+            optional --log-address address: String
             /// Print JSON for scripts.
             optional --json
         }
@@ -318,6 +320,7 @@
 #[derive(Debug)]
 pub struct Status {
     pub entry: Option<String>,
+    pub log_address: Option<String>,
     pub json: bool,
 }
 
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,32 +1,40 @@
-//! Shows what an entry host knows.
+//! Shows what an entry host knows, or what the log says.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use eyre::{Result, WrapErr};
-use serde_json::Value;
+use serde_json::{Value, json};
+use transport::log::read_by_log;
 
+use super::operator::{EXIT_UNREACHABLE, EXIT_USAGE};
 use crate::{cli, settings};
 
-/// What a script sees where no entry host answered.
-const EXIT_UNREACHABLE: u8 = 4;
+/// How long the log may take.
+const LIMIT: Duration = Duration::from_secs(10);
 
-/// What a script sees where the command line is at fault.
-const EXIT_USAGE: u8 = 2;
-
-/// Prints a host's status, as a table or as JSON.
+/// Prints a host's status, or the log's configuration, as a table or as JSON.
 ///
 /// # Errors
 ///
 /// Fails where the answer is no status.
 pub fn run(flags: cli::Status) -> Result<ExitCode> {
-    let Some(entry) = settings::or_env("entry", flags.entry) else {
-        eprintln!("error: which entry host? give --entry IP:PORT, its admin address");
-        return Ok(ExitCode::from(EXIT_USAGE));
+    let entry = settings::or_env("entry", flags.entry);
+    let log = settings::or_env("log-address", flags.log_address);
+    let read = match (entry, log) {
+        (Some(entry), _) => ask_entry(&entry),
+        (None, Some(log)) => ask_log(&log),
+        (None, None) => {
+            eprintln!(
+                "error: whom to ask? give --entry IP:PORT, its admin address, or --log-address"
+            );
+            return Ok(ExitCode::from(EXIT_USAGE));
+        }
     };
-    let body = match ureq::get(format!("http://{entry}/status")).call() {
-        Ok(mut answer) => answer.body_mut().read_to_string()?,
-        Err(error) => {
-            eprintln!("error: no status from {entry}: {error}; is it an admin address?");
+    let body = match read {
+        Ok(body) => body,
+        Err(message) => {
+            eprintln!("error: {message}");
             return Ok(ExitCode::from(EXIT_UNREACHABLE));
         }
     };
@@ -39,6 +47,42 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn ask_entry(entry: &str) -> Result<String, String> {
+    let answer = ureq::get(format!("http://{entry}/status")).call();
+    let told = |error| format!("no status from {entry}: {error}; is it an admin address?");
+    answer
+        .and_then(|mut answer| answer.body_mut().read_to_string())
+        .map_err(told)
+}
+
+/// Returns what the log says, without what only entry hosts know.
+fn ask_log(log: &str) -> Result<String, String> {
+    let config = read_by_log(log, LIMIT)?;
+    let members: Vec<Value> = config
+        .members
+        .iter()
+        .map(|(key, member)| {
+            json!({
+                "host": member.name,
+                "data_centre": member.data_centre,
+                "state": if config.draining.contains(key) { "draining" } else { "member" },
+                "joined": member.joined,
+            })
+        })
+        .collect();
+    let presets: Vec<&String> = config.presets.keys().collect();
+    Ok(json!({
+        "revision": config.revision,
+        "offset": config.offset,
+        "preset": config.chosen,
+        "presets": presets,
+        "leaving_centres": config.leaving_centres,
+        "leaving_hosts": config.leaving_hosts,
+        "members": members,
+    })
+    .to_string())
+}
+
 /// Prints plain values first, then a table for each list of records.
 fn print_table(status: &Value) {
     let Some(fields) = status.as_object() else {
