claims: kept answers have memory of their own

Cause: in a soak the host that was never restarted grew from 11.5 to 36.4 MB in four minutes. Kept answers were slices of the buffers they came in, so that they held far more than their bound counts.

--- a/components/coordination/src/claims/home.rs
+++ b/components/coordination/src/claims/home.rs
@@ -144,7 +144,7 @@
         self.running.remove(&id);
         match ending {
             Ending::Answered(answer) => {
-                self.kept.insert(key, id, answer, now);
+                self.kept.insert(key, id, &answer, now);
                 self.write_end(id, key, Outcome::Done);
                 self.settle_waiting(key, now);
             }
--- a/components/coordination/src/claims/kept.rs
+++ b/components/coordination/src/claims/kept.rs
@@ -26,12 +26,12 @@
 
 impl Kept {
     /// Keeps an answer, if it is small enough.
-    pub fn insert(&mut self, key: ClaimKey, id: ClaimId, answer: KeptAnswer, now: Moment) {
+    pub fn insert(&mut self, key: ClaimKey, id: ClaimId, answer: &KeptAnswer, now: Moment) {
         if answer.size() > KEPT_ANSWER || self.answers.contains_key(&key) {
             return;
         }
         self.bytes += answer.size();
-        self.answers.insert(key, (id, answer));
+        self.answers.insert(key, (id, answer.detached()));
         self.order.push_back((now, key, id));
         while self.bytes > KEPT_BYTES {
             self.drop_first();
--- a/components/coordination/src/claims/mod.rs
+++ b/components/coordination/src/claims/mod.rs
@@ -137,6 +137,23 @@
 }
 
 impl KeptAnswer {
+    /// Returns it in memory of its own.
+    ///
+    /// Its parts are slices of the buffers they came in, which are far larger.
+    /// Kept for minutes, they would hold several times the memory that
+    /// [`KeptAnswer::size`] counts, and a node would outgrow its budget.
+    pub fn detached(&self) -> KeptAnswer {
+        let copy = |(name, value): &(String, Bytes)| {
+            let value = Bytes::copy_from_slice(value);
+            (name.as_str().to_owned(), value)
+        };
+        KeptAnswer {
+            status: self.status,
+            fields: self.fields.iter().map(copy).collect(),
+            body: Bytes::copy_from_slice(&self.body),
+        }
+    }
+
     /// Returns about how many bytes it takes.
     pub fn size(&self) -> usize {
         let fields = self.fields.iter().map(|(n, v)| n.len() + v.len() + 64);
--- a/components/coordination/tests/claim_bounds.rs
+++ b/components/coordination/tests/claim_bounds.rs
@@ -119,3 +119,19 @@
     home.expire(later);
     assert_eq!(repeat(&mut home, 0, later), Answer::Started);
 }
+
+// Answers to deposits are kept for ten minutes. Each was a slice of the buffer it
+// came in, and an entry host grew by twice what it counted.
+#[test]
+fn kept_apart() {
+    let buffer = Bytes::from(vec![b'x'; 65_536]);
+    let answer = KeptAnswer {
+        status: 201,
+        fields: vec![("content-type".to_owned(), buffer.slice(0..10))],
+        body: buffer.slice(10..20),
+    };
+    let kept = answer.detached();
+    assert_eq!(kept, answer);
+    drop(answer);
+    assert!(buffer.is_unique(), "the kept answer holds the buffer");
+}
