state, members: ask the configuration for its services, and the proof for the act

Cause: reading the whole change again: 'the services (data centres) of the preset in force, none before the first choice' stood written out in eight places, and Detector::may_act repeated what current_at beside it works out. Change: Config::services and Config::data_centres serve all eight; may_act asks current_at, and is_fresh is the one place for the window.

--- a/components/coordination/src/members/detector.rs
+++ b/components/coordination/src/members/detector.rs
@@ -7,7 +7,7 @@
 use state::{Config, HostKey, Moment};
 
 use super::message::{Beat, Doubt, MemberMessage, News, Rumour};
-use super::quorum::{Evidence, History, Settled, current_at, may_act};
+use super::quorum::{Evidence, History, Settled, current_at, is_fresh};
 use super::removal::{Listed, Poll};
 use super::rumour::Rumours;
 use super::subject::Subject;
@@ -231,8 +231,7 @@
 
     /// Returns whether this host may act as an owner now.
     pub fn may_act(&self, now: Moment) -> bool {
-        let watchers = self.map.watchers(self.me);
-        self.is_member() && may_act(now, self.offset, self.log_read, watchers, &self.answers)
+        self.current_at().is_some_and(|at| is_fresh(now, at))
     }
 
     /// Returns when a member's configuration was last shown to be the current one.
--- a/components/coordination/src/members/quorum.rs
+++ b/components/coordination/src/members/quorum.rs
@@ -47,7 +47,12 @@
     answers: &BTreeMap<MemberId, Evidence>,
 ) -> bool {
     let shown = current_at(offset, log_read, watchers, answers);
-    shown.is_some_and(|at| now.since(at) < ACT_WINDOW)
+    shown.is_some_and(|at| is_fresh(now, at))
+}
+
+/// Returns whether a proof of `at` still lets an owner act.
+pub fn is_fresh(now: Moment, at: Moment) -> bool {
+    now.since(at) < ACT_WINDOW
 }
 
 /// Returns the latest moment at which the configuration known here was shown
--- a/components/coordination/src/members/watch.rs
+++ b/components/coordination/src/members/watch.rs
@@ -102,9 +102,7 @@
 
 fn regions(config: &Config) -> BTreeMap<HostKey, String> {
     let centres: BTreeMap<&str, &str> = config
-        .preset()
-        .map(|p| p.data_centres.as_slice())
-        .unwrap_or_default()
+        .data_centres()
         .iter()
         .map(|c| (c.name.as_str(), c.region.as_str()))
         .collect();
--- a/components/coordination/src/slots/map.rs
+++ b/components/coordination/src/slots/map.rs
@@ -92,8 +92,7 @@
             peers,
             ..Map::default()
         };
-        let preset = config.preset();
-        for service in preset.map(|p| p.services.as_slice()).unwrap_or_default() {
+        for service in config.services() {
             map.add(service, config, me, alive, &regions);
         }
         map
@@ -184,9 +183,8 @@
 }
 
 fn regions(config: &Config) -> BTreeMap<DataCentreKey, RegionKey> {
-    let centres = config.preset().map(|p| p.data_centres.as_slice());
-    centres
-        .unwrap_or_default()
+    config
+        .data_centres()
         .iter()
         .map(|c| {
             let region = RegionKey(DataCentreKey::named(&c.region).0);
--- a/components/state/src/config.rs
+++ b/components/state/src/config.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::keys::HostKey;
-use crate::preset::Preset;
+use crate::preset::{DataCentre, Preset, Service};
 
 /// What every entry host agrees on at one revision.
 ///
@@ -58,6 +58,16 @@
         self.presets.get(self.chosen.as_ref()?)
     }
 
+    /// Returns the services of the preset in force, none before the first choice.
+    pub fn services(&self) -> &[Service] {
+        self.preset().map_or(&[], |preset| &preset.services)
+    }
+
+    /// Returns the data centres of the preset in force, none before the first choice.
+    pub fn data_centres(&self) -> &[DataCentre] {
+        self.preset().map_or(&[], |preset| &preset.data_centres)
+    }
+
     /// Returns whether operators have taken this endpoint's data centre or host out.
     pub fn is_leaving(&self, centre: &str, address: SocketAddr) -> bool {
         self.leaving_centres.contains(centre)
--- a/components/transport/src/dispatch/naive.rs
+++ b/components/transport/src/dispatch/naive.rs
@@ -59,8 +59,7 @@
     /// Takes over the configuration in force.
     pub fn configure(&self, config: &Config) {
         let mut services = BTreeMap::new();
-        let preset = config.preset();
-        for service in preset.map(|p| p.services.as_slice()).unwrap_or_default() {
+        for service in config.services() {
             let targets = service
                 .endpoints
                 .iter()
--- a/components/transport/src/entry/status.rs
+++ b/components/transport/src/entry/status.rs
@@ -35,7 +35,6 @@
 }
 
 fn data_centres(config: &Config) -> Vec<Value> {
-    let centres = config.preset().map(|p| p.data_centres.as_slice());
     let row = |centre: &state::preset::DataCentre| {
         let leaving = config.leaving_centres.contains(&centre.name);
         json!({
@@ -44,7 +43,7 @@
             "state": if leaving { "leaving" } else { "in service" },
         })
     };
-    centres.unwrap_or_default().iter().map(row).collect()
+    config.data_centres().iter().map(row).collect()
 }
 
 fn members(host: &Host, config: &Config) -> Vec<Value> {
@@ -64,10 +63,6 @@
 }
 
 fn services(host: &Host, config: &Config) -> Vec<Value> {
-    let services = config
-        .preset()
-        .map(|p| p.services.as_slice())
-        .unwrap_or_default();
     let row = |service: &state::preset::Service| {
         let standing = host.dispatcher.standing(service.key()).unwrap_or_default();
         json!({
@@ -77,7 +72,7 @@
             "idle": standing.idle,
         })
     };
-    services.iter().map(row).collect()
+    config.services().iter().map(row).collect()
 }
 
 /// Lists all endpoints; what only the owner knows is blank for the others.
@@ -88,12 +83,8 @@
         .into_iter()
         .map(|s| (s.endpoint, s))
         .collect();
-    let services = config
-        .preset()
-        .map(|p| p.services.as_slice())
-        .unwrap_or_default();
     let mut rows = Vec::new();
-    for service in services {
+    for service in config.services() {
         for endpoint in &service.endpoints {
             let standing = owned.get(&endpoint.key(service));
             let leaving = config.is_leaving(&endpoint.data_centre, endpoint.address);
--- a/components/transport/src/upstream/pool.rs
+++ b/components/transport/src/upstream/pool.rs
@@ -39,8 +39,7 @@
     pub fn configure(&self, config: &Config) {
         let mut shelves = self.shelves();
         let mut old = std::mem::take(&mut *shelves);
-        let services = config.preset().map(|p| p.services.as_slice());
-        for service in services.unwrap_or_default() {
+        for service in config.services() {
             let limit = idle_limit(service.connections, service.slots, config.members.len());
             for endpoint in &service.endpoints {
                 let key = endpoint.key(service);
