coordination, gateway: one host a data centre reads the store and tells the rest

Ruled out: a lost permit or a wrong offset of ours (traced: the same read returned the record at its time limit). Change: reads wait 1.2 s; whoever reads tells its neighbours by datagram, and who was told doesn't read (coordination::feed).

--- /dev/null
+++ b/components/coordination/src/feed.rs
@@ -0,0 +1,166 @@
+//! Who reads a topic of the store, so that a data centre's hosts don't all do.
+//!
+//! Each read is paid for, and bytes within a data centre are not. So whoever
+//! reads tells its neighbours, and whoever was told doesn't read. There is no
+//! election: the last reader reads again soonest, and where nothing is heard
+//! for a while every host reads by itself, at a moment of its own. A reader
+//! that dies, is paused, or is turned away by the store is thus replaced before
+//! any bound is missed, without anyone having to agree that it is gone.
+
+use std::time::Duration;
+
+use derives::tag;
+use state::Moment;
+
+/// How long a read waits at the store for a record.
+///
+/// A record is answered as soon as it is written, but for a rare read that
+/// isn't woken by it. What is written must be known everywhere within two
+/// seconds all the same.
+pub const READ_WAIT: Duration = Duration::from_millis(1_200);
+
+/// How long a host that was told waits before it reads by itself.
+///
+/// Longer than a read waits, by as much as a slow store takes to answer, so
+/// that this doesn't make everybody read.
+const PATIENCE: Duration = Duration::from_millis(1_450);
+
+/// By how much hosts differ in their patience.
+///
+/// The first to lose it tells the others before they do: an answer takes 4 ms,
+/// and ten hosts over 250 ms are 25 ms apart.
+const SPREAD: Duration = Duration::from_millis(250);
+
+/// How long the reader pauses after a failed read.
+///
+/// It is the one to notice that the store is back, for all of its neighbours.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// How far one host is with one topic.
+#[derive(Clone, Debug)]
+pub struct Feed {
+    next: Option<u64>,
+    reader: bool,
+    asking: bool,
+    failures: u32,
+    due: Moment,
+}
+
+/// What a neighbour's word is good for.
+#[tag]
+pub enum Told {
+    /// Its records are to be taken in, but for the first `skip`.
+    Apply {
+        /// Records known already.
+        skip: u64,
+        /// Whether this host had failed to read before.
+        back: bool,
+    },
+    /// It says nothing new.
+    Known,
+    /// Records before it are missing: this host reads by itself.
+    Gap,
+}
+
+impl Feed {
+    /// Returns a feed that reads at once.
+    pub fn new(now: Moment) -> Feed {
+        Feed {
+            next: None,
+            reader: false,
+            asking: false,
+            failures: 0,
+            due: now,
+        }
+    }
+
+    /// Returns where to read on, nothing where all has to be read anew.
+    pub fn next(&self) -> Option<u64> {
+        self.next
+    }
+
+    /// Returns when this host reads by itself.
+    pub fn due(&self) -> Moment {
+        self.due
+    }
+
+    /// Returns whether this host reads for its neighbours.
+    pub fn is_reader(&self) -> bool {
+        self.reader
+    }
+
+    /// Returns how many reads have failed in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Notes that this host begins to read.
+    pub fn ask(&mut self) {
+        self.asking = true;
+    }
+
+    /// Takes in a read of this host's, and returns whether failures came before it.
+    ///
+    /// The host reads on for its neighbours, unless it gave way to one meanwhile.
+    pub fn read(&mut self, next: u64, now: Moment) -> bool {
+        self.next = Some(next.max(self.next.unwrap_or(0)));
+        if self.asking {
+            self.reader = true;
+            self.due = now;
+        }
+        std::mem::take(&mut self.failures) > 0
+    }
+
+    /// Takes in that a read failed; `draw` is from 0 to 1.
+    ///
+    /// Those that were not the reader go on waiting to be told, so that an
+    /// outage isn't answered by calls of every host.
+    pub fn failed(&mut self, draw: f64, now: Moment) {
+        self.failures += 1;
+        self.due = match self.reader {
+            true => now + RETRY_PAUSE,
+            false => now + patience(draw),
+        };
+    }
+
+    /// Takes in that the store has forgotten what this host wanted to read.
+    pub fn forgotten(&mut self, now: Moment) {
+        self.next = None;
+        self.due = now;
+    }
+
+    /// Takes in that a neighbour read from `from` to `next`.
+    ///
+    /// `yields` says that this host gives way where both read; `draw` is from 0
+    /// to 1. An older word than this host's own doesn't count as news: it may
+    /// come from a neighbour that was paused between reading and telling.
+    pub fn told(&mut self, from: u64, next: u64, yields: bool, draw: f64, now: Moment) -> Told {
+        let Some(known) = self.next else {
+            return Told::Gap;
+        };
+        if from > known {
+            return Told::Gap;
+        }
+        if next < known {
+            return Told::Known;
+        }
+        let back = std::mem::take(&mut self.failures) > 0;
+        if yields || !(self.reader || self.asking) {
+            self.reader = false;
+            self.asking = false;
+            self.due = now + patience(draw);
+        }
+        self.next = Some(next);
+        match next > known || back {
+            true => Told::Apply {
+                skip: known - from,
+                back,
+            },
+            false => Told::Known,
+        }
+    }
+}
+
+fn patience(draw: f64) -> Duration {
+    PATIENCE + SPREAD.mul_f64(draw)
+}
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod claims;
 pub mod config;
+pub mod feed;
 pub mod members;
 pub mod slots;
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod claim;
 pub mod heartbeat;
+pub mod news;
 pub mod peer;
 pub mod record;
 pub mod slots;
--- /dev/null
+++ b/components/protocol/src/news.rs
@@ -0,0 +1,173 @@
+//! What entry hosts of one data centre tell each other of the store.
+//!
+//! Each message is one datagram. One that is lost costs a read of the store,
+//! never a promise.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use derives::{tag, value};
+use prost::Message;
+use thiserror::Error;
+
+/// The version of this protocol; others are refused.
+const VERSION: u8 = 1;
+
+/// Record bytes in one datagram, well below what one may hold.
+pub const DATAGRAM_LIMIT: usize = 16 * 1024;
+
+/// Which topic of the store a message is about.
+#[tag]
+pub enum Topic {
+    /// What operators write.
+    Operators,
+    /// What endpoints write of themselves.
+    Endpoints,
+}
+
+/// One message between neighbours.
+#[value]
+pub enum Neighbourly {
+    /// The sender is here, and knows these neighbours.
+    Hello(Vec<SocketAddr>),
+    /// The sender has read the store.
+    News(News),
+}
+
+/// Records that a neighbour has read.
+#[value]
+pub struct News {
+    /// The topic.
+    pub topic: Topic,
+    /// The offset of the first record.
+    pub from: u64,
+    /// The records, as they lie in the store.
+    pub records: Vec<Bytes>,
+}
+
+/// Why a datagram can't be understood.
+#[derive(Debug, Error)]
+pub enum NewsError {
+    /// It is empty or of another version.
+    #[error("the datagram is of another version")]
+    OtherVersion,
+    /// It is damaged.
+    #[error("the datagram can't be read: {0}")]
+    Damaged(#[from] prost::DecodeError),
+    /// It names a topic that doesn't exist.
+    #[error("the datagram is about an unknown topic")]
+    UnknownTopic,
+    /// It names a neighbour by something that is no address.
+    #[error("the datagram names a neighbour by {0:?}, which is no address")]
+    NoAddress(String),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireNews {
+    /// 0 for a hello, else the topic's number.
+    #[prost(uint32, tag = "1")]
+    topic: u32,
+    #[prost(uint64, tag = "2")]
+    from: u64,
+    #[prost(bytes = "bytes", repeated, tag = "3")]
+    records: Vec<Bytes>,
+    /// Addresses as text, in a hello.
+    #[prost(string, repeated, tag = "4")]
+    neighbours: Vec<String>,
+}
+
+const HELLO: u32 = 0;
+const OPERATORS: u32 = 1;
+const ENDPOINTS: u32 = 2;
+
+impl News {
+    /// Returns where to read on after these records.
+    pub fn next(&self) -> u64 {
+        self.from + self.records.len() as u64
+    }
+
+    /// Returns the news in pieces that each fit into a datagram, one at least.
+    pub fn split(self) -> Vec<News> {
+        let mut pieces = Vec::new();
+        let mut piece = News {
+            topic: self.topic,
+            from: self.from,
+            records: Vec::new(),
+        };
+        let mut size = 0;
+        for record in self.records {
+            if size + record.len() > DATAGRAM_LIMIT && !piece.records.is_empty() {
+                let from = piece.next();
+                let whole = std::mem::replace(
+                    &mut piece,
+                    News {
+                        topic: self.topic,
+                        from,
+                        records: Vec::new(),
+                    },
+                );
+                pieces.push(whole);
+                size = 0;
+            }
+            size += record.len();
+            piece.records.push(record);
+        }
+        pieces.push(piece);
+        pieces
+    }
+}
+
+impl Neighbourly {
+    /// Returns the datagram.
+    pub fn encode(&self) -> Vec<u8> {
+        let wire = match self {
+            Neighbourly::Hello(neighbours) => WireNews {
+                neighbours: neighbours.iter().map(SocketAddr::to_string).collect(),
+                ..WireNews::default()
+            },
+            Neighbourly::News(news) => WireNews {
+                topic: match news.topic {
+                    Topic::Operators => OPERATORS,
+                    Topic::Endpoints => ENDPOINTS,
+                },
+                from: news.from,
+                records: news.records.clone(),
+                neighbours: Vec::new(),
+            },
+        };
+        let mut datagram = vec![VERSION];
+        datagram.extend(wire.encode_to_vec());
+        datagram
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Says why it can't be understood.
+    pub fn decode(datagram: &[u8]) -> Result<Neighbourly, NewsError> {
+        let body = match datagram.split_first() {
+            Some((&VERSION, body)) => body,
+            _ => return Err(NewsError::OtherVersion),
+        };
+        let wire = WireNews::decode(body)?;
+        let topic = match wire.topic {
+            HELLO => return Ok(Neighbourly::Hello(addresses(&wire.neighbours)?)),
+            OPERATORS => Topic::Operators,
+            ENDPOINTS => Topic::Endpoints,
+            _ => return Err(NewsError::UnknownTopic),
+        };
+        Ok(Neighbourly::News(News {
+            topic,
+            from: wire.from,
+            records: wire.records,
+        }))
+    }
+}
+
+fn addresses(texts: &[String]) -> Result<Vec<SocketAddr>, NewsError> {
+    texts
+        .iter()
+        .map(|t| t.parse().map_err(|_| NewsError::NoAddress(t.clone())))
+        .collect()
+}
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -11,9 +11,9 @@
 ///
 /// Leases run out while the store is down, and living endpoints are back within
 /// two seconds of its return. Without this all endpoints would be gone at the
-/// moment the store is back, and every request refused. Half a second covers
-/// the time between two reads.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
+/// moment the store is back, and every request refused. Much longer, and a host
+/// that was cut off would go on using endpoints that have really left.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 
 /// What the store holds under one name.
 #[derive(Clone, Debug, PartialEq)]
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -1,108 +1,176 @@
 //! Keeps the operators' orders and the list of endpoints in step with the store.
+//!
+//! `coordination::feed` decides when this host reads; what it reads it tells
+//! its neighbours.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use coordination::feed::{Feed, READ_WAIT, Told};
 use platform::endpoint;
 use platform::operator::{self, Subject};
 use platform::store::Record;
-use state::DataCentreKey;
+use protocol::news::{News, Topic};
 use state::fleet::Entry;
-use tokio::time::sleep;
+use state::{DataCentreKey, ServiceKey};
+use tokio::time::{Instant, sleep_until};
 
 use super::Gateway;
 use super::store::{Store, StoreError};
 use crate::clock;
 
-/// How long a read waits for the operators' next word.
-///
-/// A word comes as soon as it is written; this only bounds how long a
-/// connection that fell silent is waited on when no keep-alive shows it.
-const OPERATORS_WAIT: Duration = Duration::from_secs(4);
-
-/// How often the list of endpoints is read.
-///
-/// Endpoints write about every 1.5 s each, so a read that waits would answer
-/// with every one of them, and each read is paid for. An endpoint's leaving has
-/// to be known within two seconds; this leaves half a second for a slow answer.
-const ENDPOINTS_EVERY: Duration = Duration::from_millis(1_300);
+impl Gateway {
+    /// Follows one topic, for ever.
+    pub(super) async fn follow(self: Rc<Self>, topic: Topic) {
+        let mut store = Store::new(self.settings.log);
+        loop {
+            self.wait_due(topic).await;
+            let next = self.feed(topic, |feed| {
+                feed.ask();
+                feed.next()
+            });
+            let result = match next {
+                None => self.read_all(&mut store, topic).await,
+                Some(from) => self.read_on(&mut store, topic, from).await,
+            };
+            if let Err(error) = result {
+                self.note_trouble(topic, &error);
+            }
+            self.registry.borrow_mut().settle(clock::now());
+        }
+    }
 
-/// The first pause after a failed call, doubled with each further one.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
+    /// Waits until this host has to read by itself.
+    async fn wait_due(&self, topic: Topic) {
+        loop {
+            let due = self.feed(topic, |feed| feed.due());
+            let left = clock::now().until(due);
+            if left.is_zero() {
+                return;
+            }
+            // A neighbour's word meanwhile only makes it later.
+            sleep_until(Instant::now() + left).await;
+        }
+    }
 
-/// The longest pause after failed calls; a return must be seen within a second.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+    fn feed<R>(&self, topic: Topic, act: impl FnOnce(&mut Feed) -> R) -> R {
+        let mut feeds = self.feeds.borrow_mut();
+        match topic {
+            Topic::Operators => act(&mut feeds.operators),
+            Topic::Endpoints => act(&mut feeds.endpoints),
+        }
+    }
 
-/// Counts failures in a row, and says how long to wait.
-#[derive(Default)]
-struct Trouble {
-    failures: u32,
-}
+    fn note_trouble(&self, topic: Topic, error: &StoreError) {
+        let now = clock::now();
+        let draw = self.draw_share();
+        if let StoreError::Forgotten = error {
+            self.feed(topic, |feed| feed.forgotten(now));
+            return;
+        }
+        let failures = self.feed(topic, |feed| {
+            feed.failed(draw, now);
+            feed.failures()
+        });
+        if failures == 1 {
+            log::warn!("E0301 log-unreadable topic={topic:?} error={error:?}");
+        }
+    }
 
-impl Trouble {
-    async fn failed(&mut self, topic: &str, error: &StoreError) {
-        if self.failures == 0 {
-            log::warn!("E0301 log-unreadable topic={topic} error={error:?}");
+    /// Notes that a topic could be read, by this host or by a neighbour.
+    fn note_return(&self, topic: Topic, back: bool) {
+        if !back {
+            return;
+        }
+        log::info!("E0310 log-readable-again topic={topic:?}");
+        if topic == Topic::Endpoints {
+            self.registry.borrow_mut().store_back(clock::now());
         }
-        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(3));
-        self.failures += 1;
-        sleep(pause.min(LONGEST_PAUSE)).await;
     }
 
-    /// Notes a success, and returns whether failures came before it.
-    fn over(&mut self, topic: &str) -> bool {
-        let failures = std::mem::take(&mut self.failures);
-        if failures > 0 {
-            log::info!("E0310 log-readable-again topic={topic} failures={failures}");
+    async fn read_on(&self, store: &mut Store, topic: Topic, from: u64) -> Result<(), StoreError> {
+        let waits = self.feed(topic, |feed| feed.is_reader());
+        let wait = if waits { READ_WAIT } else { Duration::ZERO };
+        let read = store.read(name(topic), from, wait).await?;
+        // A neighbour may have told some of it meanwhile.
+        let known = self.feed(topic, |feed| feed.next()).unwrap_or(from);
+        let back = self.feed(topic, |feed| feed.read(read.next(), clock::now()));
+        self.note_return(topic, back);
+        let skip = usize::try_from(known.saturating_sub(from)).unwrap_or(usize::MAX);
+        self.take_records(topic, read.records.iter().skip(skip));
+        self.tell_news(News {
+            topic,
+            from,
+            records: read.records,
+        });
+        Ok(())
+    }
+
+    /// Takes in what a neighbour has read.
+    pub(super) fn take_news(&self, from: SocketAddr, news: &News) {
+        let now = clock::now();
+        let draw = self.draw_share();
+        // Where two read, the one with the lower address goes on.
+        let yields = from < self.settings.peers;
+        let next = news.next();
+        let told = self.feed(news.topic, |feed| {
+            feed.told(news.from, next, yields, draw, now)
+        });
+        if let Told::Apply { skip, back } = told {
+            self.note_return(news.topic, back);
+            let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+            self.take_records(news.topic, news.records.iter().skip(skip));
         }
-        failures > 0
+        self.registry.borrow_mut().settle(now);
     }
-}
 
-impl Gateway {
-    /// Follows the operators' topic, for ever.
-    pub(super) async fn follow_operators(self: Rc<Self>) {
-        let mut store = Store::new(self.settings.log);
-        let mut trouble = Trouble::default();
-        let mut next = None;
-        loop {
-            let result = match next {
-                None => self.read_orders(&mut store).await,
-                Some(from) => self.read_on_orders(&mut store, from).await,
+    fn take_records<'a>(&self, topic: Topic, records: impl Iterator<Item = &'a Bytes>) {
+        for bytes in records {
+            let Some(record) = platform::store::record(bytes.clone()) else {
+                log::error!("E0304 record-skipped topic={topic:?} error=damaged");
+                continue;
             };
-            match result {
-                Ok(from) => {
-                    trouble.over(operator::TOPIC);
-                    next = Some(from);
+            match topic {
+                Topic::Operators => self.take_order(&record),
+                Topic::Endpoints => {
+                    let entry = decoded(&record);
+                    self.registry
+                        .borrow_mut()
+                        .apply(&record.key, entry, clock::now());
                 }
-                Err(StoreError::Forgotten) => next = None,
-                Err(error) => trouble.failed(operator::TOPIC, &error).await,
             }
         }
     }
 
-    /// Waits for the operators' next word.
-    ///
-    /// A read that was waiting when the store went silent hears nothing of what
-    /// is written after its return. The other loop asks more often and sees the
-    /// return first; this one then asks anew.
-    async fn read_on_orders(&self, store: &mut Store, from: u64) -> Result<u64, StoreError> {
-        let read = tokio::select! {
-            read = store.read(operator::TOPIC, from, OPERATORS_WAIT) => read?,
-            () = self.store_back.notified() => return Ok(from),
-        };
-        for record in &read.records {
-            self.take_order(record);
+    /// Reads the newest record of each key: at the start, or where the log forgot.
+    async fn read_all(&self, store: &mut Store, topic: Topic) -> Result<(), StoreError> {
+        let (records, end) = newest(store, name(topic)).await?;
+        let back = self.feed(topic, |feed| feed.read(end, clock::now()));
+        self.note_return(topic, back);
+        match topic {
+            Topic::Operators => self.take_all_orders(&records),
+            Topic::Endpoints => self.take_all_endpoints(&records),
         }
-        note_damaged(operator::TOPIC, read.damaged);
-        Ok(read.next)
+        Ok(())
+    }
+
+    fn take_all_endpoints(&self, records: &[Record]) {
+        let entries: BTreeMap<String, Entry> = records
+            .iter()
+            .filter_map(|r| Some((r.key.clone(), decoded(r)?)))
+            .collect();
+        let mut registry = self.registry.borrow_mut();
+        registry.replace(entries, clock::now());
+        self.listed.set(true);
+        log::info!("E0313 endpoints-listed endpoints={}", registry.len());
     }
 
-    /// Reads the newest orders of all; data centres that aren't named there are back.
-    async fn read_orders(&self, store: &mut Store) -> Result<u64, StoreError> {
-        let (records, end) = newest(store, operator::TOPIC).await?;
-        let named: Vec<DataCentreKey> = records
+    /// Takes in the newest orders of all; data centres that aren't named there are back.
+    fn take_all_orders(&self, records: &[Record]) {
+        let named: BTreeSet<DataCentreKey> = records
             .iter()
             .filter_map(|r| match operator::subject(&r.key) {
                 Subject::Leaving(centre) => Some(centre),
@@ -110,13 +178,12 @@
             })
             .collect();
         let left = self.orders.borrow().left.clone();
-        for centre in left.into_iter().filter(|c| !named.contains(c)) {
-            self.set_leaving(centre, false);
+        for centre in left.difference(&named) {
+            self.set_leaving(*centre, false);
         }
-        for record in &records {
+        for record in records {
             self.take_order(record);
         }
-        Ok(end)
     }
 
     fn take_order(&self, record: &Record) {
@@ -157,7 +224,7 @@
         );
         if !leaving {
             let catalogue = orders.catalogue.as_ref();
-            let warmup = |service| {
+            let warmup = |service: ServiceKey| {
                 let plan = catalogue.and_then(|c| c.services.get(&service));
                 plan.map(|p| p.warmup).unwrap_or_default()
             };
@@ -166,69 +233,12 @@
                 .chill(centre, clock::now(), warmup);
         }
     }
+}
 
-    /// Follows the endpoints' topic, for ever.
-    pub(super) async fn follow_endpoints(self: Rc<Self>) {
-        let mut store = Store::new(self.settings.log);
-        let mut trouble = Trouble::default();
-        let mut next = None;
-        loop {
-            let result = match next {
-                None => self.read_endpoints(&mut store, &mut trouble).await,
-                Some(from) => self.read_on_endpoints(&mut store, from, &mut trouble).await,
-            };
-            self.registry.borrow_mut().settle(clock::now());
-            match result {
-                Ok(from) => {
-                    next = Some(from);
-                    sleep(ENDPOINTS_EVERY).await;
-                }
-                Err(StoreError::Forgotten) => next = None,
-                Err(error) => trouble.failed(endpoint::TOPIC, &error).await,
-            }
-        }
-    }
-
-    async fn read_on_endpoints(
-        &self,
-        store: &mut Store,
-        from: u64,
-        trouble: &mut Trouble,
-    ) -> Result<u64, StoreError> {
-        let read = store.read(endpoint::TOPIC, from, Duration::ZERO).await?;
-        let now = clock::now();
-        let mut registry = self.registry.borrow_mut();
-        if trouble.over(endpoint::TOPIC) {
-            registry.store_back(now);
-            self.store_back.notify_one();
-        }
-        for record in &read.records {
-            registry.apply(&record.key, decoded(record), now);
-        }
-        note_damaged(endpoint::TOPIC, read.damaged);
-        Ok(read.next)
-    }
-
-    async fn read_endpoints(
-        &self,
-        store: &mut Store,
-        trouble: &mut Trouble,
-    ) -> Result<u64, StoreError> {
-        let (records, end) = newest(store, endpoint::TOPIC).await?;
-        let now = clock::now();
-        let mut registry = self.registry.borrow_mut();
-        if trouble.over(endpoint::TOPIC) {
-            registry.store_back(now);
-            self.store_back.notify_one();
-        }
-        let entries: BTreeMap<String, Entry> = records
-            .iter()
-            .filter_map(|r| Some((r.key.clone(), decoded(r)?)))
-            .collect();
-        registry.replace(entries, now);
-        self.listed.set(true);
-        log::info!("E0313 endpoints-listed endpoints={}", registry.len());
-        Ok(end)
+fn name(topic: Topic) -> &'static str {
+    match topic {
+        Topic::Operators => operator::TOPIC,
+        Topic::Endpoints => endpoint::TOPIC,
     }
 }
 
@@ -247,6 +257,7 @@
     Ok((records, end))
 }
 
+/// Returns the entry of a record, nothing where the key was dropped.
 fn decoded(record: &Record) -> Option<Entry> {
     let value = record.value.as_ref()?;
     let result = endpoint::decode(&record.key, value);
@@ -255,9 +266,3 @@
     }
     Some(endpoint::entry(result))
 }
-
-fn note_damaged(topic: &str, records: usize) {
-    if records > 0 {
-        log::error!("E0304 record-skipped topic={topic} records={records}");
-    }
-}
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod call;
 mod drain;
 mod follow;
+mod neighbours;
 mod pool;
 mod ready;
 mod refusal;
@@ -25,6 +26,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use coordination::feed::Feed;
+use protocol::news::Topic;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use state::fleet::repeats::RepeatBounds;
@@ -33,11 +36,12 @@
 use state::routing::{Orders, Route};
 use state::{DataCentreKey, Moment, ServiceKey};
 use thiserror::Error;
-use tokio::net::TcpListener;
-use tokio::sync::{Notify, watch};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 use crate::clock;
+use neighbours::Neighbours;
 use pool::Pool;
 pub use settings::{Bounds, Settings};
 
@@ -60,6 +64,21 @@
     Closing,
 }
 
+/// How far this host is with each topic of the store.
+struct Feeds {
+    operators: Feed,
+    endpoints: Feed,
+}
+
+impl Feeds {
+    fn new(now: Moment) -> Feeds {
+        Feeds {
+            operators: Feed::new(now),
+            endpoints: Feed::new(now),
+        }
+    }
+}
+
 /// A running entry host.
 pub struct Gateway {
     settings: Settings,
@@ -68,7 +87,9 @@
     orders: RefCell<Orders>,
     registry: RefCell<Registry>,
     listed: Cell<bool>,
-    store_back: Notify,
+    feeds: RefCell<Feeds>,
+    socket: UdpSocket,
+    neighbours: RefCell<Neighbours>,
     pool: RefCell<Pool>,
     budgets: RefCell<BTreeMap<ServiceKey, RepeatBudget>>,
     tempos: RefCell<BTreeMap<String, Tempo>>,
@@ -87,11 +108,16 @@
     pub async fn start(settings: Settings) -> Result<Rc<Gateway>, StartError> {
         let callers = listen(settings.callers).await?;
         let readiness = listen(settings.readiness).await?;
-        let gateway = Rc::new(Gateway::new(settings));
+        let socket = UdpSocket::bind(settings.peers)
+            .await
+            .map_err(|e| StartError::Listen(settings.peers, e))?;
+        let gateway = Rc::new(Gateway::new(settings, socket));
         spawn_local(Rc::clone(&gateway).accept(callers));
         spawn_local(Rc::clone(&gateway).answer_readiness(readiness));
-        spawn_local(Rc::clone(&gateway).follow_operators());
-        spawn_local(Rc::clone(&gateway).follow_endpoints());
+        spawn_local(Rc::clone(&gateway).hear());
+        spawn_local(Rc::clone(&gateway).greet());
+        spawn_local(Rc::clone(&gateway).follow(Topic::Operators));
+        spawn_local(Rc::clone(&gateway).follow(Topic::Endpoints));
         spawn_local(Rc::clone(&gateway).keep_share());
         spawn_local(Rc::clone(&gateway).keep_pool());
         log::info!(
@@ -103,7 +129,7 @@
         Ok(gateway)
     }
 
-    fn new(settings: Settings) -> Gateway {
+    fn new(settings: Settings, socket: UdpSocket) -> Gateway {
         Gateway {
             home: DataCentreKey::named(&settings.data_centre),
             settings,
@@ -111,7 +137,9 @@
             orders: RefCell::default(),
             registry: RefCell::default(),
             listed: Cell::new(false),
-            store_back: Notify::new(),
+            feeds: RefCell::new(Feeds::new(clock::now())),
+            socket,
+            neighbours: RefCell::default(),
             pool: RefCell::default(),
             budgets: RefCell::default(),
             tempos: RefCell::default(),
--- a/components/transport/src/gateway/settings.rs
+++ b/components/transport/src/gateway/settings.rs
@@ -14,6 +14,8 @@
     pub callers: SocketAddr,
     /// Where the platform's balancer asks whether it is ready.
     pub readiness: SocketAddr,
+    /// Where the other hosts of its data centre reach it, by datagrams.
+    pub peers: SocketAddr,
     /// Where the platform's log listens.
     pub log: SocketAddr,
     /// Partitions of each topic of the log.
--- a/components/transport/src/gateway/share.rs
+++ b/components/transport/src/gateway/share.rs
@@ -1,12 +1,16 @@
-//! Learns this host's part of all hosts, from the store's groups.
+//! Learns from the store's groups which part of all hosts this one is, and who
+//! its neighbours are.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use state::Moment;
 use tokio::time::sleep;
 
 use super::Gateway;
-use super::store::Store;
+use super::store::{Store, StoreError};
+use crate::clock;
 
 /// The group that all entry hosts join.
 const GROUP: &str = "entry-hosts";
@@ -14,11 +18,9 @@
 /// Topics whose partitions are dealt to the hosts.
 ///
 /// The store deals partitions evenly, so a host's part of them is its part of
-/// the hosts. A dozen partitions a topic and these topics tell 100 hosts apart;
+/// the hosts. A dozen partitions a topic and these topics tell 288 hosts apart;
 /// a host that gets none takes no share, which errs on the safe side.
-const TOPICS: [&str; 8] = [
-    "hosts-0", "hosts-1", "hosts-2", "hosts-3", "hosts-4", "hosts-5", "hosts-6", "hosts-7",
-];
+const TOPICS: usize = 24;
 
 /// How often a host shows that it lives.
 const JOIN_EVERY: Duration = Duration::from_secs(3);
@@ -28,6 +30,38 @@
 /// Shorter, and one slow answer of the store would deal all parts anew.
 const SESSION: Duration = Duration::from_secs(9);
 
+/// How long a host that knows no neighbour waits before it asks the store again.
+///
+/// Doubled each time, since a host may be the only one of its data centre.
+const SEARCH_PAUSE: Duration = Duration::from_millis(2_500);
+
+/// How long a host that knows neighbours waits before it asks the store again.
+///
+/// They name each other in their greetings; this only mends what got lost.
+const SEARCH_LONGEST: Duration = Duration::from_secs(60);
+
+/// When the store is asked for neighbours.
+struct Search {
+    due: Moment,
+    pause: Duration,
+}
+
+impl Search {
+    fn new(now: Moment) -> Search {
+        Search {
+            due: now,
+            pause: SEARCH_PAUSE,
+        }
+    }
+
+    /// Sets the time of the next search; `found` says whether any neighbour is known.
+    fn done(&mut self, found: bool, now: Moment) {
+        let pause = if found { SEARCH_LONGEST } else { self.pause };
+        self.due = now + pause;
+        self.pause = (self.pause * 2).min(SEARCH_LONGEST);
+    }
+}
+
 impl Gateway {
     /// Keeps this host in the group and its part up to date, for ever.
     ///
@@ -35,25 +69,71 @@
     /// still adds up with those of the others.
     pub(super) async fn keep_share(self: Rc<Self>) {
         let mut store = Store::new(self.settings.log);
-        let topics: Vec<String> = TOPICS.iter().map(|t| (*t).to_owned()).collect();
-        let total = (TOPICS.len() * self.settings.partitions).max(1);
-        let member = format!("{}/{:016x}", self.settings.name, self.draw());
+        let topics: Vec<String> = (0..TOPICS).map(|n| format!("hosts-{n}")).collect();
+        let member = self.member();
+        let timeout = SESSION.as_secs_f64();
         let mut generation = 0;
+        let mut search = Search::new(clock::now());
         loop {
-            let timeout = SESSION.as_secs_f64();
             let body = platform::store::join_body(GROUP, &member, &topics, timeout, generation);
             match store.join(body).await {
                 Ok(membership) => {
                     generation = membership.generation;
-                    let share = membership.parts as f64 / total as f64;
-                    if (share - self.share.get()).abs() > f64::EPSILON {
-                        log::info!("E0314 share-changed share={share:.3} generation={generation}");
-                    }
-                    self.share.set(share);
+                    self.set_share(membership.parts);
                 }
                 Err(error) => log::warn!("E0315 share-not-renewed error={error:?}"),
             }
+            self.search(&mut store, &mut search).await;
             sleep(JOIN_EVERY).await;
         }
     }
+
+    fn set_share(&self, parts: usize) {
+        let total = (TOPICS * self.settings.partitions).max(1);
+        let share = parts as f64 / total as f64;
+        if (share - self.share.get()).abs() > f64::EPSILON {
+            log::info!("E0314 share-changed share={share:.3}");
+        }
+        self.share.set(share);
+    }
+
+    /// Asks the store for neighbours where it is time to.
+    async fn search(&self, store: &mut Store, search: &mut Search) {
+        if clock::now() < search.due {
+            return;
+        }
+        if let Err(error) = self.find_neighbours(store).await {
+            log::warn!("E0316 neighbours-unknown error={error:?}");
+        }
+        let found = !self.neighbours.borrow().is_empty();
+        search.done(found, clock::now());
+    }
+
+    /// Greets the hosts of this data centre that hold a part.
+    async fn find_neighbours(&self, store: &mut Store) -> Result<(), StoreError> {
+        for member in store.owners(GROUP).await? {
+            if let Some(address) = self.neighbour(&member) {
+                self.meet(address);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the name under which this life of the host joins.
+    ///
+    /// It tells neighbours all they need: the data centre and the address.
+    fn member(&self) -> String {
+        format!(
+            "{}/{}/{:016x}",
+            self.settings.data_centre,
+            self.settings.peers,
+            self.draw()
+        )
+    }
+
+    /// Returns the address of a member of the same data centre.
+    fn neighbour(&self, member: &str) -> Option<SocketAddr> {
+        let rest = member.strip_prefix(&self.settings.data_centre)?;
+        rest.strip_prefix('/')?.split('/').next()?.parse().ok()
+    }
 }
--- a/components/transport/src/gateway/store.rs
+++ b/components/transport/src/gateway/store.rs
@@ -1,5 +1,6 @@
 //! The one client of the platform's store.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -115,6 +116,19 @@
         Ok(platform::store::joined(&answer)?)
     }
 
+    /// Returns the members of a group that hold a partition.
+    ///
+    /// # Errors
+    ///
+    /// Says why the call brought nothing.
+    pub async fn owners(&mut self, group: &str) -> Result<BTreeSet<String>, StoreError> {
+        let path = platform::store::owners_path(group);
+        let body = self
+            .call(Method::GET, &path, Bytes::new(), ANSWER_LIMIT)
+            .await?;
+        Ok(platform::store::owners(&body)?)
+    }
+
     async fn call(
         &mut self,
         method: Method,
--- a/src/host_file.rs
+++ b/src/host_file.rs
@@ -23,6 +23,8 @@
     caller_address: String,
     /// Where the platform's balancer asks whether it is ready.
     readiness_address: String,
+    /// Where the other hosts of its data centre reach it, by datagrams.
+    peer_address: String,
     /// Where the platform's log listens.
     log_address: String,
     /// Partitions of each topic of the log.
@@ -120,6 +122,7 @@
     }
     let callers = address("caller_address", &file.caller_address, &mut faults);
     let readiness = address("readiness_address", &file.readiness_address, &mut faults);
+    let peers = address("peer_address", &file.peer_address, &mut faults);
     let log = address("log_address", &file.log_address, &mut faults);
     let grace = seconds("grace_seconds", file.grace_seconds, &mut faults);
     let drain = seconds("drain_seconds", file.drain_seconds, &mut faults);
@@ -139,27 +142,32 @@
     if file.open_files <= OTHER_FILES * 2 {
         faults.push(format!("open_files: must be above {}", OTHER_FILES * 2));
     }
-    match (callers, readiness, log, grace, drain, window) {
-        (Some(callers), Some(readiness), Some(log), Some(grace), Some(drain), Some(window))
-            if faults.is_empty() =>
-        {
-            Ok(Settings {
-                name: file.name,
-                data_centre: file.data_centre,
-                callers,
-                readiness,
-                log,
-                partitions: file.partitions,
-                bounds: Bounds {
-                    grace,
-                    drain,
-                    repeat_ratio: file.repeat_ratio,
-                    repeat_slack: file.repeat_slack,
-                    repeat_window: window,
-                },
-                callers_limit: (file.open_files - OTHER_FILES) / CALLERS_SHARE,
-            })
-        }
+    match (callers, readiness, peers, log, grace, drain, window) {
+        (
+            Some(callers),
+            Some(readiness),
+            Some(peers),
+            Some(log),
+            Some(grace),
+            Some(drain),
+            Some(window),
+        ) if faults.is_empty() => Ok(Settings {
+            name: file.name,
+            data_centre: file.data_centre,
+            callers,
+            readiness,
+            peers,
+            log,
+            partitions: file.partitions,
+            bounds: Bounds {
+                grace,
+                drain,
+                repeat_ratio: file.repeat_ratio,
+                repeat_slack: file.repeat_slack,
+                repeat_window: window,
+            },
+            callers_limit: (file.open_files - OTHER_FILES) / CALLERS_SHARE,
+        }),
         _ => Err(faults),
     }
 }
