feed: trouble is told, so that one host a data centre asks a store that is away

Ruled out: longer pauses for all, which would miss the return within 3 s. Change: a failed read is told; a host that met the same trouble leaves the retries to the one that tells. A host alone reads no more often than its patience, and looks for neighbours after a second.

--- a/components/coordination/src/feed.rs
+++ b/components/coordination/src/feed.rs
@@ -25,12 +25,6 @@
 /// would be a read of its own.
 const BUNCH_PAUSE: Duration = Duration::from_millis(250);
 
-/// How long a host that knows no neighbour pauses between two reads.
-///
-/// When a whole site starts, every host reads until it knows who its neighbours
-/// are. 94 hosts made 10,000 reads in those three seconds without this pause.
-const ALONE_PAUSE: Duration = Duration::from_millis(900);
-
 /// How long a host that was told waits before it reads by itself.
 ///
 /// Longer than a read waits, by as much as a slow store takes to answer, so
@@ -114,14 +108,16 @@
     /// Takes in a read of this host's, and returns whether failures came before it.
     ///
     /// The host reads on for its neighbours, unless it gave way to one meanwhile.
-    /// `alone` says that it knows none.
-    pub fn read(&mut self, next: u64, alone: bool, now: Moment) -> bool {
+    /// One that knows none, as `alone` says, reads no more often than it would
+    /// lose its patience: when a whole site starts, nobody knows anybody, and 94
+    /// hosts made 10,000 reads in the three seconds until they did.
+    pub fn read(&mut self, next: u64, alone: bool, draw: f64, now: Moment) -> bool {
         let brought = self.next != Some(next);
         self.next = Some(next.max(self.next.unwrap_or(0)));
         if self.asking {
             self.reader = true;
             self.due = match brought {
-                _ if alone => now + ALONE_PAUSE,
+                _ if alone => now + patience(draw),
                 true => now + BUNCH_PAUSE,
                 false => now,
             };
@@ -141,6 +137,17 @@
         };
     }
 
+    /// Takes in that a neighbour's read failed; `draw` is from 0 to 1.
+    ///
+    /// A host that has met the same trouble leaves it to the neighbour to find
+    /// out when the store is back. One that hasn't tries for itself in its turn,
+    /// since the store turns single hosts away at times.
+    pub fn heard_trouble(&mut self, draw: f64, now: Moment) {
+        if self.failures > 0 && !self.reader {
+            self.due = now + patience(draw);
+        }
+    }
+
     /// Takes in that the store has forgotten what this host wanted to read.
     pub fn forgotten(&mut self, now: Moment) {
         self.next = None;
@@ -153,17 +160,19 @@
     /// to 1. An older word than this host's own doesn't count as news: it may
     /// come from a neighbour that was paused between reading and telling.
     pub fn told(&mut self, from: u64, next: u64, yields: bool, draw: f64, now: Moment) -> Told {
-        let Some(known) = self.next else {
-            return Told::Gap;
+        let known = match self.next {
+            Some(known) if from <= known => known,
+            // Soon, but not at the same moment as all who miss it too.
+            _ => {
+                self.due = self.due.min(now + SPREAD.mul_f64(draw));
+                return Told::Gap;
+            }
         };
-        if from > known {
-            return Told::Gap;
-        }
         if next < known {
             return Told::Known;
         }
         let back = std::mem::take(&mut self.failures) > 0;
-        if yields || !(self.reader || self.asking) {
+        if yields || back || !(self.reader || self.asking) {
             self.reader = false;
             self.asking = false;
             self.due = now + patience(draw);
--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -32,6 +32,8 @@
     Hello(Vec<SocketAddr>),
     /// The sender has read the store.
     News(News),
+    /// The sender could not read this topic.
+    Trouble(Topic),
 }
 
 /// Records that a neighbour has read.
@@ -74,6 +76,9 @@
     /// Addresses as text, in a hello.
     #[prost(string, repeated, tag = "4")]
     neighbours: Vec<String>,
+    /// Whether the topic could not be read.
+    #[prost(bool, tag = "5")]
+    failed: bool,
 }
 
 const HELLO: u32 = 0;
@@ -126,13 +131,15 @@
                 ..WireNews::default()
             },
             Neighbourly::News(news) => WireNews {
-                topic: match news.topic {
-                    Topic::Operators => OPERATORS,
-                    Topic::Endpoints => ENDPOINTS,
-                },
+                topic: number(news.topic),
                 from: news.from,
                 records: news.records.clone(),
-                neighbours: Vec::new(),
+                ..WireNews::default()
+            },
+            Neighbourly::Trouble(topic) => WireNews {
+                topic: number(*topic),
+                failed: true,
+                ..WireNews::default()
             },
         };
         let mut datagram = vec![VERSION];
@@ -157,6 +164,9 @@
             ENDPOINTS => Topic::Endpoints,
             _ => return Err(NewsError::UnknownTopic),
         };
+        if wire.failed {
+            return Ok(Neighbourly::Trouble(topic));
+        }
         Ok(Neighbourly::News(News {
             topic,
             from: wire.from,
@@ -165,6 +175,13 @@
     }
 }
 
+fn number(topic: Topic) -> u32 {
+    match topic {
+        Topic::Operators => OPERATORS,
+        Topic::Endpoints => ENDPOINTS,
+    }
+}
+
 fn addresses(texts: &[String]) -> Result<Vec<SocketAddr>, NewsError> {
     texts
         .iter()
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -13,7 +13,7 @@
 use platform::endpoint;
 use platform::operator::{self, Subject};
 use platform::store::Record;
-use protocol::news::{News, Topic};
+use protocol::news::{Neighbourly, News, Topic};
 use state::fleet::Entry;
 use state::{DataCentreKey, ServiceKey};
 use tokio::time::{Instant, sleep_until};
@@ -78,6 +78,13 @@
         if failures == 1 {
             log::warn!("E0301 log-unreadable topic={topic:?} error={error:?}");
         }
+        self.tell_all(&Neighbourly::Trouble(topic));
+    }
+
+    /// Takes in that a neighbour could not read a topic.
+    pub(super) fn take_trouble(&self, topic: Topic) {
+        let draw = self.draw_share();
+        self.feed(topic, |feed| feed.heard_trouble(draw, clock::now()));
     }
 
     /// Notes that a topic could be read, by this host or by a neighbour.
@@ -98,7 +105,10 @@
         // A neighbour may have told some of it meanwhile.
         let known = self.feed(topic, |feed| feed.next()).unwrap_or(from);
         let alone = self.neighbours.borrow().is_empty();
-        let back = self.feed(topic, |feed| feed.read(read.next(), alone, clock::now()));
+        let draw = self.draw_share();
+        let back = self.feed(topic, |feed| {
+            feed.read(read.next(), alone, draw, clock::now())
+        });
         self.note_return(topic, back);
         let skip = usize::try_from(known.saturating_sub(from)).unwrap_or(usize::MAX);
         self.take_records(topic, read.records.iter().skip(skip));
@@ -150,7 +160,8 @@
     async fn read_all(&self, store: &mut Store, topic: Topic) -> Result<(), StoreError> {
         let (records, end) = newest(store, name(topic)).await?;
         let alone = self.neighbours.borrow().is_empty();
-        let back = self.feed(topic, |feed| feed.read(end, alone, clock::now()));
+        let draw = self.draw_share();
+        let back = self.feed(topic, |feed| feed.read(end, alone, draw, clock::now()));
         self.note_return(topic, back);
         match topic {
             Topic::Operators => self.take_all_orders(&records),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -106,6 +106,7 @@
         }
         match message {
             Neighbourly::News(news) => self.take_news(from, &news),
+            Neighbourly::Trouble(topic) => self.take_trouble(topic),
             Neighbourly::Hello(others) => {
                 for other in others {
                     self.meet(other);
@@ -123,7 +124,8 @@
         Neighbourly::Hello(known)
     }
 
-    fn tell_all(&self, message: &Neighbourly) {
+    /// Tells all neighbours.
+    pub(super) fn tell_all(&self, message: &Neighbourly) {
         let addresses = self.neighbours.borrow_mut().current(clock::now());
         for address in addresses {
             self.tell(address, message);
--- a/components/transport/src/gateway/share.rs
+++ b/components/transport/src/gateway/share.rs
@@ -47,9 +47,11 @@
 }
 
 impl Search {
+    /// Returns the first search, a little later: when a whole site starts, all
+    /// hosts are in the group only after a moment.
     fn new(now: Moment) -> Search {
         Search {
-            due: now,
+            due: now + SEARCH_PAUSE,
             pause: SEARCH_PAUSE,
         }
     }
