--- /dev/null
+++ b/components/coordination/tests/store_feed.rs
@@ -0,0 +1,256 @@
+//! Who reads the store: few do, and nobody falls behind.
+
+use std::time::Duration;
+
+use coordination::feed::{Feed, READ_WAIT, Told};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use state::Moment;
+
+/// What is written must be known everywhere within this time.
+const BOUND: Duration = Duration::from_millis(2_000);
+
+/// How long an answer of the store takes.
+const ANSWER: Duration = Duration::from_millis(4);
+
+/// The hosts of one data centre, a store, and datagrams that get lost.
+struct Site {
+    hosts: Vec<Host>,
+    random: StdRng,
+    loss: f64,
+    end: u64,
+    reads: u32,
+}
+
+struct Host {
+    feed: Feed,
+    /// A read under way: when it ends.
+    reading: Option<Moment>,
+    alive: bool,
+    turned_away: bool,
+    /// When it last knew all there was.
+    fresh: Moment,
+}
+
+impl Site {
+    fn new(hosts: usize, seed: u64, loss: f64) -> Site {
+        let host = |_| Host {
+            feed: Feed::new(Moment(0)),
+            reading: None,
+            alive: true,
+            turned_away: false,
+            fresh: Moment(0),
+        };
+        Site {
+            hosts: (0..hosts).map(host).collect(),
+            random: StdRng::seed_from_u64(seed),
+            loss,
+            end: 1,
+            reads: 0,
+        }
+    }
+
+    /// Runs one millisecond.
+    fn step(&mut self, now: Moment) {
+        for at in 0..self.hosts.len() {
+            let host = &mut self.hosts[at];
+            match host.reading {
+                _ if !host.alive => {}
+                None if host.feed.due() <= now => {
+                    let waits = host.feed.is_reader();
+                    host.feed.ask();
+                    host.reading = Some(now + if waits { READ_WAIT } else { ANSWER });
+                    self.reads += 1;
+                }
+                Some(ends) => {
+                    let woken = !host.turned_away && host.feed.next().is_some_and(|n| n < self.end);
+                    if ends <= now || woken {
+                        host.reading = None;
+                        self.finish(at, now);
+                    }
+                }
+                None => {}
+            }
+        }
+    }
+
+    fn finish(&mut self, at: usize, now: Moment) {
+        let draw = self.random.random();
+        let alone = self.hosts.len() == 1;
+        let host = &mut self.hosts[at];
+        if host.turned_away {
+            host.feed.failed(draw, now);
+            for other in (0..self.hosts.len()).filter(|o| *o != at) {
+                if self.arrives(other) {
+                    let draw = self.random.random();
+                    self.hosts[other].feed.heard_trouble(draw, now);
+                }
+            }
+            return;
+        }
+        let from = host.feed.next().unwrap_or(self.end);
+        host.feed.read(self.end, alone, draw, now);
+        host.fresh = now;
+        for other in (0..self.hosts.len()).filter(|o| *o != at) {
+            if !self.arrives(other) {
+                continue;
+            }
+            let draw = self.random.random();
+            let told = self.hosts[other]
+                .feed
+                .told(from, self.end, at < other, draw, now);
+            if told != Told::Gap {
+                self.hosts[other].fresh = now;
+            }
+        }
+    }
+
+    fn arrives(&mut self, to: usize) -> bool {
+        self.hosts[to].alive && !self.random.random_bool(self.loss)
+    }
+
+    /// Returns how long ago the host that is furthest behind knew all.
+    fn staleness(&self, now: Moment) -> Duration {
+        let touched = self.hosts.iter().filter(|h| h.alive && !h.turned_away);
+        touched
+            .map(|h| now.since(h.fresh))
+            .max()
+            .unwrap_or_default()
+    }
+}
+
+/// All hosts of a data centre start at the same moment. Each read is paid for:
+/// soon only one reads.
+#[test]
+fn one_reader() {
+    let mut site = Site::new(44, 1, 0.0);
+    for millis in 0..5_000 {
+        site.step(Moment::from_millis(millis));
+    }
+    let before = site.reads;
+    for millis in 5_000..15_000 {
+        site.step(Moment::from_millis(millis));
+    }
+    assert!(
+        site.reads - before <= 10,
+        "{} reads in ten seconds",
+        site.reads - before
+    );
+}
+
+/// A whole site starts: no host knows another yet, and endpoints write all the
+/// time. Every host would read every record by itself.
+#[test]
+fn nobody_known() {
+    let mut site = Site::new(1, 3, 0.0);
+    for millis in 0..3_000 {
+        site.end += u64::from(millis % 10 == 0);
+        site.step(Moment::from_millis(millis));
+    }
+    assert!(site.reads <= 3, "{} reads in three seconds", site.reads);
+}
+
+/// The reader dies, is paused, or is turned away by the store, again and again,
+/// while datagrams get lost. No host may go on with what it knew for longer
+/// than its operators allow.
+#[test]
+fn lost_readers() {
+    for seed in 0..20 {
+        let mut site = Site::new(6, seed, 0.02);
+        for millis in 0..60_000u64 {
+            let now = Moment::from_millis(millis);
+            if millis % 4_000 == 2_000 {
+                let reader = site
+                    .hosts
+                    .iter()
+                    .position(|h| h.alive && h.feed.is_reader());
+                let victim = &mut site.hosts[reader.unwrap_or(0)];
+                match millis % 8_000 < 4_000 {
+                    true => victim.alive = false,
+                    false => victim.turned_away = true,
+                }
+            }
+            if millis % 4_000 == 3_800 {
+                for host in &mut site.hosts {
+                    if !host.alive {
+                        *host = Host {
+                            feed: Feed::new(now),
+                            reading: None,
+                            alive: true,
+                            turned_away: false,
+                            fresh: now,
+                        };
+                    }
+                    if host.turned_away {
+                        host.turned_away = false;
+                        host.fresh = now;
+                    }
+                }
+            }
+            if millis % 700 == 0 {
+                site.end += 1;
+            }
+            site.step(now);
+            let behind = site.staleness(now);
+            assert!(behind < BOUND, "seed {seed} at {millis}: {behind:?}");
+        }
+    }
+}
+
+/// The store is away for all. Refused calls are paid for too: one host finds
+/// out for its neighbours when it is back.
+#[test]
+fn store_away() {
+    let mut site = Site::new(44, 2, 0.0);
+    for millis in 0..5_000 {
+        site.step(Moment::from_millis(millis));
+    }
+    site.hosts.iter_mut().for_each(|h| h.turned_away = true);
+    let before = site.reads;
+    for millis in 5_000..15_000 {
+        site.step(Moment::from_millis(millis));
+    }
+    let reads = site.reads - before;
+    assert!(reads <= 44 + 40, "{reads} calls in ten seconds");
+    site.hosts.iter_mut().for_each(|h| h.turned_away = false);
+    site.end += 1;
+    for millis in 15_000..15_500 {
+        site.step(Moment::from_millis(millis));
+    }
+    let known = site
+        .hosts
+        .iter()
+        .filter(|h| h.feed.next() == Some(site.end));
+    assert_eq!(known.count(), 44);
+}
+
+/// A neighbour was paused between reading and telling: its word is old.
+#[test]
+fn stale_word() {
+    let mut feed = Feed::new(Moment(0));
+    feed.ask();
+    feed.read(10, false, 0.5, Moment(0));
+    let due = feed.due();
+    assert_eq!(
+        feed.told(5, 9, true, 0.5, Moment::from_millis(900)),
+        Told::Known
+    );
+    assert_eq!(feed.due(), due);
+}
+
+/// Records between what a host knows and what it is told got lost on the way:
+/// it must not pass them over.
+#[test]
+fn missing_records() {
+    let mut feed = Feed::new(Moment(0));
+    feed.ask();
+    feed.read(10, false, 0.5, Moment(0));
+    assert_eq!(feed.told(12, 14, true, 0.5, Moment(1)), Told::Gap);
+    assert_eq!(feed.next(), Some(10));
+    let applied = Told::Apply {
+        skip: 2,
+        back: false,
+    };
+    assert_eq!(feed.told(8, 14, true, 0.5, Moment(2)), applied);
+    assert_eq!(feed.next(), Some(14));
+}
--- a/components/state/src/moment.rs
+++ b/components/state/src/moment.rs
@@ -10,6 +10,7 @@
 /// Moments of two processes can't be compared and never travel: between
 /// processes only durations, offsets and revisions do.
 #[key]
+#[derive(Default)]
 pub struct Moment(pub u64);
 
 impl Moment {
--- /dev/null
+++ b/components/state/tests/fleet_placing.rs
@@ -0,0 +1,267 @@
+//! Where requests go, under the loads that placing is made for.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use state::fleet::outcome::Outcome;
+use state::fleet::placing::{Knowledge, Refusal, Request};
+use state::fleet::{Endpoint, Entry, Look, Placing, Registry, Step};
+use state::{DataCentreKey, EndpointKey, Moment, ServiceKey};
+
+const USUAL: Duration = Duration::from_millis(200);
+const START: Moment = Moment::from_millis(10_000);
+
+struct Fleet {
+    registry: Registry,
+    left: BTreeSet<DataCentreKey>,
+    random: StdRng,
+    share: f64,
+}
+
+fn endpoint(name: &str, centre: &str) -> Endpoint {
+    Endpoint {
+        instance: name.to_owned(),
+        born: 1,
+        service: ServiceKey::named("svc"),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        centre: DataCentreKey::named(centre),
+        slots: 6,
+        draining: false,
+        cold: Duration::ZERO,
+    }
+}
+
+fn key(name: &str) -> EndpointKey {
+    endpoint(name, "near").key()
+}
+
+fn look(slowness: u32, running: u32, waiting: u32, at: Moment) -> Look {
+    Look {
+        at,
+        running,
+        waiting,
+        slots: 6,
+        slowness,
+        well: true,
+        told: true,
+    }
+}
+
+fn request(objective: u64) -> Request {
+    Request {
+        service: ServiceKey::named("svc"),
+        home: DataCentreKey::named("near"),
+        objective: START + Duration::from_millis(objective),
+        deadline: START + Duration::from_millis(2_000),
+        usual: USUAL,
+    }
+}
+
+impl Fleet {
+    fn of(endpoints: &[(&str, &str)]) -> Fleet {
+        let mut registry = Registry::default();
+        for (name, centre) in endpoints {
+            registry.apply(name, Some(Entry::Endpoint(endpoint(name, centre))), START);
+        }
+        Fleet {
+            registry,
+            left: BTreeSet::new(),
+            random: StdRng::seed_from_u64(7),
+            share: 0.1,
+        }
+    }
+
+    /// Runs one placing to its end; `answer` says how an endpoint does when asked.
+    fn place(
+        &mut self,
+        request: &Request,
+        now: &mut Moment,
+        answer: impl Fn(EndpointKey, Moment) -> Look,
+    ) -> Result<EndpointKey, Refusal> {
+        let mut placing = Placing::default();
+        loop {
+            let mut knowledge = Knowledge {
+                registry: &mut self.registry,
+                left: &self.left,
+                cold_rate: 6.0,
+                share: self.share,
+            };
+            let random = &mut self.random;
+            let mut draw = || random.random::<f64>();
+            match placing.next(&mut knowledge, request, *now, &mut draw) {
+                Step::Ask(key) => {
+                    *now = *now + Duration::from_millis(1);
+                    let look = answer(key, *now);
+                    self.registry.get_mut(key).expect("it is known").see(look);
+                }
+                Step::Place(key) => return Ok(key),
+                Step::Wait(time) => *now = *now + time,
+                Step::Refuse(refusal) => return Err(refusal),
+            }
+        }
+    }
+}
+
+/// A third of the machines is disturbed at any moment. Requests that meet one
+/// take four times as long, and their callers get their answers too late.
+#[test]
+fn disturbed_machines() {
+    let names = ["a", "b", "c", "d", "e"];
+    let mut fleet = Fleet::of(&names.map(|n| (n, "near")));
+    let mut asks = 0;
+    for round in 0..300 {
+        let mut now = START + Duration::from_millis(round * 300);
+        let mut noise = StdRng::seed_from_u64(round);
+        let bad: BTreeSet<EndpointKey> = names
+            .iter()
+            .map(|n| key(n))
+            .filter(|_| noise.random_bool(0.33))
+            .collect();
+        if bad.len() == names.len() {
+            continue;
+        }
+        let wanted = Request {
+            objective: now + Duration::from_millis(600),
+            deadline: now + Duration::from_millis(2_000),
+            ..request(0)
+        };
+        let began = now;
+        let slowness = |k: EndpointKey| if bad.contains(&k) { 400 } else { 100 };
+        let chosen = fleet.place(&wanted, &mut now, |k, at| look(slowness(k), 0, 0, at));
+        asks += now.since(began).as_millis();
+        assert!(!bad.contains(&chosen.expect("one is good")));
+    }
+    assert!(asks < 2 * 300, "{asks} questions for 300 requests");
+}
+
+/// All near endpoints are disturbed for a moment. Bytes between data centres
+/// are dear: with time left the request waits for a near one to recover.
+#[test]
+fn waits_near() {
+    let mut fleet = Fleet::of(&[("a", "near"), ("b", "far")]);
+    let mut now = START;
+    let recovers = START + Duration::from_millis(100);
+    let chosen = fleet.place(&request(800), &mut now, |k, at| {
+        let bad = k == key("a") && at < recovers;
+        look(if bad { 400 } else { 100 }, 0, 0, at)
+    });
+    assert_eq!(chosen, Ok(key("a")));
+}
+
+/// They stay disturbed: the request goes far while it can still be in time.
+#[test]
+fn goes_far() {
+    let mut fleet = Fleet::of(&[("a", "near"), ("b", "far")]);
+    let mut now = START;
+    let chosen = fleet.place(&request(600), &mut now, |k, at| {
+        look(if k == key("a") { 400 } else { 100 }, 0, 0, at)
+    });
+    assert_eq!(chosen, Ok(key("b")));
+    assert!(now.since(START) < Duration::from_millis(400));
+}
+
+/// Every endpoint is full to its queue. Some never answer what they can't
+/// queue, so the request is rejected while "not run" is true.
+#[test]
+fn all_full() {
+    let mut fleet = Fleet::of(&[("a", "near"), ("b", "near")]);
+    let mut now = START;
+    let chosen = fleet.place(&request(600), &mut now, |_, at| look(100, 6, 6, at));
+    assert!(matches!(chosen, Err(Refusal::Full | Refusal::TooLate)));
+    assert!(now < START + Duration::from_millis(2_000));
+}
+
+/// An endpoint answers its health check and fails every request.
+#[test]
+fn lying_health() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::of(&[("a", "near"), ("b", "near")]);
+        fleet.random = StdRng::seed_from_u64(seed);
+        let liar = fleet.registry.get_mut(key("a")).expect("it is known");
+        for _ in 0..2 {
+            liar.record.note(Outcome::Failed, START);
+        }
+        let mut now = START + Duration::from_millis(500);
+        let chosen = fleet.place(&request(3_000), &mut now, |_, at| look(100, 0, 0, at));
+        assert_eq!(chosen, Ok(key("b")));
+    }
+}
+
+/// All endpoints of a service have failed. Avoiding them all would turn a bad
+/// service into none.
+#[test]
+fn all_avoided() {
+    let mut fleet = Fleet::of(&[("a", "near"), ("b", "near")]);
+    for name in ["a", "b"] {
+        let state = fleet.registry.get_mut(key(name)).expect("it is known");
+        state.record.note(Outcome::Silent, START);
+    }
+    let mut now = START;
+    let chosen = fleet.place(&request(600), &mut now, |_, at| look(100, 0, 0, at));
+    assert!(chosen.is_ok());
+}
+
+/// Endpoints that leave, and those of a data centre that operators have taken
+/// out, get nothing, even where nothing else is left.
+#[test]
+fn leaving_endpoints() {
+    let mut fleet = Fleet::of(&[("a", "near"), ("b", "far")]);
+    let mut leaving = endpoint("a", "near");
+    leaving.draining = true;
+    fleet
+        .registry
+        .apply("a", Some(Entry::Endpoint(leaving)), START);
+    fleet.left.insert(DataCentreKey::named("far"));
+    let mut now = START;
+    let chosen = fleet.place(&request(600), &mut now, |_, at| look(100, 0, 0, at));
+    assert_eq!(chosen, Err(Refusal::NoEndpoint));
+}
+
+/// A whole data centre comes back cold, and its hosts all at once have
+/// requests for it. A cold endpoint falls over under more than its rate.
+#[test]
+fn cold_endpoints() {
+    let hosts = 20;
+    let mut fleets: Vec<Fleet> = (0..hosts)
+        .map(|n| {
+            let mut fleet = Fleet::of(&[("a", "near")]);
+            fleet.random = StdRng::seed_from_u64(n);
+            fleet.share = 1.0 / hosts as f64;
+            fleet
+        })
+        .collect();
+    let mut sent = Vec::new();
+    for step in 0..400 {
+        let now = START + Duration::from_millis(step * 10);
+        for fleet in &mut fleets {
+            let state = fleet.registry.get_mut(key("a")).expect("it is known");
+            state.note_cold(Duration::from_secs(3), now);
+            let mut placing = Placing::default();
+            let mut knowledge = Knowledge {
+                registry: &mut fleet.registry,
+                left: &fleet.left,
+                cold_rate: 6.0,
+                share: fleet.share,
+            };
+            let wanted = Request {
+                objective: now + Duration::from_millis(600),
+                deadline: now + Duration::from_millis(2_000),
+                ..request(0)
+            };
+            let random = &mut fleet.random;
+            let mut draw = || random.random::<f64>();
+            if let Step::Place(_) = placing.next(&mut knowledge, &wanted, now, &mut draw) {
+                sent.push(now);
+            }
+        }
+    }
+    assert!(sent.len() >= 12, "only {} in four seconds", sent.len());
+    let worst = sent.iter().map(|at| {
+        let until = *at + Duration::from_secs(1);
+        sent.iter().filter(|s| **s >= *at && **s < until).count()
+    });
+    assert!(worst.max() <= Some(14));
+}
--- /dev/null
+++ b/components/state/tests/fleet_registry.rs
@@ -0,0 +1,94 @@
+//! The list of endpoints, as the store's records come and go.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use state::fleet::{Endpoint, Entry, Registry};
+use state::{DataCentreKey, Moment, ServiceKey};
+
+fn endpoint(name: &str, born: u64) -> Endpoint {
+    Endpoint {
+        instance: name.to_owned(),
+        born,
+        service: ServiceKey::named("svc"),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        centre: DataCentreKey::named("here"),
+        slots: 6,
+        draining: false,
+        cold: Duration::ZERO,
+    }
+}
+
+fn with(names: &[&str]) -> Registry {
+    let mut registry = Registry::default();
+    for name in names {
+        registry.apply(name, Some(Entry::Endpoint(endpoint(name, 1))), Moment(0));
+    }
+    registry
+}
+
+/// The store was away, the leases of all endpoints ran out meanwhile, and on
+/// its return all entries are gone before living endpoints write again. Callers
+/// would be refused by a service that is well.
+#[test]
+fn lapsed_leases() {
+    let mut registry = with(&["a", "b"]);
+    let back = Moment::from_millis(30_000);
+    registry.store_back(back);
+    registry.apply("a", None, back);
+    registry.apply("b", None, back);
+    assert_eq!(registry.len(), 2);
+    let again = back + Duration::from_millis(1_500);
+    registry.apply("a", Some(Entry::Endpoint(endpoint("a", 1))), again);
+    registry.settle(back + Duration::from_millis(1_999));
+    assert_eq!(registry.len(), 2);
+    registry.settle(back + Duration::from_millis(2_000));
+    assert_eq!(registry.len(), 1);
+    assert!(registry.get(endpoint("a", 1).key()).is_some());
+}
+
+/// While the store is well, an entry that goes is an endpoint that is gone.
+#[test]
+fn gone_at_once() {
+    let mut registry = with(&["a"]);
+    registry.apply("a", None, Moment::from_millis(1));
+    assert!(registry.is_empty());
+}
+
+/// An endpoint starts again under its old name: what was known of its earlier
+/// life would be wrong of this one.
+#[test]
+fn born_anew() {
+    let mut registry = with(&["a"]);
+    let old = endpoint("a", 1).key();
+    registry.get_mut(old).expect("it is known").start();
+    registry.apply("a", Some(Entry::Endpoint(endpoint("a", 2))), Moment(1));
+    assert!(registry.get(old).is_none());
+    let new = registry.get(endpoint("a", 2).key()).expect("it is known");
+    assert_eq!(new.running, 0);
+}
+
+/// Something else wrote under an endpoint's name: it names no endpoint to use.
+#[test]
+fn unusable_entry() {
+    let mut registry = with(&["a", "b"]);
+    registry.apply("a", Some(Entry::Unusable), Moment(1));
+    assert_eq!(registry.len(), 1);
+}
+
+/// A data centre that was empty comes back, perhaps cold: its endpoints are not
+/// relied on before they say that they are warm.
+#[test]
+fn taken_back() {
+    let mut registry = with(&["a"]);
+    let now = Moment::from_millis(5_000);
+    registry.chill(DataCentreKey::named("here"), now, |_| {
+        Duration::from_secs(3)
+    });
+    let state = registry
+        .get_mut(endpoint("a", 1).key())
+        .expect("it is known");
+    assert!(state.is_cold(now));
+    state.note_cold(Duration::ZERO, now);
+    assert!(!state.is_cold(now));
+}
--- /dev/null
+++ b/components/state/tests/route_choice.rs
@@ -0,0 +1,87 @@
+//! Routes: the longest prefix, the shares of parts, versions that only grow.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use state::ServiceKey;
+use state::routing::{CallerLimits, Catalogue, Orders, Part, Route};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        idempotent: true,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(500),
+        priority: 0,
+        attempts: 2,
+        parts: vec![part("svc", 1)],
+    }
+}
+
+fn part(service: &str, weight: u64) -> Part {
+    Part {
+        service: ServiceKey::named(service),
+        weight,
+    }
+}
+
+fn catalogue(version: u64) -> Catalogue {
+    Catalogue {
+        version,
+        routes: vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+            route("other", "b.example", "/x/y/z/"),
+        ],
+        services: BTreeMap::new(),
+        limits: CallerLimits {
+            head_size: 16_384,
+            body_size: 1_000,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+    }
+}
+
+#[rstest]
+#[case("a.example", "/x/y/z/1", Some("long"))]
+#[case("A.Example:8080", "/x/1", Some("short"))]
+#[case("b.example", "/x/y/1", None)]
+#[case("a.example", "/x", None)]
+#[case("c.example", "/x/1", None)]
+fn longest_prefix(#[case] host: &str, #[case] path: &str, #[case] expected: Option<&str>) {
+    let catalogue = catalogue(1);
+    let found = catalogue.route(host, path).map(|r| r.name.as_str());
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn weighted_parts() {
+    let mut route = route("split", "a.example", "/");
+    route.parts = vec![part("new", 100), part("old", 900), part("none", 0)];
+    let mut random = StdRng::seed_from_u64(3);
+    let mut shares = BTreeMap::new();
+    for _ in 0..10_000 {
+        let service = route.part(random.random()).expect("it has parts");
+        *shares.entry(service).or_insert(0) += 1;
+    }
+    assert!((900..1_100).contains(&shares[&ServiceKey::named("new")]));
+    assert!(!shares.contains_key(&ServiceKey::named("none")));
+}
+
+/// The store hands out an older configuration, as it does after it has
+/// forgotten records or carried out a write late. Going back would serve
+/// callers by routes that their operators have dropped.
+#[test]
+fn never_back() {
+    let mut orders = Orders::default();
+    assert!(orders.adopt(catalogue(7)));
+    assert!(!orders.adopt(catalogue(5)));
+    assert!(!orders.adopt(catalogue(7)));
+    assert!(orders.adopt(catalogue(12)));
+}
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -87,7 +87,7 @@
     match run(gateway, &parts, incoming, arrived).await {
         Ok(answer) => pass_on(answer),
         Err(denial) => {
-            note(gateway, &parts, &denial, arrived);
+            gateway.log_denial(&parts.headers, &denial, arrived);
             denial.response(&parts.headers)
         }
     }
@@ -185,6 +185,7 @@
                     progress.take(ending);
                     let exposed = attempt.exposed.get();
                     if whole.is_some() && self.may_repeat(&mut progress, exposed) {
+                        self.log_repeat(progress.why());
                         racers.push(Box::pin(again()));
                     } else if racers.is_empty() {
                         return progress.give_up(exposed);
@@ -193,6 +194,7 @@
                 Event::SecondDue => {
                     second = None;
                     if attempt.exposed.get() > 0 && self.may_send(&mut progress) {
+                        self.log_repeat("no answer yet");
                         racers.push(Box::pin(again()));
                     }
                 }
@@ -202,6 +204,11 @@
         }
     }
 
+    fn log_repeat(&self, why: &str) {
+        self.gateway
+            .log_repeat(&self.parts.headers, why, self.arrived);
+    }
+
     fn placing_request(&self) -> placing::Request {
         let usual = self.gateway.with_tempo(self.route, |tempo| tempo.usual());
         placing::Request {
@@ -293,6 +300,15 @@
         });
     }
 
+    /// Returns why the last attempt brought no answer, for the log.
+    fn why(&self) -> &'static str {
+        match self.last {
+            Some(Last::Rejected(why) | Last::Unsent(why) | Last::Lost(why)) => why,
+            Some(Last::Failed) => "the endpoint failed",
+            Some(Last::Refused(_)) | None => "no endpoint was found",
+        }
+    }
+
     /// Returns the final answer of a request that is not tried again.
     ///
     /// "Not run" is only said where every endpoint that it reached said so.
@@ -325,16 +341,3 @@
     *response.headers_mut() = fields;
     response
 }
-
-/// Logs a request that got no endpoint's answer.
-fn note(gateway: &Gateway, parts: &Parts, denial: &Denial, arrived: Moment) {
-    let id = parts.headers.get(platform::fields::REQUEST_ID);
-    let id = id.and_then(|v| v.to_str().ok()).unwrap_or("-");
-    let orders = gateway.orders.borrow();
-    let version = orders.catalogue.as_ref().map_or(0, |c| c.version);
-    log::info!(
-        "E0126 request-denied id={id} status={} reason={denial:?} after_ms={} version={version}",
-        denial.status().as_u16(),
-        clock::now().since(arrived).as_millis()
-    );
-}
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod ready;
 mod refusal;
+mod request_log;
 mod server;
 mod settings;
 mod share;
@@ -43,6 +44,7 @@
 use crate::clock;
 use neighbours::Neighbours;
 use pool::Pool;
+use request_log::RequestLog;
 pub use settings::{Bounds, Settings};
 
 /// Why a host can't start.
@@ -97,6 +99,7 @@
     random: RefCell<SmallRng>,
     stage: watch::Sender<Stage>,
     callers: Cell<usize>,
+    requests: RefCell<RequestLog>,
 }
 
 impl Gateway {
@@ -147,6 +150,7 @@
             random: RefCell::new(SmallRng::from_os_rng()),
             stage: watch::Sender::new(Stage::Serving),
             callers: Cell::new(0),
+            requests: RefCell::default(),
         }
     }
 
--- a/tests/catalogues.rs
+++ b/tests/catalogues.rs
@@ -18,7 +18,7 @@
 fn compare(page: &str, find: fn(&str) -> Vec<String>) {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let mut used = BTreeSet::new();
-    for folder in ["src", "components"] {
+    for folder in ["src", "components", "platform"] {
         collect(&root.join(folder), find, &mut used);
     }
     let text = fs::read_to_string(root.join(page)).expect("the page is there");
--- /dev/null
+++ b/tests/host_settings.rs
@@ -0,0 +1,66 @@
+//! The settings file of `serve`, checked whole before anything starts.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+const WHOLE: &str = r#"
+name = "edge-1"
+data_centre = "here"
+caller_address = "127.0.0.1:8000"
+readiness_address = "127.0.0.1:8001"
+peer_address = "127.0.0.1:8002"
+log_address = "127.0.0.1:8003"
+something_new = true
+"#;
+
+fn check(name: &str, text: &str) -> Output {
+    let path: PathBuf =
+        std::env::temp_dir().join(format!("settings-{name}-{}.toml", std::process::id()));
+    std::fs::write(&path, text).expect("it is written");
+    let output = Command::new(env!("CARGO_BIN_EXE_cardamomvale"))
+        .arg("check-settings")
+        .arg(&path)
+        .output()
+        .expect("it runs");
+    std::fs::remove_file(&path).expect("it is removed");
+    output
+}
+
+/// The platform adds fields at times: an unknown one is no fault.
+#[test]
+fn whole_file() {
+    let output = check("whole", WHOLE);
+    assert!(output.status.success());
+}
+
+/// All faults are told at once, each with what to mend, and nothing starts.
+#[test]
+fn all_faults() {
+    let text = WHOLE
+        .replace("edge-1", "")
+        .replace("127.0.0.1:8000", "somewhere")
+        .replace(
+            "something_new = true",
+            "repeat_ratio = -1\ngrace_seconds = 0",
+        );
+    let output = check("faults", &text);
+    assert_eq!(output.status.code(), Some(2));
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    for key in [
+        "name:",
+        "caller_address:",
+        "repeat_ratio:",
+        "grace_seconds:",
+    ] {
+        assert!(told.contains(key), "{key} is missing in {told}");
+    }
+}
+
+#[test]
+fn missing_file() {
+    let output = Command::new(env!("CARGO_BIN_EXE_cardamomvale"))
+        .args(["serve", "--settings", "/nowhere/host.toml"])
+        .output()
+        .expect("it runs");
+    assert_eq!(output.status.code(), Some(2));
+}
--- /dev/null
+++ b/tests/platform_answers.rs
@@ -0,0 +1,193 @@
+//! What callers get of endpoints' answers, through a real entry host.
+
+mod site;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use site::endpoint::Behaviour;
+use site::{Endpoint, Host, ROUTES, Store, config, until};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+async fn started(names: &[&str]) -> (Store, Vec<Endpoint>, Host) {
+    let store = Store::start().await;
+    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let mut endpoints = Vec::new();
+    for name in names {
+        let endpoint = Endpoint::start(name).await;
+        endpoint.register(&store, "ready");
+        endpoints.push(endpoint);
+    }
+    let host = Host::ready("entry", &store).await;
+    (store, endpoints, host)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn passed_unchanged() {
+    let (_store, endpoints, host) = started(&["i-1"]).await;
+    let answer = host.request("GET", "/read/x", "r1").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "whole"));
+    assert!(answer.has("server-signature") && answer.has("attempt-id"));
+    assert_eq!(endpoints[0].runs(), ["r1"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_routes() {
+    let (_store, _endpoints, host) = started(&["i-1"]).await;
+    assert_eq!(host.request("GET", "/none/x", "r1").await.status, 404);
+}
+
+/// An endpoint's answer is spoiled: cut, another request's, unsigned, encoded,
+/// or a 503 that doesn't say that the request was not run. A caller that took
+/// it for its own would read another's booking or half of one; a deposit sent
+/// again would be taken twice.
+#[rstest]
+#[case(Behaviour::Cut)]
+#[case(Behaviour::Foreign)]
+#[case(Behaviour::Unsigned)]
+#[case(Behaviour::Encoded)]
+#[case(Behaviour::FailAsFull)]
+#[tokio::test(flavor = "multi_thread")]
+async fn spoiled_once(#[case] behaviour: Behaviour) {
+    let (_store, endpoints, host) = started(&["i-1", "i-2"]).await;
+    endpoints.iter().for_each(|e| e.set(behaviour));
+    let answer = host.request("POST", "/write/x", "w1").await;
+    assert_eq!(answer.status, 502);
+    assert!(!answer.has("server-signature"));
+    let runs: Vec<String> = endpoints.iter().flat_map(Endpoint::runs).collect();
+    assert_eq!(runs, ["w1"]);
+}
+
+/// The same answers to a request that may run twice: another endpoint is asked,
+/// and the caller notices nothing.
+#[rstest]
+#[case(Behaviour::Cut)]
+#[case(Behaviour::Foreign)]
+#[case(Behaviour::Unsigned)]
+#[case(Behaviour::Fail)]
+#[tokio::test(flavor = "multi_thread")]
+async fn spoiled_repeated(#[case] behaviour: Behaviour) {
+    let (_store, endpoints, host) = started(&["i-1", "i-2"]).await;
+    // The budget of repeats is a share of what was served before.
+    for n in 0..10 {
+        host.request("GET", "/read/x", &format!("before-{n}")).await;
+    }
+    endpoints[0].set(behaviour);
+    for n in 0..2 {
+        let answer = host.request("GET", "/read/x", &format!("r-{n}")).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "whole"));
+    }
+}
+
+/// All endpoints reject: the caller hears that its deposit was not taken, and
+/// that is true.
+#[tokio::test(flavor = "multi_thread")]
+async fn rejected_truly() {
+    let (_store, endpoints, host) = started(&["i-1", "i-2"]).await;
+    endpoints.iter().for_each(|e| e.set(Behaviour::Reject));
+    let answer = host.request("POST", "/write/x", "w1").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.has("retry-after"));
+    assert!(endpoints.iter().all(|e| e.runs().is_empty()));
+}
+
+/// An endpoint never answers: the caller has its final answer at the route's
+/// timeout, and it doesn't say "not run".
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_endpoint() {
+    let (_store, endpoints, host) = started(&["i-1"]).await;
+    endpoints[0].set(Behaviour::Hang);
+    let answer = host.request("POST", "/write/x", "w1").await;
+    assert_eq!(answer.status, 504);
+    until("the endpoint was told", async || {
+        endpoints[0].given_up() == 1
+    })
+    .await;
+}
+
+/// The address of an endpoint that ended was given to another one. A request
+/// sent there would run at the wrong service.
+#[tokio::test(flavor = "multi_thread")]
+async fn reused_address() {
+    let (store, endpoints, host) = started(&["i-1"]).await;
+    let entry = format!(
+        r#"{{"service":"svc","address":"{}","zone":"here","version":"v1","slots":6,"state":"ready","warmupRemainingS":0,"sequence":1,"born":2}}"#,
+        endpoints[0].address
+    );
+    store.put("keyed.servers", "i-1", None);
+    store.put("keyed.servers", "i-old", Some(&entry));
+    until("the request is not run", async || {
+        host.request("POST", "/write/x", "probe").await.status == 503
+    })
+    .await;
+}
+
+/// A caller hangs up while its endpoint is at work. Work for nobody would keep
+/// the slot from others.
+#[tokio::test(flavor = "multi_thread")]
+async fn hang_up() {
+    let (_store, endpoints, host) = started(&["i-1"]).await;
+    endpoints[0].set(Behaviour::Hang);
+    let mut stream = TcpStream::connect(host.callers).await.expect("it accepts");
+    let request = "GET /read/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: r1\r\nTime-Remaining: 60000\r\n\r\n";
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("it reads");
+    until("the endpoint is at work", async || {
+        endpoints[0].runs().len() == 1
+    })
+    .await;
+    drop(stream);
+    until("the endpoint was told", async || {
+        endpoints[0].given_up() == 1
+    })
+    .await;
+}
+
+/// One of three endpoints stands on a disturbed machine and says so. Callers
+/// who met it would wait four times as long.
+#[tokio::test(flavor = "multi_thread")]
+async fn disturbed_endpoint() {
+    let (_store, endpoints, host) = started(&["i-1", "i-2", "i-3"]).await;
+    endpoints[1].slow(400);
+    for n in 0..30 {
+        host.request("GET", "/read/x", &format!("r-{n}")).await;
+    }
+    assert!(endpoints[1].runs().is_empty());
+}
+
+/// SIGTERM while a request is at its endpoint and others still come: the
+/// running one is answered, the host is no longer ready, and it ends in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_stop() {
+    let (_store, endpoints, mut host) = started(&["i-1"]).await;
+    endpoints[0].set(Behaviour::Take(800));
+    let callers = host.callers;
+    let running = tokio::spawn(async move {
+        let request = "POST /write/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: w1\r\nTime-Remaining: 2000\r\nContent-Length: 0\r\n\r\n";
+        site::exchange(callers, request).await
+    });
+    until("the endpoint is at work", async || {
+        endpoints[0].runs().len() == 1
+    })
+    .await;
+    host.terminate();
+    until("the host is not ready", async || {
+        host.readiness().await == 503
+    })
+    .await;
+    let answer = running.await.expect("it ends").expect("it is answered");
+    assert_eq!(answer.status, 200);
+    assert!(answer.has("connection"));
+    endpoints[0].set(Behaviour::Serve);
+    assert_eq!(host.request("GET", "/read/x", "r2").await.status, 200);
+    for _ in 0..500 {
+        if host.ended_well().is_some() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(host.ended_well(), Some(true));
+}
--- /dev/null
+++ b/tests/platform_store.rs
@@ -0,0 +1,161 @@
+//! What entry hosts make of the store's records and its faults.
+
+mod site;
+
+use site::store::Mode;
+use site::{Endpoint, Host, ROUTES, Store, config, until};
+
+const ONE_ROUTE: &str = r#"["other","a.example","/other/","safe",2.0,0.5,2,null,2,"svc"]"#;
+
+/// A host that knows no configuration can't know that a route is missing. A 404
+/// would tell the caller never to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_catalogue() {
+    let store = Store::start().await;
+    let host = Host::start("entry", &store).await;
+    assert_eq!(host.readiness().await, 503);
+    let answer = host.request("GET", "/read/x", "r1").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.has("retry-after"));
+}
+
+/// A configuration comes that can't be read, then an older one. Callers would
+/// lose routes that their operators have put in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_catalogues() {
+    let store = Store::start().await;
+    let endpoint = Endpoint::start("i-1").await;
+    endpoint.register(&store, "ready");
+    store.put("keyed.op", "config", Some(&config(5, ROUTES)));
+    let host = Host::ready("entry", &store).await;
+    let unknown = ONE_ROUTE.replace("svc", "nowhere");
+    store.put("keyed.op", "config", Some(&config(6, &unknown)));
+    store.put("keyed.op", "config", Some("{\"version\":7,"));
+    store.put("keyed.op", "config", Some(&config(4, ONE_ROUTE)));
+    let marker = r#"["marker","m.example","/","safe",2.0,0.5,2,null,2,"svc"]"#;
+    store.put(
+        "keyed.op",
+        "config",
+        Some(&config(8, &format!("{ROUTES},{marker}"))),
+    );
+    until("version 8 is in force", async || {
+        let request =
+            "GET /x HTTP/1.1\r\nHost: m.example\r\nAttempt-Id: m\r\nConnection: close\r\n\r\n";
+        site::exchange(host.callers, request)
+            .await
+            .is_some_and(|a| a.status == 200)
+    })
+    .await;
+    assert_eq!(host.request("GET", "/read/x", "r1").await.status, 200);
+    assert_eq!(host.request("GET", "/other/x", "r2").await.status, 404);
+}
+
+/// An entry of an endpoint that can't be read stands beside good ones, and must
+/// not cost them.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_entries() {
+    let store = Store::start().await;
+    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    store.put("keyed.servers", "i-0", Some("\u{1}not json"));
+    store.put(
+        "keyed.servers",
+        "i-9",
+        Some(r#"{"service":"svc","address":17}"#),
+    );
+    let endpoint = Endpoint::start("i-1").await;
+    endpoint.register(&store, "ready");
+    let host = Host::ready("entry", &store).await;
+    assert_eq!(host.request("GET", "/read/x", "r1").await.status, 200);
+}
+
+/// An endpoint says that it is leaving: it gets nothing more.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_endpoint() {
+    let store = Store::start().await;
+    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let endpoints = [Endpoint::start("i-1").await, Endpoint::start("i-2").await];
+    endpoints.iter().for_each(|e| e.register(&store, "ready"));
+    let host = Host::ready("entry", &store).await;
+    endpoints[0].register(&store, "draining");
+    until("the other gets ten in a row", async || {
+        let before = endpoints[0].runs().len();
+        for _ in 0..10 {
+            host.request("GET", "/read/x", "r").await;
+        }
+        endpoints[0].runs().len() == before
+    })
+    .await;
+}
+
+/// Operators empty a data centre, and take it back.
+#[tokio::test(flavor = "multi_thread")]
+async fn emptied_centre() {
+    let store = Store::start().await;
+    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let endpoint = Endpoint::start("i-1").await;
+    endpoint.register(&store, "ready");
+    let host = Host::ready("entry", &store).await;
+    store.put("keyed.op", "evacuate/here", Some("{}"));
+    until("nothing is run", async || {
+        host.request("GET", "/read/x", "r").await.status == 503
+    })
+    .await;
+    store.put("keyed.op", "evacuate/here", None);
+    until("it is back", async || {
+        host.request("GET", "/read/x", "r").await.status == 200
+    })
+    .await;
+}
+
+/// The store is away, silent or refusing, and the host goes on with what it
+/// knows; what is written after its return is in force soon.
+#[rstest::rstest]
+#[case(Mode::Silent)]
+#[case(Mode::Refusing)]
+#[tokio::test(flavor = "multi_thread")]
+async fn store_away(#[case] mode: Mode) {
+    let store = Store::start().await;
+    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let endpoint = Endpoint::start("i-1").await;
+    endpoint.register(&store, "ready");
+    let host = Host::ready("entry", &store).await;
+    store.set(mode);
+    let calls = store.calls();
+    until("the store was asked in vain", async || {
+        store.calls() > calls
+    })
+    .await;
+    assert_eq!(host.request("GET", "/read/x", "r1").await.status, 200);
+    store.set(Mode::Up);
+    store.put("keyed.op", "config", Some(&config(2, ONE_ROUTE)));
+    until("version 2 is in force", async || {
+        host.request("GET", "/other/x", "r2").await.status == 200
+    })
+    .await;
+}
+
+/// The store forgets its history while a host follows it: the host begins anew
+/// with the newest record of each key and misses no endpoint's leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn forgotten_history() {
+    let store = Store::start().await;
+    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let endpoints = [Endpoint::start("i-1").await, Endpoint::start("i-2").await];
+    endpoints.iter().for_each(|e| e.register(&store, "ready"));
+    let host = Host::ready("entry", &store).await;
+    store.set(Mode::Refusing);
+    store.put("keyed.servers", "i-1", None);
+    store.put("keyed.op", "config", Some(&config(2, ONE_ROUTE)));
+    store.forget("keyed.servers");
+    store.forget("keyed.op");
+    store.set(Mode::Up);
+    until("the rest serves alone", async || {
+        let before = endpoints[0].runs().len();
+        let mut served = true;
+        for _ in 0..10 {
+            served &= host.request("GET", "/other/x", "r").await.status == 200;
+        }
+        served && endpoints[0].runs().len() == before
+    })
+    .await;
+}
--- /dev/null
+++ b/tests/site/endpoint.rs
@@ -0,0 +1,242 @@
+//! An endpoint in small, which behaves as a test says.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{CONTENT_ENCODING, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use super::store::Store;
+
+/// How an endpoint treats requests.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Behaviour {
+    /// It runs them.
+    Serve,
+    /// It runs them and takes this many milliseconds.
+    Take(u64),
+    /// It says that it did not run them.
+    Reject,
+    /// It runs them and fails.
+    Fail,
+    /// It runs them and says 503, without saying that it did not.
+    FailAsFull,
+    /// It runs them and breaks its answers off.
+    Cut,
+    /// It runs them and answers as if to another request.
+    Foreign,
+    /// It runs them and doesn't sign.
+    Unsigned,
+    /// It runs them and encodes the body.
+    Encoded,
+    /// It runs them and never answers.
+    Hang,
+}
+
+struct Inner {
+    id: String,
+    behaviour: Mutex<Behaviour>,
+    slowness: Mutex<u32>,
+    runs: Mutex<Vec<String>>,
+    gone: Mutex<u32>,
+}
+
+/// A running endpoint.
+#[derive(Clone)]
+pub struct Endpoint {
+    pub address: SocketAddr,
+    inner: Arc<Inner>,
+}
+
+impl Endpoint {
+    pub async fn start(id: &str) -> Endpoint {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("it has an address");
+        let inner = Arc::new(Inner {
+            id: id.to_owned(),
+            behaviour: Mutex::new(Behaviour::Serve),
+            slowness: Mutex::new(100),
+            runs: Mutex::default(),
+            gone: Mutex::default(),
+        });
+        let shared = Arc::clone(&inner);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let inner = Arc::clone(&shared);
+                tokio::spawn(async move {
+                    let service = service_fn(|request| serve(request, Arc::clone(&inner)));
+                    let _ = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        });
+        Endpoint { address, inner }
+    }
+
+    /// Writes its entry into the store.
+    pub fn register(&self, store: &Store, state: &str) {
+        let entry = format!(
+            r#"{{"service":"svc","address":"{}","zone":"here","version":"v1","slots":6,"state":"{state}","warmupRemainingS":0,"sequence":1,"born":1}}"#,
+            self.address
+        );
+        store.put("keyed.servers", &self.inner.id, Some(&entry));
+    }
+
+    pub fn set(&self, behaviour: Behaviour) {
+        *self.inner.behaviour.lock().expect("no test panics here") = behaviour;
+    }
+
+    /// Sets how long work takes on its machine, in hundredths of the usual.
+    pub fn slow(&self, slowness: u32) {
+        *self.inner.slowness.lock().expect("no test panics here") = slowness;
+    }
+
+    /// Returns the ids of the requests that it ran.
+    pub fn runs(&self) -> Vec<String> {
+        self.inner.runs.lock().expect("no test panics here").clone()
+    }
+
+    /// Returns how many requests were given up while it was at work.
+    pub fn given_up(&self) -> u32 {
+        *self.inner.gone.lock().expect("no test panics here")
+    }
+}
+
+/// Counts a request as given up unless it is told that it ended.
+struct Work<'a> {
+    inner: &'a Inner,
+    ended: bool,
+}
+
+impl Drop for Work<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            *self.inner.gone.lock().expect("no test panics here") += 1;
+        }
+    }
+}
+
+async fn serve(
+    request: Request<Incoming>,
+    inner: Arc<Inner>,
+) -> Result<Response<Part>, Infallible> {
+    let field = |name: &str| {
+        let value = request.headers().get(name);
+        value
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default()
+            .to_owned()
+    };
+    let slowness = *inner.slowness.lock().expect("no test panics here");
+    if request.uri().path() == "/health" {
+        let mut response = respond(StatusCode::OK, "", "");
+        set(&mut response, "instance-id", &inner.id);
+        set(&mut response, "server-load", &format!("0,0,6,{slowness}"));
+        return Ok(response);
+    }
+    let id = field("attempt-id");
+    if field("expected-instance") != inner.id {
+        return Ok(respond(StatusCode::MISDIRECTED_REQUEST, "", &id));
+    }
+    let behaviour = *inner.behaviour.lock().expect("no test panics here");
+    if behaviour == Behaviour::Reject {
+        let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, "", &id);
+        set(&mut response, "not-executed", "1");
+        return Ok(response);
+    }
+    inner
+        .runs
+        .lock()
+        .expect("no test panics here")
+        .push(id.clone());
+    let mut work = Work {
+        inner: &inner,
+        ended: false,
+    };
+    match behaviour {
+        Behaviour::Take(millis) => sleep(Duration::from_millis(millis)).await,
+        Behaviour::Hang => sleep(Duration::from_secs(3_600)).await,
+        _ => {}
+    }
+    work.ended = true;
+    let mut response = match behaviour {
+        Behaviour::Fail => respond(StatusCode::INTERNAL_SERVER_ERROR, "failed", &id),
+        Behaviour::FailAsFull => respond(StatusCode::SERVICE_UNAVAILABLE, "full", &id),
+        Behaviour::Foreign => respond(StatusCode::OK, "whole", "another"),
+        _ => respond(StatusCode::OK, "whole", &id),
+    };
+    if behaviour != Behaviour::Unsigned {
+        set(
+            &mut response,
+            "server-signature",
+            &format!("by-{}", inner.id),
+        );
+    }
+    if behaviour == Behaviour::Encoded {
+        let encoding = HeaderValue::from_static("gzip");
+        response.headers_mut().insert(CONTENT_ENCODING, encoding);
+    }
+    response.body_mut().cut = behaviour == Behaviour::Cut;
+    Ok(response)
+}
+
+fn respond(status: StatusCode, text: &'static str, id: &str) -> Response<Part> {
+    let mut response = Response::new(Part {
+        text: Bytes::from_static(text.as_bytes()),
+        cut: false,
+    });
+    *response.status_mut() = status;
+    if !id.is_empty() {
+        set(&mut response, "attempt-id", id);
+    }
+    response
+}
+
+fn set(response: &mut Response<Part>, name: &'static str, value: &str) {
+    let value = HeaderValue::try_from(value).expect("a plain value");
+    response.headers_mut().insert(name, value);
+}
+
+/// A body that may break off after its first half.
+struct Part {
+    text: Bytes,
+    cut: bool,
+}
+
+impl Body for Part {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.text.is_empty() {
+            return Poll::Ready(None);
+        }
+        if self.cut {
+            return Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into())));
+        }
+        let text = std::mem::take(&mut self.text);
+        Poll::Ready(Some(Ok(Frame::data(text))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.text.len() as u64)
+    }
+}
--- /dev/null
+++ b/tests/site/mod.rs
@@ -0,0 +1,190 @@
+//! A small site for tests: the platform's store, endpoints, and entry hosts as processes.
+#![allow(dead_code)]
+
+pub mod endpoint;
+pub mod store;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+pub use endpoint::Endpoint;
+pub use store::Store;
+
+/// How long a condition is waited for before a test gives up.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// The routes that most tests use: one idempotent, one not.
+pub const ROUTES: &str = r#"["read","a.example","/read/","safe",2.0,0.5,2,null,2,"svc"],["write","a.example","/write/","unsafe",2.0,0.5,1,null,2,"svc"]"#;
+
+/// Returns a configuration with these rows of routes and one service.
+pub fn config(version: u64, routes: &str) -> String {
+    format!(
+        r#"{{"version":{version},"routes":{{"columns":["name","host","pathPrefix","kind","timeoutS","targetLatencyS","priority","weightedServices","maxAttempts","service"],"rows":[{routes}]}},"services":{{"columns":["name","healthCheckPath","maxConnections","protocol","tls","warmupS","coldPerS"],"rows":[["svc","/health",220,"h1",false,3.0,6.0]]}},"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":3,"idleTimeoutS":15}},"baseVersion":0}}"#
+    )
+}
+
+/// An entry host as a process of its own.
+pub struct Host {
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    process: Child,
+    settings: PathBuf,
+}
+
+impl Host {
+    /// Starts an entry host and waits until it can be asked.
+    pub async fn start(name: &str, store: &Store) -> Host {
+        let callers = free_port();
+        let readiness = free_port();
+        let peers = free_port();
+        let settings = std::env::temp_dir().join(format!("{name}-{}.toml", callers.port()));
+        let text = format!(
+            "name = \"{name}\"\ndata_centre = \"here\"\ncaller_address = \"{callers}\"\nreadiness_address = \"{readiness}\"\npeer_address = \"{peers}\"\nlog_address = \"{}\"\ngrace_seconds = 6\nrepeat_slack = 50\n",
+            store.address
+        );
+        std::fs::write(&settings, text).expect("the settings file is written");
+        let process = Command::new(env!("CARGO_BIN_EXE_cardamomvale"))
+            .arg("serve")
+            .arg("--settings")
+            .arg(&settings)
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the process starts");
+        let host = Host {
+            callers,
+            readiness,
+            process,
+            settings,
+        };
+        until("the host answers", async || host.readiness().await != 0).await;
+        host
+    }
+
+    /// Starts an entry host and waits until it is ready.
+    pub async fn ready(name: &str, store: &Store) -> Host {
+        let host = Host::start(name, store).await;
+        until("the host is ready", async || host.readiness().await == 200).await;
+        host
+    }
+
+    /// Returns the status of the readiness port, 0 where it can't be reached.
+    pub async fn readiness(&self) -> u16 {
+        match exchange(
+            self.readiness,
+            "GET /readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n",
+        )
+        .await
+        {
+            Some(answer) => answer.status,
+            None => 0,
+        }
+    }
+
+    /// Sends one request and returns the answer.
+    pub async fn request(&self, method: &str, path: &str, id: &str) -> Answer {
+        self.try_request(method, path, id)
+            .await
+            .expect("the connection ends with an answer")
+    }
+
+    /// Sends one request; nothing where the connection ended without an answer.
+    pub async fn try_request(&self, method: &str, path: &str, id: &str) -> Option<Answer> {
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {id}\r\nTime-Remaining: 2000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        );
+        exchange(self.callers, &head).await
+    }
+
+    /// Tells the process to stop.
+    pub fn terminate(&self) {
+        let id = nix::unistd::Pid::from_raw(i32::try_from(self.process.id()).expect("an id fits"));
+        nix::sys::signal::kill(id, nix::sys::signal::Signal::SIGTERM).expect("it is told");
+    }
+
+    /// Returns whether the process has ended, and well.
+    pub fn ended_well(&mut self) -> Option<bool> {
+        self.process
+            .try_wait()
+            .expect("it can be asked")
+            .map(|status| status.success())
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// An answer, taken apart as far as tests need it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Answer {
+    /// Returns whether the head has this field, in any case.
+    pub fn has(&self, field: &str) -> bool {
+        self.head
+            .to_ascii_lowercase()
+            .contains(&format!("\r\n{field}:"))
+    }
+}
+
+/// Sends bytes and reads until the connection ends.
+pub async fn exchange(address: SocketAddr, request: &str) -> Option<Answer> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut bytes = Vec::new();
+    timeout(LIMIT, stream.read_to_end(&mut bytes))
+        .await
+        .ok()?
+        .ok()?;
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let status = text.split(' ').nth(1)?.parse().ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    Some(Answer {
+        status,
+        head: head.to_owned(),
+        body: body.to_owned(),
+    })
+}
+
+/// Waits until `holds`, and fails the test where it doesn't in time.
+pub async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    let last = Instant::now() + LIMIT;
+    while !holds().await {
+        assert!(Instant::now() < last, "in vain waited until {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns a port that nobody uses.
+///
+/// It lies below those that the system deals out by itself, so that none of the
+/// tests running beside can be given it before the process opens it.
+fn free_port() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = u16::try_from(std::process::id() % 10_000).expect("it fits");
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 20_000 + (start + step) % 10_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if std::net::TcpListener::bind(address).is_ok()
+            && std::net::UdpSocket::bind(address).is_ok()
+        {
+            return address;
+        }
+    }
+}
