placing: full endpoints send requests far at once; late ones take half of the slots

Requests were placed on endpoints past their knee (work 1.7 times as long) and into their queues; 474 of 3,478 lookups came late, and 152 ended at the endpoints' deadline. Ruled out: too few looks (21,261 for 7,026 requests). Change: a request that can't be in time any more gets a slot only where less than half are taken, or is rejected; where near endpoints are loaded rather than disturbed, far ones are asked at once; of good ones the least loaded is taken.

--- a/components/state/src/fleet/look.rs
+++ b/components/state/src/fleet/look.rs
@@ -81,6 +81,17 @@
         slow * knee * ill * (1.0 + queue)
     }
 
+    /// Returns whether one more request would make a nearly full endpoint slower.
+    pub fn is_loaded(&self, sent: u32) -> bool {
+        let slots = f64::from(self.slots.max(1));
+        f64::from(self.running + self.waiting + sent) + 1.0 > slots * KNEE
+    }
+
+    /// Returns the share of the slots that is taken.
+    pub fn load(&self, sent: u32) -> f64 {
+        f64::from(self.running + self.waiting + sent) / f64::from(self.slots.max(1))
+    }
+
     /// Returns how many more requests find a slot or a place in half its queue.
     ///
     /// Some endpoints never answer what they can't queue. The queue is not
--- a/components/state/src/fleet/placing.rs
+++ b/components/state/src/fleet/placing.rs
@@ -82,7 +82,6 @@
     asked: BTreeSet<EndpointKey>,
     tried: BTreeSet<EndpointKey>,
     dead: BTreeSet<EndpointKey>,
-    rounds: u32,
 }
 
 /// An endpoint in question.
@@ -169,8 +168,9 @@
 
     /// Chooses among warm endpoints: near ones first, then wait, then far ones.
     ///
-    /// Bytes between data centres are dear, so a request rather waits for a near
-    /// endpoint to recover, as long as its answer can still be in time.
+    /// Bytes between data centres are dear, so a request rather waits for a
+    /// disturbed near endpoint to recover, as long as its answer can still be in
+    /// time. Full ones won't recover so soon: then it goes far at once.
     fn choose(
         &mut self,
         candidates: &[&Candidate<'_>],
@@ -184,26 +184,28 @@
         }
         let slack = now.until(request.objective);
         let patient = slack > request.usual.mul_f64(SPREAD) + PAUSE;
-        if patient && !near.is_empty() {
-            self.asked.clear();
-            self.rounds += 1;
-            return Step::Wait(PAUSE);
+        let disturbed = near.iter().any(|c| is_disturbed(c.state, now));
+        if patient && disturbed {
+            return self.wait();
         }
         let far: Vec<&Candidate<'_>> = candidates.iter().copied().filter(|c| !c.near).collect();
         if let Some(step) = self.good_or_ask(&far, now, draw) {
             return step;
         }
+        if slack > request.usual.mul_f64(SPREAD) + PAUSE {
+            return self.wait();
+        }
         match best(candidates, now) {
             Some(key) => Step::Place(key),
-            None if now.until(request.deadline) > request.usual.mul_f64(SPREAD) + PAUSE => {
-                self.asked.clear();
-                self.rounds += 1;
-                Step::Wait(PAUSE)
-            }
             None => Step::Refuse(Refusal::Full),
         }
     }
 
+    fn wait(&mut self) -> Step {
+        self.asked.clear();
+        Step::Wait(PAUSE)
+    }
+
     /// Returns a good endpoint to take, or the next to ask.
     fn good_or_ask(
         &mut self,
@@ -271,28 +273,40 @@
     1.5 + busy + old
 }
 
+/// The share of an endpoint's slots that late requests may take.
+///
+/// An answer that comes too late is worth a tenth of one in time. Under more
+/// load than all endpoints bear, late requests would take the slots of those
+/// that can still be in time, and soon all would be late.
+const LATE_SHARE: f64 = 0.5;
+
+/// Returns whether an endpoint is disturbed rather than loaded.
+fn is_disturbed(state: &EndpointState, now: Moment) -> bool {
+    state
+        .look
+        .is_some_and(|l| l.is_fresh(now) && !l.is_loaded(state.sent))
+}
+
 /// Returns the least loaded of the good endpoints.
 fn good(candidates: &[&Candidate<'_>], now: Moment) -> Option<EndpointKey> {
-    paced(candidates, now)
-        .filter(|(pace, _)| *pace <= GOOD)
+    candidates
+        .iter()
+        .filter(|c| c.state.pace(now).is_some_and(|p| p <= GOOD))
+        .map(|c| (c.state.look.map_or(0.0, |l| l.load(c.state.sent)), c.key))
         .min_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, key)| key)
 }
 
-/// Returns the best endpoint with room.
+/// Returns the best endpoint with room for a request that will be late.
 fn best(candidates: &[&Candidate<'_>], now: Moment) -> Option<EndpointKey> {
-    paced(candidates, now)
+    candidates
+        .iter()
+        .filter(|c| {
+            c.state
+                .look
+                .is_some_and(|l| l.load(c.state.sent) < LATE_SHARE)
+        })
+        .filter_map(|c| Some((c.state.pace(now)?, c.key)))
         .min_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, key)| key)
 }
-
-fn paced<'a>(
-    candidates: &'a [&Candidate<'_>],
-    now: Moment,
-) -> impl Iterator<Item = (f64, EndpointKey)> + 'a {
-    candidates.iter().filter_map(move |c| {
-        let room = c.state.look.is_some_and(|l| l.room(c.state.sent) > 0);
-        let pace = c.state.pace(now).filter(|_| room)?;
-        Some((pace, c.key))
-    })
-}
