placing: cold endpoints get their share where no warm one is good

Change: before a request waits, goes late or is rejected, a cold endpoint that is undisturbed gets it, within this host's share of its rate.

--- a/components/state/src/fleet/cold.rs
+++ b/components/state/src/fleet/cold.rs
@@ -46,6 +46,19 @@
         true
     }
 
+    /// Returns whether [`ColdShare::take`] would allow a request now.
+    pub fn is_due(
+        &mut self,
+        key: EndpointKey,
+        rate: f64,
+        share: f64,
+        draw: f64,
+        now: Moment,
+    ) -> bool {
+        let first = now + pause(rate * share).mul_f64(draw);
+        *self.next.entry(key).or_insert(first) <= now
+    }
+
     /// Forgets endpoints that `keep` says are cold no more.
     pub fn retain(&mut self, keep: impl Fn(EndpointKey) -> bool) {
         self.next.retain(|key, _| keep(*key));
--- a/components/state/src/fleet/placing.rs
+++ b/components/state/src/fleet/placing.rs
@@ -151,7 +151,57 @@
             .filter(|c| !c.state.record.is_avoided(now))
             .collect();
         let chosen = if sound.is_empty() { warm } else { sound };
-        self.choose(&chosen, request, now, draw)
+        let step = self.choose(&chosen, request, now, draw);
+        if matches!(step, Step::Ask(_) | Step::Place(_)) && !self.lates(&step, &chosen, now) {
+            return step;
+        }
+        let cold: Vec<EndpointKey> = usable
+            .iter()
+            .filter(|c| c.state.is_cold(now) && !c.state.record.is_avoided(now))
+            .map(|c| c.key)
+            .collect();
+        self.try_cold(knowledge, &cold, now, draw).unwrap_or(step)
+    }
+
+    /// Returns whether a step places the request on an endpoint that isn't good.
+    fn lates(&self, step: &Step, candidates: &[&Candidate<'_>], now: Moment) -> bool {
+        let Step::Place(key) = step else {
+            return false;
+        };
+        let chosen = candidates.iter().find(|c| c.key == *key);
+        chosen.is_some_and(|c| c.state.pace(now).is_none_or(|p| p > GOOD))
+    }
+
+    /// Sends the request to a cold endpoint, within this host's share of its rate.
+    ///
+    /// Where no warm endpoint is good, cold ones are the only room left: after a
+    /// data centre's return they bear a third of a service's requests. Their
+    /// work takes twice as long, which is still in time.
+    fn try_cold(
+        &mut self,
+        knowledge: &mut Knowledge<'_>,
+        keys: &[EndpointKey],
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
+    ) -> Option<Step> {
+        let (rate, share) = (knowledge.cold_rate, knowledge.share);
+        let registry = &mut *knowledge.registry;
+        for key in keys {
+            if !registry.cold_due(*key, rate, share, draw(), now) {
+                continue;
+            }
+            let pace = registry.get(*key).and_then(|s| s.pace(now));
+            match pace {
+                Some(pace)
+                    if pace <= GOOD && registry.take_cold(*key, rate, share, draw(), now) =>
+                {
+                    return Some(Step::Place(*key));
+                }
+                None if self.asked.insert(*key) => return Some(Step::Ask(*key)),
+                _ => {}
+            }
+        }
+        None
     }
 
     fn may_use(
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -112,6 +112,18 @@
         self.cold.take(key, rate, share, draw, now)
     }
 
+    /// Returns whether [`Registry::take_cold`] would allow a request now.
+    pub fn cold_due(
+        &mut self,
+        key: EndpointKey,
+        rate: f64,
+        share: f64,
+        draw: f64,
+        now: Moment,
+    ) -> bool {
+        self.cold.is_due(key, rate, share, draw, now)
+    }
+
     /// Returns the endpoints of a service.
     pub fn of(&self, service: ServiceKey) -> impl Iterator<Item = (EndpointKey, &EndpointState)> {
         self.endpoints
--- a/components/state/tests/fleet_placing.rs
+++ b/components/state/tests/fleet_placing.rs
@@ -220,6 +220,33 @@
     assert_eq!(chosen, Err(Refusal::NoEndpoint));
 }
 
+/// The only warm endpoint is full, and a cold one stands idle. Callers would be
+/// refused while there is room; the cold one gets its share and no more.
+#[test]
+fn cold_room() {
+    let mut fleet = Fleet::of(&[("warm", "near"), ("cold", "near")]);
+    let mut placed = 0;
+    for n in 0..30 {
+        let mut now = START + Duration::from_millis(n * 100);
+        let state = fleet.registry.get_mut(key("cold")).expect("it is known");
+        state.note_cold(Duration::from_secs(5), now);
+        let wanted = Request {
+            objective: now + Duration::from_millis(600),
+            deadline: now + Duration::from_millis(2_000),
+            ..request(0)
+        };
+        let chosen = fleet.place(&wanted, &mut now, |k, at| {
+            look(100, if k == key("warm") { 6 } else { 0 }, 0, at)
+        });
+        placed += i32::from(chosen == Ok(key("cold")));
+    }
+    // Six a second for ten hosts: this one has a request every 1.7 seconds.
+    assert!(
+        (1..=3).contains(&placed),
+        "{placed} requests in three seconds"
+    );
+}
+
 /// A whole data centre comes back cold, and its hosts all at once have
 /// requests for it. A cold endpoint falls over under more than its rate.
 #[test]
