fleet: one name for what cold endpoints may get; late requests have a log line

Cause: rate and share went through four functions side by side; a late answer could not be explained from the log. Change: cold::Allowance; E0129 request-late tells when the request was sent and what pace its endpoint had promised. Measured: tests only; nothing that decides has changed.

--- a/components/state/src/fleet/cold.rs
+++ b/components/state/src/fleet/cold.rs
@@ -22,52 +22,46 @@
 /// nothing.
 const LONGEST: Duration = Duration::from_secs(30);
 
-impl ColdShare {
-    /// Returns whether a request may go to a cold endpoint, and counts it if so.
-    ///
-    /// `rate` is what the endpoint bears a second from all hosts, `share` this
-    /// host's part of the hosts, and `draw` a number from 0 to 1 that spreads
-    /// the hosts' first requests.
-    pub fn take(
-        &mut self,
-        key: EndpointKey,
-        rate: f64,
-        share: f64,
-        draw: f64,
-        now: Moment,
-    ) -> bool {
-        let pause = pause(rate * share);
-        let first = now + pause.mul_f64(draw);
-        let next = self.next.entry(key).or_insert(first);
-        if now < *next {
-            return false;
+/// What a host may send to cold endpoints of one service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Requests a second that one cold endpoint bears from all hosts.
+    pub rate: f64,
+    /// This host's part of all hosts, 0 to 1.
+    pub share: f64,
+}
+
+impl Allowance {
+    /// Returns the time between two requests of this host to one endpoint.
+    fn pause(self) -> Duration {
+        let rate = self.rate * self.share;
+        match rate > 0.0 {
+            true => Duration::try_from_secs_f64(1.0 / rate).map_or(LONGEST, |p| p.min(LONGEST)),
+            false => LONGEST,
         }
-        *next = now + pause;
-        true
     }
+}
 
-    /// Returns whether [`ColdShare::take`] would allow a request now.
-    pub fn is_due(
-        &mut self,
-        key: EndpointKey,
-        rate: f64,
-        share: f64,
-        draw: f64,
-        now: Moment,
-    ) -> bool {
-        let first = now + pause(rate * share).mul_f64(draw);
+impl ColdShare {
+    /// Returns whether a request may go to a cold endpoint now.
+    ///
+    /// `draw`, a number from 0 to 1, spreads the hosts' first requests.
+    pub fn is_due(&mut self, key: EndpointKey, allowed: Allowance, draw: f64, now: Moment) -> bool {
+        let first = now + allowed.pause().mul_f64(draw);
         *self.next.entry(key).or_insert(first) <= now
     }
 
+    /// Does the same, and counts the request where it may go.
+    pub fn take(&mut self, key: EndpointKey, allowed: Allowance, draw: f64, now: Moment) -> bool {
+        let due = self.is_due(key, allowed, draw, now);
+        if due {
+            self.next.insert(key, now + allowed.pause());
+        }
+        due
+    }
+
     /// Forgets endpoints that `keep` says are cold no more.
     pub fn retain(&mut self, keep: impl Fn(EndpointKey) -> bool) {
         self.next.retain(|key, _| keep(*key));
     }
 }
-
-fn pause(rate: f64) -> Duration {
-    match rate > 0.0 {
-        true => Duration::try_from_secs_f64(1.0 / rate).map_or(LONGEST, |p| p.min(LONGEST)),
-        false => LONGEST,
-    }
-}
--- a/components/state/src/fleet/placing.rs
+++ b/components/state/src/fleet/placing.rs
@@ -11,6 +11,7 @@
 
 use derives::tag;
 
+use super::cold::Allowance;
 use super::endpoint::EndpointState;
 use super::look::GOOD;
 use super::registry::Registry;
@@ -97,10 +98,8 @@
     pub registry: &'a mut Registry,
     /// Data centres whose endpoints get no request.
     pub left: &'a BTreeSet<DataCentreKey>,
-    /// Requests a second that a cold endpoint of the service bears.
-    pub cold_rate: f64,
-    /// This host's part of all hosts, 0 to 1.
-    pub share: f64,
+    /// What this host may send to cold endpoints of the service.
+    pub cold: Allowance,
 }
 
 impl Placing {
@@ -184,16 +183,16 @@
         now: Moment,
         draw: &mut dyn FnMut() -> f64,
     ) -> Option<Step> {
-        let (rate, share) = (knowledge.cold_rate, knowledge.share);
+        let allowed = knowledge.cold;
         let registry = &mut *knowledge.registry;
         for key in keys {
-            if !registry.cold_due(*key, rate, share, draw(), now) {
+            if !registry.cold_mut().is_due(*key, allowed, draw(), now) {
                 continue;
             }
             let pace = registry.get(*key).and_then(|s| s.pace(now));
             match pace {
                 Some(pace)
-                    if pace <= GOOD && registry.take_cold(*key, rate, share, draw(), now) =>
+                    if pace <= GOOD && registry.cold_mut().take(*key, allowed, draw(), now) =>
                 {
                     return Some(Step::Place(*key));
                 }
@@ -289,9 +288,9 @@
         now: Moment,
         draw: &mut dyn FnMut() -> f64,
     ) -> Step {
-        let (rate, share) = (knowledge.cold_rate, knowledge.share);
         for key in keys {
-            if knowledge.registry.take_cold(key, rate, share, draw(), now) {
+            let share = knowledge.registry.cold_mut();
+            if share.take(key, knowledge.cold, draw(), now) {
                 return Step::Place(key);
             }
         }
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -100,28 +100,9 @@
         }
     }
 
-    /// Returns whether this host may send a request to a cold endpoint, and counts it if so.
-    pub fn take_cold(
-        &mut self,
-        key: EndpointKey,
-        rate: f64,
-        share: f64,
-        draw: f64,
-        now: Moment,
-    ) -> bool {
-        self.cold.take(key, rate, share, draw, now)
-    }
-
-    /// Returns whether [`Registry::take_cold`] would allow a request now.
-    pub fn cold_due(
-        &mut self,
-        key: EndpointKey,
-        rate: f64,
-        share: f64,
-        draw: f64,
-        now: Moment,
-    ) -> bool {
-        self.cold.is_due(key, rate, share, draw, now)
+    /// Returns what this host has sent to cold endpoints, to be asked and counted.
+    pub fn cold_mut(&mut self) -> &mut ColdShare {
+        &mut self.cold
     }
 
     /// Returns the endpoints of a service.
--- a/components/state/tests/fleet_placing.rs
+++ b/components/state/tests/fleet_placing.rs
@@ -6,6 +6,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use state::fleet::cold::Allowance;
 use state::fleet::comeback;
 use state::fleet::outcome::Outcome;
 use state::fleet::placing::{Knowledge, Refusal, Request};
@@ -87,8 +88,10 @@
             let mut knowledge = Knowledge {
                 registry: &mut self.registry,
                 left: &self.left,
-                cold_rate: 6.0,
-                share: self.share,
+                cold: Allowance {
+                    rate: 6.0,
+                    share: self.share,
+                },
             };
             let random = &mut self.random;
             let mut draw = || random.random::<f64>();
@@ -298,8 +301,10 @@
             let mut knowledge = Knowledge {
                 registry: &mut fleet.registry,
                 left: &fleet.left,
-                cold_rate: 6.0,
-                share: fleet.share,
+                cold: Allowance {
+                    rate: 6.0,
+                    share: fleet.share,
+                },
             };
             let wanted = Request {
                 objective: now + Duration::from_millis(600),
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -6,6 +6,7 @@
 
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
+use state::fleet::cold::Allowance;
 use state::fleet::look::Look;
 use state::fleet::outcome::Outcome;
 use state::fleet::placing::{self, Knowledge, Refusal, Step};
@@ -93,8 +94,10 @@
         let mut knowledge = Knowledge {
             registry: &mut registry,
             left: &orders.left,
-            cold_rate: plan.map_or(0.0, |p| p.cold_rate),
-            share: self.share.get(),
+            cold: Allowance {
+                rate: plan.map_or(0.0, |p| p.cold_rate),
+                share: self.share.get(),
+            },
         };
         let mut draw = || self.draw_share();
         placing.next(&mut knowledge, request, clock::now(), &mut draw)
--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -68,6 +68,10 @@
     pub start: Bytes,
     /// The rest of the body, none where `start` is all of it.
     pub rest: Option<Rest>,
+    /// When the request was sent to the endpoint.
+    pub sent: Moment,
+    /// The pace that the endpoint promised then, 1 for as long as usual.
+    pub pace: f64,
 }
 
 /// The rest of a long answer, still on its way.
@@ -121,7 +125,9 @@
         match connection.send(request).await {
             Ok(answer) => {
                 let (parts, incoming) = answer.into_parts();
-                let ending = self.read(key, connection, parts, incoming).await;
+                let ending = self
+                    .read(key, connection, parts, incoming, (began, pace))
+                    .await;
                 self.judge(key, &ending, began, pace);
                 ending
             }
@@ -170,6 +176,7 @@
         mut connection: Connection,
         parts: AnswerParts,
         mut incoming: Incoming,
+        (sent, pace): (Moment, f64),
     ) -> Ending {
         if !platform::fields::same_request(&self.parts.headers, &parts.headers)
             && !platform::fields::says_not_run(&parts.headers)
@@ -198,6 +205,8 @@
             parts,
             start: start.freeze(),
             rest,
+            sent,
+            pace,
         };
         self.sort(Box::new(answer))
     }
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -119,7 +119,11 @@
         deadline: arrived + patience.min(route.timeout),
     };
     gateway.with_budget(service, |budget| budget.count(arrived));
-    call.serve(body).await
+    let result = call.serve(body).await;
+    if let Ok(answer) = &result {
+        gateway.log_late(&parts.headers, answer, arrived, route.objective);
+    }
+    result
 }
 
 /// Finds the route of a request, and the largest body it may have.
--- a/components/transport/src/gateway/request_log.rs
+++ b/components/transport/src/gateway/request_log.rs
@@ -1,6 +1,6 @@
 //! The log lines of requests, bounded.
 //!
-//! Every request that failed, was refused or was repeated has a line; what went
+//! Every request that failed, was refused, was repeated or came late has a line; what went
 //! well has one only at the level debug. Under overload a host refuses hundreds
 //! of requests a second, and lines cost processor time that callers need.
 
@@ -10,6 +10,7 @@
 use state::Moment;
 
 use super::Gateway;
+use super::attempt::Answer;
 use super::refusal::Denial;
 use crate::clock;
 
@@ -68,6 +69,33 @@
         );
     }
 
+    /// Logs a request whose answer came after its objective.
+    ///
+    /// It tells how long the host looked for an endpoint, and what pace the one
+    /// it took had promised.
+    pub(super) fn log_late(
+        &self,
+        fields: &HeaderMap,
+        answer: &Answer,
+        arrived: Moment,
+        objective: Duration,
+    ) {
+        let now = clock::now();
+        let time = now.since(arrived);
+        if time <= objective || !self.requests.borrow_mut().take(now) {
+            return;
+        }
+        log::info!(
+            "E0129 request-late id={} status={} after_ms={} objective_ms={} sent_ms={} pace={:.2}",
+            id(fields),
+            answer.parts.status.as_u16(),
+            time.as_millis(),
+            objective.as_millis(),
+            answer.sent.since(arrived).as_millis(),
+            answer.pace
+        );
+    }
+
     /// Logs that a request goes to another endpoint.
     pub(super) fn log_repeat(&self, fields: &HeaderMap, why: &str, arrived: Moment) {
         let now = clock::now();
