--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -41,7 +41,9 @@
 pub struct Hello {
     /// The sender's data centre.
     pub centre: String,
-    /// The hosts there that the sender knows.
+    /// Whether the sender asks whom the other knows.
+    pub seeks: bool,
+    /// The hosts there that the sender knows, in answer to one that asks.
     pub neighbours: Vec<SocketAddr>,
 }
 
@@ -96,6 +98,9 @@
     /// The reader's address, as text.
     #[prost(string, tag = "7")]
     reader: String,
+    /// Whether the sender of a hello asks whom the other knows.
+    #[prost(bool, tag = "8")]
+    seeks: bool,
 }
 
 const HELLO: u32 = 0;
@@ -152,6 +157,7 @@
         let wire = match self {
             Neighbourly::Hello(hello) => WireNews {
                 centre: hello.centre.clone(),
+                seeks: hello.seeks,
                 neighbours: hello.neighbours.iter().map(SocketAddr::to_string).collect(),
                 ..WireNews::default()
             },
@@ -188,6 +194,7 @@
             HELLO => {
                 return Ok(Neighbourly::Hello(Hello {
                     neighbours: addresses(&wire.neighbours)?,
+                    seeks: wire.seeks,
                     centre: wire.centre,
                 }));
             }
--- a/components/protocol/tests/news_messages.rs
+++ b/components/protocol/tests/news_messages.rs
@@ -18,6 +18,7 @@
     let messages = [
         Neighbourly::Hello(Hello {
             centre: "trent".to_owned(),
+            seeks: true,
             neighbours: vec!["10.1.2.3:7540".parse().expect("an address")],
         }),
         Neighbourly::News(news(vec![b"one".to_vec(), Vec::new()])),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -75,27 +75,33 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            let hello = self.hello();
-            self.tell_all(&hello);
+            self.tell_all(&self.hello(false));
         }
     }
 
     fn greet_seeds(&self) {
-        let hello = self.hello();
+        let hello = self.hello(true);
         let seeds = self.settings.seeds.iter();
         for seed in seeds.filter(|s| **s != self.settings.peers) {
             self.tell(*seed, &hello);
         }
     }
 
-    /// Greets a neighbour that the store or another neighbour names.
-    pub(super) fn meet(&self, address: SocketAddr) {
+    /// Asks a neighbour that the store names whom it knows.
+    pub(super) fn ask_neighbours(&self, address: SocketAddr) {
+        if address != self.settings.peers {
+            self.tell(address, &self.hello(true));
+        }
+    }
+
+    /// Greets a neighbour that another neighbour names.
+    fn meet(&self, address: SocketAddr) {
         let known = self.neighbours.borrow().heard.contains_key(&address);
         if address == self.settings.peers || known {
             return;
         }
         if self.neighbours.borrow_mut().note(address, clock::now()) {
-            self.tell(address, &self.hello());
+            self.tell(address, &self.hello(false));
         }
     }
 
@@ -159,21 +165,34 @@
         if hello.centre != self.settings.data_centre {
             return;
         }
-        if self.neighbours.borrow_mut().note(from, clock::now()) {
-            self.tell(from, &self.hello());
+        let new = self.neighbours.borrow_mut().note(from, clock::now());
+        match hello.seeks {
+            true => self.tell(from, &self.list()),
+            false if new => self.tell(from, &self.hello(false)),
+            false => {}
         }
         for other in hello.neighbours {
             self.meet(other);
         }
     }
 
-    /// Returns the greeting, which names all neighbours.
+    /// Returns the greeting; `seeks` asks whom the other knows.
+    fn hello(&self, seeks: bool) -> Neighbourly {
+        Neighbourly::Hello(Hello {
+            centre: self.settings.data_centre.clone(),
+            seeks,
+            neighbours: Vec::new(),
+        })
+    }
+
+    /// Returns the greeting that names all neighbours, for one that asked.
     ///
-    /// Hosts that start at the same moment find few of each other in the store;
-    /// the one that they all found tells the rest.
-    fn hello(&self) -> Neighbourly {
+    /// Were they named in every greeting, the bytes would grow with the square
+    /// of the hosts: 250 KB a second and host where a data centre has a hundred.
+    fn list(&self) -> Neighbourly {
         Neighbourly::Hello(Hello {
             centre: self.settings.data_centre.clone(),
+            seeks: false,
             neighbours: self.neighbours.borrow_mut().current(clock::now()),
         })
     }
--- a/components/transport/src/gateway/share.rs
+++ b/components/transport/src/gateway/share.rs
@@ -127,7 +127,7 @@
     async fn find_neighbours(&self, store: &mut Store) -> Result<(), StoreError> {
         for member in store.owners(GROUP).await? {
             if let Some(address) = self.neighbour(&member) {
-                self.meet(address);
+                self.ask_neighbours(address);
             }
         }
         Ok(())
