dispatch, admin: one Refusal; a command that panics gives its place back

Cause: transport::dispatch repeated coordination's Refusal variant by variant; the count of running commands was a bare static that a panic left too high. Change: the one type is used; the place is held by a value that is dropped. Measured: tests only.

--- a/components/transport/src/admin.rs
+++ b/components/transport/src/admin.rs
@@ -110,23 +110,43 @@
 
 /// Carries a command out on a thread of its own, as far as there may be more.
 fn command_apart(request: Request, host: &Arc<dyn Host>) -> io::Result<()> {
-    static RUNNING: AtomicUsize = AtomicUsize::new(0);
-    if RUNNING.fetch_add(1, Ordering::SeqCst) >= COMMANDS {
-        RUNNING.fetch_sub(1, Ordering::SeqCst);
+    let Some(place) = Place::take() else {
         let busy = serde_json::json!({
             "outcome": "unreachable",
             "reason": "too many commands wait for the log: try again",
         });
         return json(request, 503, &busy.to_string());
-    }
+    };
     let host = Arc::clone(host);
     thread::spawn(move || {
+        let _place = place;
         note(command(request, host.as_ref()));
-        RUNNING.fetch_sub(1, Ordering::SeqCst);
     });
     Ok(())
 }
 
+/// Commands that run now, over all entry hosts of this process.
+static RUNNING: AtomicUsize = AtomicUsize::new(0);
+
+/// One of the places for commands that run at the same time.
+///
+/// Given back when it is dropped: a command that panics must not take its place
+/// away for good, or after eight of them operators could change nothing more.
+struct Place;
+
+impl Place {
+    fn take() -> Option<Place> {
+        let place = Place;
+        (RUNNING.fetch_add(1, Ordering::SeqCst) < COMMANDS).then_some(place)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        RUNNING.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 fn command(mut request: Request, host: &dyn Host) -> io::Result<()> {
     let mut body = Vec::new();
     io::Read::read_to_end(
--- a/components/transport/src/dispatch/mod.rs
+++ b/components/transport/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use coordination::slots::Refusal;
 use coordination::slots::Standing;
 use coordination::slots::message::{LeaseKey, SlotMessage};
 use derives::{tag, value};
@@ -33,23 +34,6 @@
     pub tried: Vec<EndpointKey>,
 }
 
-/// Why a call was not started. It is true of each that the work did not run.
-#[value]
-pub enum Refusal {
-    /// No service has this name.
-    UnknownService,
-    /// Too many calls wait already.
-    QueueFull,
-    /// The call can't be served before its deadline; to be tried again after this time.
-    TooLate(Duration),
-    /// The deadline passed while the call waited.
-    Expired,
-    /// No backend server of the service may take calls.
-    NoBackend,
-    /// This entry host is shutting down.
-    Stopping,
-}
-
 /// How a started call ended.
 #[tag]
 pub enum Ending {
--- a/components/transport/src/dispatch/shared.rs
+++ b/components/transport/src/dispatch/shared.rs
@@ -230,7 +230,7 @@
             }
             Effect::Refuse(call, refusal) => {
                 if let Some(sender) = core.waiting.remove(&call) {
-                    sender.send(Err(refusal.into())).ok();
+                    sender.send(Err(refusal)).ok();
                 }
             }
             Effect::Probe(endpoint, address) => {
@@ -329,16 +329,3 @@
         self.shared.earlier.notify_one();
     }
 }
-
-impl From<slots::Refusal> for Refusal {
-    fn from(refusal: slots::Refusal) -> Refusal {
-        match refusal {
-            slots::Refusal::UnknownService => Refusal::UnknownService,
-            slots::Refusal::QueueFull => Refusal::QueueFull,
-            slots::Refusal::TooLate(wait) => Refusal::TooLate(wait),
-            slots::Refusal::Expired => Refusal::Expired,
-            slots::Refusal::NoBackend => Refusal::NoBackend,
-            slots::Refusal::Stopping => Refusal::Stopping,
-        }
-    }
-}
