pool: idle connections by the host's part of an endpoint's; one unused setting out

Cause: an endpoint's connections are shared by all hosts, yet each host kept six whatever its part; a setting was read that nothing used.

--- a/components/transport/src/gateway/pool.rs
+++ b/components/transport/src/gateway/pool.rs
@@ -23,10 +23,9 @@
 /// How often idle connections are looked over.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
-/// Idle connections kept to one endpoint.
+/// Idle connections kept to one endpoint at most.
 ///
-/// An endpoint takes a few hundred connections from all hosts together. A host
-/// seldom has more than a few requests at one endpoint at a time.
+/// A host seldom has more than a few requests at one endpoint at a time.
 const KEPT: usize = 6;
 
 /// The idle connections of all endpoints.
@@ -54,10 +53,17 @@
 
     /// Keeps a connection whose last answer was read whole.
     ///
-    /// `limit` is how long the endpoint says that it keeps it.
-    pub fn put(&mut self, mut connection: Connection, limit: Option<Duration>, now: Moment) {
+    /// `limit` is how long the endpoint says that it keeps it, `most` how many
+    /// are kept to one endpoint.
+    pub fn put(
+        &mut self,
+        mut connection: Connection,
+        limit: Option<Duration>,
+        most: usize,
+        now: Moment,
+    ) {
         let kept = self.idle.entry(connection.endpoint).or_default();
-        if kept.len() >= KEPT || !connection.usable() {
+        if kept.len() >= most || !connection.usable() {
             return;
         }
         let time = limit.map_or(IDLE_LIMIT, |l| l.saturating_sub(EARLIER));
@@ -87,7 +93,24 @@
     /// Keeps a connection whose last answer had these fields and was read whole.
     pub(super) fn keep(&self, connection: Connection, fields: &HeaderMap) {
         let limit = platform::fields::idle_limit(fields);
-        self.pool.borrow_mut().put(connection, limit, clock::now());
+        let most = self.kept_limit(connection.endpoint);
+        self.pool
+            .borrow_mut()
+            .put(connection, limit, most, clock::now());
+    }
+
+    /// Returns how many idle connections this host keeps to an endpoint.
+    ///
+    /// The endpoint's connections are for all hosts together; this host's part
+    /// of them leaves as much again for those in use.
+    fn kept_limit(&self, key: EndpointKey) -> usize {
+        let orders = self.orders.borrow();
+        let registry = self.registry.borrow();
+        let service = registry.get(key).map(|s| s.endpoint.service);
+        let plan = service.and_then(|s| orders.catalogue.as_ref()?.services.get(&s));
+        let connections = f64::from(plan.map_or(0, |p| p.connections));
+        let mine = connections * self.share.get() / 2.0;
+        (mine as usize).clamp(1, KEPT)
     }
 
     /// Looks over the idle connections, for ever.
--- a/components/transport/src/gateway/settings.rs
+++ b/components/transport/src/gateway/settings.rs
@@ -33,8 +33,6 @@
 pub struct Bounds {
     /// How long a process may take to end after it was told to.
     pub grace: Duration,
-    /// How long an endpoint that leaves may still get requests.
-    pub drain: Duration,
     /// Repeats granted for each request.
     pub repeat_ratio: f64,
     /// Repeats granted to all hosts together besides, in each window.
--- a/src/host_file.rs
+++ b/src/host_file.rs
@@ -40,9 +40,6 @@
     /// Seconds that the process may take to end.
     #[serde(default = "default_grace")]
     grace_seconds: f64,
-    /// Seconds for which an endpoint that leaves may still get requests.
-    #[serde(default = "default_drain")]
-    drain_seconds: f64,
     /// Repeats granted for each request.
     #[serde(default = "default_ratio")]
     repeat_ratio: f64,
@@ -69,11 +66,6 @@
     10.0
 }
 
-/// The time to leave in where the file doesn't say.
-fn default_drain() -> f64 {
-    2.0
-}
-
 /// A fifth of the requests, the customary bound of repeats.
 fn default_ratio() -> f64 {
     0.2
@@ -134,7 +126,6 @@
         .collect();
     let log = address("log_address", &file.log_address, &mut faults);
     let grace = seconds("grace_seconds", file.grace_seconds, &mut faults);
-    let drain = seconds("drain_seconds", file.drain_seconds, &mut faults);
     let window = seconds(
         "repeat_window_seconds",
         file.repeat_window_seconds,
@@ -151,36 +142,31 @@
     if file.open_files <= OTHER_FILES * 2 {
         faults.push(format!("open_files: must be above {}", OTHER_FILES * 2));
     }
-    match (callers, readiness, peers, log, grace, drain, window) {
-        (
-            Some(callers),
-            Some(readiness),
-            Some(peers),
-            Some(log),
-            Some(grace),
-            Some(drain),
-            Some(window),
-        ) if faults.is_empty() => Ok(Settings {
-            name: file.name,
-            data_centre: file.data_centre,
-            callers,
-            readiness,
-            seeds: seeds
-                .iter()
-                .map(|seed| SocketAddr::new(seed.ip(), peers.port()))
-                .collect(),
-            peers,
-            log,
-            partitions: file.partitions,
-            bounds: Bounds {
-                grace,
-                drain,
-                repeat_ratio: file.repeat_ratio,
-                repeat_slack: file.repeat_slack,
-                repeat_window: window,
-            },
-            callers_limit: (file.open_files - OTHER_FILES) / CALLERS_SHARE,
-        }),
+    match (callers, readiness, peers, log, grace, window) {
+        (Some(callers), Some(readiness), Some(peers), Some(log), Some(grace), Some(window))
+            if faults.is_empty() =>
+        {
+            Ok(Settings {
+                name: file.name,
+                data_centre: file.data_centre,
+                callers,
+                readiness,
+                seeds: seeds
+                    .iter()
+                    .map(|seed| SocketAddr::new(seed.ip(), peers.port()))
+                    .collect(),
+                peers,
+                log,
+                partitions: file.partitions,
+                bounds: Bounds {
+                    grace,
+                    repeat_ratio: file.repeat_ratio,
+                    repeat_slack: file.repeat_slack,
+                    repeat_window: window,
+                },
+                callers_limit: (file.open_files - OTHER_FILES) / CALLERS_SHARE,
+            })
+        }
         _ => Err(faults),
     }
 }
