registry: lapsed endpoints end on time; what was learned of dropped routes is forgotten

Cause: found by reading: the use of endpoints that lapsed during an outage ended only with the next word of the store, up to 1.2 s late, so 3.2 s after its return where 3 are allowed; the learned times of routes grew with each new name. Change: lapsed endpoints are ended before each placing; times of routes that a new configuration doesn't name are dropped. A clearer name in placing.

--- a/components/state/src/fleet/placing.rs
+++ b/components/state/src/fleet/placing.rs
@@ -92,6 +92,13 @@
     near: bool,
 }
 
+impl Candidate<'_> {
+    /// Returns whether a fresh look says that work takes about as long as usual there.
+    fn is_good(&self, now: Moment) -> bool {
+        self.state.pace(now).is_some_and(|p| p <= GOOD)
+    }
+}
+
 /// What one host knows at the moment of placing.
 pub struct Knowledge<'a> {
     /// All endpoints.
@@ -151,7 +158,12 @@
             .collect();
         let chosen = if sound.is_empty() { warm } else { sound };
         let step = self.choose(&chosen, request, now, draw);
-        if matches!(step, Step::Ask(_) | Step::Place(_)) && !self.lates(&step, &chosen, now) {
+        let settled = match step {
+            Step::Ask(_) => true,
+            Step::Place(key) => chosen.iter().any(|c| c.key == key && c.is_good(now)),
+            Step::Wait(_) | Step::Refuse(_) => false,
+        };
+        if settled {
             return step;
         }
         let cold: Vec<EndpointKey> = usable
@@ -162,15 +174,6 @@
         self.try_cold(knowledge, &cold, now, draw).unwrap_or(step)
     }
 
-    /// Returns whether a step places the request on an endpoint that isn't good.
-    fn lates(&self, step: &Step, candidates: &[&Candidate<'_>], now: Moment) -> bool {
-        let Step::Place(key) = step else {
-            return false;
-        };
-        let chosen = candidates.iter().find(|c| c.key == *key);
-        chosen.is_some_and(|c| c.state.pace(now).is_none_or(|p| p > GOOD))
-    }
-
     /// Sends the request to a cold endpoint, within this host's share of its rate.
     ///
     /// Where no warm endpoint is good, cold ones are the only room left: after a
@@ -333,7 +336,7 @@
 fn good(candidates: &[&Candidate<'_>], now: Moment) -> Option<EndpointKey> {
     candidates
         .iter()
-        .filter(|c| c.state.pace(now).is_some_and(|p| p <= GOOD))
+        .filter(|c| c.is_good(now))
         .map(|c| (c.state.look.map_or(0.0, |l| l.load(c.state.sent)), c.key))
         .min_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, key)| key)
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -66,7 +66,13 @@
     }
 
     /// Ends the use of lapsed endpoints whose time is over.
+    ///
+    /// To be asked before each placing: the next word of the store may come a
+    /// second after their time.
     pub fn settle(&mut self, now: Moment) {
+        if self.lapsed.is_empty() {
+            return;
+        }
         let over: Vec<String> = self
             .lapsed
             .iter()
@@ -77,6 +83,10 @@
             self.lapsed.remove(&name);
             self.remove(&name);
         }
+    }
+
+    /// Forgets what was sent to endpoints that are cold no more.
+    pub fn forget_warm(&mut self, now: Moment) {
         let endpoints = &self.endpoints;
         self.cold
             .retain(|key| endpoints.get(&key).is_some_and(|s| s.is_cold(now)));
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -91,6 +91,7 @@
             .as_ref()
             .and_then(|c| c.services.get(&request.service));
         let mut registry = self.registry.borrow_mut();
+        registry.settle(clock::now());
         let mut knowledge = Knowledge {
             registry: &mut registry,
             left: &orders.left,
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -38,7 +38,7 @@
             if let Err(error) = result {
                 self.note_trouble(topic, &error);
             }
-            self.registry.borrow_mut().settle(clock::now());
+            self.registry.borrow_mut().forget_warm(clock::now());
         }
     }
 
@@ -130,7 +130,6 @@
         let told = self.feed(news.topic, |feed| {
             feed.told(news.from, next, yields, draw, now)
         });
-        self.registry.borrow_mut().settle(now);
         let Told::Apply { skip, back } = told else {
             return false;
         };
@@ -217,12 +216,25 @@
                 let version = catalogue.version;
                 if self.orders.borrow_mut().adopt(catalogue) {
                     log::info!("E0302 config-in-force version={version}");
+                    self.forget_routes();
                 }
             }
             Err(error) => log::error!("E0304 record-skipped key=config error={error:?}"),
         }
     }
 
+    /// Forgets what was learned of routes that are no more.
+    ///
+    /// Operators make a thousand changes a day, many of them with new names.
+    fn forget_routes(&self) {
+        let orders = self.orders.borrow();
+        let Some(catalogue) = &orders.catalogue else {
+            return;
+        };
+        let named = |name: &String| catalogue.routes.iter().any(|r| r.name == *name);
+        self.tempos.borrow_mut().retain(|name, _| named(name));
+    }
+
     fn set_leaving(&self, centre: DataCentreKey, leaving: bool) {
         let mut orders = self.orders.borrow_mut();
         let changed = match leaving {
