gateway: an endpoint's own failure is delivered when the time is over

Cause: found by reading: a request that one endpoint had failed and another never answered got 504 from the host, though the first endpoint's answer lay there. Change: that answer is passed on at the deadline. Test: platform_answers::failed_then_silent, seen to fail before (504).

--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -203,8 +203,7 @@
                         racers.push(Box::pin(again()));
                     }
                 }
-                Event::Expired if attempt.exposed.get() > 0 => return Err(Denial::Silent),
-                Event::Expired => return Err(not_run(Refusal::TooLate, self.come_back())),
+                Event::Expired => return progress.expire(attempt.exposed.get(), self.come_back()),
             }
         }
     }
@@ -320,6 +319,15 @@
         }
     }
 
+    /// Returns the final answer of a request whose time is over.
+    fn expire(self, exposed: u32, back: Duration) -> Result<Box<Answer>, Denial> {
+        match self.failure {
+            Some(answer) => Ok(answer),
+            None if exposed > 0 => Err(Denial::Silent),
+            None => Err(not_run(Refusal::TooLate, back)),
+        }
+    }
+
     /// Returns the final answer of a request that is not tried again.
     ///
     /// "Not run" is only said where every endpoint that it reached said so.
--- a/tests/platform_answers.rs
+++ b/tests/platform_answers.rs
@@ -106,6 +106,21 @@
     .await;
 }
 
+/// One endpoint fails a request, and the one that gets it then never answers.
+/// The first one's answer is there: the caller gets it rather than nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_then_silent() {
+    let (_store, endpoints, host) = started(&["i-1", "i-2"]).await;
+    for n in 0..10 {
+        host.request("GET", "/read/x", &format!("before-{n}")).await;
+    }
+    endpoints[0].set(Behaviour::Fail);
+    endpoints[1].set(Behaviour::Hang);
+    let answer = host.request("GET", "/read/x", "r1").await;
+    assert_eq!((answer.status, answer.body.as_str()), (500, "failed"));
+    assert!(answer.has("server-signature"));
+}
+
 /// The address of an endpoint that ended was given to another one. A request
 /// sent there would run at the wrong service.
 #[tokio::test(flavor = "multi_thread")]
