--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -134,6 +134,30 @@
     .await;
 }
 
+/// A host is started anew while the store is away. Its neighbour knows routes and
+/// endpoints, yet callers who come to the new one are refused until the store
+/// is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn started_while_away() {
+    let store = Store::start().await;
+    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let endpoint = Endpoint::start("i-1").await;
+    endpoint.register(&store, "ready");
+    let [first, second] = site::two_peers();
+    let old = Host::start_beside("old", &store, first, None).await;
+    until("the old host is ready", async || {
+        old.readiness().await == 200
+    })
+    .await;
+    store.set(Mode::Refusing);
+    let new = Host::start_beside("new", &store, second, Some(first)).await;
+    until("the new host is ready", async || {
+        new.readiness().await == 200
+    })
+    .await;
+    assert_eq!(new.request("GET", "/read/x", "r1").await.status, 200);
+}
+
 /// The store forgets its history while a host follows it: the host begins anew
 /// with the newest record of each key and misses no endpoint's leaving.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -41,12 +41,22 @@
 impl Host {
     /// Starts an entry host and waits until it can be asked.
     pub async fn start(name: &str, store: &Store) -> Host {
+        Host::start_beside(name, store, free_port(), None).await
+    }
+
+    /// Starts an entry host at this peer address, which greets `seed` first.
+    pub async fn start_beside(
+        name: &str,
+        store: &Store,
+        peers: SocketAddr,
+        seed: Option<SocketAddr>,
+    ) -> Host {
         let callers = free_port();
         let readiness = free_port();
-        let peers = free_port();
+        let seeds = seed.map_or(String::new(), |s| format!("\"{s}\""));
         let settings = std::env::temp_dir().join(format!("{name}-{}.toml", callers.port()));
         let text = format!(
-            "name = \"{name}\"\ndata_centre = \"here\"\ncaller_address = \"{callers}\"\nreadiness_address = \"{readiness}\"\npeer_address = \"{peers}\"\nlog_address = \"{}\"\ngrace_seconds = 6\nrepeat_slack = 50\n",
+            "name = \"{name}\"\ndata_centre = \"here\"\ncaller_address = \"{callers}\"\nreadiness_address = \"{readiness}\"\npeer_address = \"{peers}\"\nseeds = [{seeds}]\nlog_address = \"{}\"\ngrace_seconds = 6\nrepeat_slack = 50\n",
             store.address
         );
         std::fs::write(&settings, text).expect("the settings file is written");
@@ -170,6 +180,14 @@
     }
 }
 
+/// Returns the same free peer port at two addresses of this machine.
+///
+/// Hosts of one site have the same peer port.
+pub fn two_peers() -> [SocketAddr; 2] {
+    let port = free_port().port();
+    [1, 2].map(|n| SocketAddr::from(([127, 0, 0, n], port)))
+}
+
 /// Returns a port that nobody uses.
 ///
 /// It lies below those that the system deals out by itself, so that none of the
