gateway: neighbours hand over what they know where the store is away

Ruled out: a later readiness (the balancer uses all hosts of a data centre where fewer than half are ready). Change: a host that can't read a topic it knows nothing of asks a neighbour for the newest records and the offset to read on from; hosts greet each other each second.

--- a/components/coordination/src/feed.rs
+++ b/components/coordination/src/feed.rs
@@ -115,6 +115,13 @@
         std::mem::take(&mut self.failures) > 0
     }
 
+    /// Takes in that a neighbour handed over all it knows, up to `next`.
+    ///
+    /// This host goes on trying the store as before, and reads on from there.
+    pub fn handed(&mut self, next: u64) {
+        self.next = Some(next);
+    }
+
     /// Notes that this host begins to read.
     pub fn ask(&mut self) {
         self.asking = true;
--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -34,6 +34,10 @@
     News(News),
     /// The sender could not read this topic.
     Trouble(Topic),
+    /// The sender knows nothing of this topic and can't read it.
+    Wanted(Topic),
+    /// All that the sender knows of a topic, in answer to the former.
+    Held(Held),
 }
 
 /// A greeting.
@@ -47,6 +51,21 @@
     pub neighbours: Vec<SocketAddr>,
 }
 
+/// One piece of all that a neighbour knows of a topic.
+#[value]
+pub struct Held {
+    /// The topic.
+    pub topic: Topic,
+    /// Where to read on.
+    pub next: u64,
+    /// Which piece this is, from 0.
+    pub piece: u32,
+    /// How many pieces there are.
+    pub pieces: u32,
+    /// The newest record of each key, as they lie in the store.
+    pub records: Vec<Bytes>,
+}
+
 /// Records that a neighbour has read.
 #[value]
 pub struct News {
@@ -101,6 +120,14 @@
     /// Whether the sender of a hello asks whom the other knows.
     #[prost(bool, tag = "8")]
     seeks: bool,
+    /// Whether all that is known of the topic is asked for.
+    #[prost(bool, tag = "9")]
+    wanted: bool,
+    /// How many pieces there are of all that is known; 0 in news.
+    #[prost(uint32, tag = "10")]
+    pieces: u32,
+    #[prost(uint32, tag = "11")]
+    piece: u32,
 }
 
 const HELLO: u32 = 0;
@@ -168,6 +195,19 @@
                 records: news.records.clone(),
                 ..WireNews::default()
             },
+            Neighbourly::Wanted(topic) => WireNews {
+                topic: number(*topic),
+                wanted: true,
+                ..WireNews::default()
+            },
+            Neighbourly::Held(held) => WireNews {
+                topic: number(held.topic),
+                from: held.next,
+                piece: held.piece,
+                pieces: held.pieces,
+                records: held.records.clone(),
+                ..WireNews::default()
+            },
             Neighbourly::Trouble(topic) => WireNews {
                 topic: number(*topic),
                 failed: true,
@@ -202,8 +242,19 @@
             ENDPOINTS => Topic::Endpoints,
             _ => return Err(NewsError::UnknownTopic),
         };
-        if wire.failed {
-            return Ok(Neighbourly::Trouble(topic));
+        match wire {
+            _ if wire.failed => return Ok(Neighbourly::Trouble(topic)),
+            _ if wire.wanted => return Ok(Neighbourly::Wanted(topic)),
+            _ if wire.pieces > 0 => {
+                return Ok(Neighbourly::Held(Held {
+                    topic,
+                    next: wire.from,
+                    piece: wire.piece,
+                    pieces: wire.pieces,
+                    records: wire.records,
+                }));
+            }
+            _ => {}
         }
         Ok(Neighbourly::News(News {
             topic,
--- a/components/protocol/tests/news_messages.rs
+++ b/components/protocol/tests/news_messages.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use proptest::prelude::*;
-use protocol::news::{DATAGRAM_LIMIT, Hello, Neighbourly, News, Topic};
+use protocol::news::{DATAGRAM_LIMIT, Held, Hello, Neighbourly, News, Topic};
 
 fn news(records: Vec<Vec<u8>>) -> News {
     News {
@@ -23,6 +23,14 @@
         }),
         Neighbourly::News(news(vec![b"one".to_vec(), Vec::new()])),
         Neighbourly::Trouble(Topic::Operators),
+        Neighbourly::Wanted(Topic::Endpoints),
+        Neighbourly::Held(Held {
+            topic: Topic::Operators,
+            next: 9,
+            piece: 1,
+            pieces: 3,
+            records: vec![Bytes::from_static(b"one")],
+        }),
     ];
     for message in messages {
         let read = Neighbourly::decode(&message.encode()).expect("it is whole");
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -55,7 +55,8 @@
         }
     }
 
-    fn feed<R>(&self, topic: Topic, act: impl FnOnce(&mut Feed) -> R) -> R {
+    /// Changes how far this host is with a topic.
+    pub(super) fn feed<R>(&self, topic: Topic, act: impl FnOnce(&mut Feed) -> R) -> R {
         let mut feeds = self.feeds.borrow_mut();
         match topic {
             Topic::Operators => act(&mut feeds.operators),
@@ -78,6 +79,7 @@
             log::warn!("E0301 log-unreadable topic={topic:?} error={error:?}");
         }
         self.tell_all(&Neighbourly::Trouble(topic));
+        self.want(topic);
     }
 
     /// Takes in that a neighbour could not read a topic.
@@ -145,6 +147,10 @@
                 log::error!("E0304 record-skipped topic={topic:?} error=damaged");
                 continue;
             };
+            self.shelves
+                .borrow_mut()
+                .of(topic)
+                .put(&record, bytes.clone());
             match topic {
                 Topic::Operators => self.take_order(&record),
                 Topic::Endpoints => {
@@ -163,11 +169,17 @@
         let draw = self.draw_share();
         let back = self.feed(topic, |feed| feed.listed(end, draw, clock::now()));
         self.note_return(topic, back);
+        self.take_all(topic, &records);
+        Ok(())
+    }
+
+    /// Takes in the newest record of each key of a topic.
+    pub(super) fn take_all(&self, topic: Topic, records: &[Record]) {
+        self.shelves.borrow_mut().of(topic).replace(records);
         match topic {
-            Topic::Operators => self.take_all_orders(&records),
-            Topic::Endpoints => self.take_all_endpoints(&records),
+            Topic::Operators => self.take_all_orders(records),
+            Topic::Endpoints => self.take_all_endpoints(records),
         }
-        Ok(())
     }
 
     fn take_all_endpoints(&self, records: &[Record]) {
--- /dev/null
+++ b/components/transport/src/gateway/held.rs
@@ -0,0 +1,152 @@
+//! What this host holds of each topic, to be handed to a neighbour that can't read it.
+//!
+//! A host that starts while the store is away knows neither routes nor endpoints
+//! and would refuse every caller until the store is back, though its neighbours
+//! know both.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use platform::store::Record;
+use protocol::news::{DATAGRAM_LIMIT, Held, Neighbourly, Topic};
+use std::net::SocketAddr;
+
+use super::Gateway;
+
+/// The newest record of each key of one topic, as it lies in the store.
+#[derive(Default)]
+pub(super) struct Shelf {
+    records: BTreeMap<String, Bytes>,
+    /// Pieces that a neighbour has handed over so far.
+    pieces: BTreeMap<u32, Vec<Bytes>>,
+    /// Where the neighbour whose pieces these are would read on.
+    pieces_next: u64,
+}
+
+impl Shelf {
+    /// Takes in a record; one without a value drops its key.
+    pub fn put(&mut self, record: &Record, bytes: Bytes) {
+        match record.value {
+            Some(_) => self.records.insert(record.key.clone(), bytes),
+            None => self.records.remove(&record.key),
+        };
+    }
+
+    /// Takes in all that the store holds.
+    pub fn replace(&mut self, records: &[Record]) {
+        let encoded = records.iter().filter_map(|r| {
+            let bytes = platform::store::encode(r)?;
+            Some((r.key.clone(), bytes))
+        });
+        self.records = encoded.collect();
+    }
+
+    /// Returns all records in pieces that each fit into a datagram.
+    fn split(&self, topic: Topic, next: u64) -> Vec<Held> {
+        let mut pieces: Vec<Vec<Bytes>> = vec![Vec::new()];
+        let mut size = 0;
+        for record in self.records.values() {
+            if size + record.len() > DATAGRAM_LIMIT && size > 0 {
+                pieces.push(Vec::new());
+                size = 0;
+            }
+            size += record.len();
+            if let Some(last) = pieces.last_mut() {
+                last.push(record.clone());
+            }
+        }
+        let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
+        let held = |(piece, records)| Held {
+            topic,
+            next,
+            piece,
+            pieces: count,
+            records,
+        };
+        (0..).zip(pieces).map(held).collect()
+    }
+
+    /// Takes in a piece, and returns all records once none is missing.
+    fn gather(&mut self, held: Held) -> Option<Vec<Record>> {
+        if self.pieces_next != held.next {
+            self.pieces.clear();
+            self.pieces_next = held.next;
+        }
+        self.pieces.insert(held.piece, held.records);
+        if self.pieces.len() < held.pieces as usize {
+            return None;
+        }
+        let pieces = std::mem::take(&mut self.pieces);
+        let records = pieces.into_values().flatten();
+        Some(records.filter_map(platform::store::record).collect())
+    }
+}
+
+impl Gateway {
+    /// Asks one neighbour for all that it knows of a topic, where this host knows nothing.
+    pub(super) fn want(&self, topic: Topic) {
+        if self.feed(topic, |feed| feed.next()).is_some() {
+            return;
+        }
+        let draw = self.draw();
+        if let Some(address) = self.neighbours.borrow().any(draw) {
+            self.tell(address, &Neighbourly::Wanted(topic));
+        }
+    }
+
+    /// Asks for both topics, as a neighbour has become known.
+    ///
+    /// Only what could not be read from the store is asked for.
+    pub(super) fn want_all(&self) {
+        for topic in [Topic::Operators, Topic::Endpoints] {
+            if self.feed(topic, |feed| feed.failures()) > 0 {
+                self.want(topic);
+            }
+        }
+    }
+
+    /// Hands all that this host knows of a topic to a neighbour that asks for it.
+    pub(super) fn hand_over(&self, to: SocketAddr, topic: Topic) {
+        let Some(next) = self.feed(topic, |feed| feed.next()) else {
+            return;
+        };
+        let pieces = self.shelves.borrow_mut().of(topic).split(topic, next);
+        for piece in pieces {
+            self.tell(to, &Neighbourly::Held(piece));
+        }
+    }
+
+    /// Takes in what a neighbour hands over.
+    pub(super) fn take_held(&self, held: Held) {
+        let (topic, next) = (held.topic, held.next);
+        if self.feed(topic, |feed| feed.next()).is_some() {
+            return;
+        }
+        let Some(records) = self.shelves.borrow_mut().of(topic).gather(held) else {
+            return;
+        };
+        log::info!(
+            "E0317 topic-handed-over topic={topic:?} records={}",
+            records.len()
+        );
+        self.feed(topic, |feed| feed.handed(next));
+        self.take_all(topic, &records);
+    }
+}
+
+/// What this host holds of both topics.
+#[derive(Default)]
+pub(super) struct Shelves {
+    operators: Shelf,
+    endpoints: Shelf,
+}
+
+impl Shelves {
+    /// Returns what is held of one topic.
+    pub fn of(&mut self, topic: Topic) -> &mut Shelf {
+        match topic {
+            Topic::Operators => &mut self.operators,
+            Topic::Endpoints => &mut self.endpoints,
+        }
+    }
+}
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod call;
 mod drain;
 mod follow;
+mod held;
 mod neighbours;
 mod pool;
 mod ready;
@@ -42,6 +43,7 @@
 use tokio::task::spawn_local;
 
 use crate::clock;
+use held::Shelves;
 use neighbours::Neighbours;
 use pool::Pool;
 use request_log::RequestLog;
@@ -90,6 +92,7 @@
     registry: RefCell<Registry>,
     listed: Cell<bool>,
     feeds: RefCell<Feeds>,
+    shelves: RefCell<Shelves>,
     socket: UdpSocket,
     neighbours: RefCell<Neighbours>,
     pool: RefCell<Pool>,
@@ -141,6 +144,7 @@
             registry: RefCell::default(),
             listed: Cell::new(false),
             feeds: RefCell::new(Feeds::new(clock::now())),
+            shelves: RefCell::default(),
             socket,
             neighbours: RefCell::default(),
             pool: RefCell::default(),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -15,7 +15,10 @@
 use crate::clock;
 
 /// How often a host says that it is here.
-const HELLO_EVERY: Duration = Duration::from_secs(3);
+///
+/// A host that starts while the store is away, and is the seed of its data
+/// centre itself, learns only by this that it has neighbours to ask.
+const HELLO_EVERY: Duration = Duration::from_secs(1);
 
 /// Record bytes up to which a reader tells all its neighbours by itself.
 ///
@@ -46,6 +49,13 @@
         self.heard.insert(address, now).is_none()
     }
 
+    /// Returns one of the neighbours, by `draw`, evenly drawn from all of `u64`.
+    pub fn any(&self, draw: u64) -> Option<SocketAddr> {
+        let count = u64::try_from(self.heard.len()).ok().filter(|n| *n > 0)?;
+        let at = usize::try_from(draw % count).ok()?;
+        self.heard.keys().nth(at).copied()
+    }
+
     /// Returns whether no neighbour is known.
     pub fn is_empty(&self) -> bool {
         self.heard.is_empty()
@@ -157,6 +167,8 @@
                 }
             }
             Neighbourly::Trouble(topic) => self.take_trouble(topic),
+            Neighbourly::Wanted(topic) => self.hand_over(from, topic),
+            Neighbourly::Held(held) => self.take_held(held),
             Neighbourly::Hello(hello) => self.take_hello(from, hello),
         }
     }
@@ -174,6 +186,9 @@
         for other in hello.neighbours {
             self.meet(other);
         }
+        if new {
+            self.want_all();
+        }
     }
 
     /// Returns the greeting; `seeks` asks whom the other knows.
@@ -205,7 +220,8 @@
         }
     }
 
-    fn tell(&self, address: SocketAddr, message: &Neighbourly) {
+    /// Tells one neighbour.
+    pub(super) fn tell(&self, address: SocketAddr, message: &Neighbourly) {
         send(&self.socket, address, message);
     }
 }
