news, look, ask: one splitting into datagrams, one count of what is taken

Found by reading the whole change once more: records were split into datagrams in two places, the requests at an endpoint were added up in three, and asked connections were given back by two loops. Each is one piece of code now; behaviour and tests are as before.

--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -147,35 +147,36 @@
 
     /// Returns the news in pieces that each fit into a datagram, one at least.
     pub fn split(self) -> Vec<News> {
-        let mut pieces = Vec::new();
-        let mut piece = News {
-            topic: self.topic,
-            reader: self.reader,
-            from: self.from,
-            records: Vec::new(),
+        let mut from = self.from;
+        let piece = |records: Vec<Bytes>| {
+            let piece = News {
+                topic: self.topic,
+                reader: self.reader,
+                from,
+                records,
+            };
+            from = piece.next();
+            piece
         };
-        let mut size = 0;
-        for record in self.records {
-            if size + record.len() > DATAGRAM_LIMIT && !piece.records.is_empty() {
-                let from = piece.next();
-                let whole = std::mem::replace(
-                    &mut piece,
-                    News {
-                        topic: self.topic,
-                        reader: self.reader,
-                        from,
-                        records: Vec::new(),
-                    },
-                );
-                pieces.push(whole);
-                size = 0;
-            }
-            size += record.len();
-            piece.records.push(record);
+        split(self.records).into_iter().map(piece).collect()
+    }
+}
+
+/// Returns records in pieces that each fit into a datagram, one piece at least.
+pub fn split(records: impl IntoIterator<Item = Bytes>) -> Vec<Vec<Bytes>> {
+    let mut pieces = Vec::new();
+    let mut piece = Vec::new();
+    let mut size = 0;
+    for record in records {
+        if size + record.len() > DATAGRAM_LIMIT && !piece.is_empty() {
+            pieces.push(std::mem::take(&mut piece));
+            size = 0;
         }
-        pieces.push(piece);
-        pieces
+        size += record.len();
+        piece.push(record);
     }
+    pieces.push(piece);
+    pieces
 }
 
 impl Neighbourly {
--- a/components/state/src/fleet/look.rs
+++ b/components/state/src/fleet/look.rs
@@ -69,14 +69,13 @@
     /// `sent` counts the requests that this host sent there since the look.
     pub fn pace(&self, sent: u32) -> f64 {
         let slots = f64::from(self.slots.max(1));
-        let taken = f64::from(self.running + self.waiting + sent) + 1.0;
         let slow = f64::from(self.slowness) / 100.0;
-        let knee = if taken > slots * KNEE {
+        let knee = if self.is_loaded(sent) {
             KNEE_FACTOR
         } else {
             1.0
         };
-        let queue = (taken - slots).max(0.0) / slots;
+        let queue = (f64::from(self.taken(sent)) + 1.0 - slots).max(0.0) / slots;
         let ill = if self.well { 1.0 } else { ILL_FACTOR };
         slow * knee * ill * (1.0 + queue)
     }
@@ -84,16 +83,21 @@
     /// Returns whether one more request would make a nearly full endpoint slower.
     pub fn is_loaded(&self, sent: u32) -> bool {
         let slots = f64::from(self.slots.max(1));
-        f64::from(self.running + self.waiting + sent) + 1.0 > slots * KNEE
+        f64::from(self.taken(sent)) + 1.0 > slots * KNEE
     }
 
     /// Returns the share of the slots that is taken.
     pub fn load(&self, sent: u32) -> f64 {
-        f64::from(self.running + self.waiting + sent) / f64::from(self.slots.max(1))
+        f64::from(self.taken(sent)) / f64::from(self.slots.max(1))
     }
 
     /// Returns whether the endpoint runs nothing.
     pub fn is_idle(&self, sent: u32) -> bool {
-        self.running + self.waiting + sent == 0
+        self.taken(sent) == 0
+    }
+
+    /// Returns how many requests are there, `sent` of them since the look.
+    fn taken(&self, sent: u32) -> u32 {
+        self.running + self.waiting + sent
     }
 }
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -29,19 +29,26 @@
 const ASK_SIZE: usize = 16 * 1024;
 
 /// Connections that were asked on and not yet used.
-struct Held<'a> {
+struct Asked<'a> {
     gateway: &'a Gateway,
     connections: BTreeMap<EndpointKey, (Connection, HeaderMap)>,
 }
 
-impl Drop for Held<'_> {
-    fn drop(&mut self) {
+impl Asked<'_> {
+    /// Gives them back to the pool.
+    fn give_back(&mut self) {
         for (connection, fields) in std::mem::take(&mut self.connections).into_values() {
             self.gateway.keep(connection, &fields);
         }
     }
 }
 
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        self.give_back();
+    }
+}
+
 impl Gateway {
     /// Finds an endpoint for a request, with a connection that leads there.
     ///
@@ -52,7 +59,7 @@
         placing: &RefCell<Placing>,
         request: &placing::Request,
     ) -> Result<(EndpointKey, Connection), Refusal> {
-        let mut held = Held {
+        let mut asked = Asked {
             gateway: self,
             connections: BTreeMap::new(),
         };
@@ -61,22 +68,19 @@
             match step {
                 Step::Ask(key) => match self.ask(key).await {
                     Some(answered) => {
-                        held.connections.insert(key, answered);
+                        asked.connections.insert(key, answered);
                     }
                     None => placing.borrow_mut().unanswered(key),
                 },
                 Step::Place(key) => {
-                    let asked = held.connections.remove(&key).map(|(c, _)| c);
-                    match self.connect(key, asked).await {
+                    let given = asked.connections.remove(&key).map(|(c, _)| c);
+                    match self.connect(key, given).await {
                         Some(connection) => return Ok((key, connection)),
                         None => placing.borrow_mut().unanswered(key),
                     }
                 }
                 Step::Wait(time) => {
-                    let kept = std::mem::take(&mut held.connections);
-                    for (connection, fields) in kept.into_values() {
-                        self.keep(connection, &fields);
-                    }
+                    asked.give_back();
                     sleep(time).await;
                 }
                 Step::Refuse(refusal) => return Err(refusal),
--- a/components/transport/src/gateway/held.rs
+++ b/components/transport/src/gateway/held.rs
@@ -5,11 +5,11 @@
 //! know both.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use platform::store::Record;
-use protocol::news::{DATAGRAM_LIMIT, Held, Neighbourly, Topic};
-use std::net::SocketAddr;
+use protocol::news::{self, Held, Neighbourly, Topic};
 
 use super::Gateway;
 
@@ -43,18 +43,7 @@
 
     /// Returns all records in pieces that each fit into a datagram.
     fn split(&self, topic: Topic, next: u64) -> Vec<Held> {
-        let mut pieces: Vec<Vec<Bytes>> = vec![Vec::new()];
-        let mut size = 0;
-        for record in self.records.values() {
-            if size + record.len() > DATAGRAM_LIMIT && size > 0 {
-                pieces.push(Vec::new());
-                size = 0;
-            }
-            size += record.len();
-            if let Some(last) = pieces.last_mut() {
-                last.push(record.clone());
-            }
-        }
+        let pieces = news::split(self.records.values().cloned());
         let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
         let held = |(piece, records)| Held {
             topic,
