gateway: a late rejection of another request is not taken for this one's

Cause: an answer that says "not run" was taken whatever request it named. An endpoint's late word on an earlier request, coming where the next answer is due, had a deposit sent again that was running: it could be taken twice. Ruled out: answers without any id stay accepted where they say "not run", as endpoints may reject without naming a request. Test: tests/platform_framing.rs::late_rejection got 503 "not run" before, 502 after.

--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -178,9 +178,7 @@
         mut incoming: Incoming,
         (sent, pace): (Moment, f64),
     ) -> Ending {
-        if !platform::fields::same_request(&self.parts.headers, &parts.headers)
-            && !platform::fields::says_not_run(&parts.headers)
-        {
+        if !platform::fields::belongs(&self.parts.headers, &parts.headers) {
             return Ending::Lost("the answer belongs to another request");
         }
         let mut start = BytesMut::new();
--- /dev/null
+++ b/tests/platform_framing.rs
@@ -0,0 +1,247 @@
+//! What callers and endpoints get where bytes come early, late, chunked or without an end.
+
+mod site;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use site::raw::{RawEndpoint, Reply, Seen, field};
+use site::{Answer, Host, ROUTES, Store, config, exchange, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// Bytes of a body that is passed on before all of it has come.
+const LONG: usize = 600_000;
+
+async fn started(
+    script: impl Fn(&Seen) -> Reply + Send + Sync + 'static,
+) -> (Store, RawEndpoint, Host) {
+    let store = Store::start().await;
+    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let endpoint = RawEndpoint::start(script).await;
+    endpoint.register(&store, "svc");
+    let host = Host::ready("entry", &store).await;
+    (store, endpoint, host)
+}
+
+/// Returns a signed answer to the attempt `id`.
+fn signed(id: &str, text: &str) -> String {
+    let length = text.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: s\r\nContent-Length: {length}\r\n\r\n{text}"
+    )
+}
+
+/// Returns a signed answer without a length, which ends with its connection.
+fn unframed(id: &str, text: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: s\r\n\r\n{text}")
+}
+
+fn ids(endpoint: &RawEndpoint) -> Vec<String> {
+    let seen = endpoint.seen();
+    seen.iter().map(|s| s.id().to_owned()).collect()
+}
+
+/// An endpoint writes a second answer behind a whole one. On a kept connection
+/// it would be taken for the answer to the next caller's request, who would read
+/// another's booking.
+#[tokio::test(flavor = "multi_thread")]
+async fn extra_answers() {
+    let (_store, endpoint, host) = started(|seen| {
+        let answer = signed(seen.id(), &format!("for {}", seen.id()));
+        Reply::Keep(format!("{answer}{}", signed("stray", "stray")))
+    })
+    .await;
+    for n in 0..6 {
+        let id = format!("w{n}");
+        let answer = host.request("POST", "/write/x", &id).await;
+        assert_eq!((answer.status, answer.body), (200, format!("for {id}")));
+    }
+    assert_eq!(ids(&endpoint), ["w0", "w1", "w2", "w3", "w4", "w5"]);
+}
+
+/// An endpoint says late, of a request that it had given up on, that it did not
+/// run it. Taken for the word on the next deposit, that one would be sent again
+/// although it runs, and be taken twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_rejection() {
+    let (_store, endpoint, host) = started(|_| {
+        let stray = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: earlier\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        Reply::Keep(stray.to_owned())
+    })
+    .await;
+    let answer = host.request("POST", "/write/x", "w1").await;
+    assert_eq!(answer.status, 502, "it may have run: {answer:?}");
+    assert_eq!(ids(&endpoint), ["w1"]);
+}
+
+/// An answer has no length and ends with its connection. It is whole where the
+/// connection ends in order, and half of a booking where it is reset.
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_answers() {
+    let (_store, _endpoint, host) = started(|seen| match seen.id() {
+        "whole" => Reply::Close(unframed("whole", "all of it")),
+        id => Reply::Reset(unframed(id, "half")),
+    })
+    .await;
+    let whole = host.request("POST", "/write/x", "whole").await;
+    assert_eq!((whole.status, whole.body.as_str()), (200, "all of it"));
+    let cut = host.request("POST", "/write/x", "cut").await;
+    assert_eq!(cut.status, 502, "half an answer was passed on: {cut:?}");
+}
+
+/// A long answer without a length is reset after the caller has got the first
+/// part of it. It must not look whole to the caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_unframed_cut() {
+    let (_store, _endpoint, host) =
+        started(|seen| Reply::Reset(unframed(seen.id(), &"x".repeat(LONG)))).await;
+    let head = "POST /write/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: w1\r\nTime-Remaining: 2000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    let mut stream = TcpStream::connect(host.callers).await.expect("it accepts");
+    stream.write_all(head.as_bytes()).await.expect("it reads");
+    let mut bytes = Vec::new();
+    // A reset is as good a sign of a broken answer as a missing last chunk.
+    let _ = stream.read_to_end(&mut bytes).await;
+    let text = String::from_utf8_lossy(&bytes);
+    let fails = text.starts_with("HTTP/1.1 502");
+    assert!(fails || !text.ends_with("0\r\n\r\n"), "it looks whole");
+}
+
+/// Bodies in chunks both ways arrive as they were sent.
+#[rstest]
+#[case(10)]
+#[case(LONG)]
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_pass(#[case] size: usize) {
+    let (_store, endpoint, host) = started(|seen| {
+        Reply::Keep(format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nServer-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwhol\r\n1\r\ne\r\n0\r\n\r\n",
+            seen.id()
+        ))
+    })
+    .await;
+    let body = "b".repeat(size);
+    let request = format!(
+        "POST /write/x?a=1&b=%20 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: w1\r\nTime-Remaining: 2000\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n{size:x}\r\n{body}\r\n0\r\n\r\n"
+    );
+    let answer = exchange(host.callers, &request).await.expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert!(answer.body.contains("whole"), "{answer:?}");
+    let seen = endpoint.seen();
+    assert!(seen[0].head.starts_with("POST /write/x?a=1&b=%20 HTTP/1.1"));
+    assert_eq!(seen[0].body, format!("abc{body}").as_bytes());
+}
+
+async fn first_line(stream: &mut TcpStream) -> String {
+    let mut bytes = vec![0; 512];
+    let count = stream.read(&mut bytes).await.unwrap_or_default();
+    String::from_utf8_lossy(&bytes[..count]).into_owned()
+}
+
+/// A kept connection to an endpoint goes silent for good, without a reset. A
+/// deposit sent on it would be lost, and nobody could say whether it was taken.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections() {
+    let (_store, endpoint, host) = started(|seen| match seen.id() {
+        "mute" => Reply::Mute,
+        id => Reply::Keep(signed(id, "whole")),
+    })
+    .await;
+    for n in 0..5 {
+        host.request("POST", "/write/x", &format!("before-{n}"))
+            .await;
+    }
+    // It takes the connection along, and the host may not use it again.
+    assert_eq!(host.request("GET", "/read/x", "mute").await.status, 504);
+    until("the endpoint is used again", async || {
+        let answer = host.request("POST", "/write/x", "after").await;
+        answer.status == 200
+    })
+    .await;
+    let muted = endpoint
+        .seen()
+        .iter()
+        .find(|s| s.id() == "mute")
+        .map(|s| s.connection);
+    let after = endpoint.seen().last().map(|s| s.connection);
+    assert_ne!(after, muted);
+}
+
+/// A caller sends its head too slowly, or one that is too large. Held for ever,
+/// a thousand of them would take all of the host's files.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_heads() {
+    let (_store, endpoint, host) = started(|seen| Reply::Keep(signed(seen.id(), "whole"))).await;
+    let large = format!(
+        "GET /read/x HTTP/1.1\r\nHost: a.example\r\nBig: {}\r\n\r\n",
+        "x".repeat(64 * 1024)
+    );
+    let status = exchange(host.callers, &large).await.map(|a| a.status);
+    assert!(matches!(status, None | Some(431)), "{status:?}");
+    let mut slow = TcpStream::connect(host.callers).await.expect("it accepts");
+    slow.write_all(b"GET /read/x HTTP/1.1\r\nHost:")
+        .await
+        .expect("it reads");
+    let mut rest = Vec::new();
+    timeout(Duration::from_secs(10), slow.read_to_end(&mut rest))
+        .await
+        .expect("the host ends it")
+        .ok();
+    assert!(endpoint.seen().is_empty());
+}
+
+/// A caller comes back on its connection after four fifths of the idle time that
+/// operators grant. Closed earlier, its deposit would cross the close and be lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_callers() {
+    let store = Store::start().await;
+    let short = config(1, ROUTES).replace("\"idleTimeoutS\":15", "\"idleTimeoutS\":5");
+    store.put("keyed.op", "config", Some(&short));
+    let endpoint = RawEndpoint::start(|seen| Reply::Keep(signed(seen.id(), "whole"))).await;
+    endpoint.register(&store, "svc");
+    let host = Host::ready("entry", &store).await;
+    let mut stream = TcpStream::connect(host.callers).await.expect("it accepts");
+    for n in 0..2 {
+        let request = format!(
+            "POST /write/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: w{n}\r\nTime-Remaining: 2000\r\nContent-Length: 0\r\n\r\n"
+        );
+        stream
+            .write_all(request.as_bytes())
+            .await
+            .expect("it is open");
+        let line = first_line(&mut stream).await;
+        assert!(line.starts_with("HTTP/1.1 200"), "{line}");
+        if n == 0 {
+            sleep(Duration::from_secs(4)).await;
+        }
+    }
+    assert_eq!(ids(&endpoint), ["w0", "w1"]);
+}
+
+/// One part of a route has no endpoint that takes work. Its callers are told to
+/// come back; sent to the other part, that one would get more than operators gave it.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_part() {
+    let store = Store::start().await;
+    let weighted = r#"["read","a.example","/read/","safe",2.0,0.5,2,[{"service":"svc","weight":50},{"service":"none","weight":50}],2,null]"#;
+    let short = r#",["none","/health",220,"h1",false,3.0,6.0]]},"limits""#;
+    let both = config(1, weighted).replace(r#"]},"limits""#, short);
+    store.put("keyed.op", "config", Some(&both));
+    let endpoint = RawEndpoint::start(|seen| Reply::Keep(signed(seen.id(), "whole"))).await;
+    endpoint.register(&store, "svc");
+    let host = Host::ready("entry", &store).await;
+    let mut answers: Vec<Answer> = Vec::new();
+    for n in 0..200 {
+        answers.push(host.request("GET", "/read/x", &format!("r{n}")).await);
+    }
+    let served = answers.iter().filter(|a| a.status == 200).count();
+    // Half of 200, with five standard deviations of a fair coin to either side.
+    assert!((65..=135).contains(&served), "{served} of 200");
+    let rejected: Vec<&Answer> = answers.iter().filter(|a| a.status != 200).collect();
+    for answer in rejected {
+        assert_eq!(answer.status, 503);
+        assert!(field(&answer.head, "retry-after").is_some());
+    }
+    assert_eq!(endpoint.seen().len(), served);
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -1,7 +1,8 @@
 //! A small site for tests: the platform's store, endpoints, and entry hosts as processes.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 pub mod endpoint;
+pub mod raw;
 pub mod store;
 
 use std::net::SocketAddr;
