gateway: the rest of a long body is read after its request was answered

Cause: an endpoint may answer, or this host reject, before a long body has come. The body was dropped unread, the connection closed with bytes unread and so reset: a caller that was still sending saw a reset in place of its answer. Change: the caller's connection keeps hold of the body and reads the rest, for five seconds at most, while the caller keeps sending; then it is idle.

--- a/components/transport/src/edge/body.rs
+++ b/components/transport/src/edge/body.rs
@@ -1,14 +1,15 @@
 //! The body of a request as the caller sends it, within its limits.
 
 use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
 use state::pace::Pace;
 use thiserror::Error;
-use tokio::time::Sleep;
+use tokio::time::{Sleep, timeout};
 
 /// The largest body held in memory so that it can be sent a second time.
 ///
@@ -21,6 +22,11 @@
 /// Its digest has to be known before the key is claimed, so it is held whole.
 pub const KEYED_LIMIT: usize = 1024 * 1024;
 
+/// How long the rest of a body is read after its request has been answered.
+///
+/// Time for a megabyte at 2 Mbit/s; a caller that takes longer is cut off.
+const LINGER_LIMIT: Duration = Duration::from_secs(5);
+
 /// Why a request's body can't be read.
 #[derive(Clone, Debug, Error)]
 pub enum BodyError {
@@ -163,6 +169,52 @@
     }
 }
 
+/// A body that its request's attempt and the caller's connection both hold.
+///
+/// An endpoint may answer, or a host reject, before a long body has come. Were
+/// the rest left unread, closing the connection would reset it, and the caller,
+/// still sending, would see a reset in place of its answer. So the connection
+/// keeps hold of the body and reads the rest once the answer is out.
+#[derive(Clone)]
+pub struct SharedBody(Arc<Mutex<CallerBody>>);
+
+impl SharedBody {
+    /// Returns a body to be shared.
+    pub fn new(body: CallerBody) -> SharedBody {
+        SharedBody(Arc::new(Mutex::new(body)))
+    }
+
+    /// Returns the next piece.
+    pub fn poll_data(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        self.with(|body| body.poll_data(cx))
+    }
+
+    /// Returns whether all of it has been read.
+    pub fn is_end(&self) -> bool {
+        self.with(|body| body.is_end())
+    }
+
+    /// Returns how many bytes are still to come, where the head says so.
+    pub fn left(&self) -> Option<u64> {
+        self.with(|body| body.left())
+    }
+
+    /// Reads the rest and forgets it, as long as the caller keeps sending.
+    pub async fn drain(self) {
+        let rest = async {
+            while let Some(Ok(_)) = std::future::poll_fn(|cx| self.poll_data(cx)).await {}
+        };
+        if timeout(LINGER_LIMIT, rest).await.is_err() {
+            log::debug!("E0130 body-left-unread left={:?}", self.left());
+        }
+    }
+
+    fn with<R>(&self, act: impl FnOnce(&mut CallerBody) -> R) -> R {
+        // A panic leaves the body as it was before the piece; reading on is safe.
+        act(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
 fn joined(start: Bytes, more: &BytesMut) -> Bytes {
     if more.is_empty() {
         return start;
--- a/components/transport/src/edge/call.rs
+++ b/components/transport/src/edge/call.rs
@@ -16,7 +16,7 @@
 
 use super::Edge;
 use super::answer::{AnswerBody, Escort, Relay};
-use super::body::{CallerBody, Gathered, KEYED_LIMIT, REPLAY_LIMIT};
+use super::body::{CallerBody, Gathered, KEYED_LIMIT, REPLAY_LIMIT, SharedBody};
 use super::fault::Fault;
 use super::keyed::{Claim, Claimed, Keeper};
 use super::outcome::{OUTCOME, Outcome};
@@ -339,7 +339,7 @@
 
     fn next(&mut self) -> RequestBody {
         match self.rest.take() {
-            Some(rest) => RequestBody::Streamed(self.start.clone(), Box::new(rest)),
+            Some(rest) => RequestBody::Streamed(self.start.clone(), SharedBody::new(rest)),
             None => RequestBody::Whole(self.start.clone()),
         }
     }
--- a/components/transport/src/gateway/answer.rs
+++ b/components/transport/src/gateway/answer.rs
@@ -6,15 +6,18 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use tokio::task::spawn_local;
 
 use super::attempt::{Rest, poll_piece};
 use super::stream::Phase;
+use crate::edge::body::SharedBody;
 
 /// What a host sends as an answer's body.
 pub(super) struct AnswerBody {
     start: Bytes,
     rest: Option<Rest>,
     phase: Option<Rc<Phase>>,
+    unread: Option<SharedBody>,
 }
 
 impl AnswerBody {
@@ -24,6 +27,7 @@
             start: bytes,
             rest: None,
             phase: None,
+            unread: None,
         }
     }
 
@@ -33,9 +37,15 @@
             start,
             rest,
             phase: None,
+            unread: None,
         }
     }
 
+    /// Has the rest of the request's body read once this answer is out.
+    pub fn then_drain(&mut self, unread: SharedBody) {
+        self.unread = Some(unread);
+    }
+
     /// Has the caller's connection told when this body ends.
     pub fn tell(&mut self, phase: Rc<Phase>) {
         self.phase = Some(phase);
@@ -83,8 +93,22 @@
 
 impl Drop for AnswerBody {
     fn drop(&mut self) {
-        if let Some(phase) = &self.phase {
-            phase.answered();
+        let answered = self.phase.take().map(Answered);
+        if let Some(unread) = self.unread.take().filter(|u| !u.is_end()) {
+            // Until the body has ended the connection is not idle.
+            spawn_local(async move {
+                unread.drain().await;
+                drop(answered);
+            });
         }
     }
 }
+
+/// Tells a caller's connection, when dropped, that its request is done.
+struct Answered(Rc<Phase>);
+
+impl Drop for Answered {
+    fn drop(&mut self) {
+        self.0.answered();
+    }
+}
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -1,6 +1,6 @@
 //! One request: its route, its attempts, and its one final answer.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
 use std::task::Poll;
@@ -23,7 +23,7 @@
 use super::refusal::Denial;
 use super::{Gateway, Stage};
 use crate::clock;
-use crate::edge::body::{CallerBody, Gathered, REPLAY_LIMIT};
+use crate::edge::body::{CallerBody, REPLAY_LIMIT, SharedBody};
 use crate::upstream::RequestBody;
 
 /// Attempts that reach no endpoint before a request is given up.
@@ -85,20 +85,27 @@
 pub(super) async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = clock::now();
     let (parts, incoming) = request.into_parts();
-    match run(gateway, &parts, incoming, arrived).await {
+    let rest = OnceCell::new();
+    let mut response = match run(gateway, &parts, incoming, arrived, &rest).await {
         Ok(answer) => pass_on(answer),
         Err(denial) => {
             gateway.log_denial(&parts.headers, &denial, arrived);
             denial.response(&parts.headers)
         }
+    };
+    if let Some(rest) = rest.into_inner() {
+        response.body_mut().then_drain(rest);
     }
+    response
 }
 
+/// Serves one request; what is still to come of a long body is put into `rest`.
 async fn run(
     gateway: &Gateway,
     parts: &Parts,
     incoming: Incoming,
     arrived: Moment,
+    rest: &OnceCell<SharedBody>,
 ) -> Result<Box<Answer>, Denial> {
     if *gateway.stage.borrow() >= Stage::Closing {
         return Err(Denial::Stopping);
@@ -106,6 +113,13 @@
     let (route, limit) = route(gateway, parts)?;
     let body = CallerBody::new(incoming, limit).map_err(Denial::Body)?;
     let body = body.gather(REPLAY_LIMIT).await.map_err(Denial::Body)?;
+    let body = match body.rest {
+        None => RequestBody::Whole(body.start),
+        Some(more) => {
+            let more = rest.get_or_init(|| SharedBody::new(more));
+            RequestBody::Streamed(body.start, more.clone())
+        }
+    };
     let service = route
         .part(gateway.draw())
         .ok_or(Denial::NotRun("the route has no service", SOON))?;
@@ -148,7 +162,7 @@
 const SOON: Duration = Duration::from_millis(300);
 
 impl Call<'_> {
-    async fn serve(&self, body: Gathered) -> Result<Box<Answer>, Denial> {
+    async fn serve(&self, body: RequestBody) -> Result<Box<Answer>, Denial> {
         let placing = RefCell::new(Placing::default());
         let exposed = Cell::new(0);
         let attempt = Attempt {
@@ -159,12 +173,11 @@
             placing: &placing,
             exposed: &exposed,
         };
-        let whole = body.rest.is_none().then(|| body.start.clone());
-        let first = match body.rest {
-            None => RequestBody::Whole(body.start),
-            Some(rest) => RequestBody::Streamed(body.start, Box::new(rest)),
+        let whole = match &body {
+            RequestBody::Whole(bytes) => Some(bytes.clone()),
+            RequestBody::Streamed(..) => None,
         };
-        self.race(&attempt, first, whole).await
+        self.race(&attempt, body, whole).await
     }
 
     /// Runs attempts until one brings an answer, or none is left to make.
--- a/components/transport/src/upstream/body.rs
+++ b/components/transport/src/upstream/body.rs
@@ -6,14 +6,14 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
-use crate::edge::body::{BodyError, CallerBody};
+use crate::edge::body::{BodyError, SharedBody};
 
 /// What is sent as a request's body.
 pub enum RequestBody {
     /// The whole body, held in memory, empty where there is none.
     Whole(Bytes),
     /// The body's beginning, already read, and the rest as the caller sends it.
-    Streamed(Bytes, Box<CallerBody>),
+    Streamed(Bytes, SharedBody),
 }
 
 impl Body for RequestBody {
--- a/tests/platform_framing.rs
+++ b/tests/platform_framing.rs
@@ -133,6 +133,34 @@
     assert_eq!(seen[0].body, format!("abc{body}").as_bytes());
 }
 
+/// An endpoint answers before it has read a long body, keeps the connection and
+/// reads on. The next request would be taken for the rest of that body, and its
+/// caller would never hear of it. A caller that still sends its body when the
+/// answer comes would see its connection reset, often before it read the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn early_answers() {
+    let (_store, endpoint, host) = started(|seen| Reply::Early(signed(seen.id(), "early"))).await;
+    let body = "b".repeat(LONG);
+    let (start, rest) = body.split_at(LONG / 2);
+    let mut stream = TcpStream::connect(host.callers).await.expect("it accepts");
+    for n in 0..4 {
+        let head = format!(
+            "POST /write/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: w{n}\r\nTime-Remaining: 2000\r\nContent-Length: {LONG}\r\n\r\n{start}"
+        );
+        stream.write_all(head.as_bytes()).await.expect("it reads");
+        let answer = timeout(Duration::from_secs(10), first_line(&mut stream)).await;
+        let line = answer.expect("an answer in time");
+        assert!(line.starts_with("HTTP/1.1 200"), "{line}");
+        let sent = stream.write_all(rest.as_bytes()).await;
+        sent.expect("the rest of the body is read too");
+    }
+    // The host may pass the rest on or close; what comes is never another's.
+    for seen in endpoint.seen() {
+        assert!(seen.head.starts_with("POST /write/x HTTP/1.1\r\n"));
+        assert_eq!(seen.body, body.as_bytes(), "bytes of another");
+    }
+}
+
 async fn first_line(stream: &mut TcpStream) -> String {
     let mut bytes = vec![0; 512];
     let count = stream.read(&mut bytes).await.unwrap_or_default();
