--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -145,13 +145,13 @@
         }
         let address = log.address().to_string();
         give(
-            &address,
+            log.address(),
             Change::PutPreset {
                 text: preset(&backends),
             },
         )?;
         let name = "ordinary".to_owned();
-        give(&address, Change::ChoosePreset { name })?;
+        give(log.address(), Change::ChoosePreset { name })?;
         let mut site = Site {
             hosts: Vec::new(),
             _log: log,
@@ -279,7 +279,7 @@
     }
 }
 
-fn give(log: &str, change: Change) -> Result<()> {
+fn give(log: SocketAddr, change: Change) -> Result<()> {
     let request = CommandRequest {
         id: None,
         decided_on: None,
--- a/benches/claims.rs
+++ b/benches/claims.rs
@@ -115,7 +115,9 @@
     });
     let stream = format!("claims-{}", key.stream());
     match client.append(&stream, &record) {
-        Ok(offset) => client.read(&stream, offset, 1, Duration::ZERO).is_ok(),
+        Ok(offset) => client
+            .read(&stream, offset, Some(1), Duration::ZERO)
+            .is_ok(),
         Err(_) => false,
     }
 }
--- a/benches/config_in_force.rs
+++ b/benches/config_in_force.rs
@@ -15,7 +15,7 @@
 use protocol::record::{decode_record, encode_command, encode_snapshot};
 use stand_ins::log::{Behaviour, LogStandIn, Outage};
 use transport::log::{
-    CommandRequest, Follower, FollowerOptions, LogClient, Outcome, Submission, Timeouts,
+    CommandRequest, Follower, FollowerOptions, LogClient, Outcome, PATIENCE, Submission,
 };
 
 const ORDINARY: &str = include_str!("../examples/hr-central.toml");
@@ -50,8 +50,8 @@
 impl Site {
     fn start(hosts: usize) -> Site {
         let log = LogStandIn::on_loopback(Behaviour::default()).expect("the log starts");
-        let address = log.address().to_string();
-        let client = || LogClient::new(&address, Timeouts::default());
+        let address = log.address();
+        let client = || LogClient::new(address, PATIENCE);
         let follow = || Arc::new(Follower::start(client(), FollowerOptions::default()));
         let hosts: Vec<Arc<Follower>> = (0..hosts).map(|_| follow()).collect();
         let operator = Submission::new(client(), follow(), Duration::from_secs(20));
@@ -328,7 +328,7 @@
                 wait: Duration::from_millis(wait_ms),
                 ..FollowerOptions::default()
             };
-            let client = LogClient::new(&relay.to_string(), Timeouts::default());
+            let client = LogClient::new(relay, PATIENCE);
             let host = Follower::start(client, options);
             host.wait_folded(2, Duration::from_secs(5));
             let before = [0, 1].map(|n| bytes[n].load(Ordering::Relaxed));
--- a/components/protocol/src/record.rs
+++ b/components/protocol/src/record.rs
@@ -1,4 +1,4 @@
-//! Records of the log's `config` stream, and the pages in which the log hands records out.
+//! Records of the log's `config` topic.
 
 use bytes::Bytes;
 use coordination::config::{Change, Command, CommandId, Record, Snapshot, Unreadable};
@@ -96,31 +96,6 @@
     incarnation: u64,
 }
 
-/// Records handed out by the log, in offset order and without a gap.
-#[derive(Clone, PartialEq, Message)]
-pub struct Page {
-    /// The offset of the oldest record that the log still has.
-    #[prost(uint64, tag = "1")]
-    pub first: u64,
-    /// The offset that the next append will get.
-    #[prost(uint64, tag = "2")]
-    pub next: u64,
-    /// The records, from the offset asked for or from `first` where that is later.
-    #[prost(message, repeated, tag = "3")]
-    pub records: Vec<PageRecord>,
-}
-
-/// One record of a [`Page`].
-#[derive(Clone, PartialEq, Message)]
-pub struct PageRecord {
-    /// Its offset.
-    #[prost(uint64, tag = "1")]
-    pub offset: u64,
-    /// Its bytes, as they were appended.
-    #[prost(bytes = "bytes", tag = "2")]
-    pub data: Bytes,
-}
-
 /// Returns the bytes of a command's record.
 pub fn encode_command(command: &Command) -> Bytes {
     let body = CommandBody {
--- a/components/stand_ins/src/config_run/hosts.rs
+++ b/components/stand_ins/src/config_run/hosts.rs
@@ -10,7 +10,7 @@
 use state::Config;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
-use transport::log::{Follower, FollowerOptions, LogClient, Submission, Timeouts};
+use transport::log::{Follower, FollowerOptions, LogClient, Submission};
 
 use super::lock;
 use crate::log::LogStandIn;
@@ -136,11 +136,7 @@
 }
 
 fn client(proxy: &Proxy) -> LogClient {
-    let timeouts = Timeouts {
-        connect: Duration::from_millis(200),
-        answer: Duration::from_millis(150),
-    };
-    LogClient::new(&proxy.address().to_string(), timeouts)
+    LogClient::new(proxy.address(), Duration::from_millis(150))
 }
 
 /// Starts a follower that is as quick to notice and to snapshot as the run is short.
@@ -150,7 +146,7 @@
         pause: Duration::from_millis(5),
         longest_pause: Duration::from_millis(50),
         patience: Duration::from_millis(100),
-        batch: 16,
+        kilobytes: Some(1),
         snapshots: Some(Spacing {
             time: Duration::from_secs(1),
             records: 16,
--- /dev/null
+++ b/components/stand_ins/src/log/groups.rs
@@ -0,0 +1,80 @@
+//! Groups, whose members share the partitions of topics evenly.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use platform::served::{Join, Owned};
+
+/// Partitions of each topic.
+const PARTS: u32 = 12;
+
+struct Member {
+    seen: Instant,
+    timeout: Duration,
+}
+
+#[derive(Default)]
+struct Group {
+    generation: u64,
+    topics: Vec<String>,
+    members: BTreeMap<String, Member>,
+}
+
+/// All groups.
+#[derive(Default)]
+pub(super) struct Groups(BTreeMap<String, Group>);
+
+impl Groups {
+    /// Takes a member in, or keeps it; returns the generation and its partitions.
+    pub fn join(&mut self, join: Join) -> (u64, Vec<Owned>) {
+        let group = self.0.entry(join.group).or_default();
+        group.lapse();
+        if group.topics != join.topics {
+            group.topics = join.topics;
+            group.generation += 1;
+        }
+        let member = Member {
+            seen: Instant::now(),
+            timeout: join.timeout,
+        };
+        if group.members.insert(join.member.clone(), member).is_none() {
+            group.generation += 1;
+        }
+        let mine = group.owned().filter(|o| o.member == join.member);
+        (group.generation, mine.collect())
+    }
+
+    /// Returns who holds each partition of a group.
+    pub fn owners(&mut self, group: &str) -> Vec<Owned> {
+        let Some(group) = self.0.get_mut(group) else {
+            return Vec::new();
+        };
+        group.lapse();
+        group.owned().collect()
+    }
+}
+
+impl Group {
+    /// Drops members that gave no sign of life for too long.
+    fn lapse(&mut self) {
+        let before = self.members.len();
+        self.members.retain(|_, m| m.seen.elapsed() < m.timeout);
+        if self.members.len() < before {
+            self.generation += 1;
+        }
+    }
+
+    /// Deals the partitions to the members in turn.
+    fn owned(&self) -> impl Iterator<Item = Owned> {
+        let parts = self
+            .topics
+            .iter()
+            .flat_map(|t| (0..PARTS).map(move |p| (t.clone(), p)));
+        let members = self.members.keys().cycle();
+        parts.zip(members).map(|((topic, part), member)| Owned {
+            topic,
+            part,
+            member: member.clone(),
+        })
+    }
+}
--- a/components/stand_ins/src/log/mod.rs
+++ b/components/stand_ins/src/log/mod.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the platform's append-only log, with the ways it fails.
 
+mod groups;
 mod server;
 mod store;
 
--- a/components/stand_ins/src/log/server.rs
+++ b/components/stand_ins/src/log/server.rs
@@ -6,19 +6,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use prost::Message;
+use platform::served::{self, Call};
 use serde::Serialize;
 use socket2::SockRef;
 use tiny_http::{Method, Request, Response, Server};
-use transport::log::HostEntry;
+use transport::peers::host_list::HostEntry;
 
 use super::store::{Behaviour, Counts, Loss, Refused, Store};
 
-/// The largest record that is taken, in bytes.
-const RECORD_LIMIT: u64 = 4 * 1024 * 1024;
-
-/// The longest wait for a record, in milliseconds.
-const LONGEST_WAIT: u64 = 30_000;
+/// The largest call that is taken, in bytes.
+const CALL_LIMIT: u64 = 4 * 1024 * 1024;
 
 /// The stand-in, serving on threads of its own until it is dropped.
 pub struct LogStandIn {
@@ -27,16 +24,6 @@
     servers: Vec<Arc<Server>>,
 }
 
-#[derive(Serialize)]
-struct Appended {
-    offset: u64,
-}
-
-#[derive(Serialize)]
-struct Refusal {
-    refused: &'static str,
-}
-
 #[derive(Serialize)]
 struct Hosts {
     hosts: Vec<HostEntry>,
@@ -50,19 +37,14 @@
     /// Says why the listener can't be served.
     pub fn start(listener: TcpListener, behaviour: Behaviour) -> io::Result<LogStandIn> {
         let address = listener.local_addr()?;
-        // Taken over by each connection. Without it an answer of more than one
-        // write waits for a delayed acknowledgement, 40 ms, as no real log would.
-        SockRef::from(&listener).set_tcp_nodelay(true)?;
-        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-        let server = Arc::new(server);
-        let store = Arc::new(Store::new(behaviour));
-        serve(&server, &store)?;
-        log::info!("E0901 log-stand-in-started address={address}");
-        Ok(LogStandIn {
+        let mut log = LogStandIn {
             address,
-            store,
-            servers: vec![server],
-        })
+            store: Arc::new(Store::new(behaviour)),
+            servers: Vec::new(),
+        };
+        log.also_listen(listener)?;
+        log::info!("E0901 log-stand-in-started address={address}");
+        Ok(log)
     }
 
     /// Serves the log on a free port of the loopback address.
@@ -80,6 +62,8 @@
     ///
     /// Says why the listener can't be served.
     pub fn also_listen(&mut self, listener: TcpListener) -> io::Result<()> {
+        // Taken over by each connection. Without it an answer of more than one
+        // write waits for a delayed acknowledgement, 40 ms, as no real log would.
         SockRef::from(&listener).set_tcp_nodelay(true)?;
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = Arc::new(server);
@@ -113,17 +97,28 @@
         self.store.keep_journal();
     }
 
-    /// Returns every record of a stream since [`LogStandIn::keep_journal`].
-    pub fn journal(&self, stream: &str) -> Vec<Bytes> {
-        self.store.journal(stream)
+    /// Returns every record of a topic since [`LogStandIn::keep_journal`].
+    pub fn journal(&self, topic: &str) -> Vec<Bytes> {
+        self.store.journal(topic)
     }
 
     /// Appends a record without HTTP and without its budget's answer getting lost.
-    pub fn append(&self, stream: &str, data: Bytes) -> Option<u64> {
+    pub fn append(&self, topic: &str, record: Bytes) -> Option<u64> {
         self.store
-            .append(stream, data)
+            .append(topic, vec![record], None)
             .ok()
-            .map(|(offset, _)| offset)
+            .map(|appended| appended.offset)
+    }
+
+    /// Writes under a key of a topic with keys, or drops it; as operators and
+    /// backend servers do, whatever happens to the log's callers.
+    pub fn put(&self, topic: &str, key: &str, value: Option<Bytes>) {
+        self.store.put(topic, key, value);
+    }
+
+    /// Forgets the records of a topic but for the newest of each key.
+    pub fn forget(&self, topic: &str) {
+        self.store.forget(topic);
     }
 }
 
@@ -157,47 +152,88 @@
 }
 
 fn answer(mut request: Request, store: &Store) {
-    let url = request.url().to_owned();
-    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-    let slow = Duration::from_millis(store.behaviour().slow_ms);
-    let response = match (request.method(), path) {
+    let path = request.url().to_owned();
+    let response = match (request.method(), path.as_str()) {
         (Method::Put, "/control") => control(&mut request, store),
         (Method::Get, "/control") => json(200, &store.behaviour()),
         (Method::Put, "/hosts") => set_hosts(&mut request, store),
         (Method::Get, "/counts") => json(200, &store.counts()),
-        (Method::Get, "/hosts") => late(slow, hosts(store)),
-        (Method::Post, path) if path.starts_with("/streams/") => {
-            match append(&mut request, store, &path["/streams/".len()..]) {
-                Some(response) => late(slow, response),
+        (Method::Get, "/hosts") => hosts(store),
+        _ => match call(&mut request, &path) {
+            None => refuse(400),
+            Some(call) => match carry_out(store, call) {
+                Some(response) => response,
                 None => return lose(request),
-            }
-        }
-        (Method::Get, path) if path.starts_with("/streams/") => {
-            late(slow, read(store, &path["/streams/".len()..], query))
-        }
-        _ => refuse(404, "no such path"),
+            },
+        },
     };
     // The client may have gone; that is its own affair.
     let _ = request.respond(response);
 }
 
+fn call(request: &mut Request, path: &str) -> Option<Call> {
+    let body = match request.method() {
+        Method::Post => body(request)?,
+        _ => Vec::new(),
+    };
+    served::call(path, Bytes::from(body))
+}
+
 type Answer = Response<io::Cursor<Vec<u8>>>;
 
-fn append(request: &mut Request, store: &Store, stream: &str) -> Option<Answer> {
-    let Some(data) = body(request) else {
-        return Some(refuse(413, "the record is too large or was cut"));
-    };
-    if store.enter().is_err() {
-        return Some(refuse(503, "the log is down"));
+/// Carries out a call; nothing where its answer gets lost without a word.
+fn carry_out(store: &Store, call: Call) -> Option<Answer> {
+    if let Err(refused) = store.enter(&call) {
+        return Some(refused_answer(&refused));
     }
-    match store.append(stream, data.into()) {
-        Ok((offset, None)) => Some(json(200, &Appended { offset })),
-        Ok((_, Some(Loss::Gateway))) => {
-            Some(Response::from_data("gateway timeout").with_status_code(504))
+    std::thread::sleep(Duration::from_millis(store.behaviour().slow_ms));
+    let result = match call {
+        Call::Append { topic, records, at } => match store.append(&topic, records, at) {
+            Ok(appended) => match appended.loss {
+                Some(Loss::Silence) => return None,
+                Some(Loss::Gateway) => return Some(refuse(504)),
+                None => Ok(served::append_answer(appended.offset, appended.end)),
+            },
+            Err(refused) => Err(refused),
+        },
+        Call::Read {
+            topic,
+            from,
+            bytes,
+            wait,
+        } => store
+            .read(&topic, from, bytes, wait)
+            .map(|read| served::read_answer(read.first, read.end, &read.records)),
+        Call::Trim { topic, before } => {
+            store.trim(&topic, before);
+            Ok(b"{}".to_vec())
+        }
+        Call::Newest { topic, after } => {
+            let page = store.newest(&topic, after.as_deref());
+            Ok(served::newest_answer(&page.records, page.more, page.end))
+        }
+        Call::Join(join) => {
+            let (generation, parts) = store.join(join);
+            Ok(served::join_answer(generation, &parts))
+        }
+        Call::Owners { group } => Ok(served::owners_answer(&store.owners(&group))),
+    };
+    Some(match result {
+        Ok(body) => Response::from_data(body),
+        Err(refused) => refused_answer(&refused),
+    })
+}
+
+fn refused_answer(refused: &Refused) -> Answer {
+    match refused {
+        Refused::Down => refuse(503),
+        Refused::Budget => refuse(429),
+        Refused::Moved(end) => {
+            Response::from_data(served::append_answer(*end, *end)).with_status_code(412)
+        }
+        Refused::Gone(first) => {
+            Response::from_data(served::forgotten_answer(*first)).with_status_code(410)
         }
-        Ok((_, Some(Loss::Silence))) => None,
-        Err(Refused::Budget) => Some(refuse(429, "too many appends a second")),
-        Err(Refused::Down) => Some(refuse(503, "the log is down")),
     }
 }
 
@@ -206,32 +242,15 @@
     drop(request.into_writer());
 }
 
-fn read(store: &Store, stream: &str, query: &str) -> Answer {
-    let number = |key: &str| {
-        let pair = query.split('&').find_map(|p| p.strip_prefix(key));
-        pair.and_then(|v| v.strip_prefix('=')?.parse::<u64>().ok())
-    };
-    let from = number("from").unwrap_or(0);
-    let max = usize::try_from(number("max").unwrap_or(256)).unwrap_or(usize::MAX);
-    let wait = Duration::from_millis(number("wait-ms").unwrap_or(0).min(LONGEST_WAIT));
-    let page = store
-        .enter()
-        .and_then(|()| store.read(stream, from, max, wait));
-    match page {
-        Ok(page) => Response::from_data(page.encode_to_vec()),
-        Err(_) => refuse(503, "the log is down"),
-    }
-}
-
 fn hosts(store: &Store) -> Answer {
-    match store.enter() {
-        Ok(()) => json(
+    match store.is_up() {
+        true => json(
             200,
             &Hosts {
                 hosts: store.hosts(),
             },
         ),
-        Err(_) => refuse(503, "the log is down"),
+        false => refuse(503),
     }
 }
 
@@ -242,7 +261,7 @@
             store.change(|b| *b = behaviour);
             json(200, &store.behaviour())
         }
-        None => refuse(400, "the body is no behaviour in JSON"),
+        None => refuse(400),
     }
 }
 
@@ -258,7 +277,7 @@
                 },
             )
         }
-        None => refuse(400, "the body is no list of hosts in JSON"),
+        None => refuse(400),
     }
 }
 
@@ -266,13 +285,8 @@
     let announced = request.body_length()?;
     let mut data = Vec::new();
     let reader = request.as_reader();
-    reader.take(RECORD_LIMIT + 1).read_to_end(&mut data).ok()?;
-    (data.len() == announced && data.len() as u64 <= RECORD_LIMIT).then_some(data)
-}
-
-fn late(slow: Duration, response: Answer) -> Answer {
-    std::thread::sleep(slow);
-    response
+    reader.take(CALL_LIMIT + 1).read_to_end(&mut data).ok()?;
+    (data.len() == announced && data.len() as u64 <= CALL_LIMIT).then_some(data)
 }
 
 fn json(status: u16, value: &impl Serialize) -> Answer {
@@ -280,6 +294,6 @@
     Response::from_data(body).with_status_code(status)
 }
 
-fn refuse(status: u16, why: &'static str) -> Answer {
-    json(status, &Refusal { refused: why })
+fn refuse(status: u16) -> Answer {
+    Response::from_data("{}").with_status_code(status)
 }
--- a/components/stand_ins/src/log/store.rs
+++ b/components/stand_ins/src/log/store.rs
@@ -1,4 +1,4 @@
-//! The streams in memory, and how the stand-in misbehaves.
+//! The topics in memory, and how the stand-in misbehaves.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
@@ -6,21 +6,26 @@
 
 use bytes::Bytes;
 use derives::{tag, value};
-use protocol::record::{Page, PageRecord};
+use platform::served::{Call, Join, Owned};
+use platform::store::{Read, Record, encode, record};
 use serde::{Deserialize, Serialize};
-use transport::log::HostEntry;
+use transport::peers::host_list::HostEntry;
+
+use super::groups::Groups;
 
 /// How the stand-in behaves. All of it can be changed while it runs.
 #[value]
 #[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Behaviour {
-    /// Records that a stream keeps, none for all.
+    /// Records that a topic keeps, none for all.
     pub keep_records: Option<usize>,
     /// Milliseconds that a record is kept, none for ever.
     pub keep_ms: Option<u64>,
-    /// Appends a second that are taken, over all streams.
+    /// Calls a second that write and are taken, over all topics.
     pub appends_second: u32,
+    /// Calls a second that read and are taken, over all topics.
+    pub reads_second: u32,
     /// Whether and how the log is down.
     pub outage: Option<Outage>,
     /// Milliseconds by which each answer is late.
@@ -39,6 +44,7 @@
             keep_records: None,
             keep_ms: None,
             appends_second: 500,
+            reads_second: 2_000,
             outage: None,
             slow_ms: 0,
             loss: None,
@@ -75,6 +81,8 @@
 #[derive(Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Counts {
+    /// Calls that came, of all kinds.
+    pub calls: u64,
     /// Records appended.
     pub appends: u64,
     /// Appends refused, for an outage or the budget.
@@ -85,10 +93,15 @@
     pub bytes_read: u64,
 }
 
+/// Records that one page of the newest ones holds.
+const NEWEST_PAGE: usize = 500;
+
 #[derive(Default)]
-struct Stream {
+struct Topic {
     first: u64,
     records: VecDeque<Kept>,
+    /// The newest record of each key, kept for good, with its offset.
+    newest: BTreeMap<String, (Bytes, u64)>,
     journal: Vec<Bytes>,
 }
 
@@ -97,12 +110,36 @@
     data: Bytes,
 }
 
-impl Stream {
-    fn next(&self) -> u64 {
+impl Topic {
+    fn end(&self) -> u64 {
         self.first + self.records.len() as u64
     }
 
-    fn trim(&mut self, behaviour: &Behaviour) {
+    fn push(&mut self, data: Bytes) {
+        self.records.push_back(Kept {
+            at: Instant::now(),
+            data,
+        });
+    }
+
+    /// Notes what stands under the key of a record of a topic with keys.
+    fn note_newest(&mut self, data: &Bytes) {
+        let offset = self.end();
+        match record(data.clone()) {
+            Some(Record {
+                key,
+                value: Some(value),
+            }) => {
+                self.newest.insert(key, (value, offset));
+            }
+            Some(Record { key, value: None }) => {
+                self.newest.remove(&key);
+            }
+            None => {}
+        }
+    }
+
+    fn expire(&mut self, behaviour: &Behaviour) {
         let most = behaviour.keep_records.unwrap_or(usize::MAX);
         let age = behaviour.keep_ms.map(Duration::from_millis);
         let too_old = |kept: &Kept| age.is_some_and(|a| kept.at.elapsed() > a);
@@ -112,41 +149,104 @@
         }
     }
 
-    fn page(&self, from: u64, max: usize) -> Page {
-        let start = from.max(self.first);
-        let skip = usize::try_from(start - self.first).unwrap_or(usize::MAX);
-        let kept = self.records.iter().skip(skip).take(max);
-        let records = kept.zip(start..).map(|(kept, offset)| PageRecord {
-            offset,
-            data: kept.data.clone(),
-        });
-        Page {
+    /// Drops the records before `offset`.
+    fn trim(&mut self, offset: u64) {
+        while self.first < offset && self.records.pop_front().is_some() {
+            self.first += 1;
+        }
+    }
+
+    /// Returns records of at most `bytes`, but always one where there is one.
+    fn read(&self, from: u64, bytes: usize) -> Read {
+        let skip = usize::try_from(from - self.first).unwrap_or(usize::MAX);
+        let mut taken = 0;
+        let mut records = Vec::new();
+        for kept in self.records.iter().skip(skip) {
+            taken += kept.data.len();
+            if taken > bytes && !records.is_empty() {
+                break;
+            }
+            records.push(kept.data.clone());
+        }
+        Read {
+            records,
+            from,
             first: self.first,
-            next: self.next(),
-            records: records.collect(),
+            end: self.end(),
         }
     }
 }
 
 /// Why the stand-in refuses.
 pub(super) enum Refused {
+    /// It is down.
     Down,
+    /// Too many calls came this second.
     Budget,
+    /// The topic ends elsewhere than the append asks for.
+    Moved(u64),
+    /// The records asked for are gone; the first that is not.
+    Gone(u64),
+}
+
+/// An append that was carried out.
+pub(super) struct Appended {
+    /// The offset of the first record.
+    pub offset: u64,
+    /// The offset that the next append gets.
+    pub end: u64,
+    /// How its answer gets lost, if it does.
+    pub loss: Option<Loss>,
+}
+
+/// One page of the newest records of a topic.
+pub(super) struct NewestPage {
+    /// The records with their offsets.
+    pub records: Vec<(Record, u64)>,
+    /// Whether more keys follow.
+    pub more: bool,
+    /// The offset that the next append gets.
+    pub end: u64,
+}
+
+/// Calls that a second allows.
+#[derive(Default)]
+struct Tokens {
+    left: f64,
+    refilled: Option<Instant>,
+}
+
+impl Tokens {
+    /// Takes one, where one is left.
+    fn spend(&mut self, rate: u32) -> bool {
+        let rate = f64::from(rate);
+        let now = Instant::now();
+        // A full second's worth at first.
+        let since = self.refilled.map_or(1.0, |r| (now - r).as_secs_f64());
+        self.refilled = Some(now);
+        self.left = (self.left + since * rate).min(rate);
+        let spent = self.left >= 1.0;
+        if spent {
+            self.left -= 1.0;
+        }
+        spent
+    }
 }
 
 #[derive(Default)]
 struct Inner {
-    streams: BTreeMap<String, Stream>,
+    topics: BTreeMap<String, Topic>,
+    groups: Groups,
     behaviour: Behaviour,
     hosts: Vec<HostEntry>,
     counts: Counts,
-    tokens: f64,
-    refilled: Option<Instant>,
+    writes: Tokens,
+    reads: Tokens,
     stopped: bool,
     keeps_journal: bool,
 }
 
-/// The streams with their lock; waiting readers are woken by each append.
+/// The topics with their lock; waiting readers are woken by each append.
 #[derive(Default)]
 pub(super) struct Store {
     inner: Mutex<Inner>,
@@ -155,13 +255,8 @@
 
 impl Store {
     pub(super) fn new(behaviour: Behaviour) -> Store {
-        let tokens = f64::from(behaviour.appends_second);
         let store = Store::default();
-        {
-            let mut inner = store.lock();
-            inner.behaviour = behaviour;
-            inner.tokens = tokens;
-        }
+        store.lock().behaviour = behaviour;
         store
     }
 
@@ -193,9 +288,9 @@
     pub(super) fn journal(&self, name: &str) -> Vec<Bytes> {
         let inner = self.lock();
         inner
-            .streams
+            .topics
             .get(name)
-            .map_or_else(Vec::new, |s| s.journal.clone())
+            .map_or_else(Vec::new, |t| t.journal.clone())
     }
 
     pub(super) fn stop(&self) {
@@ -204,7 +299,7 @@
     }
 
     /// Waits while the log is silent, then says whether it is up.
-    pub(super) fn enter(&self) -> Result<(), Refused> {
+    pub(super) fn is_up(&self) -> bool {
         let inner = self.lock();
         let was_silent = inner.behaviour.outage == Some(Outage::Silent);
         let silent = |i: &mut Inner| !i.stopped && i.behaviour.outage == Some(Outage::Silent);
@@ -212,35 +307,67 @@
             .changed
             .wait_while(inner, silent)
             .unwrap_or_else(PoisonError::into_inner);
-        match inner.behaviour.outage {
-            None if !was_silent && !inner.stopped => Ok(()),
-            _ => {
-                inner.counts.refused += 1;
-                Err(Refused::Down)
-            }
+        let up = inner.behaviour.outage.is_none() && !was_silent && !inner.stopped;
+        if !up {
+            inner.counts.refused += 1;
         }
+        up
     }
 
-    /// Appends a record; says its offset and how the answer gets lost, if it does.
-    pub(super) fn append(&self, name: &str, data: Bytes) -> Result<(u64, Option<Loss>), Refused> {
+    /// Lets a call in, or says why not.
+    pub(super) fn enter(&self, call: &Call) -> Result<(), Refused> {
+        self.lock().counts.calls += 1;
+        if !self.is_up() {
+            return Err(Refused::Down);
+        }
         let mut inner = self.lock();
-        if !inner.spend_token() {
-            inner.counts.refused += 1;
-            return Err(Refused::Budget);
+        let Behaviour {
+            appends_second,
+            reads_second,
+            ..
+        } = inner.behaviour;
+        let allowed = match call {
+            Call::Append { .. } | Call::Trim { .. } => inner.writes.spend(appends_second),
+            Call::Read { .. } | Call::Newest { .. } | Call::Owners { .. } => {
+                inner.reads.spend(reads_second)
+            }
+            // It counts as a tenth of a call, too little to matter here.
+            Call::Join(_) => true,
+        };
+        if allowed {
+            return Ok(());
         }
-        inner.counts.appends += 1;
+        inner.counts.refused += 1;
+        Err(Refused::Budget)
+    }
+
+    /// Appends records; `at` says where the topic has to end, if anywhere.
+    pub(super) fn append(
+        &self,
+        name: &str,
+        records: Vec<Bytes>,
+        at: Option<u64>,
+    ) -> Result<Appended, Refused> {
+        let mut inner = self.lock();
         let behaviour = inner.behaviour.clone();
         let keeps_journal = inner.keeps_journal;
-        let stream = inner.streams.entry(name.to_owned()).or_default();
-        let offset = stream.next();
-        if keeps_journal {
-            stream.journal.push(data.clone());
+        let topic = inner.topics.entry(name.to_owned()).or_default();
+        let offset = topic.end();
+        if at.is_some_and(|at| at != offset) {
+            return Err(Refused::Moved(offset));
         }
-        stream.records.push_back(Kept {
-            at: Instant::now(),
-            data,
-        });
-        stream.trim(&behaviour);
+        for data in records {
+            if keeps_journal {
+                topic.journal.push(data.clone());
+            }
+            if has_keys(name) {
+                topic.note_newest(&data);
+            }
+            topic.push(data);
+        }
+        let end = topic.end();
+        topic.expire(&behaviour);
+        inner.counts.appends += 1;
         let loss = behaviour.loss.filter(|_| behaviour.losses > 0);
         if loss.is_some() {
             inner.behaviour.losses -= 1;
@@ -249,20 +376,51 @@
             }
         }
         self.changed.notify_all();
-        Ok((offset, loss))
+        Ok(Appended { offset, end, loss })
     }
 
-    /// Reads a page, waiting up to `wait` for the first record.
+    /// Writes under a key, or drops it, without a call.
+    pub(super) fn put(&self, name: &str, key: &str, value: Option<Bytes>) {
+        let record = Record {
+            key: key.to_owned(),
+            value,
+        };
+        let Some(data) = encode(&record) else {
+            log::error!("E0903 key-too-long key={key:?}");
+            return;
+        };
+        let mut inner = self.lock();
+        let topic = inner.topics.entry(name.to_owned()).or_default();
+        topic.note_newest(&data);
+        topic.push(data);
+        self.changed.notify_all();
+    }
+
+    /// Drops all records of a topic but for the newest of each key.
+    pub(super) fn forget(&self, name: &str) {
+        self.trim(name, u64::MAX);
+    }
+
+    pub(super) fn trim(&self, name: &str, before: u64) {
+        let mut inner = self.lock();
+        inner
+            .topics
+            .entry(name.to_owned())
+            .or_default()
+            .trim(before);
+    }
+
+    /// Reads records, waiting up to `wait` for the first.
     pub(super) fn read(
         &self,
         name: &str,
         from: u64,
-        max: usize,
+        bytes: usize,
         wait: Duration,
-    ) -> Result<Page, Refused> {
+    ) -> Result<Read, Refused> {
         let nothing_new = |i: &mut Inner| {
-            let next = i.streams.get(name).map_or(0, Stream::next);
-            !i.stopped && i.behaviour.outage.is_none() && next <= from
+            let end = i.topics.get(name).map_or(0, Topic::end);
+            !i.stopped && i.behaviour.outage.is_none() && end <= from
         };
         let mut inner = self
             .changed
@@ -273,16 +431,49 @@
             return Err(Refused::Down);
         }
         let behaviour = inner.behaviour.clone();
-        let stream = inner.streams.entry(name.to_owned()).or_default();
-        stream.trim(&behaviour);
-        let page = stream.page(from, max);
+        let topic = inner.topics.entry(name.to_owned()).or_default();
+        topic.expire(&behaviour);
+        if from < topic.first {
+            return Err(Refused::Gone(topic.first));
+        }
+        let read = topic.read(from, bytes);
         inner.counts.reads += 1;
-        inner.counts.bytes_read += page
-            .records
-            .iter()
-            .map(|r| r.data.len() as u64)
-            .sum::<u64>();
-        Ok(page)
+        let read_bytes: u64 = read.records.iter().map(|r| r.len() as u64).sum();
+        inner.counts.bytes_read += read_bytes;
+        Ok(read)
+    }
+
+    /// Returns the newest records, after a key where one is given.
+    pub(super) fn newest(&self, name: &str, after: Option<&str>) -> NewestPage {
+        let mut inner = self.lock();
+        inner.counts.reads += 1;
+        let topic = inner.topics.entry(name.to_owned()).or_default();
+        let later = |key: &str| after.is_none_or(|after| key > after);
+        let mut rest = topic.newest.iter().filter(|(key, _)| later(key));
+        let records = rest
+            .by_ref()
+            .take(NEWEST_PAGE)
+            .map(|(key, (value, offset))| {
+                let record = Record {
+                    key: key.clone(),
+                    value: Some(value.clone()),
+                };
+                (record, *offset)
+            })
+            .collect();
+        NewestPage {
+            records,
+            more: rest.next().is_some(),
+            end: topic.end(),
+        }
+    }
+
+    pub(super) fn join(&self, join: Join) -> (u64, Vec<Owned>) {
+        self.lock().groups.join(join)
+    }
+
+    pub(super) fn owners(&self, group: &str) -> Vec<Owned> {
+        self.lock().groups.owners(group)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -290,18 +481,7 @@
     }
 }
 
-impl Inner {
-    /// Takes one of the appends that a second allows.
-    fn spend_token(&mut self) -> bool {
-        let rate = f64::from(self.behaviour.appends_second);
-        let now = Instant::now();
-        let since = self.refilled.map_or(0.0, |r| (now - r).as_secs_f64());
-        self.refilled = Some(now);
-        self.tokens = (self.tokens + since * rate).min(rate);
-        let spent = self.tokens >= 1.0;
-        if spent {
-            self.tokens -= 1.0;
-        }
-        spent
-    }
+/// Returns whether a topic's records have keys.
+fn has_keys(topic: &str) -> bool {
+    topic.starts_with(platform::store::WITH_KEYS)
 }
--- a/components/stand_ins/src/site.rs
+++ b/components/stand_ins/src/site.rs
@@ -240,14 +240,14 @@
     }
 
     async fn command(&self, looked: Option<u64>, change: Change) -> Result<u64, SiteError> {
-        let address = self.log.address().to_string();
+        let address = self.log.address();
         let request = CommandRequest {
             id: None,
             decided_on: looked,
             change,
         };
         let submitted =
-            tokio::task::spawn_blocking(move || submit_by_log(&address, &request, COMMAND_LIMIT))
+            tokio::task::spawn_blocking(move || submit_by_log(address, &request, COMMAND_LIMIT))
                 .await;
         match submitted.map_err(io::Error::other)? {
             Outcome::Accepted { revision } => Ok(revision),
--- /dev/null
+++ b/components/stand_ins/tests/log_calls.rs
@@ -0,0 +1,119 @@
+//! The log stand-in, asked by the one client that entry hosts use.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use stand_ins::log::{Behaviour, LogStandIn, Loss, Outage};
+use transport::store::{Store, StoreError};
+
+fn started() -> (LogStandIn, Store) {
+    let log = LogStandIn::on_loopback(Behaviour::default()).unwrap();
+    let store = Store::new(log.address());
+    (log, store)
+}
+
+fn put(log: &LogStandIn, key: &str, value: Option<&'static str>) {
+    log.put("keyed.op", key, value.map(Bytes::from));
+}
+
+#[tokio::test]
+async fn newest_of_keys() {
+    let (log, mut store) = started();
+    put(&log, "a", Some("1"));
+    put(&log, "b", Some("2"));
+    put(&log, "a", Some("3"));
+    put(&log, "b", None);
+    let page = store.newest("keyed.op", None).await.unwrap();
+    let found: Vec<_> = page.records.iter().map(|r| r.key.as_str()).collect();
+    assert_eq!((found, page.end), (vec!["a"], 4));
+    assert_eq!(page.records[0].value.as_deref(), Some(b"3".as_slice()));
+    for n in 0..501 {
+        put(&log, &format!("k{n:03}"), Some("x"));
+    }
+    let first = store.newest("keyed.op", None).await.unwrap();
+    let after = first.after.expect("more than one page");
+    let second = store.newest("keyed.op", Some(&after)).await.unwrap();
+    assert_eq!(first.records.len() + second.records.len(), 502);
+    assert_eq!(second.after, None);
+}
+
+/// The store forgets what operators wrote. A host that reads on must hear that
+/// it missed something, and where the rest begins.
+#[tokio::test]
+async fn forgotten_records() {
+    let (log, mut store) = started();
+    put(&log, "a", Some("1"));
+    log.forget("keyed.op");
+    let read = store.read("keyed.op", 0, Duration::ZERO, None).await;
+    assert!(matches!(read, Err(StoreError::Forgotten(1))), "{read:?}");
+    let page = store.newest("keyed.op", None).await.unwrap();
+    assert_eq!((page.records.len(), page.end), (1, 1));
+}
+
+#[tokio::test]
+async fn waiting_read() {
+    let (log, mut store) = started();
+    put(&log, "a", Some("1"));
+    let from_end = store.read("keyed.op", 1, Duration::ZERO, None);
+    assert!(from_end.await.unwrap().records.is_empty());
+    let (read, ()) = tokio::join!(
+        store.read("keyed.op", 1, Duration::from_secs(20), None),
+        async { put(&log, "b", Some("2")) }
+    );
+    assert_eq!(read.unwrap().records.len(), 1);
+}
+
+#[tokio::test]
+async fn short_pages() {
+    let (log, mut store) = started();
+    for _ in 0..4 {
+        log.append("claims-0", Bytes::from(vec![b'x'; 600]));
+    }
+    let read = store.read("claims-0", 1, Duration::ZERO, Some(1)).await;
+    let read = read.unwrap();
+    assert_eq!((read.records.len(), read.next(), read.end), (1, 2, 4));
+}
+
+/// Two hosts share all partitions evenly; one falls silent, and the other gets
+/// them all. Bounds over all hosts together rest on that.
+#[tokio::test]
+async fn even_parts() {
+    let (log, mut store) = started();
+    let mut other = Store::new(log.address());
+    let topics = ["hosts-0".to_owned(), "hosts-1".to_owned()];
+    let body = |member, timeout| platform::store::join_body("g", member, &topics, timeout, 0);
+    let alone = store.join(body("one", 60.0)).await.unwrap();
+    assert_eq!(alone.parts, 24);
+    let second = other.join(body("two", 60.0)).await.unwrap();
+    assert_eq!(second.parts, 12);
+    assert!(second.generation > alone.generation);
+    let owners = store.owners("g").await.unwrap();
+    assert_eq!(owners, BTreeSet::from(["one".to_owned(), "two".to_owned()]));
+    // It is kept no longer than this very call.
+    other.join(body("two", 0.0)).await.unwrap();
+    let again = store.join(body("one", 60.0)).await.unwrap();
+    assert_eq!(again.parts, 24);
+}
+
+/// More reads come in a second than the store grants: the rest is refused, and
+/// nothing but the store's own word counts as a refusal.
+#[tokio::test]
+async fn refusals() {
+    let (log, mut store) = started();
+    log.change(|b| b.reads_second = 3);
+    let mut refused = 0;
+    for _ in 0..12 {
+        let read = store.read("claims-0", 0, Duration::ZERO, None).await;
+        refused += u32::from(read.is_err_and(|e| e.is_refusal()));
+    }
+    assert!(refused > 0);
+    log.change(|b| b.outage = Some(Outage::Refusing));
+    let record = Bytes::from_static(b"x");
+    let down = store.append("claims-0", &record).await;
+    assert!(down.is_err_and(|e| e.is_refusal()));
+    log.change(|b| (b.outage, b.loss, b.losses) = (None, Some(Loss::Gateway), 1));
+    let lost = store.append("claims-0", &record).await;
+    assert!(lost.is_err_and(|e| !e.is_refusal()));
+    assert_eq!(log.counts().appends, 1);
+}
--- a/components/transport/src/claims/worker.rs
+++ b/components/transport/src/claims/worker.rs
@@ -273,12 +273,12 @@
             let read = self
                 .setup
                 .client
-                .read(&self.stream, from, PAGE, Duration::ZERO);
+                .read(&self.stream, from, None, Duration::ZERO);
             let page = read.map_err(|e| Trouble::Unread(e.0))?;
-            if page.next < from {
+            if page.end < from {
                 return Err(Trouble::Unread(format!(
                     "the stream ends at {}, before {from}, where this host has been",
-                    page.next
+                    page.end
                 )));
             }
             if page.first > from {
@@ -287,11 +287,11 @@
                 self.home.restart(page.first);
             }
             let now = clock::now();
-            for record in &page.records {
-                let batch = self.read(record.offset, &record.data)?;
-                self.home.fold(record.offset, batch.as_ref(), now);
+            for (offset, record) in (page.from..).zip(&page.records) {
+                let batch = self.read(offset, record)?;
+                self.home.fold(offset, batch.as_ref(), now);
             }
-            if self.home.table().next() >= page.next {
+            if self.home.table().next() >= page.end {
                 self.home.caught_up();
                 self.read = now;
                 self.note_success();
@@ -361,6 +361,3 @@
 
 /// How often an idle home reads its stream.
 const READ_EVERY: Duration = Duration::from_secs(5);
-
-/// Records read at once.
-const PAGE: usize = 256;
--- a/components/transport/src/entry/mod.rs
+++ b/components/transport/src/entry/mod.rs
@@ -24,7 +24,7 @@
 use crate::claims::{Claims, ClaimsOptions, WorkerOptions};
 use crate::dispatch::{Dispatcher, Setup};
 use crate::edge::{Edge, Limits};
-use crate::log::{Follower, FollowerOptions, LogClient, Submission, Timeouts};
+use crate::log::{Follower, FollowerOptions, LogClient, PATIENCE, Submission};
 use crate::peers::{Identity, Links, LiveView, Members, MembersOptions};
 use crate::trace::Tracing;
 use router::Router;
@@ -180,7 +180,7 @@
 
 impl Host {
     fn start(settings: &Settings, peers: TcpListener, peers_at: SocketAddr) -> Host {
-        let client = LogClient::new(&settings.log.to_string(), Timeouts::default());
+        let client = LogClient::new(settings.log, PATIENCE);
         let follower = Arc::new(Follower::start(client.clone(), FollowerOptions::default()));
         let submission = Submission::new(client.clone(), Arc::clone(&follower), COMMAND_LIMIT);
         let identity = Identity {
@@ -195,7 +195,7 @@
                 identity: identity.clone(),
                 address: peers_at,
                 follower: Arc::clone(&follower),
-                client: client.clone(),
+                host_list: settings.log,
                 submission: submission.clone(),
             },
             peers,
--- a/components/transport/src/gateway/answer.rs
+++ b/components/transport/src/gateway/answer.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::task::spawn_local;
 
-use super::attempt::{Rest, poll_piece};
+use super::attempt::Rest;
 use super::stream::Phase;
 use crate::edge::body::SharedBody;
 
@@ -66,7 +66,9 @@
         }
         match &mut this.rest {
             None => Poll::Ready(None),
-            Some(rest) => poll_piece(&mut rest.connection, &mut rest.incoming, cx)
+            Some(rest) => rest
+                .connection
+                .poll_piece(&mut rest.incoming, cx)
                 .map(|piece| piece.map(|result| result.map(Frame::data))),
         }
     }
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -15,7 +15,6 @@
 use tokio::time::{sleep, timeout};
 
 use super::Gateway;
-use super::attempt::next_piece;
 use crate::clock;
 use crate::upstream::{Connection, RequestBody};
 
@@ -161,7 +160,7 @@
         let answer = connection.send(request).await.ok()?;
         let (parts, mut incoming) = answer.into_parts();
         let mut size = 0;
-        while let Some(piece) = next_piece(&mut connection, &mut incoming).await {
+        while let Some(piece) = connection.next_piece(&mut incoming).await {
             size += piece.ok()?.len();
             if size > ASK_SIZE {
                 return None;
--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -1,11 +1,9 @@
 //! One attempt of a request at one endpoint.
 
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
-use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, EXPECT, HeaderMap};
 use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts as AnswerParts;
@@ -183,7 +181,7 @@
         }
         let mut start = BytesMut::new();
         let rest = loop {
-            match next_piece(&mut connection, &mut incoming).await {
+            match connection.next_piece(&mut incoming).await {
                 None => {
                     self.gateway.keep(connection, &parts.headers);
                     break None;
@@ -272,44 +270,3 @@
         fields
     }
 }
-
-/// Returns the next piece of an answer's body.
-pub(super) async fn next_piece(
-    connection: &mut Connection,
-    incoming: &mut Incoming,
-) -> Option<Result<Bytes, hyper::Error>> {
-    poll_fn(|cx| poll_piece(connection, incoming, cx)).await
-}
-
-/// Polls for the next piece of an answer's body, and moves the connection on.
-pub(super) fn poll_piece(
-    connection: &mut Connection,
-    incoming: &mut Incoming,
-    cx: &mut Context<'_>,
-) -> Poll<Option<Result<Bytes, hyper::Error>>> {
-    if let ready @ Poll::Ready(_) = poll_data(incoming, cx) {
-        // The end may be known before the connection knows that it is free.
-        connection.drive(cx);
-        return ready;
-    }
-    connection.drive(cx);
-    poll_data(incoming, cx)
-}
-
-fn poll_data(
-    incoming: &mut Incoming,
-    cx: &mut Context<'_>,
-) -> Poll<Option<Result<Bytes, hyper::Error>>> {
-    loop {
-        let frame = match std::pin::Pin::new(&mut *incoming).poll_frame(cx) {
-            Poll::Pending => return Poll::Pending,
-            Poll::Ready(None) => return Poll::Ready(None),
-            Poll::Ready(Some(Err(e))) => return Poll::Ready(Some(Err(e))),
-            Poll::Ready(Some(Ok(frame))) => frame,
-        };
-        // Trailers concern this connection only.
-        if let Ok(data) = frame.into_data() {
-            return Poll::Ready(Some(Ok(data)));
-        }
-    }
-}
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -18,8 +18,8 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::Gateway;
-use super::store::{Store, StoreError};
 use crate::clock;
+use crate::store::{Store, StoreError};
 
 impl Gateway {
     /// Follows one topic, for ever.
@@ -67,7 +67,7 @@
     fn note_trouble(&self, topic: Topic, error: &StoreError) {
         let now = clock::now();
         let draw = self.draw_share();
-        if let StoreError::Forgotten = error {
+        if let StoreError::Forgotten(_) = error {
             self.feed(topic, |feed| feed.forgotten(now));
             return;
         }
@@ -102,7 +102,7 @@
     async fn read_on(&self, store: &mut Store, topic: Topic, from: u64) -> Result<(), StoreError> {
         let waits = self.feed(topic, |feed| feed.is_reader());
         let wait = if waits { READ_WAIT } else { Duration::ZERO };
-        let read = store.read(name(topic), from, wait).await?;
+        let read = store.read(name(topic), from, wait, None).await?;
         // A neighbour may have told some of it meanwhile.
         let known = self.feed(topic, |feed| feed.next()).unwrap_or(from);
         let alone = self.neighbours.borrow().is_empty();
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -19,7 +19,6 @@
 mod server;
 mod settings;
 mod share;
-mod store;
 mod stream;
 
 use std::cell::{Cell, RefCell};
--- a/components/transport/src/gateway/share.rs
+++ b/components/transport/src/gateway/share.rs
@@ -9,8 +9,8 @@
 use tokio::time::sleep;
 
 use super::Gateway;
-use super::store::{Store, StoreError};
 use crate::clock;
+use crate::store::{Store, StoreError};
 
 /// The group that all entry hosts join.
 const GROUP: &str = "entry-hosts";
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod gateway;
 pub mod log;
 pub mod peers;
+pub mod store;
 pub mod trace;
 pub mod upstream;
--- a/components/transport/src/log/client.rs
+++ b/components/transport/src/log/client.rs
@@ -1,18 +1,25 @@
-//! Speaks HTTP to the platform's log, on blocking threads.
+//! The store's client for threads that may block: commands, followers, claims.
 
+use std::cell::RefCell;
 use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::{SyncSender, sync_channel};
 use std::time::Duration;
 
 use bytes::Bytes;
-use derives::{tag, value};
-use prost::Message;
-use protocol::record::Page;
-use serde::{Deserialize, Serialize};
-use ureq::http::Response;
-use ureq::{Agent, Body};
+use derives::value;
+use platform::store::Read;
+use tokio::runtime;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::{LocalSet, spawn_local};
 
-/// The largest page that is read, in bytes: a bound on memory, not on records.
-const PAGE_LIMIT: u64 = 64 * 1024 * 1024;
+use crate::store::{Store, StoreError};
+
+/// How long an append's answer, or a read's beyond its own wait, may take by default.
+///
+/// An operator's command rather waits for a slow store than ends as "unknown".
+pub const PATIENCE: Duration = Duration::from_secs(2);
 
 /// Why an append got no offset.
 #[value]
@@ -26,96 +33,62 @@
     Unanswered(String),
 }
 
-/// Why a read got no page.
+/// Why a read got no records.
 #[value]
 #[derive(thiserror::Error)]
 #[error("the log can't be read: {0}")]
 pub struct ReadError(pub String);
 
-/// How long the log may take.
-#[tag]
-pub struct Timeouts {
-    /// For a connection. Over it nothing has been sent.
-    pub connect: Duration,
-    /// For an append's answer, or for a read's beyond its own wait.
-    pub answer: Duration,
-}
-
-impl Default for Timeouts {
-    fn default() -> Timeouts {
-        Timeouts {
-            connect: Duration::from_millis(500),
-            answer: Duration::from_secs(2),
-        }
-    }
-}
-
-/// One line of the platform's lagging list of hosts.
-#[value]
-#[derive(Serialize, Deserialize)]
-pub struct HostEntry {
-    /// The host's name.
-    pub name: String,
-    /// Its IP number.
-    pub address: String,
-    /// Whether it is to stay.
-    pub state: HostState,
-}
-
-/// What the platform says of a host.
-#[tag]
-#[derive(Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum HostState {
-    /// It runs.
-    Live,
-    /// It is about to go.
-    Leaving,
-}
-
-#[derive(Deserialize)]
-struct Appended {
-    offset: u64,
-}
-
-#[derive(Deserialize)]
-struct Refused {
-    refused: String,
-}
-
-#[derive(Deserialize)]
-struct Hosts {
-    hosts: Vec<HostEntry>,
+/// One call, and where its answer goes.
+enum Call {
+    Append {
+        topic: String,
+        record: Bytes,
+        limit: Duration,
+        answer: SyncSender<Result<u64, StoreError>>,
+    },
+    Read {
+        topic: String,
+        from: u64,
+        kilobytes: Option<u32>,
+        wait: Duration,
+        limit: Duration,
+        answer: SyncSender<Result<Read, StoreError>>,
+    },
 }
 
-/// A client of the log. Clones share their connections.
+/// A client of the log for threads that may block. Clones share its connections.
+///
+/// A thread of its own runs [`Store`], the one client of the store, so that it
+/// needs no runtime where it is used. The thread ends with the last clone.
 #[derive(Clone, Debug)]
 pub struct LogClient {
-    agent: Agent,
-    base: String,
-    timeouts: Timeouts,
+    calls: UnboundedSender<Call>,
+    limit: Duration,
 }
 
 impl LogClient {
-    /// Returns a client of the log at `address` (`IP:port`).
-    pub fn new(address: &str, timeouts: Timeouts) -> LogClient {
-        let config = Agent::config_builder()
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .proxy(None)
-            .timeout_connect(Some(timeouts.connect))
-            .build();
+    /// Returns a client of the log at `address`; `limit` bounds how long an answer takes.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the system gives no thread.
+    pub fn new(address: SocketAddr, limit: Duration) -> LogClient {
+        let (sender, calls) = unbounded_channel();
+        std::thread::Builder::new()
+            .name("log-client".to_owned())
+            .spawn(move || run(address, calls))
+            .expect("a thread can be started");
         LogClient {
-            agent: Agent::new_with_config(config),
-            base: format!("http://{address}"),
-            timeouts,
+            calls: sender,
+            limit,
         }
     }
 
     /// Returns the same client with another time-out for answers.
-    pub fn waiting(&self, answer: Duration) -> LogClient {
+    pub fn waiting(&self, limit: Duration) -> LogClient {
         let mut client = self.clone();
-        client.timeouts.answer = answer;
+        client.limit = limit;
         client
     }
 
@@ -124,106 +97,128 @@
     /// # Errors
     ///
     /// Keeps what surely did not land apart from what may have.
-    pub fn append(&self, stream: &str, record: &Bytes) -> Result<u64, AppendError> {
-        metrics::counter!("cardamomvale_log_appends_total", "stream" => stream.to_owned())
+    pub fn append(&self, topic: &str, record: &Bytes) -> Result<u64, AppendError> {
+        metrics::counter!("cardamomvale_log_appends_total", "stream" => topic.to_owned())
             .increment(1);
-        let sent = self
-            .agent
-            .post(format!("{}/streams/{stream}", self.base))
-            .config()
-            .timeout_global(Some(self.timeouts.answer))
-            .build()
-            .send(&record[..]);
-        match sent {
-            Ok(response) => appended(response),
-            Err(error) if never_sent(&error) => Err(AppendError::Refused(error.to_string())),
-            Err(error) => Err(AppendError::Unanswered(error.to_string())),
+        let (answer, answered) = sync_channel(1);
+        let call = Call::Append {
+            topic: topic.to_owned(),
+            record: record.clone(),
+            limit: self.limit,
+            answer,
+        };
+        self.calls
+            .send(call)
+            .map_err(|_| AppendError::Refused(GONE.to_owned()))?;
+        match answered.recv() {
+            Ok(Ok(offset)) => Ok(offset),
+            Ok(Err(error)) if error.is_refusal() => Err(AppendError::Refused(error.to_string())),
+            Ok(Err(error)) => Err(AppendError::Unanswered(error.to_string())),
+            Err(_) => Err(AppendError::Unanswered(GONE.to_owned())),
         }
     }
 
-    /// Reads up to `max` records from offset `from`. Waits up to `wait` for the
-    /// first where there is none yet. Blocks.
+    /// Reads records from offset `from`, or from the oldest where that one is gone.
+    ///
+    /// Waits up to `wait` for the first where there is none yet; `kilobytes`
+    /// bounds the answer. Blocks.
     ///
     /// # Errors
     ///
-    /// Says why there is no page; reading again does no harm.
+    /// Says why there are no records; reading again does no harm.
     pub fn read(
         &self,
-        stream: &str,
+        topic: &str,
         from: u64,
-        max: usize,
+        kilobytes: Option<u32>,
         wait: Duration,
-    ) -> Result<Page, ReadError> {
-        let wait_ms = wait.as_millis();
-        let url = format!(
-            "{}/streams/{stream}?from={from}&max={max}&wait-ms={wait_ms}",
-            self.base
-        );
-        let bytes = self.get(&url, wait + self.timeouts.answer)?;
-        let page = Page::decode(&bytes[..]).map_err(|e| ReadError(e.to_string()))?;
-        let expected = from.max(page.first);
-        let offsets = page.records.iter().map(|r| r.offset);
-        match offsets.zip(expected..).all(|(is, ought)| is == ought) {
-            true => Ok(page),
-            false => Err(ReadError("the page has a gap".to_owned())),
+    ) -> Result<Read, ReadError> {
+        let (answer, answered) = sync_channel(1);
+        let call = Call::Read {
+            topic: topic.to_owned(),
+            from,
+            kilobytes,
+            wait,
+            limit: self.limit,
+            answer,
+        };
+        self.calls
+            .send(call)
+            .map_err(|_| ReadError(GONE.to_owned()))?;
+        match answered.recv() {
+            Ok(result) => result.map_err(|e| ReadError(e.to_string())),
+            Err(_) => Err(ReadError(GONE.to_owned())),
         }
     }
+}
 
-    /// Returns the platform's list of hosts, which lags. Blocks.
-    ///
-    /// # Errors
-    ///
-    /// Says why there is no list; that is no sign that any host has gone.
-    pub fn hosts(&self) -> Result<Vec<HostEntry>, ReadError> {
-        let bytes = self.get(&format!("{}/hosts", self.base), self.timeouts.answer)?;
-        let list: Hosts = serde_json::from_slice(&bytes).map_err(|e| ReadError(e.to_string()))?;
-        Ok(list.hosts)
-    }
+/// What is said where the client's thread has ended.
+const GONE: &str = "the log's client has stopped";
 
-    fn get(&self, url: &str, timeout: Duration) -> Result<Vec<u8>, ReadError> {
-        let mut response = self
-            .agent
-            .get(url)
-            .config()
-            .timeout_global(Some(timeout))
-            .build()
-            .call()
-            .map_err(|e| ReadError(e.to_string()))?;
-        let status = response.status();
-        if status != 200 {
-            return Err(ReadError(format!("status {status}")));
-        }
-        let body = response.body_mut().with_config().limit(PAGE_LIMIT);
-        body.read_to_vec().map_err(|e| ReadError(e.to_string()))
-    }
+/// Connections of one client that lie idle.
+type Idle = Rc<RefCell<Vec<Store>>>;
+
+fn run(address: SocketAddr, calls: UnboundedReceiver<Call>) {
+    let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return report(&error),
+    };
+    LocalSet::new().block_on(&runtime, take_calls(address, calls));
 }
 
-/// Reads the answer to an append. Only the log's own word counts as a refusal:
-/// a status without it may come from something in between, after the effect.
-fn appended(mut response: Response<Body>) -> Result<u64, AppendError> {
-    let status = response.status();
-    let body = response
-        .body_mut()
-        .read_to_vec()
-        .map_err(|e| AppendError::Unanswered(e.to_string()))?;
-    if status == 200 {
-        let parsed: Result<Appended, _> = serde_json::from_slice(&body);
-        return parsed
-            .map(|a| a.offset)
-            .map_err(|e| AppendError::Unanswered(e.to_string()));
-    }
-    match serde_json::from_slice::<Refused>(&body) {
-        Ok(refused) => Err(AppendError::Refused(refused.refused)),
-        Err(_) => Err(AppendError::Unanswered(format!("status {status}"))),
+fn report(error: &io::Error) {
+    log::error!("E0318 log-client-failed error={error:?}");
+}
+
+async fn take_calls(address: SocketAddr, mut calls: UnboundedReceiver<Call>) {
+    let idle = Idle::default();
+    while let Some(call) = calls.recv().await {
+        let kept = idle.borrow_mut().pop();
+        let store = kept.unwrap_or_else(|| Store::new(address));
+        spawn_local(carry_out(call, store, Rc::clone(&idle)));
     }
 }
 
-/// Returns whether the error came before a byte could be sent.
-pub(super) fn never_sent(error: &ureq::Error) -> bool {
-    match error {
-        ureq::Error::Timeout(timeout) => matches!(timeout, ureq::Timeout::Connect),
-        ureq::Error::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
-        ureq::Error::ConnectionFailed | ureq::Error::BadUri(_) => true,
-        _ => false,
+async fn carry_out(call: Call, mut store: Store, idle: Idle) {
+    let silent = match call {
+        Call::Append {
+            topic,
+            record,
+            limit,
+            answer,
+        } => {
+            store.set_limit(limit);
+            let result = store.append(&topic, &record).await;
+            let silent = is_silent(&result);
+            // The caller waits for this answer, so it is there.
+            let _ = answer.send(result);
+            silent
+        }
+        Call::Read {
+            topic,
+            from,
+            kilobytes,
+            wait,
+            limit,
+            answer,
+        } => {
+            store.set_limit(limit);
+            let mut result = store.read(&topic, from, wait, kilobytes).await;
+            if let Err(StoreError::Forgotten(first)) = result {
+                result = store.read(&topic, first, wait, kilobytes).await;
+            }
+            let silent = is_silent(&result);
+            let _ = answer.send(result);
+            silent
+        }
+    };
+    // What took one connection away without a word may have taken them all.
+    if silent {
+        idle.borrow_mut().clear();
     }
+    idle.borrow_mut().push(store);
+}
+
+fn is_silent<T>(result: &Result<T, StoreError>) -> bool {
+    matches!(result, Err(StoreError::Silent(_)))
 }
--- a/components/transport/src/log/follower.rs
+++ b/components/transport/src/log/follower.rs
@@ -27,8 +27,8 @@
     /// How long a read may take beyond its wait before another is sent beside
     /// it. It bounds how late a host learns that a link has gone silent.
     pub patience: Duration,
-    /// Records asked for at once.
-    pub batch: usize,
+    /// Kilobytes of records asked for at once, none for as many as the log gives.
+    pub kilobytes: Option<u32>,
     /// When snapshots are due, or none where this follower appends none.
     pub snapshots: Option<Spacing>,
 }
@@ -40,7 +40,7 @@
             pause: Duration::from_millis(50),
             longest_pause: Duration::from_secs(1),
             patience: Duration::from_secs(1),
-            batch: 256,
+            kilobytes: None,
             snapshots: Some(Spacing::default()),
         }
     }
--- a/components/transport/src/log/mod.rs
+++ b/components/transport/src/log/mod.rs
@@ -6,7 +6,7 @@
 mod remote;
 mod submit;
 
-pub use client::{AppendError, HostEntry, HostState, LogClient, ReadError, Timeouts};
+pub use client::{AppendError, LogClient, PATIENCE, ReadError};
 pub use follower::{Follower, FollowerOptions, Progress};
 pub use remote::{read_by_entry, submit_by_entry};
 pub use submit::{
--- a/components/transport/src/log/reader.rs
+++ b/components/transport/src/log/reader.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use coordination::config::{Answer, Fold, LogView, Record, SnapshotTimer, Step, Unreadable};
-use protocol::record::{Page, decode_record, encode_snapshot};
+use platform::store::Read;
+use protocol::record::{decode_record, encode_snapshot};
 use rand::Rng;
 use state::Moment;
 
@@ -35,7 +36,7 @@
 pub(super) struct ReadEnd {
     from: u64,
     sent: Moment,
-    page: Result<Page, ReadError>,
+    page: Result<Read, ReadError>,
 }
 
 /// Reads page after page, and a second time where the first read is silent.
@@ -104,13 +105,13 @@
         let options = &self.shared.options;
         self.next_read = now + options.wait + options.patience;
         let from = lock(&self.shared.fold).position();
-        let (wait, batch) = (options.wait, options.batch);
+        let (wait, kilobytes) = (options.wait, options.kilobytes);
         let client = self.shared.client.waiting(READ_LIMIT);
         let events = self.events.clone();
         std::thread::Builder::new()
             .name("config-read".to_owned())
             .spawn(move || {
-                let page = client.read(CONFIG_STREAM, from, batch, wait);
+                let page = client.read(CONFIG_STREAM, from, kilobytes, wait);
                 let sent = now;
                 // The follower may be gone by now.
                 let _ = events.send(Event::Read(ReadEnd { from, sent, page }));
@@ -122,10 +123,10 @@
         self.in_flight -= 1;
         let from = read.from;
         match read.page {
-            Ok(page) if page.next < from => self.fail(
+            Ok(page) if page.end < from => self.fail(
                 &format!(
                     "the log ends at offset {}, before {from}, where this host has been",
-                    page.next
+                    page.end
                 ),
                 read.sent,
             ),
@@ -137,20 +138,20 @@
         }
     }
 
-    fn fold(&mut self, page: &Page, sent: Moment) {
+    fn fold(&mut self, page: &Read, sent: Moment) {
         let mut fold = lock(&self.shared.fold);
         fold.retained_from(page.first);
-        for record in &page.records {
-            let decoded = decode_record(&record.data);
-            note_snapshot(&mut self.timer, record.offset, &decoded);
-            let step = fold.apply(record.offset, decoded);
-            report(record.offset, &step);
+        for (offset, record) in (page.from..).zip(&page.records) {
+            let decoded = decode_record(record);
+            note_snapshot(&mut self.timer, offset, &decoded);
+            let step = fold.apply(offset, decoded);
+            report(offset, &step);
             if let Step::Decided(_, Answer::Accepted { .. }) = step {
                 self.shared.announce(&fold);
             }
         }
         let mark = fold.mark();
-        let at_end = !fold.is_behind() && mark.next >= page.next;
+        let at_end = !fold.is_behind() && mark.next >= page.end;
         let trouble = trouble(&fold, page);
         self.shared.publish(&fold);
         drop(fold);
@@ -169,14 +170,14 @@
 
     /// Appends a snapshot where one is due, on a thread of its own: a log that
     /// does not answer must not hold up reading.
-    fn append_snapshot(&mut self, page: &Page) {
+    fn append_snapshot(&mut self, page: &Read) {
         let Some(timer) = &mut self.timer else {
             return;
         };
         let now = clock::now();
         let view = LogView {
             first: page.first,
-            next: page.next,
+            next: page.end,
         };
         let mut draw = rand::rng();
         if !timer.is_due(view, now, draw.random()) {
@@ -256,7 +257,7 @@
 }
 
 /// Says why the configuration is missing or old, for readiness and status.
-fn trouble(fold: &Fold, page: &Page) -> Option<String> {
+fn trouble(fold: &Fold, page: &Read) -> Option<String> {
     match fold.blind() {
         _ if fold.is_behind() => Some(format!(
             "the log's records before {} are gone and no snapshot has come yet",
--- a/components/transport/src/log/remote.rs
+++ b/components/transport/src/log/remote.rs
@@ -1,5 +1,6 @@
 //! Hands a command to an entry host's admin port, and reads the configuration there.
 
+use std::io;
 use std::time::Duration;
 
 use coordination::config::CommandId;
@@ -7,7 +8,6 @@
 use state::Config;
 use ureq::Agent;
 
-use super::client::never_sent;
 use super::submit::{CommandRequest, Outcome};
 
 /// The largest configuration that is read, in bytes.
@@ -72,6 +72,16 @@
     }
 }
 
+/// Returns whether the error came before a byte could be sent.
+fn never_sent(error: &ureq::Error) -> bool {
+    match error {
+        ureq::Error::Timeout(timeout) => matches!(timeout, ureq::Timeout::Connect),
+        ureq::Error::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        ureq::Error::ConnectionFailed | ureq::Error::BadUri(_) => true,
+        _ => false,
+    }
+}
+
 fn agent(limit: Duration) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
--- a/components/transport/src/log/submit.rs
+++ b/components/transport/src/log/submit.rs
@@ -1,5 +1,6 @@
 //! Hands a command to the log and tells its author truly what came of it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +13,7 @@
 use state::Config;
 
 use super::CONFIG_STREAM;
-use super::client::{AppendError, LogClient, Timeouts};
+use super::client::{AppendError, LogClient, PATIENCE};
 use super::follower::{Follower, FollowerOptions};
 
 /// How long to wait for an append whose answer was lost to show itself.
@@ -63,6 +64,9 @@
     },
 }
 
+/// Kilobytes asked for by a read that only wants to know where the log ends.
+const LEAST: Option<u32> = Some(1);
+
 /// Hands commands to the log, in an entry host or an operator's command.
 #[derive(Clone)]
 pub struct Submission {
@@ -140,13 +144,13 @@
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
             let from = self.follower.mark().next;
-            let end = self.client.read(CONFIG_STREAM, from, 0, Duration::ZERO);
-            if end.as_ref().is_ok_and(|page| page.next > from) {
+            let end = self.client.read(CONFIG_STREAM, from, LEAST, Duration::ZERO);
+            if end.as_ref().is_ok_and(|page| page.end > from) {
                 // The log answers: a follower that waits out a pause need not.
                 self.follower.resume();
             }
             match end {
-                Ok(page) if self.follower.wait_folded(page.next, left) => return Ok(()),
+                Ok(page) if self.follower.wait_folded(page.end, left) => return Ok(()),
                 Ok(_) => reason = self.follower.trouble(),
                 Err(error) => reason = error.to_string(),
             }
@@ -186,8 +190,8 @@
 }
 
 /// Hands a command straight to the log at `address`. Blocks.
-pub fn submit_by_log(address: &str, request: &CommandRequest, limit: Duration) -> Outcome {
-    let client = LogClient::new(address, Timeouts::default());
+pub fn submit_by_log(address: SocketAddr, request: &CommandRequest, limit: Duration) -> Outcome {
+    let client = LogClient::new(address, PATIENCE);
     let follower = Follower::start(client.clone(), reader_options());
     Submission::new(client, Arc::new(follower), limit).submit(request)
 }
@@ -198,15 +202,15 @@
 /// A host that has the configuration appends a snapshot within seconds; so the
 /// log is watched for `quiet` first. The record is appended once and never
 /// again, since each one begins anew.
-pub fn begin_by_log(address: &str, text: &str, quiet: Duration, limit: Duration) -> Outcome {
-    let client = LogClient::new(address, Timeouts::default());
+pub fn begin_by_log(address: SocketAddr, text: &str, quiet: Duration, limit: Duration) -> Outcome {
+    let client = LogClient::new(address, PATIENCE);
     let follower = Follower::start(client.clone(), reader_options());
     let start = Instant::now();
     loop {
-        let end = client.read(CONFIG_STREAM, 0, 0, Duration::ZERO);
+        let end = client.read(CONFIG_STREAM, 0, LEAST, Duration::ZERO);
         match end {
-            Ok(page) if follower.is_lost(page.next) && start.elapsed() >= quiet => break,
-            Ok(page) if follower.wait_folded(page.next, RETRY) => {
+            Ok(page) if follower.is_lost(page.end) && start.elapsed() >= quiet => break,
+            Ok(page) if follower.wait_folded(page.end, RETRY) => {
                 return Outcome::Refused {
                     reason: "the log still gives the configuration: use put and choose".to_owned(),
                 };
@@ -234,8 +238,8 @@
 /// # Errors
 ///
 /// Says why there is none.
-pub fn read_by_log(address: &str, limit: Duration) -> Result<Arc<Config>, String> {
-    let client = LogClient::new(address, Timeouts::default());
+pub fn read_by_log(address: SocketAddr, limit: Duration) -> Result<Arc<Config>, String> {
+    let client = LogClient::new(address, PATIENCE);
     let follower = Arc::new(Follower::start(client.clone(), reader_options()));
     let submission = Submission::new(client, Arc::clone(&follower), limit);
     submission.catch_up(Instant::now() + limit)?;
--- a/components/transport/src/peers/members.rs
+++ b/components/transport/src/peers/members.rs
@@ -18,9 +18,10 @@
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
+use super::host_list::{self, HostEntry, HostState};
 use super::links::{Identity, Links, Receive};
 use crate::clock;
-use crate::log::{CommandRequest, Follower, HostEntry, HostState, LogClient, Outcome, Submission};
+use crate::log::{CommandRequest, Follower, Outcome, Submission};
 
 const TICK: Duration = Duration::from_millis(50);
 
@@ -38,8 +39,8 @@
     pub address: std::net::SocketAddr,
     /// Follows the `config` stream.
     pub follower: Arc<Follower>,
-    /// Reads the platform's list of hosts.
-    pub client: LogClient,
+    /// Where the platform gives its list of hosts.
+    pub host_list: std::net::SocketAddr,
     /// Writes joins and removals.
     pub submission: Submission,
 }
@@ -246,12 +247,19 @@
                 () = self.stop.cancelled() => return,
                 _ = tick.tick() => {}
             }
-            let client = self.options.client.clone();
-            let read = tokio::task::spawn_blocking(move || client.hosts()).await;
+            let address = self.options.host_list.to_string();
+            let read = tokio::task::spawn_blocking(move || host_list::read(&address)).await;
             let list = match read {
                 Ok(Ok(list)) => list,
                 // No list is no sign that anybody has gone.
-                _ => Vec::new(),
+                Ok(Err(error)) => {
+                    log::debug!("E0416 host-list-unread error={error:?}");
+                    Vec::new()
+                }
+                Err(error) => {
+                    log::debug!("E0416 host-list-unread error={error:?}");
+                    Vec::new()
+                }
             };
             let live = live_names(list);
             let me = self.links.identity().name;
--- a/components/transport/src/peers/mod.rs
+++ b/components/transport/src/peers/mod.rs
@@ -6,6 +6,7 @@
 
 mod counters;
 mod handshake;
+pub mod host_list;
 mod links;
 mod members;
 mod outbox;
--- a/components/transport/src/gateway/store.rs
+++ b/components/transport/src/store.rs
@@ -12,7 +12,6 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-use super::attempt::next_piece;
 use crate::upstream::connection::WireError;
 use crate::upstream::{ConnectError, Connection, RequestBody};
 
@@ -20,7 +19,7 @@
 ///
 /// It takes 4 ms usually and 60 times as long when the store is slow. A
 /// connection that fell silent is given up after this.
-const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
+pub const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// The largest answer taken; a page has at most one megabyte.
 const SIZE_LIMIT: usize = 8 * 1024 * 1024;
@@ -43,23 +42,49 @@
     /// The answer is larger than any may be.
     #[error("the store's answer is larger than {SIZE_LIMIT} bytes")]
     TooLarge,
-    /// The records asked for are no longer there.
-    #[error("the store has forgotten the records asked for")]
-    Forgotten,
+    /// The records asked for are no longer there; the oldest one that is.
+    #[error("the store has forgotten the records before {0}")]
+    Forgotten(u64),
     /// The store refused.
-    #[error("the store answered {0}")]
+    #[error("the store answered with status {}", .0.as_u16())]
     Refused(StatusCode),
     /// The answer can't be understood.
     #[error(transparent)]
     Format(#[from] StoreFormatError),
 }
 
+impl StoreError {
+    /// Returns whether the call surely was not carried out, and never will be.
+    ///
+    /// Only the store's own words count: 504 and the like may come from
+    /// something in between, after the effect.
+    pub fn is_refusal(&self) -> bool {
+        match self {
+            StoreError::Connect(_) | StoreError::Wire(WireError::Unsent) => true,
+            StoreError::Refused(status) => {
+                status.is_client_error()
+                    || matches!(
+                        *status,
+                        StatusCode::SERVICE_UNAVAILABLE | StatusCode::INSUFFICIENT_STORAGE
+                    )
+            }
+            StoreError::Forgotten(_) => true,
+            StoreError::Wire(WireError::Sent(_))
+            | StoreError::Cut(_)
+            | StoreError::Silent(_)
+            | StoreError::TooLarge
+            | StoreError::Format(_) => false,
+        }
+    }
+}
+
 /// A client that keeps one connection.
 ///
 /// Each of the host's loops has its own: a read that waits must not hold up
 /// another, and a connection that fell silent must not take all of them along.
 pub struct Store {
     address: SocketAddr,
+    answer_limit: Duration,
     connection: Option<Connection>,
 }
 
@@ -68,10 +93,31 @@
     pub fn new(address: SocketAddr) -> Store {
         Store {
             address,
+            answer_limit: ANSWER_LIMIT,
             connection: None,
         }
     }
 
+    /// Sets how long an answer may take that waits for nothing.
+    pub fn set_limit(&mut self, limit: Duration) {
+        self.answer_limit = limit;
+    }
+
+    /// Appends one record and returns its offset.
+    ///
+    /// # Errors
+    ///
+    /// Says why the call brought nothing; [`StoreError::is_refusal`] tells
+    /// whether the record may stand there all the same.
+    pub async fn append(&mut self, topic: &str, record: &Bytes) -> Result<u64, StoreError> {
+        let path = platform::store::append_path(topic);
+        let body = platform::store::frame([record]);
+        let answer = self
+            .call(Method::POST, &path, body, self.answer_limit)
+            .await?;
+        Ok(platform::store::appended(&answer)?)
+    }
+
     /// Returns a page of the newest records of a topic.
     ///
     /// # Errors
@@ -80,13 +126,15 @@
     pub async fn newest(&mut self, topic: &str, after: Option<&str>) -> Result<Newest, StoreError> {
         let path = platform::store::newest_path(topic, after);
         let body = self
-            .call(Method::GET, &path, Bytes::new(), ANSWER_LIMIT)
+            .call(Method::GET, &path, Bytes::new(), self.answer_limit)
             .await?;
         Ok(platform::store::newest(&body)?)
     }
 
     /// Reads a topic from an offset, and waits up to `wait` for a record.
     ///
+    /// `kilobytes` bounds the answer, none for as much as the store gives at once.
+    ///
     /// # Errors
     ///
     /// Says why the call brought nothing.
@@ -95,10 +143,11 @@
         topic: &str,
         from: u64,
         wait: Duration,
+        kilobytes: Option<u32>,
     ) -> Result<Read, StoreError> {
         let millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let path = platform::store::read_path(topic, from, millis);
-        let limit = wait + ANSWER_LIMIT;
+        let path = platform::store::read_path(topic, from, millis, kilobytes);
+        let limit = wait + self.answer_limit;
         let body = self.call(Method::GET, &path, Bytes::new(), limit).await?;
         Ok(platform::store::records(body, from)?)
     }
@@ -111,7 +160,7 @@
     pub async fn join(&mut self, body: Vec<u8>) -> Result<Membership, StoreError> {
         let path = platform::store::JOIN_PATH;
         let answer = self
-            .call(Method::POST, path, Bytes::from(body), ANSWER_LIMIT)
+            .call(Method::POST, path, Bytes::from(body), self.answer_limit)
             .await?;
         Ok(platform::store::joined(&answer)?)
     }
@@ -124,7 +173,7 @@
     pub async fn owners(&mut self, group: &str) -> Result<BTreeSet<String>, StoreError> {
         let path = platform::store::owners_path(group);
         let body = self
-            .call(Method::GET, &path, Bytes::new(), ANSWER_LIMIT)
+            .call(Method::GET, &path, Bytes::new(), self.answer_limit)
             .await?;
         Ok(platform::store::owners(&body)?)
     }
@@ -143,7 +192,7 @@
         self.connection = Some(connection);
         match status {
             StatusCode::OK => Ok(body),
-            StatusCode::GONE => Err(StoreError::Forgotten),
+            StatusCode::GONE => Err(StoreError::Forgotten(platform::store::first_kept(&body)?)),
             other => Err(StoreError::Refused(other)),
         }
     }
@@ -167,7 +216,7 @@
         let status = answer.status();
         let mut incoming = answer.into_body();
         let mut read = BytesMut::new();
-        while let Some(piece) = next_piece(&mut connection, &mut incoming).await {
+        while let Some(piece) = connection.next_piece(&mut incoming).await {
             read.extend_from_slice(&piece.map_err(StoreError::Cut)?);
             if read.len() > SIZE_LIMIT {
                 return Err(StoreError::TooLarge);
--- a/components/transport/src/upstream/connection.rs
+++ b/components/transport/src/upstream/connection.rs
@@ -3,13 +3,14 @@
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Waker};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -156,6 +157,29 @@
         }
     }
 
+    /// Returns the next piece of an answer's body, nothing at its end.
+    pub async fn next_piece(
+        &mut self,
+        incoming: &mut Incoming,
+    ) -> Option<Result<Bytes, hyper::Error>> {
+        poll_fn(|cx| self.poll_piece(incoming, cx)).await
+    }
+
+    /// Polls for the next piece of an answer's body, and moves the connection on.
+    pub fn poll_piece(
+        &mut self,
+        incoming: &mut Incoming,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, hyper::Error>>> {
+        if let ready @ Poll::Ready(_) = poll_data(incoming, cx) {
+            // The end may be known before the connection knows that it is free.
+            self.drive(cx);
+            return ready;
+        }
+        self.drive(cx);
+        poll_data(incoming, cx)
+    }
+
     /// Gives up what is under way and returns the bare stream.
     pub fn into_stream(self) -> TcpStream {
         self.driver.into_parts().io.into_inner().into_stream()
@@ -171,3 +195,21 @@
         .with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&questions)
 }
+
+fn poll_data(
+    incoming: &mut Incoming,
+    cx: &mut Context<'_>,
+) -> Poll<Option<Result<Bytes, hyper::Error>>> {
+    loop {
+        let frame = match Pin::new(&mut *incoming).poll_frame(cx) {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(None) => return Poll::Ready(None),
+            Poll::Ready(Some(Err(e))) => return Poll::Ready(Some(Err(e))),
+            Poll::Ready(Some(Ok(frame))) => frame,
+        };
+        // Trailers concern this connection only.
+        if let Ok(data) = frame.into_data() {
+            return Poll::Ready(Some(Ok(data)));
+        }
+    }
+}
--- a/components/transport/tests/config_log.rs
+++ b/components/transport/tests/config_log.rs
@@ -11,7 +11,7 @@
 use state::Config;
 use transport::log::{
     AppendError, CONFIG_STREAM, CommandRequest, Follower, FollowerOptions, LogClient, Outcome,
-    Submission, Timeouts,
+    PATIENCE, Submission,
 };
 
 const ORDINARY: &str = include_str!("../../../examples/midlands.toml");
@@ -19,11 +19,7 @@
 const LIMIT: Duration = Duration::from_secs(20);
 
 fn client(log: &LogStandIn) -> LogClient {
-    let timeouts = Timeouts {
-        connect: Duration::from_millis(500),
-        answer: Duration::from_millis(400),
-    };
-    LogClient::new(&log.address().to_string(), timeouts)
+    LogClient::new(log.address(), Duration::from_millis(400))
 }
 
 fn operator(log: &LogStandIn) -> Submission {
@@ -75,7 +71,7 @@
         }),
         ..FollowerOptions::default()
     };
-    let client = LogClient::new(&address.to_string(), Timeouts::default());
+    let client = LogClient::new(address, PATIENCE);
     Follower::start(client, options)
 }
 
@@ -316,6 +312,6 @@
             .iter()
             .any(|a| matches!(a, Err(AppendError::Refused(_))))
     );
-    let page = client.read("claims-0", 0, 100, Duration::ZERO).unwrap();
-    assert_eq!((page.first, page.next), (0, taken as u64));
+    let page = client.read("claims-0", 0, None, Duration::ZERO).unwrap();
+    assert_eq!((page.first, page.end), (0, taken as u64));
 }
--- a/components/transport/tests/entry_hosts/mod.rs
+++ b/components/transport/tests/entry_hosts/mod.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpListener;
 use transport::claims::{ClaimRequest, Claims, ClaimsOptions, WorkerOptions};
 use transport::clock;
-use transport::log::{Follower, FollowerOptions, LogClient, Submission, Timeouts};
+use transport::log::{Follower, FollowerOptions, LogClient, Submission};
 use transport::peers::{FULL_SET, Identity, Links, Members, MembersOptions, Receive};
 
 const CENTRES: [&str; 3] = ["trent", "severn", "soar"];
@@ -96,7 +96,7 @@
             identity,
             address: listener.local_addr().unwrap(),
             follower: Arc::clone(&follower),
-            client: client.clone(),
+            host_list: self.log.address(),
             submission: Submission::new(
                 client.clone(),
                 Arc::clone(&follower),
@@ -122,11 +122,7 @@
     }
 
     pub fn client(&self) -> LogClient {
-        let timeouts = Timeouts {
-            connect: Duration::from_millis(300),
-            answer: Duration::from_millis(700),
-        };
-        LogClient::new(&self.log.address().to_string(), timeouts)
+        LogClient::new(self.log.address(), Duration::from_millis(700))
     }
 
     /// Stops a host without a word, as its process's death would.
--- a/src/cmd/operator.rs
+++ b/src/cmd/operator.rs
@@ -1,5 +1,6 @@
 //! What the operators' commands share: where they go, what they print, how they end.
 
+use std::net::{SocketAddr, ToSocketAddrs};
 use std::process::ExitCode;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -54,7 +55,7 @@
 }
 
 enum Route {
-    Log(String),
+    Log(SocketAddr),
     Entry(String),
 }
 
@@ -104,8 +105,8 @@
         match (&self.log_address, &self.entry, variable) {
             (Some(_), Some(_), _) => Err("give --log-address or --entry, not both".to_owned()),
             (None, Some(entry), _) => Ok(Route::Entry(entry.clone())),
-            (Some(log), None, _) => Ok(Route::Log(log.clone())),
-            (None, None, Some(log)) => Ok(Route::Log(log)),
+            (Some(log), None, _) => resolve(log).map(Route::Log),
+            (None, None, Some(log)) => resolve(&log).map(Route::Log),
             (None, None, None) => Err(format!(
                 "say where to go: --log-address IP:port, --entry IP:port, or {LOG_VARIABLE}"
             )),
@@ -120,7 +121,7 @@
     pub fn read(&self) -> Result<Arc<Config>, ExitCode> {
         let route = self.route().map_err(|e| self.usage(&e))?;
         let read = match &route {
-            Route::Log(address) => read_by_log(address, LIMIT),
+            Route::Log(address) => read_by_log(*address, LIMIT),
             Route::Entry(address) => read_by_entry(address, LIMIT).map(Arc::new),
         };
         read.map_err(|reason| self.finish(&Outcome::Unreachable { reason }, ""))
@@ -142,7 +143,7 @@
             change,
         };
         let outcome = match route {
-            Route::Log(address) => submit_by_log(&address, &request, LIMIT),
+            Route::Log(address) => submit_by_log(address, &request, LIMIT),
             Route::Entry(address) => submit_by_entry(&address, &request, LIMIT),
         };
         self.finish(&outcome, done)
@@ -155,7 +156,7 @@
             Ok(Route::Entry(_)) => return self.usage("begin goes to the log: --log-address"),
             Err(message) => return self.usage(&message),
         };
-        let outcome = begin_by_log(&address, text, QUIET, LIMIT);
+        let outcome = begin_by_log(address, text, QUIET, LIMIT);
         match outcome {
             Outcome::Unknown { .. } if !self.json => {
                 eprintln!("unknown: it may have been done; see `preset list` before another try");
@@ -201,3 +202,13 @@
         }
     }
 }
+
+/// Returns the address that `log` names.
+///
+/// # Errors
+///
+/// Says what to mend where it names none.
+pub fn resolve(log: &str) -> Result<SocketAddr, String> {
+    let found = log.to_socket_addrs().ok().and_then(|mut a| a.next());
+    found.ok_or_else(|| format!("{log:?} is no address of a log: give IP:port"))
+}
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -7,6 +7,8 @@
 use serde_json::{Value, json};
 use transport::log::read_by_log;
 
+use super::operator::resolve;
+
 use super::operator::{EXIT_UNREACHABLE, EXIT_USAGE};
 use crate::{cli, settings};
 
@@ -57,7 +59,7 @@
 
 /// Returns what the log says, without what only entry hosts know.
 fn ask_log(log: &str) -> Result<String, String> {
-    let config = read_by_log(log, LIMIT)?;
+    let config = read_by_log(resolve(log)?, LIMIT)?;
     let members: Vec<Value> = config
         .members
         .iter()
--- a/tests/paused_host.rs
+++ b/tests/paused_host.rs
@@ -8,7 +8,7 @@
 use coordination::config::Record;
 use protocol::record::decode_record;
 use stand_ins::history::{Order, Outcome};
-use transport::log::{CONFIG_STREAM, LogClient, Timeouts};
+use transport::log::{CONFIG_STREAM, LogClient, PATIENCE};
 
 const SITE: &str = include_str!("common/small.toml");
 
@@ -28,9 +28,9 @@
 
 /// Returns whether the log holds a snapshot for those who missed records.
 fn has_snapshot(rig: &Rig) -> bool {
-    let client = LogClient::new(&rig.site.log.address().to_string(), Timeouts::default());
-    let page = client.read(CONFIG_STREAM, 0, 256, Duration::ZERO).unwrap();
-    let mut records = page.records.iter().map(|r| decode_record(&r.data));
+    let client = LogClient::new(rig.site.log.address(), PATIENCE);
+    let page = client.read(CONFIG_STREAM, 0, None, Duration::ZERO).unwrap();
+    let mut records = page.records.iter().map(decode_record);
     records.any(|r| matches!(r, Ok(Record::Snapshot(_))))
 }
 
