placing: routes stay in the regions that operators allow; nearest region first

Cause: with two regions a route may name those that its requests must not leave. Change: state::places knows the region of each data centre, from the settings; Route::regions bounds where a request may go; far endpoints of the same region are asked before those beyond.

--- a/components/state/src/fleet/placing.rs
+++ b/components/state/src/fleet/placing.rs
@@ -15,7 +15,8 @@
 use super::endpoint::EndpointState;
 use super::look::GOOD;
 use super::registry::Registry;
-use crate::{DataCentreKey, EndpointKey, Moment, ServiceKey};
+use crate::places::{Distance, Places};
+use crate::{DataCentreKey, EndpointKey, Moment, RegionKey, ServiceKey};
 
 /// Endpoints asked in one round.
 ///
@@ -89,7 +90,7 @@
 struct Candidate<'a> {
     key: EndpointKey,
     state: &'a EndpointState,
-    near: bool,
+    distance: Distance,
 }
 
 impl Candidate<'_> {
@@ -105,6 +106,10 @@
     pub registry: &'a mut Registry,
     /// Data centres whose endpoints get no request.
     pub left: &'a BTreeSet<DataCentreKey>,
+    /// Where data centres lie.
+    pub places: &'a Places,
+    /// The regions that the request must not leave, none where it may go anywhere.
+    pub regions: &'a BTreeSet<RegionKey>,
     /// What this host may send to cold endpoints of the service.
     pub cold: Allowance,
 }
@@ -136,11 +141,13 @@
         let registry = &*knowledge.registry;
         let usable: Vec<Candidate<'_>> = registry
             .of(request.service)
-            .filter(|(key, s)| self.may_use(*key, s, knowledge.left))
+            .filter(|(key, s)| self.may_use(*key, s, knowledge))
             .map(|(key, state)| Candidate {
                 key,
                 state,
-                near: state.endpoint.centre == request.home,
+                distance: knowledge
+                    .places
+                    .distance(request.home, state.endpoint.centre),
             })
             .collect();
         if usable.is_empty() {
@@ -206,14 +213,11 @@
         None
     }
 
-    fn may_use(
-        &self,
-        key: EndpointKey,
-        state: &EndpointState,
-        left: &BTreeSet<DataCentreKey>,
-    ) -> bool {
+    fn may_use(&self, key: EndpointKey, state: &EndpointState, knowledge: &Knowledge<'_>) -> bool {
+        let centre = state.endpoint.centre;
         !state.endpoint.draining
-            && !left.contains(&state.endpoint.centre)
+            && !knowledge.left.contains(&centre)
+            && knowledge.places.may_go(knowledge.regions, centre)
             && !self.tried.contains(&key)
             && !self.dead.contains(&key)
     }
@@ -222,7 +226,8 @@
     ///
     /// Bytes between data centres are dear, so a request rather waits for a
     /// disturbed near endpoint to recover, as long as its answer can still be in
-    /// time. Full ones won't recover so soon: then it goes far at once.
+    /// time. Full ones won't recover so soon: then it goes far at once, to the
+    /// other regions last.
     fn choose(
         &mut self,
         candidates: &[&Candidate<'_>],
@@ -230,7 +235,7 @@
         now: Moment,
         draw: &mut dyn FnMut() -> f64,
     ) -> Step {
-        let near: Vec<&Candidate<'_>> = candidates.iter().copied().filter(|c| c.near).collect();
+        let near = at(candidates, Distance::Same);
         if let Some(step) = self.good_or_ask(&near, now, draw) {
             return step;
         }
@@ -240,9 +245,11 @@
         if patient && disturbed {
             return self.wait();
         }
-        let far: Vec<&Candidate<'_>> = candidates.iter().copied().filter(|c| !c.near).collect();
-        if let Some(step) = self.good_or_ask(&far, now, draw) {
-            return step;
+        for distance in [Distance::Region, Distance::Beyond] {
+            let far = at(candidates, distance);
+            if let Some(step) = self.good_or_ask(&far, now, draw) {
+                return step;
+            }
         }
         if slack > request.usual.mul_f64(SPREAD) + PAUSE {
             return self.wait();
@@ -312,6 +319,12 @@
 /// How long what was seen last speaks for or against asking an endpoint first.
 const MEMORY: Duration = Duration::from_millis(300);
 
+/// Returns the candidates that far away.
+fn at<'a>(candidates: &[&'a Candidate<'a>], distance: Distance) -> Vec<&'a Candidate<'a>> {
+    let there = candidates.iter().copied();
+    there.filter(|c| c.distance == distance).collect()
+}
+
 /// Returns what pace to expect of an endpoint without a fresh look.
 fn expectation(state: &EndpointState, now: Moment) -> f64 {
     let busy = f64::from(state.running) / f64::from(state.endpoint.slots.max(1));
--- a/components/state/src/keys.rs
+++ b/components/state/src/keys.rs
@@ -27,6 +27,10 @@
 #[key]
 pub struct DataCentreKey(pub u64);
 
+/// Names one region, some data centres that lie close to each other.
+#[key]
+pub struct RegionKey(pub u64);
+
 impl HostKey {
     /// Returns the key of the entry host with this name.
     pub fn named(name: &str) -> HostKey {
@@ -48,6 +52,13 @@
     }
 }
 
+impl RegionKey {
+    /// Returns the key of the region with this name.
+    pub fn named(name: &str) -> RegionKey {
+        RegionKey(xxh3_64(name.as_bytes()))
+    }
+}
+
 impl DataCentreKey {
     /// Returns the key of the data centre with this name.
     pub fn named(name: &str) -> DataCentreKey {
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod moment;
 pub mod norm;
 pub mod pace;
+pub mod places;
 pub mod policy;
 pub mod preset;
 pub mod probe;
@@ -20,6 +21,6 @@
 pub mod warmth;
 
 pub use config::Config;
-pub use keys::{DataCentreKey, EndpointKey, HostKey, ServiceKey};
+pub use keys::{DataCentreKey, EndpointKey, HostKey, RegionKey, ServiceKey};
 pub use moment::Moment;
 pub use preset::Preset;
--- a/components/state/src/routing.rs
+++ b/components/state/src/routing.rs
@@ -5,7 +5,7 @@
 
 use derives::value;
 
-use crate::{DataCentreKey, ServiceKey};
+use crate::{DataCentreKey, RegionKey, ServiceKey};
 
 /// What operators have put in force: routes, services and limits.
 ///
@@ -44,6 +44,8 @@
     pub attempts: u32,
     /// The services that share the route's requests.
     pub parts: Vec<Part>,
+    /// The regions that its requests must not leave, none where they may go anywhere.
+    pub regions: BTreeSet<RegionKey>,
 }
 
 /// A service's share of a route.
--- a/components/state/tests/fleet_placing.rs
+++ b/components/state/tests/fleet_placing.rs
@@ -11,7 +11,8 @@
 use state::fleet::outcome::Outcome;
 use state::fleet::placing::{Knowledge, Refusal, Request};
 use state::fleet::{Endpoint, Entry, Look, Placing, Registry, Step};
-use state::{DataCentreKey, EndpointKey, Moment, ServiceKey};
+use state::places::Places;
+use state::{DataCentreKey, EndpointKey, Moment, RegionKey, ServiceKey};
 
 const USUAL: Duration = Duration::from_millis(200);
 const START: Moment = Moment::from_millis(10_000);
@@ -19,6 +20,8 @@
 struct Fleet {
     registry: Registry,
     left: BTreeSet<DataCentreKey>,
+    places: Places,
+    regions: BTreeSet<RegionKey>,
     random: StdRng,
     share: f64,
 }
@@ -71,6 +74,8 @@
         Fleet {
             registry,
             left: BTreeSet::new(),
+            places: Places::default(),
+            regions: BTreeSet::new(),
             random: StdRng::seed_from_u64(7),
             share: 0.1,
         }
@@ -88,6 +93,8 @@
             let mut knowledge = Knowledge {
                 registry: &mut self.registry,
                 left: &self.left,
+                places: &self.places,
+                regions: &self.regions,
                 cold: Allowance {
                     rate: 6.0,
                     share: self.share,
@@ -301,6 +308,8 @@
             let mut knowledge = Knowledge {
                 registry: &mut fleet.registry,
                 left: &fleet.left,
+                places: &fleet.places,
+                regions: &fleet.regions,
                 cold: Allowance {
                     rate: 6.0,
                     share: fleet.share,
@@ -325,3 +334,49 @@
     });
     assert!(worst.max() <= Some(14));
 }
+
+/// Operators keep a route's requests in one region, and all its endpoints there
+/// are gone. Sent elsewhere, a clerk's files would leave the country.
+#[test]
+fn stays_in_region() {
+    let mut fleet = Fleet::of(&[
+        ("a", "near"),
+        ("b", "beside"),
+        ("c", "abroad"),
+        ("d", "new"),
+    ]);
+    fleet.places = Places::new([("near", "home"), ("beside", "home"), ("abroad", "away")]);
+    fleet.regions = BTreeSet::from([RegionKey::named("home")]);
+    let well = |_, now| look(100, 0, 0, now);
+    let mut now = START;
+    assert_eq!(fleet.place(&request(600), &mut now, well), Ok(key("a")));
+    fleet.left.insert(DataCentreKey::named("near"));
+    assert_eq!(fleet.place(&request(600), &mut now, well), Ok(key("b")));
+    fleet.left.insert(DataCentreKey::named("beside"));
+    let refused = fleet.place(&request(600), &mut now, well);
+    assert_eq!(refused, Err(Refusal::NoEndpoint));
+    fleet.regions = BTreeSet::from([RegionKey::named("away")]);
+    assert_eq!(fleet.place(&request(600), &mut now, well), Ok(key("c")));
+}
+
+/// The data centre's own endpoints are full. Requests go to another one of the
+/// region, not over the sea: there every request would take 24 ms longer, and its
+/// bytes cost ten times as much.
+#[test]
+fn nearest_region() {
+    let mut fleet = Fleet::of(&[("a", "near"), ("b", "beside"), ("c", "abroad")]);
+    fleet.places = Places::new([("near", "home"), ("beside", "home"), ("abroad", "away")]);
+    let near_full = |k: EndpointKey, now| match k == key("a") {
+        true => look(100, 6, 4, now),
+        false => look(100, 0, 0, now),
+    };
+    for n in 0..20 {
+        let mut now = START + Duration::from_secs(n);
+        let wanted = Request {
+            objective: now + Duration::from_millis(600),
+            deadline: now + Duration::from_millis(2_000),
+            ..request(0)
+        };
+        assert_eq!(fleet.place(&wanted, &mut now, near_full), Ok(key("b")));
+    }
+}
--- a/components/state/tests/route_choice.rs
+++ b/components/state/tests/route_choice.rs
@@ -1,6 +1,6 @@
 //! Routes: the longest prefix, the shares of parts, versions that only grow.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::rngs::StdRng;
@@ -20,6 +20,7 @@
         priority: 0,
         attempts: 2,
         parts: vec![part("svc", 1)],
+        regions: BTreeSet::new(),
     }
 }
 
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -1,7 +1,7 @@
 //! Asks endpoints how they do, and finds one for a request.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hyper::header::{HOST, HeaderValue};
@@ -11,7 +11,7 @@
 use state::fleet::outcome::Outcome;
 use state::fleet::placing::{self, Knowledge, Refusal, Step};
 use state::fleet::{Placing, Registry};
-use state::{EndpointKey, Moment};
+use state::{EndpointKey, Moment, RegionKey};
 use tokio::time::{sleep, timeout};
 
 use super::Gateway;
@@ -57,13 +57,14 @@
         &self,
         placing: &RefCell<Placing>,
         request: &placing::Request,
+        regions: &BTreeSet<RegionKey>,
     ) -> Result<(EndpointKey, Connection), Refusal> {
         let mut asked = Asked {
             gateway: self,
             connections: BTreeMap::new(),
         };
         loop {
-            let step = self.step(&mut placing.borrow_mut(), request);
+            let step = self.step(&mut placing.borrow_mut(), request, regions);
             match step {
                 Step::Ask(key) => match self.ask(key).await {
                     Some(answered) => {
@@ -87,7 +88,12 @@
         }
     }
 
-    fn step(&self, placing: &mut Placing, request: &placing::Request) -> Step {
+    fn step(
+        &self,
+        placing: &mut Placing,
+        request: &placing::Request,
+        regions: &BTreeSet<RegionKey>,
+    ) -> Step {
         let orders = self.orders.borrow();
         let plan = orders
             .catalogue
@@ -98,6 +104,8 @@
         let mut knowledge = Knowledge {
             registry: &mut registry,
             left: &orders.left,
+            places: &self.settings.places,
+            regions,
             cold: Allowance {
                 rate: plan.map_or(0.0, |p| p.cold_rate),
                 share: self.share.get(),
--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -107,7 +107,10 @@
     /// Dropping it gives the attempt up: its connection is closed, so that the
     /// endpoint stops and a late answer reaches nobody else.
     pub async fn run(&self, body: RequestBody) -> Ending {
-        let found = self.gateway.find(self.placing, &self.request).await;
+        let found = self
+            .gateway
+            .find(self.placing, &self.request, &self.route.regions)
+            .await;
         let (key, mut connection) = match found {
             Ok(found) => found,
             Err(refusal) => return Ending::Refused(refusal),
--- a/components/transport/src/gateway/settings.rs
+++ b/components/transport/src/gateway/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use state::places::Places;
+
 /// Checked settings of one entry host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -10,6 +12,8 @@
     pub name: String,
     /// The data centre the host stands in.
     pub data_centre: String,
+    /// Where the data centres lie.
+    pub places: Places,
     /// Where callers reach it.
     pub callers: SocketAddr,
     /// Where the platform's balancer asks whether it is ready.
--- a/src/host_file.rs
+++ b/src/host_file.rs
@@ -1,11 +1,13 @@
 //! The settings file of an entry host on the platform.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use serde::Deserialize;
+use state::places::Places;
 use transport::gateway::{Bounds, Settings};
 
 /// The environment variable that names the settings file.
@@ -49,6 +51,9 @@
     /// Seconds of the window in which repeats are counted.
     #[serde(default = "default_window")]
     repeat_window_seconds: f64,
+    /// The region of each data centre; one that isn't named lies in the same.
+    #[serde(default)]
+    regions: BTreeMap<String, String>,
 }
 
 /// Partitions of a topic where the file doesn't say: what the platform had first.
@@ -142,6 +147,7 @@
     if file.open_files <= OTHER_FILES * 2 {
         faults.push(format!("open_files: must be above {}", OTHER_FILES * 2));
     }
+    let regions = file.regions.iter().map(|(c, r)| (c.as_str(), r.as_str()));
     match (callers, readiness, peers, log, grace, window) {
         (Some(callers), Some(readiness), Some(peers), Some(log), Some(grace), Some(window))
             if faults.is_empty() =>
@@ -149,6 +155,7 @@
             Ok(Settings {
                 name: file.name,
                 data_centre: file.data_centre,
+                places: Places::new(regions),
                 callers,
                 readiness,
                 seeds: seeds
