placing: endpoints that a host is connected to come first, and new ones beside them

Cause: a host of 133 has four requests a second and 80 near endpoints. Ruled out: keeping connections longer (endpoints close them after 10 s). Change: an idle connection weighs as much as chance in whom to ask first; an endpoint that joined while this host was watching, and that it has not asked yet, weighs the same. Tests: fleet_placing::{kept_connections, newcomers_found}.

--- a/components/state/src/fleet/endpoint.rs
+++ b/components/state/src/fleet/endpoint.rs
@@ -44,10 +44,17 @@
     pub running: u32,
     /// Until when it is cold.
     pub cold_until: Option<Moment>,
+    /// When it joined, none where it was there before this host knew any.
+    pub joined: Option<Moment>,
     /// What this host's requests met there.
     pub record: Record,
 }
 
+/// How long an endpoint counts as new.
+///
+/// Longer than any is cold, so that it is still tried when it is warm.
+const NEWCOMER: Duration = Duration::from_secs(15);
+
 impl Endpoint {
     /// Returns the key of this life: one that starts again is another endpoint.
     pub fn key(&self) -> EndpointKey {
@@ -67,6 +74,7 @@
             sent: 0,
             running: 0,
             cold_until,
+            joined: Some(now),
             record: Record::default(),
         }
     }
@@ -98,6 +106,12 @@
         self.running = self.running.saturating_sub(1);
     }
 
+    /// Returns whether it joined lately and this host hasn't asked it yet.
+    pub fn is_newcomer(&self, now: Moment) -> bool {
+        let lately = self.joined.is_some_and(|at| now.since(at) < NEWCOMER);
+        lately && self.look.is_none()
+    }
+
     /// Returns the pace that a look fresh enough promises.
     pub fn pace(&self, now: Moment) -> Option<f64> {
         let look = self.look.filter(|l| l.is_fresh(now))?;
--- a/components/state/src/fleet/placing.rs
+++ b/components/state/src/fleet/placing.rs
@@ -91,6 +91,7 @@
     key: EndpointKey,
     state: &'a EndpointState,
     distance: Distance,
+    kept: bool,
 }
 
 impl Candidate<'_> {
@@ -112,6 +113,8 @@
     pub regions: &'a BTreeSet<RegionKey>,
     /// What this host may send to cold endpoints of the service.
     pub cold: Allowance,
+    /// Whether a connection to an endpoint lies idle.
+    pub kept: &'a dyn Fn(EndpointKey) -> bool,
 }
 
 impl Placing {
@@ -148,6 +151,7 @@
                 distance: knowledge
                     .places
                     .distance(request.home, state.endpoint.centre),
+                kept: (knowledge.kept)(key),
             })
             .collect();
         if usable.is_empty() {
@@ -282,7 +286,7 @@
         let key = candidates
             .iter()
             .filter(|c| !self.asked.contains(&c.key) && c.state.pace(now).is_none())
-            .map(|c| (expectation(c.state, now) + draw() * TIE, c.key))
+            .map(|c| (expectation(c, now) + draw() * TIE, c.key))
             .min_by(|a, b| a.0.total_cmp(&b.0))?
             .1;
         self.asked.insert(key);
@@ -325,8 +329,20 @@
     there.filter(|c| c.distance == distance).collect()
 }
 
+/// How much an idle connection to an endpoint speaks for asking it first.
+///
+/// As much as chance at most, so that a host keeps to the few endpoints that it
+/// is connected to while they do well. A new connection costs an endpoint a
+/// millisecond of a slot; a host of many has few requests, and would find most
+/// of its connections closed for idleness. One that has just joined is asked as
+/// soon: kept to the others, no host would ever find the room that was added.
+const KEPT: f64 = 0.5;
+
 /// Returns what pace to expect of an endpoint without a fresh look.
-fn expectation(state: &EndpointState, now: Moment) -> f64 {
+fn expectation(candidate: &Candidate<'_>, now: Moment) -> f64 {
+    let state = candidate.state;
+    let first = candidate.kept || state.is_newcomer(now);
+    let kept = if first { KEPT } else { 0.0 };
     let busy = f64::from(state.running) / f64::from(state.endpoint.slots.max(1));
     let old = match state.look {
         Some(look) if now.since(look.at) < MEMORY => {
@@ -335,7 +351,7 @@
         }
         _ => 0.0,
     };
-    1.5 + busy + old
+    1.5 + busy + old - kept
 }
 
 /// Returns whether an endpoint is disturbed rather than loaded.
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -55,9 +55,14 @@
         for name in missing {
             self.apply(&name, None, now);
         }
+        let first = self.endpoints.is_empty();
         for (name, entry) in entries {
             self.apply(&name, Some(entry), now);
         }
+        if first {
+            // None of them is new to the site; only this host is.
+            self.endpoints.values_mut().for_each(|s| s.joined = None);
+        }
     }
 
     /// Notes that the store can be read again after it could not be.
--- a/components/state/tests/fleet_placing.rs
+++ b/components/state/tests/fleet_placing.rs
@@ -20,6 +20,7 @@
 struct Fleet {
     registry: Registry,
     left: BTreeSet<DataCentreKey>,
+    kept: BTreeSet<EndpointKey>,
     places: Places,
     regions: BTreeSet<RegionKey>,
     random: StdRng,
@@ -74,6 +75,7 @@
         Fleet {
             registry,
             left: BTreeSet::new(),
+            kept: BTreeSet::new(),
             places: Places::default(),
             regions: BTreeSet::new(),
             random: StdRng::seed_from_u64(7),
@@ -92,6 +94,7 @@
         loop {
             let mut knowledge = Knowledge {
                 registry: &mut self.registry,
+                kept: &|key| self.kept.contains(&key),
                 left: &self.left,
                 places: &self.places,
                 regions: &self.regions,
@@ -307,6 +310,7 @@
             let mut placing = Placing::default();
             let mut knowledge = Knowledge {
                 registry: &mut fleet.registry,
+                kept: &|_| false,
                 left: &fleet.left,
                 places: &fleet.places,
                 regions: &fleet.regions,
@@ -380,3 +384,63 @@
         assert_eq!(fleet.place(&wanted, &mut now, near_full), Ok(key("b")));
     }
 }
+
+/// A host of a hundred has few requests and many endpoints. Asking another one
+/// each time, it opens a connection for nearly every request, which takes slots
+/// from callers. It keeps to those it is connected to, unless they do badly.
+#[test]
+fn kept_connections() {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let mut fleet = Fleet::of(&[]);
+    let there = names.map(|n| (n.to_owned(), Entry::Endpoint(endpoint(n, "near"))));
+    fleet.registry.replace(there.into(), START);
+    fleet.kept = BTreeSet::from([key("c"), key("f")]);
+    let mut met = BTreeSet::new();
+    for round in 0..60 {
+        let mut now = START + Duration::from_secs(round);
+        let wanted = Request {
+            objective: now + Duration::from_millis(600),
+            deadline: now + Duration::from_millis(2_000),
+            ..request(0)
+        };
+        let well = |_, now| look(100, 0, 0, now);
+        met.insert(fleet.place(&wanted, &mut now, well).unwrap());
+    }
+    assert_eq!(met, fleet.kept);
+    let mut now = START + Duration::from_secs(90);
+    let wanted = Request {
+        objective: now + Duration::from_millis(600),
+        deadline: now + Duration::from_millis(2_000),
+        ..request(0)
+    };
+    let kept = fleet.kept.clone();
+    let ill = |k, now| look(if kept.contains(&k) { 400 } else { 100 }, 0, 0, now);
+    let met = fleet.place(&wanted, &mut now, ill).unwrap();
+    assert!(!fleet.kept.contains(&met));
+}
+
+/// Operators add endpoints to a busy service. Hosts that kept to those they are
+/// connected to would leave the new ones empty, and callers waiting.
+#[test]
+fn newcomers_found() {
+    let mut fleet = Fleet::of(&[]);
+    let entry = |name: &str| Entry::Endpoint(endpoint(name, "near"));
+    let there = ["a", "b", "c", "d"].map(|n| (n.to_owned(), entry(n)));
+    fleet.registry.replace(there.into(), START);
+    fleet.kept = BTreeSet::from([key("a")]);
+    let mut met = BTreeSet::new();
+    for round in 0..20 {
+        let mut now = START + Duration::from_secs(round);
+        if round == 10 {
+            fleet.registry.apply("e", Some(entry("e")), now);
+        }
+        let wanted = Request {
+            objective: now + Duration::from_millis(600),
+            deadline: now + Duration::from_millis(2_000),
+            ..request(0)
+        };
+        let well = |_, now| look(100, 0, 0, now);
+        met.insert(fleet.place(&wanted, &mut now, well).unwrap());
+    }
+    assert_eq!(met, BTreeSet::from([key("a"), key("e")]));
+}
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -101,8 +101,10 @@
             .and_then(|c| c.services.get(&request.service));
         let mut registry = self.registry.borrow_mut();
         registry.settle(clock::now());
+        let pool = self.pool.borrow();
         let mut knowledge = Knowledge {
             registry: &mut registry,
+            kept: &|key| pool.holds(key),
             left: &orders.left,
             places: &self.settings.places,
             regions,
--- a/components/transport/src/gateway/pool.rs
+++ b/components/transport/src/gateway/pool.rs
@@ -40,6 +40,11 @@
 }
 
 impl Pool {
+    /// Returns whether a connection to an endpoint lies idle.
+    pub fn holds(&self, key: EndpointKey) -> bool {
+        self.idle.get(&key).is_some_and(|kept| !kept.is_empty())
+    }
+
     /// Takes the connection used last, none where no usable one lies idle.
     pub fn take(&mut self, key: EndpointKey, now: Moment) -> Option<Connection> {
         let kept = self.idle.get_mut(&key)?;
