gateway: when a whole site starts, whoever reads the store first hands it on

Ruled out: the same for hosts that start later (callers are waiting then, and after a kill of all nobody has anything to hand on). Change: with first_start in the settings a host waits one to three seconds with its first reading and asks a neighbour meanwhile; a host that comes to know a topic serves three that asked before. News that can't be placed yet no longer hurries a first reading. What a neighbour hands over counts as read, unless the store could not be read. Tests: store_feed::{first_start, handed_while_away}.

--- a/components/coordination/src/feed.rs
+++ b/components/coordination/src/feed.rs
@@ -42,6 +42,18 @@
 /// It is the one to notice that the store is back, for all of its neighbours.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// How long a host waits for its neighbours where a whole site starts.
+///
+/// Callers come seconds later. In this time hosts get to know each other, and
+/// whoever reads first hands on what it read.
+const FIRST_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// By how much hosts differ in that.
+///
+/// To hand all on from host to host takes a few hundred milliseconds over a
+/// link of 10 Mbit/s; most get it before their own time to read.
+const FIRST_SPREAD: Duration = Duration::from_millis(2_000);
+
 /// How far one host is with one topic.
 #[derive(Clone, Debug)]
 pub struct Feed {
@@ -82,6 +94,17 @@
         }
     }
 
+    /// Returns a feed of a host that starts together with its whole site.
+    ///
+    /// Were each to read at once, 133 hosts would make 266 calls in their first
+    /// second, a third of all that they make in a quiet half minute.
+    pub fn beginning(draw: f64, now: Moment) -> Feed {
+        Feed {
+            due: now + FIRST_PAUSE + FIRST_SPREAD.mul_f64(draw),
+            ..Feed::new(now)
+        }
+    }
+
     /// Returns where to read on, nothing where all has to be read anew.
     pub fn next(&self) -> Option<u64> {
         self.next
@@ -117,9 +140,14 @@
 
     /// Takes in that a neighbour handed over all it knows, up to `next`.
     ///
-    /// This host goes on trying the store as before, and reads on from there.
-    pub fn handed(&mut self, next: u64) {
+    /// One that could not read the store goes on trying as before, and reads on
+    /// from there; any other waits to be told, as if it had read. `draw` is from
+    /// 0 to 1.
+    pub fn handed(&mut self, next: u64, draw: f64, now: Moment) {
         self.next = Some(next);
+        if self.failures == 0 {
+            self.due = now + patience(draw);
+        }
     }
 
     /// Notes that this host begins to read.
@@ -185,6 +213,8 @@
     pub fn told(&mut self, from: u64, next: u64, yields: bool, draw: f64, now: Moment) -> Told {
         let known = match self.next {
             Some(known) if from <= known => known,
+            // Its first reading is due anyway, and not hurried by every word.
+            None if self.failures == 0 => return Told::Gap,
             // Soon, but not at the same moment as all who miss it too.
             _ => {
                 self.due = self.due.min(now + SPREAD.mul_f64(draw));
--- a/components/coordination/tests/store_feed.rs
+++ b/components/coordination/tests/store_feed.rs
@@ -258,3 +258,39 @@
     assert_eq!(feed.told(8, 14, true, 0.5, Moment(2)), applied);
     assert_eq!(feed.next(), Some(14));
 }
+
+/// A whole site starts. Were each host to read the store at once, that would
+/// cost as many calls as minutes of quiet; hosts wait for what a neighbour hands
+/// on, and news that they can't place yet doesn't hurry them.
+#[test]
+fn first_start() {
+    let start = Moment(0);
+    let mut feeds: Vec<Feed> = (0..40)
+        .map(|n| Feed::beginning(f64::from(n) / 40.0, start))
+        .collect();
+    let first = feeds.iter().map(Feed::due).min().expect("there are some");
+    let handed_over = first + Duration::from_millis(300);
+    let reads = feeds.iter().filter(|f| f.due() <= handed_over).count();
+    assert!(reads <= 8, "{reads} of 40 read for themselves");
+    for feed in &mut feeds {
+        let due = feed.due();
+        assert_eq!(feed.told(3, 4, true, 0.0, first), Told::Gap);
+        assert_eq!(feed.due(), due);
+        feed.handed(4, 0.5, handed_over);
+        assert!(feed.due() > handed_over + READ_WAIT);
+        let next = feed.told(4, 5, true, 0.0, handed_over);
+        assert!(matches!(next, Told::Apply { skip: 0, .. }));
+    }
+}
+
+/// A neighbour hands over what it knows while the store is away. The host must
+/// go on trying the store: what it was handed grows old.
+#[test]
+fn handed_while_away() {
+    let mut feed = Feed::new(Moment(0));
+    feed.ask();
+    feed.failed(0.5, Moment(0));
+    let due = feed.due();
+    feed.handed(7, 0.5, Moment::from_millis(10));
+    assert_eq!((feed.due(), feed.next()), (due, Some(7)));
+}
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -180,6 +180,7 @@
             Topic::Operators => self.take_all_orders(records),
             Topic::Endpoints => self.take_all_endpoints(records),
         }
+        self.serve_askers(topic);
     }
 
     fn take_all_endpoints(&self, records: &[Record]) {
--- a/components/transport/src/gateway/held.rs
+++ b/components/transport/src/gateway/held.rs
@@ -4,18 +4,39 @@
 //! and would refuse every caller until the store is back, though its neighbours
 //! know both.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use platform::store::Record;
 use protocol::news::{self, Held, Neighbourly, Topic};
 
+use tokio::time::sleep;
+
 use super::Gateway;
+use crate::clock;
+
+/// When a host of a starting site asks a neighbour for what it knows.
+///
+/// By then all hosts have started and greeted the seeds.
+const SEEK_AFTER: Duration = Duration::from_millis(400);
+
+/// By how much hosts differ in that, so that they don't all ask at once.
+const SEEK_SPREAD: Duration = Duration::from_millis(300);
+
+/// Neighbours that are served at once, when this host comes to know a topic.
+///
+/// What 240 endpoints fill takes a link of 10 Mbit/s 40 ms. Those served serve
+/// others in turn; who is left out reads the store.
+const SERVED: usize = 3;
 
 /// The newest record of each key of one topic, as it lies in the store.
 #[derive(Default)]
 pub(super) struct Shelf {
+    /// Neighbours that asked before this host knew anything.
+    askers: BTreeSet<SocketAddr>,
     records: BTreeMap<String, Bytes>,
     /// Pieces that a neighbour has handed over so far.
     pieces: BTreeMap<u32, Vec<Bytes>>,
@@ -83,6 +104,17 @@
         }
     }
 
+    /// Asks a neighbour for both topics soon after a whole site has started.
+    pub(super) async fn seek_all(self: Rc<Self>) {
+        if !self.settings.first_start {
+            return;
+        }
+        sleep(SEEK_AFTER + SEEK_SPREAD.mul_f64(self.draw_share())).await;
+        for topic in [Topic::Operators, Topic::Endpoints] {
+            self.want(topic);
+        }
+    }
+
     /// Asks for both topics, as a neighbour has become known.
     ///
     /// Only what could not be read from the store is asked for.
@@ -97,6 +129,7 @@
     /// Hands all that this host knows of a topic to a neighbour that asks for it.
     pub(super) fn hand_over(&self, to: SocketAddr, topic: Topic) {
         let Some(next) = self.feed(topic, |feed| feed.next()) else {
+            self.shelves.borrow_mut().of(topic).askers.insert(to);
             return;
         };
         let pieces = self.shelves.borrow_mut().of(topic).split(topic, next);
@@ -105,6 +138,14 @@
         }
     }
 
+    /// Hands all on to a few neighbours that asked before this host knew it.
+    pub(super) fn serve_askers(&self, topic: Topic) {
+        let askers = std::mem::take(&mut self.shelves.borrow_mut().of(topic).askers);
+        for asker in askers.into_iter().take(SERVED) {
+            self.hand_over(asker, topic);
+        }
+    }
+
     /// Takes in what a neighbour hands over.
     pub(super) fn take_held(&self, held: Held) {
         let (topic, next) = (held.topic, held.next);
@@ -118,7 +159,8 @@
             "E0317 topic-handed-over topic={topic:?} records={}",
             records.len()
         );
-        self.feed(topic, |feed| feed.handed(next));
+        let draw = self.draw_share();
+        self.feed(topic, |feed| feed.handed(next, draw, clock::now()));
         self.take_all(topic, &records);
     }
 }
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -74,10 +74,15 @@
 }
 
 impl Feeds {
-    fn new(now: Moment) -> Feeds {
+    /// Returns the feeds of a host, which may start `first`, with its whole site.
+    fn new(first: bool, draw: f64, now: Moment) -> Feeds {
+        let feed = match first {
+            true => Feed::beginning(draw, now),
+            false => Feed::new(now),
+        };
         Feeds {
-            operators: Feed::new(now),
-            endpoints: Feed::new(now),
+            operators: feed.clone(),
+            endpoints: feed,
         }
     }
 }
@@ -121,6 +126,7 @@
         spawn_local(Rc::clone(&gateway).answer_readiness(readiness));
         spawn_local(Rc::clone(&gateway).hear());
         spawn_local(Rc::clone(&gateway).greet());
+        spawn_local(Rc::clone(&gateway).seek_all());
         spawn_local(Rc::clone(&gateway).follow(Topic::Operators));
         spawn_local(Rc::clone(&gateway).follow(Topic::Endpoints));
         spawn_local(Rc::clone(&gateway).keep_share());
@@ -135,6 +141,8 @@
     }
 
     fn new(settings: Settings, socket: UdpSocket) -> Gateway {
+        let mut random = SmallRng::from_os_rng();
+        let feeds = Feeds::new(settings.first_start, random.random(), clock::now());
         Gateway {
             home: DataCentreKey::named(&settings.data_centre),
             settings,
@@ -142,7 +150,7 @@
             orders: RefCell::default(),
             registry: RefCell::default(),
             listed: Cell::new(false),
-            feeds: RefCell::new(Feeds::new(clock::now())),
+            feeds: RefCell::new(feeds),
             shelves: RefCell::default(),
             socket,
             neighbours: RefCell::default(),
@@ -150,7 +158,7 @@
             budgets: RefCell::default(),
             tempos: RefCell::default(),
             share: Cell::new(0.0),
-            random: RefCell::new(SmallRng::from_os_rng()),
+            random: RefCell::new(random),
             stage: watch::Sender::new(Stage::Serving),
             callers: Cell::new(0),
             requests: RefCell::default(),
--- a/components/transport/src/gateway/settings.rs
+++ b/components/transport/src/gateway/settings.rs
@@ -24,6 +24,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Where the platform's log listens.
     pub log: SocketAddr,
+    /// Whether the whole site starts for the first time, so that no caller comes yet.
+    pub first_start: bool,
     /// Partitions of each topic of the log.
     pub partitions: usize,
     /// What is promised to operators.
--- a/src/host_file.rs
+++ b/src/host_file.rs
@@ -33,6 +33,9 @@
     seeds: Vec<String>,
     /// Where the platform's log listens.
     log_address: String,
+    /// Whether the whole site starts for the first time.
+    #[serde(default)]
+    first_start: bool,
     /// Partitions of each topic of the log.
     #[serde(default = "default_partitions")]
     partitions: usize,
@@ -164,6 +167,7 @@
                     .collect(),
                 peers,
                 log,
+                first_start: file.first_start,
                 partitions: file.partitions,
                 bounds: Bounds {
                     grace,
