--- a/components/coordination/src/feed.rs
+++ b/components/coordination/src/feed.rs
@@ -37,6 +37,11 @@
 /// and ten hosts over 250 ms are 25 ms apart.
 const SPREAD: Duration = Duration::from_millis(250);
 
+/// How long a host that missed records waits for a neighbour to send them again.
+///
+/// A datagram there and one back, over links of 10 Mbit/s that are busy.
+const RESEND: Duration = Duration::from_millis(100);
+
 /// How long the reader pauses after a failed read.
 ///
 /// It is the one to notice that the store is back, for all of its neighbours.
@@ -215,9 +220,10 @@
             Some(known) if from <= known => known,
             // Its first reading is due anyway, and not hurried by every word.
             None if self.failures == 0 => return Told::Gap,
-            // Soon, but not at the same moment as all who miss it too.
+            // Soon, where no neighbour sends them again, but not at the same
+            // moment as all who miss them too.
             _ => {
-                self.due = self.due.min(now + SPREAD.mul_f64(draw));
+                self.due = self.due.min(now + RESEND + SPREAD.mul_f64(draw));
                 self.missing = !self.reader;
                 return Told::Gap;
             }
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod config;
 pub mod feed;
 pub mod members;
+pub mod recent;
 pub mod relay;
 pub mod slots;
--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -38,6 +38,8 @@
     Wanted(Topic),
     /// All that the sender knows of a topic, in answer to the former.
     Held(Held),
+    /// The sender lacks the records of a topic from this offset on.
+    Missing(Topic, u64),
 }
 
 /// A greeting.
@@ -128,6 +130,9 @@
     pieces: u32,
     #[prost(uint32, tag = "11")]
     piece: u32,
+    /// Whether the records from `from` on are asked for.
+    #[prost(bool, tag = "12")]
+    missing: bool,
 }
 
 const HELLO: u32 = 0;
@@ -201,6 +206,12 @@
                 wanted: true,
                 ..WireNews::default()
             },
+            Neighbourly::Missing(topic, from) => WireNews {
+                topic: number(*topic),
+                from: *from,
+                missing: true,
+                ..WireNews::default()
+            },
             Neighbourly::Held(held) => WireNews {
                 topic: number(held.topic),
                 from: held.next,
@@ -245,6 +256,7 @@
         };
         match wire {
             _ if wire.failed => return Ok(Neighbourly::Trouble(topic)),
+            _ if wire.missing => return Ok(Neighbourly::Missing(topic, wire.from)),
             _ if wire.wanted => return Ok(Neighbourly::Wanted(topic)),
             _ if wire.pieces > 0 => {
                 return Ok(Neighbourly::Held(Held {
--- a/components/protocol/tests/news_messages.rs
+++ b/components/protocol/tests/news_messages.rs
@@ -24,6 +24,7 @@
         Neighbourly::News(news(vec![b"one".to_vec(), Vec::new()])),
         Neighbourly::Trouble(Topic::Operators),
         Neighbourly::Wanted(Topic::Endpoints),
+        Neighbourly::Missing(Topic::Endpoints, 41),
         Neighbourly::Held(Held {
             topic: Topic::Operators,
             next: 9,
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -4,6 +4,7 @@
 //! its neighbours.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -112,7 +113,7 @@
         });
         self.note_return(topic, back);
         let skip = usize::try_from(known.saturating_sub(from)).unwrap_or(usize::MAX);
-        self.take_records(topic, read.records.iter().skip(skip));
+        self.take_records(topic, known, read.records.iter().skip(skip));
         self.tell_news(News {
             topic,
             reader: self.settings.peers,
@@ -123,7 +124,9 @@
     }
 
     /// Takes in what a neighbour has read, and returns whether it was new.
-    pub(super) fn take_news(&self, news: &News) -> bool {
+    ///
+    /// Where records before it are missing, `teller` is asked for them.
+    pub(super) fn take_news(&self, news: &News, teller: SocketAddr) -> bool {
         let now = clock::now();
         let draw = self.draw_share();
         // Where two read, the one with the lower address goes on.
@@ -132,17 +135,29 @@
         let told = self.feed(news.topic, |feed| {
             feed.told(news.from, next, yields, draw, now)
         });
-        let Told::Apply { skip, back } = told else {
-            return false;
+        let (skip, back) = match told {
+            Told::Apply { skip, back } => (skip, back),
+            Told::Known => return false,
+            Told::Gap => {
+                if let Some(from) = self.feed(news.topic, |feed| feed.next()) {
+                    self.tell(teller, &Neighbourly::Missing(news.topic, from));
+                }
+                return false;
+            }
         };
         self.note_return(news.topic, back);
+        let known = news.from + skip;
         let skip = usize::try_from(skip).unwrap_or(usize::MAX);
-        self.take_records(news.topic, news.records.iter().skip(skip));
+        self.take_records(news.topic, known, news.records.iter().skip(skip));
         true
     }
 
-    fn take_records<'a>(&self, topic: Topic, records: impl Iterator<Item = &'a Bytes>) {
-        for bytes in records {
+    /// Takes in records, the first of which lies at offset `from`.
+    fn take_records<'a>(&self, topic: Topic, from: u64, records: impl Iterator<Item = &'a Bytes>) {
+        for (offset, bytes) in (from..).zip(records) {
+            let mut shelves = self.shelves.borrow_mut();
+            shelves.of(topic).recent.push(offset, bytes.clone());
+            drop(shelves);
             let Some(record) = platform::store::record(bytes.clone()) else {
                 log::error!("E0304 record-skipped topic={topic:?} error=damaged");
                 continue;
--- a/components/transport/src/gateway/held.rs
+++ b/components/transport/src/gateway/held.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coordination::recent::Recent;
 use platform::store::Record;
-use protocol::news::{self, Held, Neighbourly, Topic};
+use protocol::news::{self, Held, Neighbourly, News, Topic};
 
 use tokio::time::sleep;
 
@@ -35,6 +36,8 @@
 /// The newest record of each key of one topic, as it lies in the store.
 #[derive(Default)]
 pub(super) struct Shelf {
+    /// The last records, for neighbours that missed some.
+    pub recent: Recent,
     /// Neighbours that asked before this host knew anything.
     askers: BTreeSet<SocketAddr>,
     records: BTreeMap<String, Bytes>,
@@ -138,6 +141,22 @@
         }
     }
 
+    /// Sends records again that a neighbour missed; it reads the store where it gets none.
+    pub(super) fn send_again(&self, to: SocketAddr, topic: Topic, from: u64) {
+        let Some(records) = self.shelves.borrow_mut().of(topic).recent.since(from) else {
+            return;
+        };
+        let news = News {
+            topic,
+            reader: self.settings.peers,
+            from,
+            records,
+        };
+        for piece in news.split() {
+            self.tell(to, &Neighbourly::News(piece));
+        }
+    }
+
     /// Hands all on to a few neighbours that asked before this host knew it.
     pub(super) fn serve_askers(&self, topic: Topic) {
         let askers = std::mem::take(&mut self.shelves.borrow_mut().of(topic).askers);
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -162,13 +162,14 @@
         match message {
             Neighbourly::News(news) => {
                 // Only what was new here is passed on, and so only once.
-                if self.take_news(&news) && news.size() > SMALL {
+                if self.take_news(&news, from) && news.size() > SMALL {
                     self.pass_on(&news);
                 }
             }
             Neighbourly::Trouble(topic) => self.take_trouble(topic),
             Neighbourly::Wanted(topic) => self.hand_over(from, topic),
             Neighbourly::Held(held) => self.take_held(held),
+            Neighbourly::Missing(topic, next) => self.send_again(from, topic, next),
             Neighbourly::Hello(hello) => self.take_hello(from, hello),
         }
     }
