serve: what may change in the settings is taken over while the host runs

Cause: the settings file was compared and never taken over; a change of the bounds or of the open files waited for a restart, whose signal the platform never promised. Names, addresses and the store stay fixed for a process's life (E0508). Test: platform_answers::changed_settings; it waits in vain without the take-over (tried).

--- a/components/state/src/fleet/repeats.rs
+++ b/components/state/src/fleet/repeats.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Sets what operators grant from now on; what was sent before still counts.
+    pub fn set_bounds(&mut self, bounds: RepeatBounds) {
+        self.bounds = bounds;
+    }
+
     /// Counts a caller's request.
     pub fn count(&mut self, now: Moment) {
         self.forget(now);
--- a/components/transport/src/gateway/drain.rs
+++ b/components/transport/src/gateway/drain.rs
@@ -30,7 +30,7 @@
         let began = Instant::now();
         log::info!("E0503 host-draining name={}", self.settings.name);
         self.stage.send_replace(Stage::Leaving);
-        let grace = self.settings.bounds.grace;
+        let grace = self.live.borrow().bounds.grace;
         sleep(NOTICE.min(grace / 2)).await;
         self.stage.send_replace(Stage::Closing);
         let last = began + grace.saturating_sub(MARGIN);
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -46,7 +46,7 @@
 use neighbours::Neighbours;
 use pool::Pool;
 use request_log::RequestLog;
-pub use settings::{Bounds, Settings};
+pub use settings::{Bounds, Live, Settings};
 
 /// Why a host can't start.
 #[derive(Debug, Error)]
@@ -90,6 +90,7 @@
 /// A running entry host.
 pub struct Gateway {
     settings: Settings,
+    live: RefCell<Live>,
     home: DataCentreKey,
     started: Moment,
     orders: RefCell<Orders>,
@@ -145,6 +146,7 @@
         let feeds = Feeds::new(settings.first_start, random.random(), clock::now());
         Gateway {
             home: DataCentreKey::named(&settings.data_centre),
+            live: RefCell::new(settings.live.clone()),
             settings,
             started: clock::now(),
             orders: RefCell::default(),
@@ -165,6 +167,11 @@
         }
     }
 
+    /// Takes over what has changed in the settings, for all that comes from now on.
+    pub fn reload(&self, live: Live) {
+        self.live.replace(live);
+    }
+
     /// Returns whether this host can serve: it knows routes and endpoints.
     pub fn is_ready(&self) -> bool {
         let knows = self.orders.borrow().catalogue.is_some() && self.listed.get();
@@ -183,15 +190,19 @@
 
     /// Changes the repeat budget of a service.
     fn with_budget<R>(&self, service: ServiceKey, act: impl FnOnce(&mut RepeatBudget) -> R) -> R {
-        let bounds = RepeatBounds {
-            ratio: self.settings.bounds.repeat_ratio,
-            slack: self.settings.bounds.repeat_slack,
-            window: self.settings.bounds.repeat_window,
+        let bounds = {
+            let bounds = &self.live.borrow().bounds;
+            RepeatBounds {
+                ratio: bounds.repeat_ratio,
+                slack: bounds.repeat_slack,
+                window: bounds.repeat_window,
+            }
         };
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(service)
             .or_insert_with(|| RepeatBudget::new(bounds, self.started));
+        budget.set_bounds(bounds);
         act(budget)
     }
 
--- a/components/transport/src/gateway/server.rs
+++ b/components/transport/src/gateway/server.rs
@@ -49,7 +49,7 @@
         loop {
             match listener.accept().await {
                 // Closed at once: a caller that was not read comes back elsewhere.
-                Ok(_) if self.callers.get() >= self.settings.callers_limit => {
+                Ok(_) if self.callers.get() >= self.live.borrow().callers_limit => {
                     log::warn!("E0124 callers-limit callers={}", self.callers.get());
                 }
                 Ok((stream, _)) => {
--- a/components/transport/src/gateway/settings.rs
+++ b/components/transport/src/gateway/settings.rs
@@ -28,6 +28,13 @@
     pub first_start: bool,
     /// Partitions of each topic of the log.
     pub partitions: usize,
+    /// What may change while the host runs.
+    pub live: Live,
+}
+
+/// What a running host takes over from a changed settings file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Live {
     /// What is promised to operators.
     pub bounds: Bounds,
     /// Callers' connections held at once.
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -62,10 +63,14 @@
     local.block_on(&runtime, async {
         let mut term = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
-        spawn_local(watch_settings(path.to_owned(), settings.clone()));
-        let gateway = Gateway::start(settings)
+        let gateway = Gateway::start(settings.clone())
             .await
             .wrap_err("the entry host can't start")?;
+        spawn_local(watch_settings(
+            path.to_owned(),
+            settings,
+            Rc::clone(&gateway),
+        ));
         tokio::select! {
             _ = term.recv() => {}
             _ = interrupt.recv() => {}
@@ -75,11 +80,12 @@
     })
 }
 
-/// Says what has changed in the settings file, on a signal or without one.
+/// Takes over what has changed in the settings file, on a signal or without one.
 ///
-/// All of it is fixed for a process's life: addresses, the store, what is
-/// promised. A change is told in the log and waits for the next start.
-async fn watch_settings(path: PathBuf, started: Settings) {
+/// What is promised to operators and how many callers are held changes at once.
+/// Names, addresses and the store are fixed for a process's life: a change of
+/// them is told in the log and waits for the next start.
+async fn watch_settings(path: PathBuf, started: Settings, gateway: Rc<Gateway>) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
         log::error!("E0506 signal-unavailable signal=SIGHUP");
         return;
@@ -95,7 +101,14 @@
         match host_file::read(&path) {
             Ok(now) if now == seen => {}
             Ok(now) => {
-                log::warn!("E0508 settings-changed; they come into force with the next start");
+                if now.live != seen.live {
+                    log::info!("E0510 settings-reloaded live={:?}", now.live);
+                    gateway.reload(now.live.clone());
+                }
+                seen.live = now.live.clone();
+                if now != seen {
+                    log::warn!("E0508 settings-changed; the rest waits for the next start");
+                }
                 seen = now;
             }
             Err(faults) => log::warn!("E0509 settings-at-fault faults={faults:?}"),
--- a/src/host_file.rs
+++ b/src/host_file.rs
@@ -8,7 +8,7 @@
 
 use serde::Deserialize;
 use state::places::Places;
-use transport::gateway::{Bounds, Settings};
+use transport::gateway::{Bounds, Live, Settings};
 
 /// The environment variable that names the settings file.
 pub const VARIABLE: &str = "CARDAMOMVALE_SETTINGS";
@@ -169,13 +169,15 @@
                 log,
                 first_start: file.first_start,
                 partitions: file.partitions,
-                bounds: Bounds {
-                    grace,
-                    repeat_ratio: file.repeat_ratio,
-                    repeat_slack: file.repeat_slack,
-                    repeat_window: window,
+                live: Live {
+                    bounds: Bounds {
+                        grace,
+                        repeat_ratio: file.repeat_ratio,
+                        repeat_slack: file.repeat_slack,
+                        repeat_window: window,
+                    },
+                    callers_limit: (file.open_files - OTHER_FILES) / CALLERS_SHARE,
                 },
-                callers_limit: (file.open_files - OTHER_FILES) / CALLERS_SHARE,
             })
         }
         _ => Err(faults),
--- a/tests/platform_answers.rs
+++ b/tests/platform_answers.rs
@@ -206,3 +206,25 @@
     }
     assert_eq!(host.ended_well(), Some(true));
 }
+
+/// Operators grant a host fewer open files, and it goes on serving. Were that
+/// taken over at the next start only, callers above the new limit would hold the
+/// files that the host needs for endpoints.
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_settings() {
+    let (_store, _endpoints, host) = started(&["i-1"]).await;
+    let status = async || {
+        let answer = host.try_request("GET", "/read/x", "r1").await;
+        answer.map(|a| a.status)
+    };
+    // As many as 601 open files leave to callers.
+    let mut held = Vec::new();
+    for _ in 0..150 {
+        held.push(TcpStream::connect(host.callers).await.expect("it accepts"));
+    }
+    assert_eq!(status().await, Some(200));
+    host.change_settings("grace_seconds", "open_files = 601\ngrace_seconds");
+    until("one more is turned away", async || status().await.is_none()).await;
+    drop(held);
+    until("there is room again", async || status().await == Some(200)).await;
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -85,6 +85,14 @@
         host
     }
 
+    /// Changes the settings file, and tells the process of it.
+    pub fn change_settings(&self, old: &str, new: &str) {
+        let text = std::fs::read_to_string(&self.settings).expect("it is there");
+        assert!(text.contains(old), "{old} is not in {text}");
+        std::fs::write(&self.settings, text.replace(old, new)).expect("it is written");
+        self.signal(nix::sys::signal::Signal::SIGHUP);
+    }
+
     /// Returns the status of the readiness port, 0 where it can't be reached.
     pub async fn readiness(&self) -> u16 {
         match exchange(
@@ -115,8 +123,12 @@
 
     /// Tells the process to stop.
     pub fn terminate(&self) {
+        self.signal(nix::sys::signal::Signal::SIGTERM);
+    }
+
+    fn signal(&self, signal: nix::sys::signal::Signal) {
         let id = nix::unistd::Pid::from_raw(i32::try_from(self.process.id()).expect("an id fits"));
-        nix::sys::signal::kill(id, nix::sys::signal::Signal::SIGTERM).expect("it is told");
+        nix::sys::signal::kill(id, signal).expect("it is told");
     }
 
     /// Returns whether the process has ended, and well.
