--- a/components/stand_ins/tests/log_calls.rs
+++ b/components/stand_ins/tests/log_calls.rs
@@ -46,7 +46,10 @@
     put(&log, "a", Some("1"));
     log.forget("keyed.op");
     let read = store.read("keyed.op", 0, Duration::ZERO, None).await;
-    assert!(matches!(read, Err(StoreError::Forgotten(1))), "{read:?}");
+    assert!(
+        matches!(read, Err(StoreError::Forgotten(Some(1)))),
+        "{read:?}"
+    );
     let page = store.newest("keyed.op", None).await.unwrap();
     assert_eq!((page.records.len(), page.end), (1, 1));
 }
--- a/components/state/tests/fleet_placing.rs
+++ b/components/state/tests/fleet_placing.rs
@@ -66,6 +66,15 @@
     }
 }
 
+/// Returns a request that comes at `now`, with 600 ms to be in time.
+fn request_at(now: Moment) -> Request {
+    Request {
+        objective: now + Duration::from_millis(600),
+        deadline: now + Duration::from_millis(2_000),
+        ..request(0)
+    }
+}
+
 impl Fleet {
     fn of(endpoints: &[(&str, &str)]) -> Fleet {
         let mut registry = Registry::default();
@@ -137,11 +146,7 @@
         if bad.len() == names.len() {
             continue;
         }
-        let wanted = Request {
-            objective: now + Duration::from_millis(600),
-            deadline: now + Duration::from_millis(2_000),
-            ..request(0)
-        };
+        let wanted = request_at(now);
         let began = now;
         let slowness = |k: EndpointKey| if bad.contains(&k) { 400 } else { 100 };
         let chosen = fleet.place(&wanted, &mut now, |k, at| look(slowness(k), 0, 0, at));
@@ -271,11 +276,7 @@
         let mut now = START + Duration::from_millis(n * 100);
         let state = fleet.registry.get_mut(key("cold")).expect("it is known");
         state.note_cold(Duration::from_secs(5), now);
-        let wanted = Request {
-            objective: now + Duration::from_millis(600),
-            deadline: now + Duration::from_millis(2_000),
-            ..request(0)
-        };
+        let wanted = request_at(now);
         let chosen = fleet.place(&wanted, &mut now, |k, at| {
             look(100, if k == key("warm") { 6 } else { 0 }, 0, at)
         });
@@ -376,11 +377,7 @@
     };
     for n in 0..20 {
         let mut now = START + Duration::from_secs(n);
-        let wanted = Request {
-            objective: now + Duration::from_millis(600),
-            deadline: now + Duration::from_millis(2_000),
-            ..request(0)
-        };
+        let wanted = request_at(now);
         assert_eq!(fleet.place(&wanted, &mut now, near_full), Ok(key("b")));
     }
 }
@@ -398,21 +395,13 @@
     let mut met = BTreeSet::new();
     for round in 0..60 {
         let mut now = START + Duration::from_secs(round);
-        let wanted = Request {
-            objective: now + Duration::from_millis(600),
-            deadline: now + Duration::from_millis(2_000),
-            ..request(0)
-        };
+        let wanted = request_at(now);
         let well = |_, now| look(100, 0, 0, now);
         met.insert(fleet.place(&wanted, &mut now, well).unwrap());
     }
     assert_eq!(met, fleet.kept);
     let mut now = START + Duration::from_secs(90);
-    let wanted = Request {
-        objective: now + Duration::from_millis(600),
-        deadline: now + Duration::from_millis(2_000),
-        ..request(0)
-    };
+    let wanted = request_at(now);
     let kept = fleet.kept.clone();
     let ill = |k, now| look(if kept.contains(&k) { 400 } else { 100 }, 0, 0, now);
     let met = fleet.place(&wanted, &mut now, ill).unwrap();
@@ -434,11 +423,7 @@
         if round == 10 {
             fleet.registry.apply("e", Some(entry("e")), now);
         }
-        let wanted = Request {
-            objective: now + Duration::from_millis(600),
-            deadline: now + Duration::from_millis(2_000),
-            ..request(0)
-        };
+        let wanted = request_at(now);
         let well = |_, now| look(100, 0, 0, now);
         met.insert(fleet.place(&wanted, &mut now, well).unwrap());
     }
--- a/components/transport/src/gateway/held.rs
+++ b/components/transport/src/gateway/held.rs
@@ -13,7 +13,6 @@
 use coordination::recent::Recent;
 use platform::store::Record;
 use protocol::news::{self, Held, Neighbourly, News, Topic};
-
 use tokio::time::sleep;
 
 use super::Gateway;
--- a/components/transport/src/log/client.rs
+++ b/components/transport/src/log/client.rs
@@ -204,7 +204,7 @@
         } => {
             store.set_limit(limit);
             let mut result = store.read(&topic, from, wait, kilobytes).await;
-            if let Err(StoreError::Forgotten(first)) = result {
+            if let Err(StoreError::Forgotten(Some(first))) = result {
                 result = store.read(&topic, first, wait, kilobytes).await;
             }
             let silent = is_silent(&result);
--- a/components/transport/src/store.rs
+++ b/components/transport/src/store.rs
@@ -42,9 +42,9 @@
     /// The answer is larger than any may be.
     #[error("the store's answer is larger than {SIZE_LIMIT} bytes")]
     TooLarge,
-    /// The records asked for are no longer there; the oldest one that is.
-    #[error("the store has forgotten the records before {0}")]
-    Forgotten(u64),
+    /// The records asked for are no longer there; the oldest one that is, where told.
+    #[error("the store has forgotten the records asked for, and goes on at {0:?}")]
+    Forgotten(Option<u64>),
     /// The store refused.
     #[error("the store answered with status {}", .0.as_u16())]
     Refused(StatusCode),
@@ -192,7 +192,12 @@
         self.connection = Some(connection);
         match status {
             StatusCode::OK => Ok(body),
-            StatusCode::GONE => Err(StoreError::Forgotten(platform::store::first_kept(&body)?)),
+            StatusCode::GONE => {
+                // Forgotten all the same where the rest of the answer makes no sense.
+                let first = platform::store::first_kept(&body)
+                    .inspect_err(|e| log::warn!("E0319 log-answer-unclear error={e:?}"));
+                Err(StoreError::Forgotten(first.ok()))
+            }
             other => Err(StoreError::Refused(other)),
         }
     }
