--- a/components/state/src/fleet/placing.rs
+++ b/components/state/src/fleet/placing.rs
@@ -230,8 +230,9 @@
     ///
     /// Bytes between data centres are dear, so a request rather waits for a
     /// disturbed near endpoint to recover, as long as its answer can still be in
-    /// time. Full ones won't recover so soon: then it goes far at once, to the
-    /// other regions last.
+    /// time. Full ones won't recover so soon, and where only one of the near ones
+    /// is full, the others that wait want the disturbed one too: then it goes far
+    /// at once, to the other regions last.
     fn choose(
         &mut self,
         candidates: &[&Candidate<'_>],
@@ -246,7 +247,8 @@
         let slack = now.until(request.objective);
         let patient = slack > request.usual.mul_f64(SPREAD) + PAUSE;
         let disturbed = near.iter().any(|c| is_disturbed(c.state, now));
-        if patient && disturbed {
+        let loaded = near.iter().any(|c| is_loaded(c.state, now));
+        if patient && disturbed && !loaded {
             return self.wait();
         }
         for distance in [Distance::Region, Distance::Beyond] {
@@ -361,6 +363,13 @@
         .is_some_and(|l| l.is_fresh(now) && !l.is_loaded(state.sent))
 }
 
+/// Returns whether an endpoint was seen nearly full.
+fn is_loaded(state: &EndpointState, now: Moment) -> bool {
+    state
+        .look
+        .is_some_and(|l| l.is_fresh(now) && l.is_loaded(state.sent))
+}
+
 /// Returns the least loaded of the good endpoints.
 fn good(candidates: &[&Candidate<'_>], now: Moment) -> Option<EndpointKey> {
     candidates
--- a/components/state/tests/fleet_placing.rs
+++ b/components/state/tests/fleet_placing.rs
@@ -170,6 +170,23 @@
     assert_eq!(chosen, Ok(key("a")));
 }
 
+/// A burst has filled one near endpoint, and the other one is disturbed. Were a
+/// request to wait for the disturbed one, so would all others of the burst, and
+/// together they would find it full: callers get late answers while endpoints
+/// in the next data centre stand idle.
+#[test]
+fn far_at_once() {
+    let mut fleet = Fleet::of(&[("a", "near"), ("b", "near"), ("c", "far")]);
+    let mut now = START;
+    let chosen = fleet.place(&request(800), &mut now, |k, at| match k {
+        _ if k == key("a") => look(400, 0, 0, at),
+        _ if k == key("b") => look(100, 6, 0, at),
+        _ => look(100, 0, 0, at),
+    });
+    assert_eq!(chosen, Ok(key("c")));
+    assert!(now.since(START) < Duration::from_millis(40));
+}
+
 /// They stay disturbed: the request goes far while it can still be in time.
 #[test]
 fn goes_far() {
