--- a/components/state/tests/waiting_line.rs
+++ b/components/state/tests/waiting_line.rs
@@ -16,6 +16,9 @@
 const TICK: Duration = Duration::from_millis(1);
 const SLOTS: u32 = 4;
 
+/// How long an endpoint takes to answer; meanwhile others ask it too.
+const ANSWER: Duration = Duration::from_millis(2);
+
 /// One host whose requests all wait for the same few endpoints.
 struct Host {
     registry: Registry,
@@ -34,6 +37,7 @@
     placing: Placing,
     ticket: Option<Ticket>,
     due: Moment,
+    asking: Option<EndpointKey>,
 }
 
 fn endpoint(name: &str) -> Endpoint {
@@ -86,6 +90,7 @@
             placing: Placing::default(),
             ticket,
             due: now,
+            asking: None,
         });
     }
 
@@ -101,58 +106,57 @@
 
     /// Moves one request on; false where it waits no longer.
     fn go_on(&mut self, waiting: &mut Waiting, now: Moment) -> bool {
-        loop {
-            let turn = waiting.ticket.is_none_or(|t| self.line.first() == Some(t));
-            let random = &mut self.random;
-            let mut draw = || random.random::<f64>();
-            let mut knowledge = Knowledge {
-                registry: &mut self.registry,
-                kept: &|_| false,
-                left: &BTreeSet::new(),
-                places: &Places::default(),
-                regions: &BTreeSet::new(),
-                cold: Allowance {
-                    rate: 0.0,
-                    share: 0.0,
-                },
-                turn,
-            };
-            let request = &waiting.request;
-            match waiting
-                .placing
-                .next(&mut knowledge, request, now, &mut draw)
-            {
-                Step::Ask(key) => {
-                    self.asks += 1;
-                    self.see(key, now);
-                }
-                Step::Place(key) => {
-                    self.registry.get_mut(key).expect("it is known").start();
-                    *self.taken.entry(key).or_default() += 1;
-                    self.placed.push((waiting.number, key));
-                    return false;
-                }
-                Step::Wait(time) => {
-                    let rank = (request.priority, request.objective);
-                    waiting
-                        .ticket
-                        .get_or_insert_with(|| self.line.join(rank.0, rank.1));
-                    waiting.due = now + time;
-                    return true;
-                }
-                Step::Refuse(_) => return false,
+        if let Some(key) = waiting.asking.take() {
+            self.see(key, now);
+        }
+        let turn = waiting.ticket.is_none_or(|t| self.line.first() == Some(t));
+        let random = &mut self.random;
+        let mut draw = || random.random::<f64>();
+        let mut knowledge = Knowledge {
+            registry: &mut self.registry,
+            kept: &|_| false,
+            left: &BTreeSet::new(),
+            places: &Places::default(),
+            regions: &BTreeSet::new(),
+            cold: Allowance {
+                rate: 0.0,
+                share: 0.0,
+            },
+            turn,
+        };
+        let request = &waiting.request;
+        match waiting
+            .placing
+            .next(&mut knowledge, request, now, &mut draw)
+        {
+            Step::Ask(key) => {
+                self.asks += 1;
+                waiting.asking = Some(key);
+                waiting.due = now + ANSWER;
+                true
+            }
+            Step::Place(key) => {
+                self.registry.get_mut(key).expect("it is known").start();
+                *self.taken.entry(key).or_default() += 1;
+                self.placed.push((waiting.number, key));
+                false
             }
+            Step::Wait(time) => {
+                let rank = (request.priority, request.objective);
+                waiting
+                    .ticket
+                    .get_or_insert_with(|| self.line.join(rank.0, rank.1));
+                waiting.due = now + time;
+                true
+            }
+            Step::Refuse(_) => false,
         }
     }
 
     /// Lets a request leave the line, and calls who is first then.
     fn called(&mut self, ticket: Option<Ticket>, now: Moment) {
         let next = ticket.and_then(|t| self.line.leave(t));
-        for waiting in &mut self.waiting {
-            if next.is_some() && waiting.ticket == next {
-                waiting.due = now;
-            }
-        }
+        self.wake(next, now);
     }
 
     fn see(&mut self, key: EndpointKey, now: Moment) {
@@ -173,11 +177,14 @@
         let key = endpoint(name).key();
         self.taken.insert(key, left);
         self.see(key, now);
-        let first = self.line.first();
-        for waiting in &mut self.waiting {
-            if first.is_some() && waiting.ticket == first {
-                waiting.due = now;
-            }
+        self.wake(self.line.first(), now);
+    }
+
+    fn wake(&mut self, ticket: Option<Ticket>, now: Moment) {
+        let mut waiting = self.waiting.iter_mut();
+        let called = waiting.find(|w| ticket.is_some() && w.ticket == ticket);
+        if let Some(called) = called.filter(|w| w.asking.is_none()) {
+            called.due = now;
         }
     }
 
@@ -197,9 +204,12 @@
 fn one_asks() {
     let mut host = Host::full(&["a", "b", "c", "d"]);
     (0..40).for_each(|n| host.arrive(n, 0, START));
-    host.step(START);
+    host.run(START, Duration::from_millis(50));
     host.asks = 0;
-    host.run(START + TICK, Duration::from_millis(300));
+    host.run(
+        START + Duration::from_millis(50),
+        Duration::from_millis(300),
+    );
     assert!(host.placed.is_empty());
     // Four endpoints, asked anew every 40 ms.
     assert!(host.asks <= 4 * 9, "{} questions in 300 ms", host.asks);
@@ -211,10 +221,11 @@
 #[test]
 fn slot_handed_on() {
     let mut host = Host::full(&["a", "b"]);
-    (0..10).for_each(|n| host.arrive(n, 0, START));
-    host.run(START, Duration::from_millis(5));
-    host.asks = 0;
+    host.arrive(0, 0, START);
+    host.run(START, Duration::from_millis(8));
     let now = START + Duration::from_millis(10);
+    (1..10).for_each(|n| host.arrive(n, 0, now));
+    host.asks = 0;
     host.end("a", 2, now);
     host.step(now);
     assert_eq!(host.placed, [(0, endpoint("a").key())]);
