--- a/components/state/src/fleet/comeback.rs
+++ b/components/state/src/fleet/comeback.rs
@@ -15,6 +15,21 @@
 /// Callers wait for a third of the time they have left at most.
 const LEFT_SHARE: f64 = 0.3;
 
+/// When a caller comes back whose request endpoints rejected though they had room.
+///
+/// Long enough that hundreds don't come back within one millisecond; the answer
+/// can then still be in time.
+const AT_ONCE: Duration = Duration::from_millis(20);
+
+/// Returns when a caller comes back whose request an endpoint with room rejected.
+///
+/// Made for endpoints that reject a part of their requests at random while their
+/// health checks are good: waiting makes the next try no likelier to be served,
+/// only later.
+pub fn soon(draw: f64) -> Duration {
+    AT_ONCE.mul_f64(0.2 + 0.8 * draw)
+}
+
 /// Returns when a caller whose request was rejected should come back.
 ///
 /// Made for a burst that all endpoints together can't bear: hundreds of callers
--- a/components/state/tests/fleet_placing.rs
+++ b/components/state/tests/fleet_placing.rs
@@ -239,6 +239,17 @@
     assert!(comeback::retry_after(&request(600), 0.5, late) > Duration::from_millis(200));
 }
 
+/// Endpoints reject half of their requests at random, full or not. A caller told
+/// to wait until slots come free would be served no likelier, only too late.
+#[test]
+fn return_at_once() {
+    let mut random = StdRng::seed_from_u64(5);
+    let mut times: Vec<Duration> = (0..200).map(|_| comeback::soon(random.random())).collect();
+    times.sort();
+    assert!(times[199] <= Duration::from_millis(20));
+    assert!(times[199] - times[0] > Duration::from_millis(10));
+}
+
 /// An endpoint answers its health check and fails every request.
 #[test]
 fn lying_health() {
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -206,7 +206,8 @@
                         self.log_repeat(progress.why());
                         racers.push(Box::pin(again()));
                     } else if racers.is_empty() {
-                        return progress.give_up(exposed, self.come_back());
+                        let back = self.come_back(progress.last);
+                        return progress.give_up(exposed, back);
                     }
                 }
                 Event::SecondDue => {
@@ -216,14 +217,20 @@
                         racers.push(Box::pin(again()));
                     }
                 }
-                Event::Expired => return progress.expire(attempt.exposed.get(), self.come_back()),
+                Event::Expired => {
+                    let back = self.come_back(progress.last);
+                    return progress.expire(attempt.exposed.get(), back);
+                }
             }
         }
     }
 
     /// Returns when the caller should come back.
-    fn come_back(&self) -> Duration {
+    fn come_back(&self, last: Option<Last>) -> Duration {
         let draw = self.gateway.draw_share();
+        if let Some(Last::Rejected(_) | Last::Unsent(_)) = last {
+            return comeback::soon(draw);
+        }
         comeback::retry_after(&self.placing_request(), draw, clock::now())
     }
 
