neighbours: hosts of a data centre get to know all of each other, and readers hear of each other

Besides, news over a kilobyte were passed on only by hosts to which they were new, so that hosts that read the same records at the same moment never heard of each other. Ruled out: the pause after a read (400 ms kept by each host), the store's trouble. Change: hosts ask one neighbour whom it knows, with their first greetings and then each ten seconds; a seed introduces hosts of other data centres to each other; news are passed on once for each reader, new or not. What is known of neighbours moved to coordination, without sockets.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod feed;
 pub mod members;
+pub mod neighbours;
 pub mod recent;
 pub mod relay;
 pub mod slots;
--- a/components/coordination/src/relay.rs
+++ b/components/coordination/src/relay.rs
@@ -1,5 +1,6 @@
 //! Who passes on what a reader has read.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// How many hosts each host passes something on to.
@@ -28,3 +29,32 @@
     let children = hosts.iter().skip(at * FAN_OUT + 1).take(FAN_OUT);
     children.copied().collect()
 }
+
+/// How far the news of each reader have been passed on.
+///
+/// When endpoints are replaced one after the other, several hosts read the same
+/// records at the same moment. Were news passed on only by hosts to which they
+/// are new, the readers would never hear of each other and all go on reading: 59
+/// of 103 hosts did, six times the calls that one reader a data centre makes.
+#[derive(Clone, Debug, Default)]
+pub struct Passed {
+    readers: BTreeMap<SocketAddr, u64>,
+}
+
+impl Passed {
+    /// Returns whether what `reader` read up to `next` is yet to be passed on, and notes it.
+    ///
+    /// Each is passed on once, so that nothing goes round where hosts know
+    /// different neighbours.
+    pub fn take(&mut self, reader: SocketAddr, next: u64) -> bool {
+        let last = self.readers.entry(reader).or_default();
+        let further = next > *last;
+        *last = next.max(*last);
+        further
+    }
+
+    /// Forgets readers that `keep` doesn't know any more.
+    pub fn retain(&mut self, keep: impl Fn(SocketAddr) -> bool) {
+        self.readers.retain(|reader, _| keep(*reader));
+    }
+}
--- /dev/null
+++ b/components/coordination/tests/neighbours_met.rs
@@ -0,0 +1,98 @@
+//! Hosts of a data centre get to know each other.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coordination::neighbours::{Greeted, Neighbours};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use state::Moment;
+
+fn address(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 4, 0, n], 7540))
+}
+
+fn at(seconds: u64) -> Moment {
+    Moment::from_millis(1_000 * seconds)
+}
+
+/// Returns hosts that all know the first two, and are known to them.
+fn star(count: u8) -> Vec<Neighbours> {
+    let mut hosts: Vec<Neighbours> = (0..count)
+        .map(|n| Neighbours::new(address(n), "d"))
+        .collect();
+    for n in 0..count {
+        for middle in 0..2 {
+            if middle != n {
+                hosts[usize::from(n)].greeted(address(middle), "d", at(0));
+                hosts[usize::from(middle)].greeted(address(n), "d", at(0));
+            }
+        }
+    }
+    hosts
+}
+
+/// A data centre's hosts found only the two that the store named first. Each hears
+/// what those two read and nothing of the other 22, so that whenever endpoints are
+/// replaced all 24 read the store, and the site's calls run into its limit.
+#[test]
+fn star_closes() {
+    let mut random = StdRng::seed_from_u64(4);
+    let mut hosts = star(24);
+    for second in 1..=20 {
+        let now = at(second);
+        for n in 0..hosts.len() {
+            let me = address(n as u8);
+            let known = hosts[n].current(now);
+            for other in known {
+                hosts[usize::from(last(other))].greeted(me, "d", now);
+            }
+            let Some(asked) = hosts[n].ask(random.random()) else {
+                continue;
+            };
+            let named = hosts[usize::from(last(asked))].of("d", now);
+            for other in named {
+                if hosts[n].meet(other, now) {
+                    hosts[usize::from(last(other))].greeted(me, "d", now);
+                }
+            }
+        }
+    }
+    for host in &mut hosts {
+        assert_eq!(host.current(at(20)).len(), 23);
+    }
+}
+
+fn last(address: SocketAddr) -> u8 {
+    match address {
+        SocketAddr::V4(v4) => v4.ip().octets()[3],
+        SocketAddr::V6(_) => 0,
+    }
+}
+
+/// A site has four data centres and names three hosts to begin with. Those of the
+/// fourth would know nobody until they ask the store, each with a call of its own.
+#[test]
+fn strangers_introduced() {
+    let mut seed = Neighbours::new(address(1), "a");
+    assert_eq!(seed.greeted(address(7), "d", at(1)), Greeted::Stranger);
+    assert_eq!(seed.greeted(address(8), "d", at(1)), Greeted::Stranger);
+    assert_eq!(seed.of("d", at(2)), [address(7), address(8)]);
+    assert!(seed.of("c", at(2)).is_empty());
+    assert!(seed.is_empty());
+    assert!(seed.of("d", at(60)).is_empty());
+}
+
+/// A neighbour was replaced at another address: it isn't told for ever.
+#[test]
+fn silent_forgotten() {
+    let mut host = Neighbours::new(address(1), "d");
+    assert_eq!(host.greeted(address(2), "d", at(1)), Greeted::New);
+    assert_eq!(host.greeted(address(2), "d", at(2)), Greeted::Known);
+    assert!(!host.meet(address(1), at(2)));
+    assert!(host.meet(address(3), at(2)));
+    assert_eq!(host.current(at(10)).len(), 2);
+    host.greeted(address(3), "d", at(15));
+    assert_eq!(host.current(at(25)), [address(3)]);
+    assert!(host.current(at(15) + Duration::from_secs(30)).is_empty());
+}
--- a/components/coordination/tests/news_relay.rs
+++ b/components/coordination/tests/news_relay.rs
@@ -2,8 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use coordination::relay::next_hops;
+use coordination::feed::Feed;
+use coordination::relay::{Passed, next_hops};
+use state::Moment;
 
 /// A reader with a narrow link tells dozens of neighbours: each of them is told
 /// once, and nobody tells more than a few.
@@ -29,3 +32,66 @@
         }
     }
 }
+
+fn hosts(count: u8) -> Vec<SocketAddr> {
+    let address = |n| SocketAddr::from(([10, 1, 0, n], 7540));
+    (0..count).map(address).collect()
+}
+
+/// Endpoints are replaced one after the other, and three hosts of a data centre
+/// read the same records at the same moment. If they don't hear of each other
+/// all go on reading, every call is paid for three times, and other hosts meet
+/// the store's limit of calls.
+#[test]
+fn one_reader_left() {
+    let hosts = hosts(26);
+    let start = Moment::from_millis(1_000);
+    let mut feeds = vec![Feed::new(start); hosts.len()];
+    let mut passed = vec![Passed::default(); hosts.len()];
+    for feed in &mut feeds {
+        feed.listed(100, 0.5, start);
+    }
+    let now = start + Duration::from_secs(2);
+    let readers = [3, 11, 19];
+    for reader in readers {
+        feeds[reader].ask();
+        feeds[reader].read(150, false, 0.5, now);
+    }
+    let mut way: Vec<(usize, SocketAddr)> = Vec::new();
+    let hops = |me: usize, reader: SocketAddr| {
+        let others: Vec<SocketAddr> = hosts.iter().copied().filter(|h| *h != hosts[me]).collect();
+        next_hops(hosts[me], reader, &others)
+    };
+    let index = |host: SocketAddr| hosts.iter().position(|h| *h == host).expect("a host");
+    for reader in readers {
+        let first = hops(reader, hosts[reader]);
+        way.extend(first.into_iter().map(|h| (index(h), hosts[reader])));
+    }
+    let mut sent = 0;
+    while !way.is_empty() {
+        let (me, reader) = way.remove(0);
+        sent += 1;
+        feeds[me].told(100, 150, reader < hosts[me], 0.5, now);
+        if passed[me].take(reader, 150) {
+            let next = hops(me, reader);
+            way.extend(next.into_iter().map(|h| (index(h), reader)));
+        }
+    }
+    let left: Vec<usize> = (0..hosts.len()).filter(|n| feeds[*n].is_reader()).collect();
+    assert_eq!(left, [3]);
+    assert_eq!(sent, 3 * 25);
+}
+
+/// Two hosts know different neighbours, so that the same news come twice. Passed
+/// on each time, they would go round for ever.
+#[test]
+fn passed_once() {
+    let reader = hosts(1)[0];
+    let mut passed = Passed::default();
+    assert!(passed.take(reader, 150));
+    assert!(!passed.take(reader, 150));
+    assert!(!passed.take(reader, 140));
+    assert!(passed.take(reader, 151));
+    passed.retain(|_| false);
+    assert!(passed.take(reader, 150));
+}
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 use std::rc::Rc;
 
 use coordination::feed::Feed;
+use coordination::neighbours::Neighbours;
 use protocol::news::Topic;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -45,7 +46,6 @@
 use crate::clock;
 use held::Shelves;
 use line::Lines;
-use neighbours::Neighbours;
 use pool::Pool;
 use request_log::RequestLog;
 pub use settings::{Bounds, Live, Settings};
@@ -147,6 +147,7 @@
     fn new(settings: Settings, socket: UdpSocket) -> Gateway {
         let mut random = SmallRng::from_os_rng();
         let feeds = Feeds::new(settings.first_start, random.random(), clock::now());
+        let neighbours = Neighbours::new(settings.peers, &settings.data_centre);
         Gateway {
             home: DataCentreKey::named(&settings.data_centre),
             live: RefCell::new(settings.live.clone()),
@@ -158,7 +159,7 @@
             feeds: RefCell::new(feeds),
             shelves: RefCell::default(),
             socket,
-            neighbours: RefCell::default(),
+            neighbours: RefCell::new(neighbours),
             pool: RefCell::default(),
             budgets: RefCell::default(),
             tempos: RefCell::default(),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -1,13 +1,12 @@
 //! Tells the hosts of the same data centre what was read, and hears it from them.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use coordination::neighbours::Greeted;
 use coordination::relay;
-use protocol::news::{DATAGRAM_LIMIT, Hello, Neighbourly, News};
-use state::Moment;
+use protocol::news::{DATAGRAM_LIMIT, Hello, Neighbourly, News, Topic};
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -31,43 +30,9 @@
 /// How long it waits for their answer: hosts start within 300 ms of each other.
 const SEED_PAUSE: Duration = Duration::from_millis(100);
 
-/// How long a neighbour that says nothing is still told.
-const FORGET_AFTER: Duration = Duration::from_secs(20);
-
 /// How long to wait when no datagram can be received.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
-/// The hosts of the same data centre, and when each was heard or heard of.
-#[derive(Default)]
-pub struct Neighbours {
-    heard: BTreeMap<SocketAddr, Moment>,
-}
-
-impl Neighbours {
-    /// Notes a neighbour, and returns whether it is a new one.
-    pub fn note(&mut self, address: SocketAddr, now: Moment) -> bool {
-        self.heard.insert(address, now).is_none()
-    }
-
-    /// Returns one of the neighbours, by `draw`, evenly drawn from all of `u64`.
-    pub fn any(&self, draw: u64) -> Option<SocketAddr> {
-        let count = u64::try_from(self.heard.len()).ok().filter(|n| *n > 0)?;
-        let at = usize::try_from(draw % count).ok()?;
-        self.heard.keys().nth(at).copied()
-    }
-
-    /// Returns whether no neighbour is known.
-    pub fn is_empty(&self) -> bool {
-        self.heard.is_empty()
-    }
-
-    /// Returns all neighbours, and forgets those that have long been silent.
-    fn current(&mut self, now: Moment) -> Vec<SocketAddr> {
-        self.heard.retain(|_, at| now.since(*at) < FORGET_AFTER);
-        self.heard.keys().copied().collect()
-    }
-}
-
 impl Gateway {
     /// Says to all neighbours that this host is here, for ever.
     ///
@@ -86,6 +51,11 @@
         loop {
             ticks.tick().await;
             self.tell_all(&self.hello(false));
+            let draw = self.draw();
+            let asked = self.neighbours.borrow_mut().ask(draw);
+            if let Some(neighbour) = asked {
+                self.tell(neighbour, &self.hello(true));
+            }
         }
     }
 
@@ -106,11 +76,8 @@
 
     /// Greets a neighbour that another neighbour names.
     fn meet(&self, address: SocketAddr) {
-        let known = self.neighbours.borrow().heard.contains_key(&address);
-        if address == self.settings.peers || known {
-            return;
-        }
-        if self.neighbours.borrow_mut().note(address, clock::now()) {
+        let new = self.neighbours.borrow_mut().meet(address, clock::now());
+        if new {
             self.tell(address, &self.hello(false));
         }
     }
@@ -161,8 +128,9 @@
         };
         match message {
             Neighbourly::News(news) => {
-                // Only what was new here is passed on, and so only once.
-                if self.take_news(&news, from) && news.size() > SMALL {
+                let new = self.take_news(&news, from);
+                let further = self.passes_on(&news);
+                if (new || further) && news.size() > SMALL {
                     self.pass_on(&news);
                 }
             }
@@ -174,20 +142,35 @@
         }
     }
 
+    /// Returns whether news are yet to be passed on, and notes that they are.
+    fn passes_on(&self, news: &News) -> bool {
+        let mut neighbours = self.neighbours.borrow_mut();
+        let passed = match news.topic {
+            Topic::Operators => &mut neighbours.operators,
+            Topic::Endpoints => &mut neighbours.endpoints,
+        };
+        passed.take(news.reader, news.next())
+    }
+
     fn take_hello(&self, from: SocketAddr, hello: Hello) {
-        if hello.centre != self.settings.data_centre {
-            return;
-        }
-        let new = self.neighbours.borrow_mut().note(from, clock::now());
-        match hello.seeks {
-            true => self.tell(from, &self.list()),
-            false if new => self.tell(from, &self.hello(false)),
-            false => {}
+        let now = clock::now();
+        let greeted = match hello.seeks || hello.centre == self.settings.data_centre {
+            true => self
+                .neighbours
+                .borrow_mut()
+                .greeted(from, &hello.centre, now),
+            // A seed elsewhere names hosts of this data centre.
+            false => Greeted::Stranger,
+        };
+        match greeted {
+            _ if hello.seeks => self.tell(from, &self.list(&hello.centre)),
+            Greeted::New => self.tell(from, &self.hello(false)),
+            Greeted::Known | Greeted::Stranger => {}
         }
         for other in hello.neighbours {
             self.meet(other);
         }
-        if new {
+        if greeted == Greeted::New {
             self.want_all();
         }
     }
@@ -201,15 +184,15 @@
         })
     }
 
-    /// Returns the greeting that names all neighbours, for one that asked.
+    /// Returns the greeting that names all hosts of `centre`, for one of them that asked.
     ///
     /// Were they named in every greeting, the bytes would grow with the square
     /// of the hosts: 250 KB a second and host where a data centre has a hundred.
-    fn list(&self) -> Neighbourly {
+    fn list(&self, centre: &str) -> Neighbourly {
         Neighbourly::Hello(Hello {
             centre: self.settings.data_centre.clone(),
             seeks: false,
-            neighbours: self.neighbours.borrow_mut().current(clock::now()),
+            neighbours: self.neighbours.borrow_mut().of(centre, clock::now()),
         })
     }
 
