--- a/components/state/src/probe.rs
+++ b/components/state/src/probe.rs
@@ -27,12 +27,17 @@
 
 impl ProbeBudget {
     /// Returns the budget of an endpoint with `slots`, where a probe costs `cost`.
+    ///
+    /// The first probe waits for its time like any other. The owner before may
+    /// have probed a moment ago: were each to begin with a probe, an endpoint
+    /// whose owner changes several times a second, as on a busy machine whose
+    /// heartbeats come late, would get one each time.
     pub fn new(slots: u32, cost: Duration, now: Moment) -> ProbeBudget {
         let gap = cost * 1_000 / (SHARE * slots.max(1));
         ProbeBudget {
             cost,
             gap,
-            next: now,
+            next: now + gap,
         }
     }
 
