transport, gateway: what could not be told or read says how large it was

Change: a datagram that can't be sent for another reason than a full link is a warning with its size; a read that was given up says how many bytes had come; a change that comes into force says how large it is.

--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -243,7 +243,10 @@
             Ok(catalogue) => {
                 let version = catalogue.version;
                 if self.orders.borrow_mut().adopt(catalogue) {
-                    log::info!("E0302 config-in-force version={version}");
+                    log::info!(
+                        "E0302 config-in-force version={version} bytes={}",
+                        value.len()
+                    );
                     self.forget_routes();
                 }
             }
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -1,5 +1,6 @@
 //! Tells the hosts of the same data centre what was read, and hears it from them.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -212,7 +213,15 @@
 
 /// Sends a datagram, or drops it where the link is full: telling never blocks.
 fn send(socket: &UdpSocket, address: SocketAddr, message: &Neighbourly) {
-    if let Err(error) = socket.try_send_to(&message.encode(), address) {
-        log::debug!("E0406 datagram-not-sent address={address} error={error:?}");
+    let datagram = message.encode();
+    match socket.try_send_to(&datagram, address) {
+        Ok(_) => {}
+        Err(error) if error.kind() == ErrorKind::WouldBlock => {
+            log::debug!("E0406 datagram-not-sent address={address} error={error:?}");
+        }
+        Err(error) => log::warn!(
+            "E0406 datagram-not-sent address={address} bytes={} error={error:?}",
+            datagram.len()
+        ),
     }
 }
--- a/components/transport/src/log/client.rs
+++ b/components/transport/src/log/client.rs
@@ -220,5 +220,5 @@
 }
 
 fn is_silent<T>(result: &Result<T, StoreError>) -> bool {
-    matches!(result, Err(StoreError::Silent(_)))
+    matches!(result, Err(StoreError::Silent { .. }))
 }
--- a/components/transport/src/store.rs
+++ b/components/transport/src/store.rs
@@ -36,9 +36,14 @@
     /// The answer broke off.
     #[error("the store's answer broke off: {0}")]
     Cut(hyper::Error),
-    /// No answer came in time.
-    #[error("the store gave no answer in {} ms", .0.as_millis())]
-    Silent(Duration),
+    /// No whole answer came in time.
+    #[error("the store gave {received} bytes and no whole answer in {} ms", waited.as_millis())]
+    Silent {
+        /// How long the answer was waited for.
+        waited: Duration,
+        /// Bytes of its body that came meanwhile.
+        received: usize,
+    },
     /// The answer is larger than any may be.
     #[error("the store's answer is larger than {SIZE_LIMIT} bytes")]
     TooLarge,
@@ -71,7 +76,7 @@
             StoreError::Forgotten(_) => true,
             StoreError::Wire(WireError::Sent(_))
             | StoreError::Cut(_)
-            | StoreError::Silent(_)
+            | StoreError::Silent { .. }
             | StoreError::TooLarge
             | StoreError::Format(_) => false,
         }
@@ -185,10 +190,18 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<Bytes, StoreError> {
-        let called = self.exchange(method, path, body);
-        let (connection, status, body) = timeout(limit, called)
-            .await
-            .map_err(|_| StoreError::Silent(limit))??;
+        let mut read = BytesMut::new();
+        let called = self.exchange(method, path, body, &mut read);
+        let (connection, status) = match timeout(limit, called).await {
+            Ok(answered) => answered?,
+            Err(_) => {
+                return Err(StoreError::Silent {
+                    waited: limit,
+                    received: read.len(),
+                });
+            }
+        };
+        let body = read.freeze();
         self.connection = Some(connection);
         match status {
             StatusCode::OK => Ok(body),
@@ -207,7 +220,8 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<(Connection, StatusCode, Bytes), StoreError> {
+        read: &mut BytesMut,
+    ) -> Result<(Connection, StatusCode), StoreError> {
         let kept = self
             .connection
             .take()
@@ -220,14 +234,13 @@
         let answer = connection.send(request).await?;
         let status = answer.status();
         let mut incoming = answer.into_body();
-        let mut read = BytesMut::new();
         while let Some(piece) = connection.next_piece(&mut incoming).await {
             read.extend_from_slice(&piece.map_err(StoreError::Cut)?);
             if read.len() > SIZE_LIMIT {
                 return Err(StoreError::TooLarge);
             }
         }
-        Ok((connection, status, read.freeze()))
+        Ok((connection, status))
     }
 
     fn request(&self, method: Method, path: &str, body: Bytes) -> Request<RequestBody> {
