--- /dev/null
+++ b/tests/large_changes.rs
@@ -0,0 +1,87 @@
+//! Changes of the configuration too large for a datagram.
+
+mod site;
+
+use site::store::Mode;
+use site::{Endpoint, Host, ROUTES, Store, config, until};
+
+/// Routes that operators add at once: 290 KB of configuration.
+const MANY: usize = 4_200;
+
+/// Hosts of the data centre.
+const HOSTS: usize = 6;
+
+fn many_routes() -> String {
+    let mut rows = ROUTES.to_owned();
+    for n in 0..MANY {
+        rows += &format!(r#",["bulk-{n}","b.example","/bulk{n}/","safe",2.0,0.5,2,null,2,"svc"]"#);
+    }
+    rows
+}
+
+async fn site_of(count: usize, store: &Store) -> Vec<Host> {
+    let peers = site::peers(count);
+    let mut hosts = Vec::new();
+    for (n, address) in peers.iter().enumerate() {
+        let seed = (n > 0).then_some(peers[0]);
+        hosts.push(Host::start_beside(&format!("bulk-{n}"), store, *address, seed).await);
+    }
+    for host in &hosts {
+        until("a host is ready", async || host.readiness().await == 200).await;
+    }
+    hosts
+}
+
+/// Returns whether a host serves a route that only the large change has.
+async fn serves_last(host: &Host) -> bool {
+    let path = format!("/bulk{}/x", MANY - 1);
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: b.example\r\nAttempt-Id: b\r\nTime-Remaining: 2000\r\nConnection: close\r\n\r\n"
+    );
+    let answer = site::exchange(host.callers, &request).await;
+    answer.is_some_and(|a| a.status == 200)
+}
+
+/// Operators add 1,400 routes, the third time in a row. Some hosts go on answering
+/// 404 for them, or use the routes of before, a second longer than is promised.
+/// All hosts read the store for the change in the same quarter second.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_change_told() {
+    let store = Store::start().await;
+    let endpoint = Endpoint::start("i-1").await;
+    endpoint.register(&store, "ready");
+    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let hosts = site_of(HOSTS, &store).await;
+    let change = config(2, &many_routes());
+    let before = store.bytes_read();
+    store.put("keyed.op", "config", Some(&change));
+    for host in &hosts {
+        until("the change is in force", async || serves_last(host).await).await;
+    }
+    let copies = (store.bytes_read() - before) / change.len() as u64;
+    // One reader a data centre; two where a second one began at the same moment.
+    assert!(copies <= 2, "{HOSTS} hosts read the change {copies} times");
+}
+
+/// A host starts while the store is down, in a site with thousands of routes. It
+/// refuses every caller, though its neighbours know all routes.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_topic_handed_over() {
+    let store = Store::start().await;
+    let endpoint = Endpoint::start("i-1").await;
+    endpoint.register(&store, "ready");
+    store.put("keyed.op", "config", Some(&config(2, &many_routes())));
+    let [first, second] = site::two_peers();
+    let old = Host::start_beside("old", &store, first, None).await;
+    until("the old host is ready", async || {
+        old.readiness().await == 200
+    })
+    .await;
+    store.set(Mode::Refusing);
+    let new = Host::start_beside("new", &store, second, Some(first)).await;
+    until("the new host is ready", async || {
+        new.readiness().await == 200
+    })
+    .await;
+    assert!(serves_last(&new).await);
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -193,12 +193,21 @@
     }
 }
 
-/// Returns the same free peer port at two addresses of this machine.
+/// Returns the same free peer port at several addresses of this machine.
 ///
 /// Hosts of one site have the same peer port.
-pub fn two_peers() -> [SocketAddr; 2] {
+pub fn peers(count: usize) -> Vec<SocketAddr> {
     let port = free_port().port();
-    [1, 2].map(|n| SocketAddr::from(([127, 0, 0, n], port)))
+    let numbers = (1..=u8::MAX).take(count);
+    numbers
+        .map(|n| SocketAddr::from(([127, 0, 0, n], port)))
+        .collect()
+}
+
+/// Returns the same free peer port at two addresses of this machine.
+pub fn two_peers() -> [SocketAddr; 2] {
+    let two: Result<[SocketAddr; 2], _> = peers(2).try_into();
+    two.expect("two were asked for")
 }
 
 /// Returns a port that nobody uses.
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -52,6 +52,11 @@
         });
     }
 
+    /// Returns how many bytes of records reads have handed out.
+    pub fn bytes_read(&self) -> u64 {
+        self.log.counts().bytes_read
+    }
+
     /// Returns how many calls came.
     pub fn calls(&self) -> u32 {
         u32::try_from(self.log.counts().calls).expect("a test makes few calls")
