admin: the port serves connections by itself, so that none waits for another to close

Operators saw /readyz hang while commands waited for the log, in one of twenty runs; the platform's balancer would have taken a good host out. Ruled out: our own workers, since commands have had threads of their own. Change: the port is served by hyper on a thread of its own; whatever asks the host runs on one of twelve others, eight of which at most carry commands. Why it holds: a connection is a task, and no command can take the threads that questions need.

--- a/components/transport/src/admin.rs
+++ b/components/transport/src/admin.rs
@@ -1,30 +1,46 @@
 //! The admin port: health, readiness, metrics, status and commands, for operators.
 //!
-//! `tiny_http` fits here, since only operators and the platform reach this
-//! port: see docs/design/edge.md for why it doesn't fit towards callers.
+//! Connections are served on a thread of the port's own, so that neither callers
+//! nor commands that wait for the log hold up `/readyz`, by which the platform's
+//! balancer would take a good host out.
 
+use std::convert::Infallible;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
 use thiserror::Error;
-use tiny_http::{Header, Method, Request, Response, Server};
-
-/// Threads that answer operators; scrapes and probes may come at once.
-const WORKERS: usize = 2;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{Semaphore, oneshot};
+use tokio::task::spawn_blocking;
+use tokio::time::sleep;
 
 /// Commands that wait for the log at once.
-///
-/// Each has a thread of its own: while the log is slow they wait for seconds,
-/// and on the workers they would hold up `/readyz`, by which the platform's
-/// balancer would take a good host out.
 const COMMANDS: usize = 8;
 
+/// Threads for whatever asks the host, beside those of the commands.
+const ASKING: usize = 4;
+
 /// The largest body an operator's command may have, in bytes.
-const BODY_LIMIT: u64 = 4 * 1024 * 1024;
+const BODY_LIMIT: usize = 4 * 1024 * 1024;
+
+/// How long a connection without a request is kept.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// How long to wait when no connection can be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What the admin port asks of the entry host it stands beside.
 pub trait Host: Send + Sync {
@@ -44,38 +60,45 @@
 /// The admin port, open until it is dropped.
 pub struct Admin {
     address: SocketAddr,
-    server: Arc<Server>,
+    /// Ends the port's thread by being dropped.
+    _open: oneshot::Sender<()>,
 }
 
 /// Why the admin port can't be opened.
 #[derive(Debug, Error)]
 #[error("the admin port can't be opened: {0}")]
-pub struct AdminError(String);
+pub struct AdminError(#[from] io::Error);
 
 impl Admin {
     /// Opens the port on `listener` and answers for `host`.
     ///
     /// # Errors
     ///
-    /// Fails where the listener can't be used.
+    /// Fails where the listener can't be used, or no thread can be had.
     pub fn open(
-        listener: TcpListener,
+        listener: StdListener,
         host: &Arc<dyn Host>,
         metrics: Option<&PrometheusHandle>,
     ) -> Result<Admin, AdminError> {
-        let address = listener
-            .local_addr()
-            .map_err(|e| AdminError(e.to_string()))?;
-        let server =
-            Server::from_listener(listener, None).map_err(|e| AdminError(e.to_string()))?;
-        let server = Arc::new(server);
-        for _ in 0..WORKERS {
-            let server = Arc::clone(&server);
-            let host = Arc::clone(host);
-            let metrics = metrics.cloned();
-            thread::spawn(move || answer_all(&server, &host, metrics.as_ref()));
-        }
-        Ok(Admin { address, server })
+        let address = listener.local_addr()?;
+        listener.set_nonblocking(true)?;
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .max_blocking_threads(COMMANDS + ASKING)
+            .build()?;
+        let port = Arc::new(Port {
+            host: Arc::clone(host),
+            metrics: metrics.cloned(),
+            commands: Semaphore::new(COMMANDS),
+        });
+        let (open, closed) = oneshot::channel();
+        thread::Builder::new()
+            .name("admin".to_owned())
+            .spawn(move || run(runtime, listener, port, closed))?;
+        Ok(Admin {
+            address,
+            _open: open,
+        })
     }
 
     /// Returns where the port listens.
@@ -84,116 +107,145 @@
     }
 }
 
-impl Drop for Admin {
-    fn drop(&mut self) {
-        for _ in 0..WORKERS {
-            self.server.unblock();
+/// Serves until the port is dropped; commands that wait then are left to themselves.
+fn run(runtime: Runtime, listener: StdListener, port: Arc<Port>, closed: oneshot::Receiver<()>) {
+    runtime.block_on(async {
+        tokio::select! {
+            error = accept(listener, port) => log::error!("E0511 admin-port-closed error={error}"),
+            _ = closed => {}
         }
-    }
+    });
+    runtime.shutdown_background();
 }
 
-fn answer_all(server: &Server, host: &Arc<dyn Host>, metrics: Option<&PrometheusHandle>) {
-    while let Ok(request) = server.recv() {
-        let answered = match (request.method(), request.url()) {
-            (Method::Post, "/commands") => command_apart(request, host),
-            _ => answer(request, host.as_ref(), metrics),
-        };
-        note(answered);
+/// Serves each connection by itself, and returns why it can't.
+async fn accept(listener: StdListener, port: Arc<Port>) -> io::Error {
+    let listener = match TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => return error,
+    };
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, Arc::clone(&port)));
+            }
+            Err(error) => {
+                log::warn!("E0512 admin-accept-failed error={error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
     }
 }
 
-fn note(answered: io::Result<()>) {
-    if let Err(error) = answered {
+async fn serve(stream: TcpStream, port: Arc<Port>) {
+    let service = service_fn(|request| {
+        let port = Arc::clone(&port);
+        async move { Ok::<_, Infallible>(port.answer(request).await) }
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_LIMIT)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = serving.await {
         log::debug!("E0501 admin-answer-lost error={error}");
     }
 }
 
-/// Carries a command out on a thread of its own, as far as there may be more.
-fn command_apart(request: Request, host: &Arc<dyn Host>) -> io::Result<()> {
-    let Some(place) = Place::take() else {
-        let busy = serde_json::json!({
-            "outcome": "unreachable",
-            "reason": "too many commands wait for the log: try again",
-        });
-        return json(request, 503, &busy.to_string());
-    };
-    let host = Arc::clone(host);
-    thread::spawn(move || {
-        let _place = place;
-        note(command(request, host.as_ref()));
-    });
-    Ok(())
+type Answer = Response<Full<Bytes>>;
+
+/// What the port answers from.
+struct Port {
+    host: Arc<dyn Host>,
+    metrics: Option<PrometheusHandle>,
+    commands: Semaphore,
 }
 
-/// Commands that run now, over all entry hosts of this process.
-static RUNNING: AtomicUsize = AtomicUsize::new(0);
+impl Port {
+    async fn answer(self: Arc<Port>, request: Request<Incoming>) -> Answer {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/commands") => self.command(request).await,
+            (&Method::GET, path) => {
+                let path = path.to_owned();
+                apart(move || self.page(&path)).await
+            }
+            _ => unknown(),
+        }
+    }
 
-/// One of the places for commands that run at the same time.
-///
-/// Given back when it is dropped: a command that panics must not take its place
-/// away for good, or after eight of them operators could change nothing more.
-struct Place;
+    /// Carries a command out on a thread of its own, as far as there may be more.
+    async fn command(self: Arc<Port>, request: Request<Incoming>) -> Answer {
+        let Ok(_place) = self.commands.try_acquire() else {
+            return unreachable("too many commands wait for the log: try again");
+        };
+        let body = match Limited::new(request.into_body(), BODY_LIMIT)
+            .collect()
+            .await
+        {
+            Ok(body) => body.to_bytes(),
+            Err(error) if error.is::<LengthLimitError>() => {
+                return unreachable("the command is larger than four megabytes");
+            }
+            Err(error) => return unreachable(&format!("the command broke off: {error}")),
+        };
+        let host = Arc::clone(&self.host);
+        apart(move || {
+            let (status, answer) = host.command(&body);
+            json(status, answer)
+        })
+        .await
+    }
 
-impl Place {
-    fn take() -> Option<Place> {
-        let place = Place;
-        (RUNNING.fetch_add(1, Ordering::SeqCst) < COMMANDS).then_some(place)
+    fn page(&self, path: &str) -> Answer {
+        match path {
+            "/healthz" => text(200, "ok\n"),
+            "/readyz" => match self.host.unready() {
+                None => text(200, "ready\n"),
+                Some(reason) => text(503, format!("not ready: {reason}\n")),
+            },
+            "/metrics" => {
+                let page = self.metrics.as_ref().map(PrometheusHandle::render);
+                text(200, page.unwrap_or_default())
+            }
+            "/status" => json(200, self.host.status().to_string()),
+            "/config" => json(200, self.host.config()),
+            _ => unknown(),
+        }
     }
 }
 
-impl Drop for Place {
-    fn drop(&mut self) {
-        RUNNING.fetch_sub(1, Ordering::SeqCst);
+/// Makes an answer on another thread, since what it asks may wait.
+async fn apart(make: impl FnOnce() -> Answer + Send + 'static) -> Answer {
+    match spawn_blocking(make).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            log::error!("E0513 admin-answer-failed error={error}");
+            text(500, "the answer could not be made: see the host's log\n")
+        }
     }
 }
 
-fn command(mut request: Request, host: &dyn Host) -> io::Result<()> {
-    let mut body = Vec::new();
-    io::Read::read_to_end(
-        &mut io::Read::take(request.as_reader(), BODY_LIMIT),
-        &mut body,
-    )?;
-    let (status, answer) = host.command(&body);
-    json(request, status, &answer)
+fn unknown() -> Answer {
+    text(
+        404,
+        "see /healthz, /readyz, /metrics, /status, /config, POST /commands\n",
+    )
 }
 
-fn answer(request: Request, host: &dyn Host, metrics: Option<&PrometheusHandle>) -> io::Result<()> {
-    let path = request
-        .url()
-        .split('?')
-        .next()
-        .unwrap_or_default()
-        .to_owned();
-    match (request.method().clone(), path.as_str()) {
-        (Method::Get, "/healthz") => text(request, 200, "ok\n"),
-        (Method::Get, "/readyz") => match host.unready() {
-            None => text(request, 200, "ready\n"),
-            Some(reason) => text(request, 503, &format!("not ready: {reason}\n")),
-        },
-        (Method::Get, "/metrics") => {
-            let page = metrics.map(PrometheusHandle::render).unwrap_or_default();
-            text(request, 200, &page)
-        }
-        (Method::Get, "/status") => json(request, 200, &host.status().to_string()),
-        (Method::Get, "/config") => json(request, 200, &host.config()),
-        _ => text(
-            request,
-            404,
-            "see /healthz, /readyz, /metrics, /status, /config, POST /commands\n",
-        ),
-    }
+fn unreachable(reason: &str) -> Answer {
+    let answer = serde_json::json!({ "outcome": "unreachable", "reason": reason });
+    json(503, answer.to_string())
 }
 
-fn text(request: Request, status: u16, body: &str) -> io::Result<()> {
-    request.respond(Response::from_string(body).with_status_code(status))
+fn text(status: u16, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    answer
 }
 
-fn json(request: Request, status: u16, body: &str) -> io::Result<()> {
-    let kind = Header::from_bytes("content-type", "application/json")
-        .expect("the header field is plain ASCII");
-    request.respond(
-        Response::from_string(body)
-            .with_status_code(status)
-            .with_header(kind),
-    )
+fn json(status: u16, body: String) -> Answer {
+    let mut answer = text(status, body);
+    let kind = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, kind);
+    answer
 }
--- a/components/transport/tests/admin_port.rs
+++ b/components/transport/tests/admin_port.rs
@@ -46,7 +46,10 @@
 
 /// The log hangs, and operators' commands wait for it. The port had two workers,
 /// so that two commands held up `/readyz`, and the platform's balancer took a
-/// good host out.
+/// good host out. With commands on threads of their own it still hung in one run of
+/// twenty: the library counted a thread that it had just woken as idle, so that a
+/// new connection was given to nobody until another one closed. Its port serves
+/// connections by itself now.
 #[test]
 fn commands_wait_apart() {
     let (begun, begins) = channel();
