routing: a request's route is found without comparing all routes

Callers of a site with 4,150 routes waited a third of a millisecond of a slow host's processor before their request was placed; the aim is 0.5 ms added at p99. Cause: each request was compared with each route. Change: routes are kept sorted by host and prefix; what ends at a slash of the path is looked up, the longest first. What is learned of routes that are no more is forgotten by a set of names, where each was looked for among all.

--- a/components/state/src/routing.rs
+++ b/components/state/src/routing.rs
@@ -16,13 +16,52 @@
     /// Counts the operators' changes, in uneven steps.
     pub version: u64,
     /// All routes.
-    pub routes: Vec<Route>,
+    pub routes: RouteTable,
     /// The services that routes lead to.
     pub services: BTreeMap<ServiceKey, ServicePlan>,
     /// What callers may send.
     pub limits: CallerLimits,
 }
 
+/// Routes, found by host and path without looking at all of them.
+///
+/// Operators have thousands. Compared with each, a request cost a host with a
+/// tenth of a core a third of a millisecond before it was placed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RouteTable {
+    /// Sorted by host, then prefix.
+    routes: Vec<Route>,
+}
+
+impl RouteTable {
+    /// Returns the table of these routes; of two with the same host and prefix the last holds.
+    pub fn new(mut routes: Vec<Route>) -> RouteTable {
+        routes.sort_by(|a, b| a.place().cmp(&b.place()));
+        RouteTable { routes }
+    }
+
+    /// Returns all routes.
+    pub fn iter(&self) -> impl Iterator<Item = &Route> {
+        self.routes.iter()
+    }
+
+    /// Returns the route of `host`, in lower case, with the longest prefix of `path`.
+    ///
+    /// Prefixes end with a slash: only what ends at a slash of the path is looked up.
+    fn longest(&self, host: &str, path: &str) -> Option<&Route> {
+        let ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
+        ends.filter_map(|end| path.get(..end))
+            .find_map(|prefix| self.find(host, prefix))
+    }
+
+    fn find(&self, host: &str, prefix: &str) -> Option<&Route> {
+        let place = (host, prefix);
+        let after = self.routes.partition_point(|r| r.place() <= place);
+        let last = self.routes.get(after.checked_sub(1)?)?;
+        (last.place() == place).then_some(last)
+    }
+}
+
 /// One route: which requests it takes, where they go and what they are due.
 #[value]
 pub struct Route {
@@ -100,14 +139,15 @@
     /// A port behind the host name doesn't count.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let name = host.split(':').next().unwrap_or(host);
-        self.routes
-            .iter()
-            .filter(|r| r.host.eq_ignore_ascii_case(name) && path.starts_with(&r.prefix))
-            .max_by_key(|r| r.prefix.len())
+        self.routes.longest(&name.to_ascii_lowercase(), path)
     }
 }
 
 impl Route {
+    fn place(&self) -> (&str, &str) {
+        (&self.host, &self.prefix)
+    }
+
     /// Returns the service of one request, by `draw`, a number evenly drawn from all of `u64`.
     ///
     /// The draw is made anew for each request and never again for its repeats:
--- a/components/state/tests/route_choice.rs
+++ b/components/state/tests/route_choice.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use state::ServiceKey;
-use state::routing::{CallerLimits, Catalogue, Orders, Part, Route};
+use state::routing::{CallerLimits, Catalogue, Orders, Part, Route, RouteTable};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -34,11 +34,11 @@
 fn catalogue(version: u64) -> Catalogue {
     Catalogue {
         version,
-        routes: vec![
+        routes: RouteTable::new(vec![
             route("short", "a.example", "/x/"),
             route("long", "a.example", "/x/y/"),
             route("other", "b.example", "/x/y/z/"),
-        ],
+        ]),
         services: BTreeMap::new(),
         limits: CallerLimits {
             head_size: 16_384,
@@ -61,6 +61,35 @@
     assert_eq!(found, expected);
 }
 
+/// Operators have thousands of routes, and routes aren't compared one by one with a
+/// request. The one that is found must be the one that comparing all would find.
+#[test]
+fn found_as_among_all() {
+    let mut random = StdRng::seed_from_u64(22);
+    let mut piece = |count: u32| match random.random_range(0..count) {
+        n if n < 3 => ["a", "b", "ab"][n as usize].to_owned(),
+        n => n.to_string(),
+    };
+    let mut routes = Vec::new();
+    for n in 0..400 {
+        let depth = n % 4;
+        let path: String = (0..depth).map(|_| format!("{}/", piece(5))).collect();
+        let host = format!("{}.example", piece(4));
+        routes.push(route(&n.to_string(), &host, &format!("/{path}")));
+    }
+    let mut whole = catalogue(1);
+    whole.routes = RouteTable::new(routes.clone());
+    for _ in 0..2_000 {
+        let host = format!("{}.example", piece(5));
+        let path = format!("/{}/{}/{}", piece(5), piece(5), piece(5));
+        let among_all = routes
+            .iter()
+            .filter(|r| r.host == host && path.starts_with(&r.prefix))
+            .max_by_key(|r| r.prefix.len());
+        assert_eq!(whole.route(&host, &path), among_all, "{host}{path}");
+    }
+}
+
 #[test]
 fn weighted_parts() {
     let mut route = route("split", "a.example", "/");
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -273,8 +273,9 @@
         let Some(catalogue) = &orders.catalogue else {
             return;
         };
-        let named = |name: &String| catalogue.routes.iter().any(|r| r.name == *name);
-        self.tempos.borrow_mut().retain(|name, _| named(name));
+        let named: BTreeSet<&str> = catalogue.routes.iter().map(|r| r.name.as_str()).collect();
+        let mut tempos = self.tempos.borrow_mut();
+        tempos.retain(|name, _| named.contains(name.as_str()));
     }
 
     fn set_leaving(&self, centre: DataCentreKey, leaving: bool) {
