--- a/tests/large_changes.rs
+++ b/tests/large_changes.rs
@@ -2,7 +2,6 @@
 
 mod site;
 
-use site::store::Mode;
 use site::{Endpoint, Host, ROUTES, Store, config, until};
 
 /// Routes that operators add at once: 290 KB of configuration.
@@ -75,17 +74,6 @@
     let endpoint = Endpoint::start("i-1").await;
     endpoint.register(&store, "ready");
     store.put("keyed.op", "config", Some(&config(2, &many_routes())));
-    let [first, second] = site::two_peers();
-    let old = Host::start_beside("old", &store, first, None).await;
-    until("the old host is ready", async || {
-        old.readiness().await == 200
-    })
-    .await;
-    store.set(Mode::Refusing);
-    let new = Host::start_beside("new", &store, second, Some(first)).await;
-    until("the new host is ready", async || {
-        new.readiness().await == 200
-    })
-    .await;
+    let [_old, new] = site::started_in_outage(&store).await;
     assert!(serves_last(&new).await);
 }
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -143,18 +143,7 @@
     store.put("keyed.op", "config", Some(&config(1, ROUTES)));
     let endpoint = Endpoint::start("i-1").await;
     endpoint.register(&store, "ready");
-    let [first, second] = site::two_peers();
-    let old = Host::start_beside("old", &store, first, None).await;
-    until("the old host is ready", async || {
-        old.readiness().await == 200
-    })
-    .await;
-    store.set(Mode::Refusing);
-    let new = Host::start_beside("new", &store, second, Some(first)).await;
-    until("the new host is ready", async || {
-        new.readiness().await == 200
-    })
-    .await;
+    let [_old, new] = site::started_in_outage(&store).await;
     assert_eq!(new.request("GET", "/read/x", "r1").await.status, 200);
 }
 
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -148,6 +148,25 @@
     }
 }
 
+/// Starts a host while the store is down, beside one that had started before.
+///
+/// Returns both, the new one last, once they are ready.
+pub async fn started_in_outage(store: &Store) -> [Host; 2] {
+    let [first, second] = two_peers();
+    let old = Host::start_beside("old", store, first, None).await;
+    until("the old host is ready", async || {
+        old.readiness().await == 200
+    })
+    .await;
+    store.set(store::Mode::Refusing);
+    let new = Host::start_beside("new", store, second, Some(first)).await;
+    until("the new host is ready", async || {
+        new.readiness().await == 200
+    })
+    .await;
+    [old, new]
+}
+
 /// An answer, taken apart as far as tests need it.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -205,7 +224,7 @@
 }
 
 /// Returns the same free peer port at two addresses of this machine.
-pub fn two_peers() -> [SocketAddr; 2] {
+fn two_peers() -> [SocketAddr; 2] {
     let two: Result<[SocketAddr; 2], _> = peers(2).try_into();
     two.expect("two were asked for")
 }
