fragments: what several hosts tell at the same moment is passed on once

Cause: four hosts of a data centre read the same two changes at the same moment, in place of the reader. Change: a message is named by what it holds; which host passes which fragment on depends on the hosts alone, and fragments come in few sizes, so that hosts that know one neighbour more or less cut alike. What a host would pass on itself it gives to those that have less. Test first: large_messages::many_readers; five readers gave the message five names before. Why it holds: a host passes a fragment on when it first comes, whoever sends it.

--- a/components/coordination/src/fragments.rs
+++ b/components/coordination/src/fragments.rs
@@ -7,6 +7,11 @@
 //! passes on to all others: every host sends and receives about the message's
 //! size once, however many hosts there are. A fragment that got lost is asked
 //! for.
+//!
+//! At times several hosts read the same at the same moment, mostly when the one
+//! that used to is turned away by the store. A message is therefore named by what
+//! it holds, not by who sends it, and its fragments go the same way whoever does:
+//! what comes twice is passed on once.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -48,13 +53,13 @@
 /// How long after that it is sent to nobody else, as it is on its way to all.
 const SPREAD_PAUSE: Duration = Duration::from_millis(200);
 
-/// Names a message that is sent in fragments.
+/// Names a message that is sent in fragments, whoever sends it.
 #[key]
 pub struct MessageKey {
-    /// The host that sent it first.
-    pub origin: SocketAddr,
     /// The digest of its bytes.
     pub digest: u64,
+    /// How many fragments it is cut into.
+    pub count: u32,
 }
 
 /// A piece of a message.
@@ -62,10 +67,10 @@
 pub struct Fragment {
     /// The message.
     pub message: MessageKey,
+    /// A host that holds the whole of it and sends it.
+    pub origin: SocketAddr,
     /// Which piece this is, from 0.
     pub number: u32,
-    /// How many pieces there are.
-    pub count: u32,
     /// Whether the receiver is to pass it on to all its neighbours.
     pub spread: bool,
     /// The piece.
@@ -86,8 +91,8 @@
 /// Whom to ask for fragments.
 #[tag]
 pub enum Source {
-    /// The host that sent the message first.
-    Origin,
+    /// A host that holds the whole message.
+    Origin(SocketAddr),
     /// Any neighbour.
     Any,
 }
@@ -101,30 +106,72 @@
     pub numbers: Vec<u32>,
 }
 
-/// Cuts a message into fragments for this many neighbours.
+/// Cuts a message of `origin` into fragments for this many hosts.
 ///
-/// One or more for each, so that all share the work of passing them on.
-pub fn cut(origin: SocketAddr, message: &Bytes, neighbours: usize) -> Vec<Fragment> {
-    let share = message.len().div_ceil(neighbours.max(1));
-    let size = share.clamp(SMALLEST, LARGEST);
-    let count = u32::try_from(message.len().div_ceil(size)).unwrap_or(u32::MAX);
-    let message_key = MessageKey {
-        origin,
+/// About one for each, so that all share the work of passing them on; in sizes
+/// of which there are few, so that hosts which know one neighbour more or less
+/// cut alike.
+pub fn cut(origin: SocketAddr, message: &Bytes, hosts: usize) -> Vec<Fragment> {
+    let share = message.len().div_ceil(hosts.max(1));
+    let size = size_class(share).clamp(SMALLEST, LARGEST);
+    let key = MessageKey {
         digest: xxh3_64(message),
+        count: u32::try_from(message.len().div_ceil(size)).unwrap_or(u32::MAX),
     };
     let starts = (0..message.len()).step_by(size);
     (0..)
         .zip(starts)
         .map(|(number, start)| Fragment {
-            message: message_key,
+            message: key,
+            origin,
             number,
-            count,
             spread: false,
             bytes: message.slice(start..message.len().min(start + size)),
         })
         .collect()
 }
 
+/// Returns the next size of which there are few: a power of two, or three quarters of one.
+fn size_class(size: usize) -> usize {
+    let power = size.next_power_of_two();
+    let smaller = power / 4 * 3;
+    if size <= smaller { smaller } else { power }
+}
+
+/// Returns what `me` sends to whom, so that all `neighbours` get these fragments.
+///
+/// Each goes to the host that passes it on to the others. That is the same one
+/// for whichever host sends the message, but for what it would have to pass on
+/// itself: the others share that.
+pub fn spread(
+    me: SocketAddr,
+    fragments: &[Fragment],
+    neighbours: &[SocketAddr],
+) -> Vec<(SocketAddr, Fragment)> {
+    let mut hosts = neighbours.to_vec();
+    hosts.push(me);
+    hosts.sort();
+    // The last hosts have one fragment less than the first. Which of them takes its
+    // place depends on where it stands, so that not all who send the same choose one.
+    let more = fragments.len() % hosts.len();
+    let less = hosts.len() - more;
+    let place = hosts.partition_point(|h| *h < me) * less / hosts.len();
+    let mut instead = neighbours.iter().cycle().skip(more + place);
+    let mut sent = Vec::new();
+    for (relay, fragment) in hosts.iter().cycle().zip(fragments) {
+        let to = match *relay == me {
+            true => instead.next(),
+            false => Some(relay),
+        };
+        let spread = Fragment {
+            spread: true,
+            ..fragment.clone()
+        };
+        sent.extend(to.map(|to| (*to, spread)));
+    }
+    sent
+}
+
 /// Returns to whom `me` passes on a fragment that `origin` sent first, in this order.
 ///
 /// Backwards from itself: the origin tells the hosts forwards, one after the
@@ -157,6 +204,8 @@
 #[derive(Clone, Debug)]
 struct Message {
     places: Vec<Place>,
+    /// The host heard of last that holds the whole of it.
+    origin: SocketAddr,
     lacking: usize,
     heard: Moment,
     /// When it was last heard of, or asked for.
@@ -165,9 +214,10 @@
 }
 
 impl Message {
-    fn new(count: u32, now: Moment) -> Message {
-        let places = vec![Place::default(); count as usize];
+    fn new(fragment: &Fragment, now: Moment) -> Message {
+        let places = vec![Place::default(); fragment.message.count as usize];
         Message {
+            origin: fragment.origin,
             lacking: places.len(),
             places,
             heard: now,
@@ -240,7 +290,8 @@
 
     /// Takes in a fragment.
     pub fn take(&mut self, fragment: &Fragment, now: Moment) -> Taken {
-        let known = fragment.number < fragment.count && fragment.count <= COUNT_LIMIT;
+        let count = fragment.message.count;
+        let known = fragment.number < count && count <= COUNT_LIMIT;
         if !known || fragment.bytes.len() > LARGEST || !self.place(fragment, now) {
             return Taken::Useless;
         }
@@ -266,7 +317,8 @@
         let message = self
             .messages
             .entry(fragment.message)
-            .or_insert_with(|| Message::new(fragment.count, now));
+            .or_insert_with(|| Message::new(fragment, now));
+        message.origin = fragment.origin;
         let new = message.put(fragment, now);
         self.forget(now);
         new
@@ -307,7 +359,7 @@
         message.asks += 1;
         message.stirred = now;
         let source = match message.asks % 2 {
-            1 => Source::Origin,
+            1 => Source::Origin(message.origin),
             _ => Source::Any,
         };
         let places = (0..).zip(&message.places);
@@ -326,7 +378,6 @@
         let Some(message) = self.messages.get_mut(&lacking.message) else {
             return Vec::new();
         };
-        let count = u32::try_from(message.places.len()).unwrap_or(u32::MAX);
         let mut fragments = Vec::new();
         for number in &lacking.numbers {
             let Some((bytes, spread)) = message.again(*number, now) else {
@@ -334,8 +385,8 @@
             };
             fragments.push(Fragment {
                 message: lacking.message,
+                origin: message.origin,
                 number: *number,
-                count,
                 spread,
                 bytes,
             });
--- a/components/coordination/tests/large_messages.rs
+++ b/components/coordination/tests/large_messages.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use coordination::fragments::{
-    Fragment, Fragments, Lacking, MessageKey, Source, Taken, cut, relay_order,
+    Fragment, Fragments, Lacking, MessageKey, Source, Taken, cut, relay_order, spread,
 };
 use coordination::outbox::Outbox;
 use rand::rngs::StdRng;
@@ -81,14 +81,13 @@
     /// Has one host tell all others, and returns the message's name.
     fn spread(&mut self, origin: usize, now: Moment) -> MessageKey {
         let others = self.others(origin);
-        let fragments = cut(self.addresses[origin], &self.message, others.len());
+        let me = self.addresses[origin];
+        let fragments = cut(me, &self.message, self.hosts.len());
         let host = &mut self.hosts[origin];
         host.fragments.keep(&fragments, now);
         host.whole_at = Some(now);
-        for (to, fragment) in others.iter().cycle().zip(&fragments) {
-            let mut fragment = fragment.clone();
-            fragment.spread = true;
-            assert!(host.outbox.push(*to, (), fragment));
+        for (to, fragment) in spread(me, &fragments, &others) {
+            assert!(host.outbox.push(to, (), fragment));
         }
         fragments[0].message
     }
@@ -117,7 +116,9 @@
                 && let Some((source, lacking)) = host.fragments.ask(key, SILENCE, now)
             {
                 let to = match source {
-                    Source::Origin => self.addresses.binary_search(&key.origin).expect("a host"),
+                    Source::Origin(origin) => {
+                        self.addresses.binary_search(&origin).expect("a host")
+                    }
                     Source::Any => draw,
                 };
                 way.push((me, to, Sent::Lacking(lacking)));
@@ -158,7 +159,7 @@
             }
         }
         if fragment.spread {
-            for to in relay_order(address, fragment.message.origin, others) {
+            for to in relay_order(address, fragment.origin, others) {
                 let mut copy = fragment.clone();
                 copy.spread = false;
                 host.outbox.push(to, (), copy);
@@ -167,9 +168,11 @@
     }
 
     /// Runs until all living hosts have the message; returns how long that took.
-    fn run(&mut self, origin: usize, limit: Duration) -> Duration {
+    fn run(&mut self, origins: &[usize], limit: Duration) -> Duration {
         let start = Moment::from_millis(1_000);
-        let key = self.spread(origin, start);
+        let keys: BTreeSet<MessageKey> = origins.iter().map(|o| self.spread(*o, start)).collect();
+        assert_eq!(keys.len(), 1, "the same message has several names");
+        let key = *keys.first().expect("somebody sends it");
         let mut now = start;
         while self.hosts.iter().any(|h| h.alive && h.whole_at.is_none()) {
             now = now + Duration::from_millis(1);
@@ -195,7 +198,7 @@
 fn load_shared() {
     for count in [2, 5, 13, 44, 133, 300] {
         let mut centre = Centre::new(count, 7, 0.0);
-        centre.run(count / 2, BOUND);
+        centre.run(&[count / 2], BOUND);
         let worst = centre.hosts.iter().map(|h| h.sent).max();
         // Fragments can't be dealt out evenly where there are few more than hosts.
         let share = SIZE + SIZE / 2;
@@ -205,6 +208,21 @@
     }
 }
 
+/// The store turns the reader away, and five hosts read the change instead, at the same
+/// moment. Each told all others: five times the bytes filled the narrow links for three
+/// seconds, and the changes after it came as much too late. What comes twice is passed
+/// on once.
+#[test]
+fn many_readers() {
+    let mut centre = Centre::new(44, 9, 0.0);
+    centre.run(&[3, 11, 12, 30, 43], 2 * BOUND);
+    let most = centre.hosts.iter().map(|h| h.sent).max();
+    // Each of the five sends it once, and its share to all.
+    assert!(most <= Some(5 * SIZE / 2), "{most:?} bytes sent");
+    let all: usize = centre.hosts.iter().map(|h| h.received).sum();
+    assert!(all <= (44 + 5 + 10) * SIZE, "{all} bytes received by all");
+}
+
 /// A host is told by many at the same moment what its link takes tens of
 /// milliseconds to carry, and the rest is lost. In no 50 milliseconds does more than
 /// twice the usual come.
@@ -232,7 +250,7 @@
 fn losses_made_good() {
     for seed in 0..20 {
         let mut centre = Centre::new(44, seed, 0.03);
-        centre.run(0, 2 * BOUND);
+        centre.run(&[0], 2 * BOUND);
     }
 }
 
@@ -249,7 +267,7 @@
         for me in frozen {
             centre.hosts[me].alive = false;
         }
-        centre.run(0, 3 * BOUND);
+        centre.run(&[0], 3 * BOUND);
     }
 }
 
@@ -278,10 +296,10 @@
     let good = cut(origin, &Bytes::from(vec![7; 40_000]), 3);
     let mut fragments = Fragments::default();
     let mut claims = good[0].clone();
-    claims.count = u32::MAX;
+    claims.message.count = u32::MAX;
     assert_eq!(fragments.take(&claims, now), Taken::Useless);
     let mut beyond = good[0].clone();
-    beyond.number = beyond.count;
+    beyond.number = beyond.message.count;
     assert_eq!(fragments.take(&beyond, now), Taken::Useless);
     for (n, fragment) in good.iter().enumerate() {
         let mut damaged = fragment.clone();
--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -74,7 +74,7 @@
 pub struct News {
     /// The topic.
     pub topic: Topic,
-    /// The host that read them.
+    /// The host that read them; nobody's address in a message that goes in fragments.
     pub reader: SocketAddr,
     /// The offset of the first record.
     pub from: u64,
@@ -157,11 +157,10 @@
 
 #[derive(Clone, PartialEq, Message)]
 struct WireLacking {
-    /// The origin's address, as text.
-    #[prost(string, tag = "1")]
-    origin: String,
-    #[prost(fixed64, tag = "2")]
+    #[prost(fixed64, tag = "1")]
     digest: u64,
+    #[prost(uint32, tag = "2")]
+    count: u32,
     #[prost(uint32, repeated, tag = "3")]
     numbers: Vec<u32>,
 }
@@ -171,6 +170,16 @@
 const ENDPOINTS: u32 = 2;
 
 impl News {
+    /// Returns these news as any host that read the same would tell them.
+    ///
+    /// Large news are named by what they hold, so the reader must not be in them.
+    pub fn anonymous(self) -> News {
+        News {
+            reader: SocketAddr::from(([0, 0, 0, 0], 0)),
+            ..self
+        }
+    }
+
     /// Returns where to read on after these records.
     pub fn next(&self) -> u64 {
         self.from + self.records.len() as u64
@@ -225,8 +234,8 @@
             Neighbourly::Lacking(topic, lacking) => WireNews {
                 topic: number(*topic),
                 lacking: Some(WireLacking {
-                    origin: lacking.message.origin.to_string(),
                     digest: lacking.message.digest,
+                    count: lacking.message.count,
                     numbers: lacking.numbers.clone(),
                 }),
                 ..WireNews::default()
@@ -282,7 +291,7 @@
             return Ok(Neighbourly::Fragment(topic, fragment.read()?));
         }
         if let Some(lacking) = wire.lacking {
-            return Ok(Neighbourly::Lacking(topic, lacking.read()?));
+            return Ok(Neighbourly::Lacking(topic, lacking.read()));
         }
         Ok(Neighbourly::News(News {
             topic,
@@ -296,10 +305,10 @@
 impl From<&Fragment> for WireFragment {
     fn from(fragment: &Fragment) -> WireFragment {
         WireFragment {
-            origin: fragment.message.origin.to_string(),
+            origin: fragment.origin.to_string(),
             digest: fragment.message.digest,
             number: fragment.number,
-            count: fragment.count,
+            count: fragment.message.count,
             spread: fragment.spread,
             bytes: fragment.bytes.clone(),
         }
@@ -310,11 +319,11 @@
     fn read(self) -> Result<Fragment, NewsError> {
         Ok(Fragment {
             message: MessageKey {
-                origin: address(&self.origin)?,
                 digest: self.digest,
+                count: self.count,
             },
+            origin: address(&self.origin)?,
             number: self.number,
-            count: self.count,
             spread: self.spread,
             bytes: self.bytes,
         })
@@ -322,14 +331,14 @@
 }
 
 impl WireLacking {
-    fn read(self) -> Result<Lacking, NewsError> {
-        Ok(Lacking {
+    fn read(self) -> Lacking {
+        Lacking {
             message: MessageKey {
-                origin: address(&self.origin)?,
                 digest: self.digest,
+                count: self.count,
             },
             numbers: self.numbers,
-        })
+        }
     }
 }
 
--- a/components/protocol/tests/news_messages.rs
+++ b/components/protocol/tests/news_messages.rs
@@ -16,8 +16,8 @@
 
 fn message() -> MessageKey {
     MessageKey {
-        origin: "10.1.2.3:7540".parse().expect("an address"),
         digest: u64::MAX,
+        count: 9,
     }
 }
 
@@ -42,8 +42,8 @@
             Topic::Operators,
             Fragment {
                 message: message(),
+                origin: "10.1.2.3:7540".parse().expect("an address"),
                 number: 4,
-                count: 9,
                 spread: true,
                 bytes: Bytes::from_static(b"one"),
             },
--- a/components/transport/src/gateway/fragments.rs
+++ b/components/transport/src/gateway/fragments.rs
@@ -65,22 +65,15 @@
             fragments.len(),
             neighbours.len()
         );
-        let relays = neighbours.iter().cycle();
-        let pairs = relays.zip(fragments).map(|(to, fragment)| {
-            let spread = Fragment {
-                spread: true,
-                ..fragment
-            };
-            (*to, spread)
-        });
-        self.queue(topic, pairs);
+        let pairs = fragments::spread(self.settings.peers, &fragments, &neighbours);
+        self.queue(topic, pairs.into_iter());
     }
 
     /// Cuts a message of this host's, and keeps it for neighbours that lose some.
     fn cut(self: &Rc<Self>, message: &Bytes) -> Vec<Fragment> {
         let now = clock::now();
         let count = self.neighbours.borrow_mut().current(now).len();
-        let fragments = fragments::cut(self.settings.peers, message, count);
+        let fragments = fragments::cut(self.settings.peers, message, count + 1);
         self.large.borrow_mut().fragments.keep(&fragments, now);
         spawn_local(Rc::clone(self).forget_later());
         fragments
@@ -140,9 +133,9 @@
                 log::info!(
                     "E0423 message-whole topic={topic:?} bytes={} origin={}",
                     message.len(),
-                    fragment.message.origin
+                    fragment.origin
                 );
-                self.take_message(fragment.message.origin, &message);
+                self.take_message(fragment.origin, &message);
                 self.take_pending(topic);
             }
         }
@@ -151,8 +144,7 @@
     /// Passes a fragment on to all neighbours but the host that sent it first.
     fn relay(&self, topic: Topic, fragment: &Fragment) {
         let neighbours = self.neighbours.borrow_mut().current(clock::now());
-        let hosts =
-            fragments::relay_order(self.settings.peers, fragment.message.origin, neighbours);
+        let hosts = fragments::relay_order(self.settings.peers, fragment.origin, neighbours);
         let copy = Fragment {
             spread: false,
             ..fragment.clone()
@@ -185,8 +177,10 @@
             }
         }
         if self.large.borrow_mut().awaited.remove(&message).is_some() {
-            let origin = message.origin;
-            log::info!("E0421 message-incomplete topic={topic:?} origin={origin}");
+            log::info!(
+                "E0421 message-incomplete topic={topic:?} digest={:016x}",
+                message.digest
+            );
             self.take_pending(topic);
         }
         self.forget_later().await;
@@ -195,12 +189,13 @@
     fn ask_again(&self, topic: Topic, source: Source, lacking: Lacking) {
         self.hold_off(topic);
         let draw = self.draw();
-        let other = match source {
-            Source::Origin => None,
+        let to = match source {
+            Source::Origin(origin) => Some(origin),
             Source::Any => self.neighbours.borrow().any(draw),
         };
-        let to = other.unwrap_or(lacking.message.origin);
-        self.tell(to, &Neighbourly::Lacking(topic, lacking));
+        if let Some(to) = to {
+            self.tell(to, &Neighbourly::Lacking(topic, lacking));
+        }
     }
 
     /// Sends the fragments that a neighbour lacks.
@@ -217,6 +212,10 @@
     fn take_message(self: &Rc<Self>, origin: SocketAddr, message: &[u8]) {
         match Neighbourly::decode(message) {
             Ok(Neighbourly::News(news)) => {
+                let news = News {
+                    reader: origin,
+                    ..news
+                };
                 self.take_news(&news, origin);
             }
             Ok(Neighbourly::Held(held)) => self.take_held(held),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -90,7 +90,7 @@
             n if n <= SMALL => self.tell_all(&Neighbourly::News(news)),
             n if n <= DATAGRAM_LIMIT => self.pass_on(&news),
             _ if self.spreads(news.topic) => {
-                self.spread(news.topic, &Neighbourly::News(news));
+                self.spread(news.topic, &Neighbourly::News(news.anonymous()));
             }
             _ => {}
         }
