--- a/components/coordination/src/neighbours.rs
+++ b/components/coordination/src/neighbours.rs
@@ -109,11 +109,6 @@
         self.heard.keys().nth(at).copied()
     }
 
-    /// Returns how many neighbours are known.
-    pub fn len(&self) -> usize {
-        self.heard.len()
-    }
-
     /// Returns whether no neighbour is known.
     pub fn is_empty(&self) -> bool {
         self.heard.is_empty()
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -99,7 +99,7 @@
         let rate = self.live.borrow().bounds.ask_rate;
         let endpoints = self.registry.borrow().len();
         let mut asks = self.asks.borrow_mut();
-        asks.fill(rate, endpoints, self.likely_share(), clock::now());
+        asks.fill(rate, endpoints, self.share.get(), clock::now());
         asks.is_left()
     }
 
--- a/components/transport/src/gateway/share.rs
+++ b/components/transport/src/gateway/share.rs
@@ -30,11 +30,6 @@
 /// Shorter, and one slow answer of the store would deal all parts anew.
 const SESSION: Duration = Duration::from_secs(15);
 
-/// By when a host knows its part, or gets none.
-///
-/// Twice the time after which a silent host's part is dealt anew.
-const SHARE_KNOWN: Duration = Duration::from_secs(30);
-
 /// How long a host that knows no neighbour waits before it asks the store again.
 ///
 /// Doubled each time, since a host may be the only one of its data centre.
@@ -109,19 +104,6 @@
         self.share.set(share);
     }
 
-    /// Returns this host's part of all hosts, or what it likely is until it knows.
-    ///
-    /// Parts are dealt seconds after a host has started, and callers come before.
-    /// As many hosts as in its own data centre are taken to stand in each other one.
-    pub(super) fn likely_share(&self) -> f64 {
-        let known = self.share.get();
-        if known > 0.0 || clock::now().since(self.started) > SHARE_KNOWN {
-            return known;
-        }
-        let hosts = (self.neighbours.borrow().len() + 1) * self.settings.places.count();
-        1.0 / hosts as f64
-    }
-
     /// Asks the store for neighbours where it is time to.
     async fn search(&self, store: &mut Store, search: &mut Search) {
         if clock::now() < search.due {
