cold: a host's turn lapses, and a small share is no larger than it is

What callers would see: an endpoint that has just started falls over again. A host's pause between requests to a cold endpoint was cut to 30 s, where with 472 hosts the fair one is 157 s: all of them together sent 472 requests in 30 s where 90 are granted (test hundreds_of_hosts on the code before). And turns were kept: 13 hosts that had no use for them while it was calm sent 13 requests in one second as a flood began, where 9 are allowed (flood_after_calm). Ruled out: shares that add up to more than one; the test gives each its exact part. Change: the pause is what the share makes it, and a turn that isn't used within half a second lapses; the next one comes a pause after it, so that phases stay spread.

--- a/components/state/src/fleet/cold.rs
+++ b/components/state/src/fleet/cold.rs
@@ -9,18 +9,22 @@
 ///
 /// A cold endpoint falls over when it gets clearly more than its rate. The
 /// bound holds for the sum over all hosts, so each takes only its share of
-/// the rate, and begins each endpoint with nothing saved: were every host to
-/// start with one request in hand, they would all come in the same second.
+/// the rate: its turn comes once a pause, at a moment of its own. Hosts that
+/// start together therefore don't all send in the same second, and a host whose
+/// pause is longer than an endpoint stays cold mostly sends nothing.
 #[derive(Clone, Debug, Default)]
 pub struct ColdShare {
     next: BTreeMap<EndpointKey, Moment>,
 }
 
 /// The longest pause between two requests of one host to a cold endpoint.
+const LONGEST: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// How long a host may use its turn.
 ///
-/// Longer than any endpoint stays cold: a host whose share is that small sends
-/// nothing.
-const LONGEST: Duration = Duration::from_secs(30);
+/// Were turns kept, those that hosts had no use for would all be used in the
+/// second in which a flood begins.
+const TURN: Duration = Duration::from_millis(500);
 
 /// What a host may send to cold endpoints of one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -47,8 +51,14 @@
     ///
     /// `draw`, a number from 0 to 1, spreads the hosts' first requests.
     pub fn is_due(&mut self, key: EndpointKey, allowed: Allowance, draw: f64, now: Moment) -> bool {
-        let first = now + allowed.pause().mul_f64(draw);
-        *self.next.entry(key).or_insert(first) <= now
+        let pause = allowed.pause();
+        let next = self.next.entry(key).or_insert(now + pause.mul_f64(draw));
+        let late = now.since(*next);
+        if late > TURN {
+            let missed = (late.as_secs_f64() / pause.as_secs_f64()).ceil();
+            *next = *next + pause.mul_f64(missed);
+        }
+        *next <= now
     }
 
     /// Does the same, and counts the request where it may go.
--- /dev/null
+++ b/components/state/tests/cold_share.rs
@@ -0,0 +1,72 @@
+//! How many requests a cold endpoint gets from all hosts together.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use state::fleet::ColdShare;
+use state::fleet::cold::Allowance;
+use state::{EndpointKey, Moment};
+
+const ENDPOINT: EndpointKey = EndpointKey(7);
+const RATE: f64 = 3.0;
+const STEP: Duration = Duration::from_millis(10);
+
+/// Returns how many requests a cold endpoint gets in each of thirty seconds, where all of
+/// `hosts` have callers from `from` on.
+fn sent(hosts: usize, from: Duration, seed: u64) -> Vec<usize> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut shares = vec![ColdShare::default(); hosts];
+    let allowed = Allowance {
+        rate: RATE,
+        share: 1.0 / hosts as f64,
+    };
+    let start = Moment::from_millis(1_000);
+    let mut seconds = vec![0; 30];
+    for step in 0..3_000 {
+        let passed = STEP * step;
+        let now = start + passed;
+        for share in &mut shares {
+            let draw = random.random();
+            let sent = match passed < from {
+                true => {
+                    share.is_due(ENDPOINT, allowed, draw, now);
+                    false
+                }
+                false => share.take(ENDPOINT, allowed, draw, now),
+            };
+            seconds[passed.as_secs() as usize] += usize::from(sent);
+        }
+    }
+    seconds
+}
+
+/// The pauses of hundreds of hosts are longer than any endpoint is cold: cut to half a
+/// minute, they add up to several times what the endpoint bears.
+#[test]
+fn hundreds_of_hosts() {
+    for hosts in [13, 100, 472, 1_000] {
+        let all = sent(hosts, Duration::ZERO, 5);
+        let granted = RATE * all.len() as f64;
+        let total = all.iter().sum::<usize>() as f64;
+        assert!(total <= granted * 1.3, "{hosts} hosts sent {total}");
+        assert!(total >= granted * 0.6, "{hosts} hosts sent {total}");
+    }
+}
+
+/// Hosts that had no use for a cold endpoint meet a flood, and all send what they saved
+/// in one second: the endpoint falls over.
+#[test]
+fn flood_after_calm() {
+    for (hosts, slack) in [(13, 5), (103, 8), (472, 10)] {
+        let bound = (RATE * 1.5) as usize + slack;
+        for seed in 0..50 {
+            let all = sent(hosts, Duration::from_secs(10), seed);
+            let most = all.into_iter().max().unwrap_or_default();
+            assert!(
+                most <= bound,
+                "{hosts} hosts sent {most} in a second, seed {seed}"
+            );
+        }
+    }
+}
