share: a host joins the group under the same name in each life

What callers saw: after all hosts of a site had lost power, answers were late for as long as the parts of their former lives had not lapsed, fifteen seconds. Cause: each life joined under a name of its own, so the group counted twice as many members as there were hosts, and those that lived held half the parts or none. Ruled out: two lives of one host at once; its address is bound by one process. Change: the name is the data centre and the address.

--- a/components/transport/src/gateway/share.rs
+++ b/components/transport/src/gateway/share.rs
@@ -133,16 +133,14 @@
         Ok(())
     }
 
-    /// Returns the name under which this life of the host joins.
+    /// Returns the name under which this host joins, the same in each life.
     ///
+    /// A host that starts again goes on with the parts that it held. Under a new
+    /// name it would have none until those of its former life lapse, and after a
+    /// loss of power a group would count twice as many members as there are hosts.
     /// It tells neighbours all they need: the data centre and the address.
     fn member(&self) -> String {
-        format!(
-            "{}/{}/{:016x}",
-            self.settings.data_centre,
-            self.settings.peers,
-            self.draw()
-        )
+        format!("{}/{}", self.settings.data_centre, self.settings.peers)
     }
 
     /// Returns the address of a member of the same data centre.
