--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -45,6 +45,19 @@
     Fragment(Topic, Fragment),
     /// The sender lacks fragments of a message about a topic.
     Lacking(Topic, Lacking),
+    /// The sender may ask endpoints hardly any more questions; each request has a number.
+    Borrow(u32),
+    /// Questions that the receiver may ask in the sender's place.
+    Lend(Loan),
+}
+
+/// Questions lent in answer to a request.
+#[tag]
+pub struct Loan {
+    /// The request's number.
+    pub number: u32,
+    /// How many questions.
+    pub questions: u32,
 }
 
 /// A greeting.
@@ -101,7 +114,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 struct WireNews {
-    /// 0 for a hello, else the topic's number.
+    /// 0 for a hello, the topic's number, or what is borrowed or lent.
     #[prost(uint32, tag = "1")]
     topic: u32,
     #[prost(uint64, tag = "2")]
@@ -136,6 +149,11 @@
     fragment: Option<WireFragment>,
     #[prost(message, optional, tag = "14")]
     lacking: Option<WireLacking>,
+    /// The number of a request to borrow.
+    #[prost(uint32, tag = "15")]
+    number: u32,
+    #[prost(uint32, tag = "16")]
+    questions: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -168,6 +186,8 @@
 const HELLO: u32 = 0;
 const OPERATORS: u32 = 1;
 const ENDPOINTS: u32 = 2;
+const BORROW: u32 = 3;
+const LEND: u32 = 4;
 
 impl News {
     /// Returns these news as any host that read the same would tell them.
@@ -240,6 +260,17 @@
                 }),
                 ..WireNews::default()
             },
+            Neighbourly::Borrow(number) => WireNews {
+                topic: BORROW,
+                number: *number,
+                ..WireNews::default()
+            },
+            Neighbourly::Lend(loan) => WireNews {
+                topic: LEND,
+                number: loan.number,
+                questions: loan.questions,
+                ..WireNews::default()
+            },
             Neighbourly::Trouble(topic) => WireNews {
                 topic: number(*topic),
                 failed: true,
@@ -270,6 +301,13 @@
                     centre: wire.centre,
                 }));
             }
+            BORROW => return Ok(Neighbourly::Borrow(wire.number)),
+            LEND => {
+                return Ok(Neighbourly::Lend(Loan {
+                    number: wire.number,
+                    questions: wire.questions,
+                }));
+            }
             OPERATORS => Topic::Operators,
             ENDPOINTS => Topic::Endpoints,
             _ => return Err(NewsError::UnknownTopic),
--- a/components/protocol/tests/news_messages.rs
+++ b/components/protocol/tests/news_messages.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use coordination::fragments::{Fragment, Lacking, MessageKey};
 use proptest::prelude::*;
-use protocol::news::{Held, Hello, Neighbourly, News, Topic};
+use protocol::news::{Held, Hello, Loan, Neighbourly, News, Topic};
 
 fn news(records: Vec<Vec<u8>>) -> News {
     News {
@@ -48,6 +48,11 @@
                 bytes: Bytes::from_static(b"one"),
             },
         ),
+        Neighbourly::Borrow(8),
+        Neighbourly::Lend(Loan {
+            number: 8,
+            questions: 77,
+        }),
         Neighbourly::Lacking(
             Topic::Endpoints,
             Lacking {
--- a/components/state/tests/ask_budget.rs
+++ b/components/state/tests/ask_budget.rs
@@ -95,3 +95,54 @@
     budget.fill(RATE, ENDPOINTS, 0.0, start + Duration::from_secs(1));
     assert!(budget.is_left());
 }
+
+/// A host whose callers ask for more than its share, and one that has some to spare: what
+/// is borrowed is gone from the lender, so that the sum stays within the bound.
+#[test]
+fn lent_once() {
+    let start = Moment::from_millis(1_000);
+    let [mut busy, mut calm] = [AskBudget::new(start), AskBudget::new(start)];
+    let now = start + Duration::from_secs(30);
+    for budget in [&mut busy, &mut calm] {
+        budget.fill(RATE, ENDPOINTS, 0.05, now);
+    }
+    assert_eq!(busy.borrow(now), None, "it has enough");
+    let own = left(&mut busy);
+    let number = busy.borrow(now).expect("it has none left");
+    assert_eq!(busy.borrow(now), None, "it asks again at once");
+    let lent = calm.lend();
+    assert!(lent > 500, "{lent} lent of what was saved in half a minute");
+    busy.borrowed(number, lent);
+    busy.borrowed(number, lent);
+    assert_eq!(
+        left(&mut busy),
+        lent as usize,
+        "a datagram that comes twice counts once"
+    );
+    let all = own + lent as usize + left(&mut calm);
+    let granted = RATE * ENDPOINTS as f64 * 0.05 * 34.0 * 2.0;
+    assert!(all as f64 <= granted, "{all} of {granted}");
+}
+
+/// A host that lent away what it needs itself would place its own requests unasked.
+#[test]
+fn reserve_kept() {
+    let start = Moment::from_millis(1_000);
+    let mut budget = AskBudget::new(start);
+    let now = start + Duration::from_secs(1);
+    budget.fill(RATE, ENDPOINTS, 0.05, now);
+    for _ in 0..20 {
+        budget.lend();
+    }
+    assert!(left(&mut budget) > 300);
+}
+
+/// Returns how many questions may still be asked, and asks them.
+fn left(budget: &mut AskBudget) -> usize {
+    let mut asked = 0;
+    while budget.is_left() {
+        budget.spend();
+        asked += 1;
+    }
+    asked
+}
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -2,10 +2,12 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
+use protocol::news::{Loan, Neighbourly};
 use state::fleet::cold::Allowance;
 use state::fleet::look::Look;
 use state::fleet::outcome::Outcome;
@@ -96,11 +98,41 @@
 
     /// Returns whether the bound on questions lets this host ask one more.
     fn may_ask(&self) -> bool {
+        let rate = self.live.borrow().bounds.ask_rate;
+        let endpoints = self.registry.borrow().len();
+        let now = clock::now();
+        let mut asks = self.asks.borrow_mut();
+        asks.fill(rate, endpoints, self.share.get(), now);
+        let left = asks.is_left();
+        let wanted = asks.borrow(now);
+        drop(asks);
+        if let Some(number) = wanted {
+            self.borrow_questions(number);
+        }
+        left
+    }
+
+    /// Asks one neighbour for questions that it doesn't need.
+    fn borrow_questions(&self, number: u32) {
+        let draw = self.draw();
+        let neighbour = self.neighbours.borrow().any(draw);
+        if let Some(neighbour) = neighbour {
+            self.tell(neighbour, &Neighbourly::Borrow(number));
+        }
+    }
+
+    /// Lends a neighbour questions that this host doesn't need.
+    pub(super) fn lend_questions(&self, to: SocketAddr, number: u32) {
         let rate = self.live.borrow().bounds.ask_rate;
         let endpoints = self.registry.borrow().len();
         let mut asks = self.asks.borrow_mut();
         asks.fill(rate, endpoints, self.share.get(), clock::now());
-        asks.is_left()
+        let questions = asks.lend();
+        drop(asks);
+        if questions > 0 {
+            log::debug!("E0140 questions-lent to={to} questions={questions}");
+            self.tell(to, &Neighbourly::Lend(Loan { number, questions }));
+        }
     }
 
     fn step(
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -155,6 +155,10 @@
         let mut random = SmallRng::from_os_rng();
         let feeds = Feeds::new(settings.first_start, random.random(), clock::now());
         let neighbours = Neighbours::new(settings.peers, &settings.data_centre);
+        let asks = match settings.first_start {
+            true => AskBudget::new(clock::now()),
+            false => AskBudget::restarted(clock::now()),
+        };
         Gateway {
             home: DataCentreKey::named(&settings.data_centre),
             live: RefCell::new(settings.live.clone()),
@@ -172,7 +176,7 @@
             pool: RefCell::default(),
             budgets: RefCell::default(),
             tempos: RefCell::default(),
-            asks: RefCell::new(AskBudget::new(clock::now())),
+            asks: RefCell::new(asks),
             lines: RefCell::default(),
             share: Cell::new(0.0),
             random: RefCell::new(random),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -152,6 +152,11 @@
             Neighbourly::Fragment(topic, fragment) => self.take_fragment(topic, &fragment),
             Neighbourly::Lacking(topic, lacking) => self.take_lacking(from, topic, &lacking),
             Neighbourly::Hello(hello) => self.take_hello(from, hello),
+            Neighbourly::Borrow(number) => self.lend_questions(from, number),
+            Neighbourly::Lend(loan) => {
+                let mut asks = self.asks.borrow_mut();
+                asks.borrowed(loan.number, loan.questions);
+            }
         }
     }
 
