share: joins slow down while the group stays the same

Change: where a join tells the generation known already, the next one comes twice as late, up to twenty seconds; one that tells another, or fails, begins at five again. The session that a join asks for is three times the longest pause until the next one, so a slow answer of the store still deals nothing anew. What a host that is gone held stays unused for up to a minute instead of fifteen seconds: on the safe side.

--- a/components/transport/src/gateway/share.rs
+++ b/components/transport/src/gateway/share.rs
@@ -22,13 +22,18 @@
 /// a host that gets none takes no share, which errs on the safe side.
 const TOPICS: usize = 24;
 
-/// How often a host shows that it lives.
+/// How often a host shows that it lives where the group has just changed.
 const JOIN_EVERY: Duration = Duration::from_secs(5);
 
-/// How long a silent host keeps its part.
+/// How often it does where the group stays the same.
 ///
-/// Shorter, and one slow answer of the store would deal all parts anew.
-const SESSION: Duration = Duration::from_secs(15);
+/// Every host pays for its joins, and nothing is to be learned from them then.
+const JOIN_LONGEST: Duration = Duration::from_secs(20);
+
+/// How many of its pauses a silent host keeps its part for.
+///
+/// Fewer, and one slow answer of the store would deal all parts anew.
+const SESSION_PAUSES: u32 = 3;
 
 /// How long a host that knows no neighbour waits before it asks the store again.
 ///
@@ -78,20 +83,36 @@
         let mut store = Store::new(self.settings.log);
         let topics: Vec<String> = (0..TOPICS).map(|n| format!("hosts-{n}")).collect();
         let member = self.member();
-        let timeout = SESSION.as_secs_f64();
         let mut generation = 0;
+        let mut pause = JOIN_EVERY;
+        let mut due = clock::now();
         let mut search = Search::new(clock::now());
         loop {
-            let body = platform::store::join_body(GROUP, &member, &topics, timeout, generation);
-            match store.join(body).await {
-                Ok(membership) => {
-                    generation = membership.generation;
-                    self.set_share(membership.parts);
-                }
-                Err(error) => log::warn!("E0315 share-not-renewed error={error:?}"),
+            if clock::now() >= due {
+                let session = (pause * 2).min(JOIN_LONGEST) * SESSION_PAUSES;
+                let timeout = session.as_secs_f64();
+                let body = platform::store::join_body(GROUP, &member, &topics, timeout, generation);
+                pause = match store.join(body).await {
+                    Ok(membership) => {
+                        let same = generation == membership.generation;
+                        generation = membership.generation;
+                        self.set_share(membership.parts);
+                        if same {
+                            (pause * 2).min(JOIN_LONGEST)
+                        } else {
+                            JOIN_EVERY
+                        }
+                    }
+                    Err(error) => {
+                        log::warn!("E0315 share-not-renewed error={error:?}");
+                        JOIN_EVERY
+                    }
+                };
+                due = clock::now() + pause;
             }
             self.search(&mut store, &mut search).await;
-            sleep(JOIN_EVERY.min(search.left(clock::now()))).await;
+            let now = clock::now();
+            sleep(now.until(due).min(search.left(now))).await;
         }
     }
 
