feed: one host reads the store for the whole site

Cause: each data centre had a reader of its own, each call of which waits 1.2 s at most; and where a reader or the store fell silent, every host that lost its patience asked the store at the same moment: 94 hosts a data centre within a quarter of a second, twice. Ruled out: longer waits at the store; a read that isn't woken would leave a data centre behind the bound on draining. Change: - The reader also tells two hosts of each other data centre, the second 50 ms later; they tell their own what was new there, or where nothing was told for 300 ms. What fits into no datagram they read themselves. Hosts hear of others elsewhere by greetings, seeds name a few; only those heard themselves are named on. - Whoever reads without being the reader says so, and the others hold back, the longer the more have read in vain. One that lacks records doesn't hold back. - A pause before a read counts as part of its wait: after each bunch of records the others had lost their patience 150 ms before the reader's next word. - A word that makes a read due sooner wakes the task that waits for it. - A greeting was refused by the socket of a host that had just started, which is first known to be writable; the next one came 100 ms later. The protocol between hosts is version 3.

--- a/components/coordination/src/feed.rs
+++ b/components/coordination/src/feed.rs
@@ -70,6 +70,23 @@
 /// link of 10 Mbit/s; most get it before their own time to read.
 const FIRST_SPREAD: Duration = Duration::from_millis(2_000);
 
+/// How long a host leaves the store to a neighbour that has begun to read.
+///
+/// An answer takes 4 ms.
+const READ_HOLD: Duration = Duration::from_millis(60);
+
+/// The longest time for which it does so after many have read in vain.
+const READ_HOLD_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Reads in vain after which the next ones wait twice as long.
+const READS_DOUBLING: u32 = 4;
+
+/// How long a data centre's hosts may have heard nothing before one that hears from
+/// elsewhere tells them.
+///
+/// Two hosts hear the same from elsewhere, one a little after the other.
+const RETELL_AFTER: Duration = Duration::from_millis(300);
+
 /// How far one host is with one topic.
 #[derive(Clone, Debug)]
 pub struct Feed {
@@ -81,6 +98,10 @@
     due: Moment,
     /// Since when something has been coming in fragments.
     coming: Option<Moment>,
+    /// When this host last read or was told.
+    heard: Moment,
+    /// Reads that neighbours have begun since.
+    reads_heard: u32,
 }
 
 /// What a neighbour's word is good for.
@@ -110,6 +131,8 @@
             failures: 0,
             due: now,
             coming: None,
+            heard: now,
+            reads_heard: 0,
         }
     }
 
@@ -139,6 +162,17 @@
         self.reader
     }
 
+    /// Returns how long this host's next read may wait at the store for a record.
+    ///
+    /// Others lose their patience where nothing is told for longer than that, so a
+    /// pause before the read counts.
+    pub fn wait(&self, now: Moment) -> Duration {
+        match self.reader {
+            true => READ_WAIT.saturating_sub(now.since(self.heard)),
+            false => Duration::ZERO,
+        }
+    }
+
     /// Returns how many reads have failed in a row.
     pub fn failures(&self) -> u32 {
         self.failures
@@ -149,7 +183,7 @@
     /// Hosts read all when they start, and often start together: whoever reads
     /// on first does so for the others.
     pub fn listed(&mut self, next: u64, draw: f64, now: Moment) -> bool {
-        self.coming = None;
+        self.hear(now);
         self.next = Some(next);
         self.reader = false;
         self.asking = false;
@@ -164,7 +198,7 @@
     /// from there; any other waits to be told, as if it had read. `draw` is from
     /// 0 to 1.
     pub fn handed(&mut self, next: u64, draw: f64, now: Moment) {
-        self.coming = None;
+        self.hear(now);
         self.next = Some(next);
         if self.failures == 0 {
             self.due = now + patience(draw);
@@ -183,7 +217,7 @@
     /// lose its patience: when a whole site starts, nobody knows anybody, and 94
     /// hosts made 10,000 reads in the three seconds until they did.
     pub fn read(&mut self, next: u64, alone: bool, draw: f64, now: Moment) -> bool {
-        self.coming = None;
+        self.hear(now);
         let brought = self.next != Some(next);
         self.next = Some(next.max(self.next.unwrap_or(0)));
         if self.asking {
@@ -231,6 +265,42 @@
         }
     }
 
+    /// Takes in that a neighbour has begun to read by itself; `draw` is from 0 to 1.
+    ///
+    /// Made for the moment at which the reader falls silent, or the store does: all
+    /// hosts lose their patience within a quarter of a second, and a store that is
+    /// silent tells the first of them nothing that it could tell the others. The
+    /// more have read in vain, the longer the next ones wait. One that knows nothing
+    /// yet, or lacks records, is served by nobody's reading on.
+    pub fn heard_read(&mut self, draw: f64, now: Moment) {
+        let doubled = READ_HOLD * 2u32.saturating_pow(self.reads_heard / READS_DOUBLING);
+        self.reads_heard = self.reads_heard.saturating_add(1);
+        let served = !self.missing && self.next.is_some();
+        if !self.reader && served {
+            let hold = doubled.min(READ_HOLD_LIMIT).mul_f64(1.0 + draw);
+            self.due = self.due.max(now + hold);
+        }
+    }
+
+    /// Returns whether this data centre has been told nothing for a while.
+    pub fn is_stale(&self, now: Moment) -> bool {
+        now.since(self.heard) > RETELL_AFTER
+    }
+
+    /// Takes in that records are to be had at the store that nobody tells here.
+    ///
+    /// Of what is read elsewhere, large changes aren't sent between data centres.
+    pub fn lag(&mut self, now: Moment) {
+        self.due = self.due.min(now);
+        self.missing = !self.reader;
+    }
+
+    fn hear(&mut self, now: Moment) {
+        self.coming = None;
+        self.heard = now;
+        self.reads_heard = 0;
+    }
+
     /// Takes in that the store has forgotten what this host wanted to read.
     pub fn forgotten(&mut self, now: Moment) {
         self.next = None;
@@ -264,7 +334,7 @@
             self.asking = false;
             self.due = now + patience(draw);
         }
-        self.coming = None;
+        self.hear(now);
         self.next = Some(next);
         self.missing = false;
         match next > known || back {
--- a/components/coordination/src/neighbours.rs
+++ b/components/coordination/src/neighbours.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use derives::tag;
+use derives::{tag, value};
 use state::Moment;
 
 use crate::relay::Passed;
@@ -28,6 +28,31 @@
 /// kilobyte a second.
 const ASK_EVERY: u32 = 10;
 
+/// Hosts of each other data centre that are told what this one reads.
+///
+/// Were it only one, the loss of one datagram would leave its data centre behind.
+pub const TOLD: usize = 2;
+
+/// Hosts of each other data centre that are named to one that asks.
+const NAMED: usize = 3;
+
+/// A host of another data centre.
+#[value]
+pub struct Contact {
+    /// Its data centre.
+    pub centre: String,
+    /// Where it hears.
+    pub address: SocketAddr,
+}
+
+/// When a host of another data centre was heard or heard of.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Moment,
+    /// Whether it said so itself.
+    itself: bool,
+}
+
 /// What a greeting told.
 #[tag]
 pub enum Greeted {
@@ -37,6 +62,8 @@
     Known,
     /// The greeting comes from another data centre.
     Stranger,
+    /// It does, and its sender was not known.
+    NewStranger,
 }
 
 /// The hosts of the same data centre, and when each was heard or heard of.
@@ -45,7 +72,7 @@
     me: SocketAddr,
     centre: String,
     heard: BTreeMap<SocketAddr, Moment>,
-    strangers: BTreeMap<String, BTreeMap<SocketAddr, Moment>>,
+    strangers: BTreeMap<String, BTreeMap<SocketAddr, Heard>>,
     greetings: u32,
     /// How far the operators' news were passed on.
     pub operators: Passed,
@@ -75,8 +102,16 @@
     pub fn greeted(&mut self, from: SocketAddr, centre: &str, now: Moment) -> Greeted {
         if centre != self.centre {
             let strangers = self.strangers.entry(centre.to_owned()).or_default();
-            strangers.insert(from, now);
-            return Greeted::Stranger;
+            let heard = Heard {
+                at: now,
+                itself: true,
+            };
+            let new = strangers.insert(from, heard).is_none();
+            return if new {
+                Greeted::NewStranger
+            } else {
+                Greeted::Stranger
+            };
         }
         match self.heard.insert(from, now) {
             None => Greeted::New,
@@ -131,7 +166,68 @@
         let Some(strangers) = self.strangers.get_mut(centre) else {
             return Vec::new();
         };
-        strangers.retain(|_, at| now.since(*at) < FORGET_AFTER);
+        strangers.retain(|_, heard| now.since(heard.at) < FORGET_AFTER);
         strangers.keys().copied().collect()
     }
+
+    /// Takes in that another host names one of another data centre.
+    pub fn hear_of(&mut self, contact: Contact, now: Moment) {
+        if contact.centre != self.centre {
+            let strangers = self.strangers.entry(contact.centre).or_default();
+            strangers.entry(contact.address).or_insert(Heard {
+                at: now,
+                itself: false,
+            });
+        }
+    }
+
+    /// Returns a few hosts of each other data centre, to be named to one that asks.
+    ///
+    /// Only those that were heard themselves: one that is gone would else be named
+    /// for ever.
+    pub fn named(&mut self, now: Moment) -> Vec<Contact> {
+        self.forget_strangers(now);
+        let mut named = Vec::new();
+        for (centre, strangers) in &self.strangers {
+            let heard = strangers.iter().filter(|(_, h)| h.itself).take(NAMED);
+            named.extend(heard.map(|(address, _)| Contact {
+                centre: centre.clone(),
+                address: *address,
+            }));
+        }
+        named
+    }
+
+    /// Returns whom to tell in each other data centre what this one reads.
+    pub fn contacts(&mut self, now: Moment) -> Vec<Vec<SocketAddr>> {
+        self.forget_strangers(now);
+        let centres = self.strangers.values();
+        centres
+            .map(|hosts| {
+                let mut hosts: Vec<(&SocketAddr, &Heard)> = hosts.iter().collect();
+                hosts.sort_by_key(|(address, heard)| (!heard.itself, **address));
+                hosts.iter().take(TOLD).map(|(a, _)| **a).collect()
+            })
+            .collect()
+    }
+
+    /// Returns any host of another data centre; `draw` is evenly drawn from all of `u64`.
+    pub fn any_stranger(&self, draw: u64) -> Option<SocketAddr> {
+        let all: Vec<SocketAddr> = self
+            .strangers
+            .values()
+            .flat_map(|s| s.keys().copied())
+            .collect();
+        let count = u64::try_from(all.len()).ok().filter(|n| *n > 0)?;
+        usize::try_from(draw % count)
+            .ok()
+            .and_then(|at| all.get(at).copied())
+    }
+
+    fn forget_strangers(&mut self, now: Moment) {
+        for strangers in self.strangers.values_mut() {
+            strangers.retain(|_, heard| now.since(heard.at) < FORGET_AFTER);
+        }
+        self.strangers.retain(|_, strangers| !strangers.is_empty());
+    }
 }
--- /dev/null
+++ b/components/coordination/tests/site_reader.rs
@@ -0,0 +1,336 @@
+//! One host reads the store for all data centres, and nobody falls behind.
+
+use std::time::Duration;
+
+use coordination::feed::{Feed, Told};
+use coordination::neighbours::TOLD;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use state::Moment;
+
+/// What is written must be known everywhere within this time.
+const BOUND: Duration = Duration::from_millis(2_000);
+
+/// How long an answer of the store takes.
+const ANSWER: Duration = Duration::from_millis(4);
+
+/// How long a host waits for a store that is silent.
+const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// How long after the first contact the second one of a data centre is told.
+const SECOND_AFTER: Duration = Duration::from_millis(50);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Store {
+    Answers,
+    Silent,
+}
+
+struct Host {
+    feed: Feed,
+    /// A read under way: when it ends.
+    reading: Option<Moment>,
+    alive: bool,
+    /// When it last knew all there was.
+    fresh: Moment,
+}
+
+/// What a reader told a host of another data centre.
+struct Abroad {
+    at: Moment,
+    to: usize,
+    reader: usize,
+    from: u64,
+    next: u64,
+}
+
+/// Data centres of the same size, a store, and datagrams that get lost.
+struct Site {
+    hosts: Vec<Host>,
+    centre: usize,
+    store: Store,
+    /// A data centre that no other can reach.
+    cut: Option<usize>,
+    way: Vec<Abroad>,
+    random: StdRng,
+    loss: f64,
+    end: u64,
+    reads: u32,
+}
+
+impl Site {
+    fn new(centres: usize, centre: usize, seed: u64, loss: f64) -> Site {
+        let host = || Host {
+            feed: Feed::new(Moment(0)),
+            reading: None,
+            alive: true,
+            fresh: Moment(0),
+        };
+        Site {
+            hosts: (0..centres * centre).map(|_| host()).collect(),
+            centre,
+            store: Store::Answers,
+            cut: None,
+            way: Vec::new(),
+            random: StdRng::seed_from_u64(seed),
+            loss,
+            end: 1,
+            reads: 0,
+        }
+    }
+
+    fn centre_of(&self, host: usize) -> usize {
+        host / self.centre
+    }
+
+    fn neighbours(&self, host: usize) -> Vec<usize> {
+        let first = self.centre_of(host) * self.centre;
+        (first..first + self.centre)
+            .filter(|n| *n != host)
+            .collect()
+    }
+
+    fn arrives(&mut self, to: usize) -> bool {
+        self.hosts[to].alive && !self.random.random_bool(self.loss)
+    }
+
+    /// Runs one millisecond.
+    fn step(&mut self, now: Moment) {
+        let due: Vec<Abroad> = self.way.extract_if(.., |a| a.at <= now).collect();
+        for abroad in due {
+            self.hear_abroad(&abroad, now);
+        }
+        for at in 0..self.hosts.len() {
+            if self.hosts[at].alive {
+                self.step_host(at, now);
+            }
+        }
+    }
+
+    fn step_host(&mut self, at: usize, now: Moment) {
+        let host = &mut self.hosts[at];
+        match host.reading {
+            None if host.feed.due() <= now => {
+                let reader = host.feed.is_reader();
+                host.feed.ask();
+                let wait = host.feed.wait(now);
+                let answer = if self.store == Store::Silent {
+                    SILENCE
+                } else {
+                    ANSWER
+                };
+                host.reading = Some(now + wait + answer);
+                self.reads += 1;
+                if !reader && host.feed.next().is_some() {
+                    self.tell_reading(at, now);
+                }
+            }
+            Some(ends) => {
+                let answers = self.store == Store::Answers;
+                let woken = answers && host.feed.next().is_some_and(|n| n < self.end);
+                if ends <= now || woken {
+                    host.reading = None;
+                    self.finish(at, now);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn tell_reading(&mut self, at: usize, now: Moment) {
+        for other in self.neighbours(at) {
+            if self.arrives(other) {
+                let draw = self.random.random();
+                self.hosts[other].feed.heard_read(draw, now);
+            }
+        }
+    }
+
+    fn finish(&mut self, at: usize, now: Moment) {
+        let draw = self.random.random();
+        if self.store == Store::Silent {
+            self.hosts[at].feed.failed(draw, now);
+            for other in self.neighbours(at) {
+                if self.arrives(other) {
+                    let draw = self.random.random();
+                    self.hosts[other].feed.heard_trouble(draw, now);
+                }
+            }
+            return;
+        }
+        let host = &mut self.hosts[at];
+        host.fresh = now;
+        let Some(from) = host.feed.next() else {
+            host.feed.listed(self.end, draw, now);
+            return;
+        };
+        host.feed.read(self.end, false, draw, now);
+        let next = self.end;
+        if host.feed.is_reader() {
+            self.tell_abroad(at, from, now);
+        }
+        self.tell_centre(at, at, from, next, now);
+    }
+
+    fn tell_centre(&mut self, teller: usize, reader: usize, from: u64, next: u64, now: Moment) {
+        for other in self.neighbours(teller) {
+            if self.arrives(other) {
+                self.hear(other, reader, from, next, now);
+            }
+        }
+    }
+
+    fn hear(&mut self, at: usize, reader: usize, from: u64, next: u64, now: Moment) -> Told {
+        let draw = self.random.random();
+        let told = self.hosts[at].feed.told(from, next, reader < at, draw, now);
+        if told != Told::Gap && next == self.end {
+            self.hosts[at].fresh = now;
+        }
+        told
+    }
+
+    /// Tells the first hosts of each other data centre, whether they live or not.
+    fn tell_abroad(&mut self, reader: usize, from: u64, now: Moment) {
+        let mine = self.centre_of(reader);
+        for centre in (0..self.hosts.len() / self.centre).filter(|c| *c != mine) {
+            for place in 0..TOLD.min(self.centre) {
+                self.way.push(Abroad {
+                    at: now + SECOND_AFTER * place as u32,
+                    to: centre * self.centre + place,
+                    reader,
+                    from,
+                    next: self.end,
+                });
+            }
+        }
+    }
+
+    fn hear_abroad(&mut self, abroad: &Abroad, now: Moment) {
+        let ends = [self.centre_of(abroad.reader), self.centre_of(abroad.to)];
+        let cut = self.cut.is_some_and(|c| ends.contains(&c));
+        if cut || !self.arrives(abroad.to) {
+            return;
+        }
+        let feed = &mut self.hosts[abroad.to].feed;
+        match feed.next() {
+            None => return,
+            Some(next) if abroad.from > next => return feed.lag(now),
+            Some(_) => {}
+        }
+        let stale = feed.is_stale(now);
+        let told = self.hear(abroad.to, abroad.reader, abroad.from, abroad.next, now);
+        if stale || matches!(told, Told::Apply { .. }) {
+            self.tell_centre(abroad.to, abroad.reader, abroad.from, abroad.next, now);
+        }
+    }
+
+    fn staleness(&self, now: Moment) -> Duration {
+        let alive = self.hosts.iter().filter(|h| h.alive);
+        alive.map(|h| now.since(h.fresh)).max().unwrap_or_default()
+    }
+
+    fn reader(&self) -> Option<usize> {
+        self.hosts
+            .iter()
+            .position(|h| h.alive && h.feed.is_reader())
+    }
+}
+
+/// Each data centre has a reader of its own: with five of them a quiet day costs five
+/// times the calls that one needs.
+#[test]
+fn one_reader() {
+    let mut site = Site::new(5, 20, 1, 0.0);
+    for millis in 0..5_000 {
+        site.step(Moment::from_millis(millis));
+    }
+    let before = site.reads;
+    for millis in 5_000..25_000 {
+        site.end += u64::from(millis % 2_000 == 0);
+        site.step(Moment::from_millis(millis));
+    }
+    let reads = site.reads - before;
+    assert!(reads <= 40, "{reads} reads in twenty seconds");
+}
+
+/// The reader is killed, or hosts that are told for their data centre, or a data centre
+/// is cut off, again and again: hosts there must notice and read for themselves.
+#[test]
+fn lost_links() {
+    for seed in 0..20 {
+        let mut site = Site::new(4, 5, seed, 0.02);
+        for millis in 0..60_000u64 {
+            let now = Moment::from_millis(millis);
+            if millis % 5_000 == 2_500 {
+                match (millis / 5_000) % 3 {
+                    0 => {
+                        let reader = site.reader().unwrap_or_default();
+                        site.hosts[reader].alive = false;
+                    }
+                    1 => site.hosts[5].alive = false,
+                    _ => site.cut = Some(2),
+                }
+            }
+            if millis % 5_000 == 4_900 {
+                site.cut = None;
+                for host in site.hosts.iter_mut().filter(|h| !h.alive) {
+                    host.feed = Feed::new(now);
+                    host.reading = None;
+                    host.alive = true;
+                    host.fresh = now;
+                }
+            }
+            site.end += u64::from(millis % 700 == 0);
+            site.step(now);
+            let behind = site.staleness(now);
+            assert!(behind < BOUND, "seed {seed} at {millis}: {behind:?}");
+        }
+    }
+}
+
+/// The store falls silent for all. Each host that loses its patience waits a second for
+/// nothing, and so would hundreds within a quarter of a second: one after the other tries.
+#[test]
+fn silent_store() {
+    let mut site = Site::new(5, 94, 2, 0.0);
+    for millis in 0..6_000 {
+        site.step(Moment::from_millis(millis));
+    }
+    site.store = Store::Silent;
+    let before = site.reads;
+    for millis in 6_000..14_000 {
+        site.step(Moment::from_millis(millis));
+    }
+    let reads = site.reads - before;
+    assert!(reads <= 250, "{reads} calls in eight seconds of silence");
+    site.store = Store::Answers;
+    site.end += 1;
+    for millis in 14_000..16_500 {
+        site.step(Moment::from_millis(millis));
+    }
+    let behind = site
+        .hosts
+        .iter()
+        .filter(|h| h.feed.next() != Some(site.end));
+    assert_eq!(
+        behind.count(),
+        0,
+        "hosts are behind after the store is back"
+    );
+}
+
+/// A host lacks records that its neighbours have, and hears several of them begin to read
+/// every second. Were it to leave the store to them, it would stay behind for ever.
+#[test]
+fn behind_alone() {
+    let mut now = Moment::from_millis(10_000);
+    let mut feed = Feed::new(now);
+    feed.listed(27, 0.5, now);
+    assert_eq!(feed.told(990, 991, true, 0.5, now), Told::Gap);
+    let first = now;
+    while feed.due() > now {
+        feed.heard_read(1.0, now);
+        now = now + Duration::from_millis(50);
+        assert!(now.since(first) < BOUND, "it never reads");
+    }
+}
--- a/components/coordination/tests/store_feed.rs
+++ b/components/coordination/tests/store_feed.rs
@@ -57,9 +57,8 @@
             match host.reading {
                 _ if !host.alive => {}
                 None if host.feed.due() <= now => {
-                    let waits = host.feed.is_reader();
                     host.feed.ask();
-                    host.reading = Some(now + if waits { READ_WAIT } else { ANSWER });
+                    host.reading = Some(now + host.feed.wait(now).max(ANSWER));
                     self.reads += 1;
                 }
                 Some(ends) => {
--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -7,12 +7,13 @@
 
 use bytes::Bytes;
 use coordination::fragments::{Fragment, Lacking, MessageKey};
+use coordination::neighbours::Contact;
 use derives::{tag, value};
 use prost::Message;
 use thiserror::Error;
 
 /// The version of this protocol; others are refused.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// Bytes of a message that goes into one datagram, well below what one may hold.
 pub const DATAGRAM_LIMIT: usize = 16 * 1024;
@@ -33,6 +34,8 @@
     Hello(Hello),
     /// The sender has read the store.
     News(News),
+    /// The sender has begun to read this topic by itself.
+    Reading(Topic),
     /// The sender could not read this topic.
     Trouble(Topic),
     /// The sender knows nothing of this topic and can't read it.
@@ -69,6 +72,8 @@
     pub seeks: bool,
     /// The hosts there that the sender knows, in answer to one that asks.
     pub neighbours: Vec<SocketAddr>,
+    /// A few hosts of other data centres, in answer to one that asks.
+    pub contacts: Vec<Contact>,
 }
 
 /// All that a neighbour knows of a topic.
@@ -89,6 +94,10 @@
     pub topic: Topic,
     /// The host that read them; nobody's address in a message that goes in fragments.
     pub reader: SocketAddr,
+    /// The host that tells its data centre first, the reader or one that heard of it.
+    pub teller: SocketAddr,
+    /// Whether the reader is of another data centre, and the receiver to tell its own.
+    pub abroad: bool,
     /// The offset of the first record.
     pub from: u64,
     /// The records, as they lie in the store.
@@ -154,6 +163,25 @@
     number: u32,
     #[prost(uint32, tag = "16")]
     questions: u32,
+    /// The teller's address, as text.
+    #[prost(string, tag = "17")]
+    teller: String,
+    #[prost(bool, tag = "18")]
+    abroad: bool,
+    #[prost(message, repeated, tag = "19")]
+    contacts: Vec<WireContact>,
+    /// Whether the sender has begun to read the topic.
+    #[prost(bool, tag = "20")]
+    reading: bool,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireContact {
+    #[prost(string, tag = "1")]
+    centre: String,
+    /// The address, as text.
+    #[prost(string, tag = "2")]
+    address: String,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -194,12 +222,31 @@
     ///
     /// Large news are named by what they hold, so the reader must not be in them.
     pub fn anonymous(self) -> News {
+        let nobody = SocketAddr::from(([0, 0, 0, 0], 0));
         News {
-            reader: SocketAddr::from(([0, 0, 0, 0], 0)),
+            reader: nobody,
+            teller: nobody,
             ..self
         }
     }
 
+    /// Returns these news for a host of another data centre.
+    ///
+    /// It reads by itself what fits into no datagram.
+    pub fn for_abroad(&self) -> News {
+        let fits = self.size() <= DATAGRAM_LIMIT;
+        News {
+            abroad: true,
+            from: if fits { self.from } else { self.next() },
+            records: if fits {
+                self.records.clone()
+            } else {
+                Vec::new()
+            },
+            ..*self
+        }
+    }
+
     /// Returns where to read on after these records.
     pub fn next(&self) -> u64 {
         self.from + self.records.len() as u64
@@ -219,11 +266,14 @@
                 centre: hello.centre.clone(),
                 seeks: hello.seeks,
                 neighbours: hello.neighbours.iter().map(SocketAddr::to_string).collect(),
+                contacts: hello.contacts.iter().map(WireContact::from).collect(),
                 ..WireNews::default()
             },
             Neighbourly::News(news) => WireNews {
                 topic: number(news.topic),
                 reader: news.reader.to_string(),
+                teller: news.teller.to_string(),
+                abroad: news.abroad,
                 from: news.from,
                 records: news.records.clone(),
                 ..WireNews::default()
@@ -271,6 +321,11 @@
                 questions: loan.questions,
                 ..WireNews::default()
             },
+            Neighbourly::Reading(topic) => WireNews {
+                topic: number(*topic),
+                reading: true,
+                ..WireNews::default()
+            },
             Neighbourly::Trouble(topic) => WireNews {
                 topic: number(*topic),
                 failed: true,
@@ -297,6 +352,7 @@
             HELLO => {
                 return Ok(Neighbourly::Hello(Hello {
                     neighbours: addresses(&wire.neighbours)?,
+                    contacts: contacts(wire.contacts)?,
                     seeks: wire.seeks,
                     centre: wire.centre,
                 }));
@@ -313,6 +369,7 @@
             _ => return Err(NewsError::UnknownTopic),
         };
         match wire {
+            _ if wire.reading => return Ok(Neighbourly::Reading(topic)),
             _ if wire.failed => return Ok(Neighbourly::Trouble(topic)),
             _ if wire.missing => return Ok(Neighbourly::Missing(topic, wire.from)),
             _ if wire.wanted => return Ok(Neighbourly::Wanted(topic)),
@@ -334,12 +391,23 @@
         Ok(Neighbourly::News(News {
             topic,
             reader: address(&wire.reader)?,
+            teller: address(&wire.teller)?,
+            abroad: wire.abroad,
             from: wire.from,
             records: wire.records,
         }))
     }
 }
 
+impl From<&Contact> for WireContact {
+    fn from(contact: &Contact) -> WireContact {
+        WireContact {
+            centre: contact.centre.clone(),
+            address: contact.address.to_string(),
+        }
+    }
+}
+
 impl From<&Fragment> for WireFragment {
     fn from(fragment: &Fragment) -> WireFragment {
         WireFragment {
@@ -391,6 +459,16 @@
     texts.iter().map(|t| address(t)).collect()
 }
 
+fn contacts(wire: Vec<WireContact>) -> Result<Vec<Contact>, NewsError> {
+    let read = wire.into_iter().map(|contact| {
+        Ok(Contact {
+            address: address(&contact.address)?,
+            centre: contact.centre,
+        })
+    });
+    read.collect()
+}
+
 fn address(text: &str) -> Result<SocketAddr, NewsError> {
     text.parse()
         .map_err(|_| NewsError::NoAddress(text.to_owned()))
--- a/components/protocol/tests/news_messages.rs
+++ b/components/protocol/tests/news_messages.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use coordination::fragments::{Fragment, Lacking, MessageKey};
+use coordination::neighbours::Contact;
 use proptest::prelude::*;
 use protocol::news::{Held, Hello, Loan, Neighbourly, News, Topic};
 
@@ -9,6 +10,8 @@
     News {
         topic: Topic::Endpoints,
         reader: "10.1.2.4:7540".parse().expect("an address"),
+        teller: "10.1.2.5:7540".parse().expect("an address"),
+        abroad: true,
         from: 40,
         records: records.into_iter().map(Bytes::from).collect(),
     }
@@ -28,6 +31,10 @@
             centre: "trent".to_owned(),
             seeks: true,
             neighbours: vec!["10.1.2.3:7540".parse().expect("an address")],
+            contacts: vec![Contact {
+                centre: "soar".to_owned(),
+                address: "10.3.2.3:7540".parse().expect("an address"),
+            }],
         }),
         Neighbourly::News(news(vec![b"one".to_vec(), Vec::new()])),
         Neighbourly::Trouble(Topic::Operators),
@@ -38,6 +45,12 @@
             next: 9,
             records: vec![Bytes::from_static(b"one")],
         }),
+        Neighbourly::Reading(Topic::Endpoints),
+        Neighbourly::Borrow(8),
+        Neighbourly::Lend(Loan {
+            number: 8,
+            questions: 77,
+        }),
         Neighbourly::Fragment(
             Topic::Operators,
             Fragment {
@@ -48,11 +61,6 @@
                 bytes: Bytes::from_static(b"one"),
             },
         ),
-        Neighbourly::Borrow(8),
-        Neighbourly::Lend(Loan {
-            number: 8,
-            questions: 77,
-        }),
         Neighbourly::Lacking(
             Topic::Endpoints,
             Lacking {
@@ -71,7 +79,7 @@
 fn bad_datagrams() {
     assert!(Neighbourly::decode(&[]).is_err());
     assert!(Neighbourly::decode(&[9, 1, 2]).is_err());
-    assert!(Neighbourly::decode(&[2, 8, 77]).is_err());
+    assert!(Neighbourly::decode(&[3, 8, 77]).is_err());
     let hello = Neighbourly::Trouble(Topic::Operators).encode();
     assert!(Neighbourly::decode(&[&hello[..], &[0xff]].concat()).is_err());
 }
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -6,17 +6,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use coordination::feed::{Feed, READ_WAIT, Told};
+use coordination::feed::{Feed, Told};
 use platform::endpoint;
 use platform::operator::{self, Subject};
 use platform::store::Record;
 use protocol::news::{Neighbourly, News, Topic};
 use state::fleet::Entry;
 use state::{DataCentreKey, ServiceKey};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::timeout;
 
 use super::Gateway;
 use crate::clock;
@@ -28,10 +27,13 @@
         let mut store = Store::new(self.settings.log);
         loop {
             self.wait_due(topic).await;
-            let next = self.feed(topic, |feed| {
+            let (next, reads) = self.feed(topic, |feed| {
                 feed.ask();
-                feed.next()
+                (feed.next(), feed.is_reader())
             });
+            if !reads && next.is_some() {
+                self.tell_all(&Neighbourly::Reading(topic));
+            }
             let result = match next {
                 None => self.read_all(&mut store, topic).await,
                 Some(from) => self.read_on(&mut store, topic, from).await,
@@ -51,8 +53,8 @@
             if left.is_zero() {
                 return;
             }
-            // A neighbour's word meanwhile only makes it later.
-            sleep_until(Instant::now() + left).await;
+            // Either way it looks again at when it is due.
+            let _sooner = timeout(left, self.sooner.notified()).await;
         }
     }
 
@@ -89,6 +91,34 @@
         self.feed(topic, |feed| feed.heard_trouble(draw, clock::now()));
     }
 
+    /// Takes in that a neighbour has begun to read a topic by itself.
+    pub(super) fn take_reading(&self, topic: Topic) {
+        let draw = self.draw_share();
+        self.feed(topic, |feed| feed.heard_read(draw, clock::now()));
+    }
+
+    /// Takes in what a host of another data centre has read, for this whole one.
+    pub(super) fn take_abroad(self: &Rc<Self>, news: News, teller: SocketAddr) {
+        let topic = news.topic;
+        let Some(next) = self.feed(topic, |feed| feed.next()) else {
+            return;
+        };
+        if news.from > next {
+            self.feed(topic, |feed| feed.lag(clock::now()));
+            self.sooner.notify_waiters();
+            return;
+        }
+        let stale = self.feed(topic, |feed| feed.is_stale(clock::now()));
+        let new = self.take_news(&news, teller);
+        if new || stale {
+            self.tell_news(News {
+                teller: self.settings.peers,
+                abroad: false,
+                ..news
+            });
+        }
+    }
+
     /// Notes that a topic could be read, by this host or by a neighbour.
     fn note_return(&self, topic: Topic, back: bool) {
         if !back {
@@ -106,8 +136,7 @@
         topic: Topic,
         from: u64,
     ) -> Result<(), StoreError> {
-        let waits = self.feed(topic, |feed| feed.is_reader());
-        let wait = if waits { READ_WAIT } else { Duration::ZERO };
+        let wait = self.feed(topic, |feed| feed.wait(clock::now()));
         let read = store.read(name(topic), from, wait, None).await?;
         // A neighbour may have told some of it meanwhile.
         let known = self.feed(topic, |feed| feed.next()).unwrap_or(from);
@@ -119,12 +148,18 @@
         self.note_return(topic, back);
         let skip = usize::try_from(known.saturating_sub(from)).unwrap_or(usize::MAX);
         self.take_records(topic, known, read.records.iter().skip(skip));
-        self.tell_news(News {
+        let news = News {
             topic,
             reader: self.settings.peers,
+            teller: self.settings.peers,
+            abroad: false,
             from,
             records: read.records,
-        });
+        };
+        if self.feed(topic, |feed| feed.is_reader()) {
+            self.tell_abroad(&news);
+        }
+        self.tell_news(news);
         Ok(())
     }
 
--- a/components/transport/src/gateway/fragments.rs
+++ b/components/transport/src/gateway/fragments.rs
@@ -214,6 +214,7 @@
             Ok(Neighbourly::News(news)) => {
                 let news = News {
                     reader: origin,
+                    teller: origin,
                     ..news
                 };
                 self.take_news(&news, origin);
--- a/components/transport/src/gateway/held.rs
+++ b/components/transport/src/gateway/held.rs
@@ -118,6 +118,8 @@
         let news = News {
             topic,
             reader: self.settings.peers,
+            teller: self.settings.peers,
+            abroad: false,
             from,
             records,
         };
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -101,6 +101,8 @@
     registry: RefCell<Registry>,
     listed: Cell<bool>,
     feeds: RefCell<Feeds>,
+    /// Wakes the tasks that follow the store where they have to read sooner.
+    sooner: Notify,
     shelves: RefCell<Shelves>,
     socket: UdpSocket,
     neighbours: RefCell<Neighbours>,
@@ -168,6 +170,7 @@
             registry: RefCell::default(),
             listed: Cell::new(false),
             feeds: RefCell::new(feeds),
+            sooner: Notify::new(),
             shelves: RefCell::default(),
             socket,
             neighbours: RefCell::new(neighbours),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -9,6 +9,7 @@
 use coordination::relay;
 use protocol::news::{DATAGRAM_LIMIT, Hello, Neighbourly, News, Topic};
 use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::Gateway;
@@ -31,6 +32,14 @@
 /// How long it waits for their answer: hosts start within 300 ms of each other.
 const SEED_PAUSE: Duration = Duration::from_millis(100);
 
+/// How long after the first a second host of another data centre is told.
+///
+/// It tells its neighbours only what it hasn't heard from the first by then.
+const SECOND_AFTER: Duration = Duration::from_millis(50);
+
+/// With how many greetings a host greets one of another data centre.
+const ABROAD_EVERY: u32 = 2;
+
 /// How long to wait when no datagram can be received.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -40,6 +49,10 @@
     /// The seeds come first: they know the others, and asking them costs
     /// nothing. They may have started a moment later than this host.
     pub(super) async fn greet(self: Rc<Self>) {
+        // A socket that was just opened refuses to send until it is known to be writable.
+        if let Err(error) = self.socket.writable().await {
+            log::warn!("E0406 datagram-not-sent error={error:?}");
+        }
         for _ in 0..SEED_GREETINGS {
             self.greet_seeds();
             sleep(SEED_PAUSE).await;
@@ -49,9 +62,12 @@
         }
         let mut ticks = interval(HELLO_EVERY);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
+        for tick in 0u32.. {
             ticks.tick().await;
             self.tell_all(&self.hello(false));
+            if tick.is_multiple_of(ABROAD_EVERY) {
+                self.greet_abroad();
+            }
             let draw = self.draw();
             let asked = self.neighbours.borrow_mut().ask(draw);
             if let Some(neighbour) = asked {
@@ -60,6 +76,39 @@
         }
     }
 
+    /// Greets one host of another data centre, so that some there know this one.
+    fn greet_abroad(&self) {
+        let draw = self.draw();
+        let stranger = self.neighbours.borrow().any_stranger(draw);
+        if let Some(stranger) = stranger {
+            self.tell(stranger, &self.hello(false));
+        }
+    }
+
+    /// Tells other data centres what this host has read.
+    pub(super) fn tell_abroad(self: &Rc<Self>, news: &News) {
+        let contacts = self.neighbours.borrow_mut().contacts(clock::now());
+        let message = Neighbourly::News(news.for_abroad());
+        let mut seconds = Vec::new();
+        for hosts in contacts {
+            let mut hosts = hosts.into_iter();
+            if let Some(first) = hosts.next() {
+                self.tell(first, &message);
+            }
+            seconds.extend(hosts);
+        }
+        if seconds.is_empty() {
+            return;
+        }
+        let gateway = Rc::clone(self);
+        spawn_local(async move {
+            sleep(SECOND_AFTER).await;
+            for second in seconds {
+                gateway.tell(second, &message);
+            }
+        });
+    }
+
     fn greet_seeds(&self) {
         let hello = self.hello(true);
         let seeds = self.settings.seeds.iter();
@@ -108,7 +157,7 @@
     fn pass_on(&self, news: &News) {
         let known = self.neighbours.borrow_mut().current(clock::now());
         let message = Neighbourly::News(news.clone());
-        for hop in relay::next_hops(self.settings.peers, news.reader, &known) {
+        for hop in relay::next_hops(self.settings.peers, news.teller, &known) {
             self.tell(hop, &message);
         }
     }
@@ -138,6 +187,7 @@
             }
         };
         match message {
+            Neighbourly::News(news) if news.abroad => self.take_abroad(news, from),
             Neighbourly::News(news) => {
                 let new = self.take_news(&news, from);
                 let further = self.passes_on(&news);
@@ -145,6 +195,7 @@
                     self.pass_on(&news);
                 }
             }
+            Neighbourly::Reading(topic) => self.take_reading(topic),
             Neighbourly::Trouble(topic) => self.take_trouble(topic),
             Neighbourly::Wanted(topic) => self.hand_over(from, topic),
             Neighbourly::Held(held) => self.take_held(held),
@@ -167,24 +218,23 @@
             Topic::Operators => &mut neighbours.operators,
             Topic::Endpoints => &mut neighbours.endpoints,
         };
-        passed.take(news.reader, news.next())
+        passed.take(news.teller, news.next())
     }
 
     fn take_hello(&self, from: SocketAddr, hello: Hello) {
         let now = clock::now();
-        let greeted = match hello.seeks || hello.centre == self.settings.data_centre {
-            true => self
-                .neighbours
-                .borrow_mut()
-                .greeted(from, &hello.centre, now),
-            // A seed elsewhere names hosts of this data centre.
-            false => Greeted::Stranger,
-        };
+        let greeted = self
+            .neighbours
+            .borrow_mut()
+            .greeted(from, &hello.centre, now);
         match greeted {
             _ if hello.seeks => self.tell(from, &self.list(&hello.centre)),
-            Greeted::New => self.tell(from, &self.hello(false)),
+            Greeted::New | Greeted::NewStranger => self.tell(from, &self.hello(false)),
             Greeted::Known | Greeted::Stranger => {}
         }
+        for contact in hello.contacts {
+            self.neighbours.borrow_mut().hear_of(contact, now);
+        }
         for other in hello.neighbours {
             self.meet(other);
         }
@@ -199,6 +249,7 @@
             centre: self.settings.data_centre.clone(),
             seeks,
             neighbours: Vec::new(),
+            contacts: Vec::new(),
         })
     }
 
@@ -207,10 +258,13 @@
     /// Were they named in every greeting, the bytes would grow with the square
     /// of the hosts: 250 KB a second and host where a data centre has a hundred.
     fn list(&self, centre: &str) -> Neighbourly {
+        let now = clock::now();
+        let mut known = self.neighbours.borrow_mut();
         Neighbourly::Hello(Hello {
             centre: self.settings.data_centre.clone(),
             seeks: false,
-            neighbours: self.neighbours.borrow_mut().of(centre, clock::now()),
+            neighbours: known.of(centre, now),
+            contacts: known.named(now),
         })
     }
 
