--- a/components/coordination/tests/neighbours_met.rs
+++ b/components/coordination/tests/neighbours_met.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use coordination::neighbours::{Greeted, Neighbours};
+use coordination::neighbours::{Contact, Greeted, Neighbours};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use state::Moment;
@@ -75,8 +75,9 @@
 #[test]
 fn strangers_introduced() {
     let mut seed = Neighbours::new(address(1), "a");
+    assert_eq!(seed.greeted(address(7), "d", at(1)), Greeted::NewStranger);
     assert_eq!(seed.greeted(address(7), "d", at(1)), Greeted::Stranger);
-    assert_eq!(seed.greeted(address(8), "d", at(1)), Greeted::Stranger);
+    assert_eq!(seed.greeted(address(8), "d", at(1)), Greeted::NewStranger);
     assert_eq!(seed.of("d", at(2)), [address(7), address(8)]);
     assert!(seed.of("c", at(2)).is_empty());
     assert!(seed.is_empty());
@@ -96,3 +97,25 @@
     assert_eq!(host.current(at(25)), [address(3)]);
     assert!(host.current(at(15) + Duration::from_secs(30)).is_empty());
 }
+
+/// A reader tells a few hosts of each other data centre. One of those is gone: it must
+/// not be named from host to host for ever, and whoever still answers comes first.
+#[test]
+fn contacts_kept() {
+    let mut host = Neighbours::new(address(1), "a");
+    for (centre, n) in [("b", 9), ("b", 8), ("c", 7)] {
+        host.greeted(address(n), centre, at(1));
+    }
+    host.hear_of(
+        Contact {
+            centre: "b".to_owned(),
+            address: address(2),
+        },
+        at(1),
+    );
+    let b = vec![address(8), address(9)];
+    assert_eq!(host.contacts(at(2)), [b, vec![address(7)]]);
+    assert!(host.named(at(2)).iter().all(|c| c.address != address(2)));
+    host.greeted(address(7), "c", at(20));
+    assert_eq!(host.contacts(at(30)), [vec![address(7)]]);
+}
