gateway: a host that starts again asks its neighbours, and requests wait for it

Hosts that were started in turn cost three calls of the store each. Cause: each host that started read all from the store at once. 529 hosts share what the store gives, so that the last had its routes and endpoints after 1.5 s; until then they refused, and callers come back once. Ruled out: processor time (the same without it) and endpoints (the same requests were served in time where hosts were ready). Change: - A host that starts again asks a neighbour first, another one every 150 ms. It puts its own reading off by a draw over 8 ms a neighbour, as many as its part of the group tells, and leaves it to one that has begun. Whoever reads first hands all on to all at once. - Where no neighbour is known after 25 ms (the hosts named in the settings may be back last), one of many asks the store for the members of the group, greets them and names them to each other, with a few of other data centres. - What neighbours hand over is taken where it is newer than what is known, so a host that lacks more records than a neighbour keeps singly doesn't read the store for them. - What is too large for a datagram between data centres is read by one host of each, which spreads it; before, all hosts there came to read it. - A request at a host that knows no routes or endpoints yet waits for a quarter of its time, 1.5 s at most, then gets its 503 as before. Tests: host_starts (neighbours_asked: 10 pages read by 5 hosts before; request_waits: 503 before), site_reader.

--- a/components/coordination/src/feed.rs
+++ b/components/coordination/src/feed.rs
@@ -81,6 +81,26 @@
 /// Reads in vain after which the next ones wait twice as long.
 const READS_DOUBLING: u32 = 4;
 
+/// For how long each neighbour holds up the first read of a host that starts again.
+///
+/// The first to read hands on what it read. That takes a few hundred milliseconds
+/// in a data centre of a hundred hosts, and a few where there are four.
+const START_STEP: Duration = Duration::from_millis(8);
+
+/// How long a host that knows nothing leaves the store to a neighbour that reads all.
+///
+/// What it reads comes in fragments after that, and puts this host's reading off again.
+const START_HOLD: Duration = Duration::from_millis(200);
+
+/// How long it does so altogether.
+const START_HOLD_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// How long such a host waits at most to be told of its neighbours.
+const START_INTRODUCED: Duration = Duration::from_millis(100);
+
+/// How long a host that starts again waits to be greeted.
+pub const START_GREETING: Duration = Duration::from_millis(25);
+
 /// How long a data centre's hosts may have heard nothing before one that hears from
 /// elsewhere tells them.
 ///
@@ -94,6 +114,8 @@
     reader: bool,
     asking: bool,
     missing: bool,
+    /// Whether this host is to read for its data centre what was read elsewhere.
+    lags: bool,
     failures: u32,
     due: Moment,
     /// Since when something has been coming in fragments.
@@ -128,6 +150,7 @@
             reader: false,
             asking: false,
             missing: false,
+            lags: false,
             failures: 0,
             due: now,
             coming: None,
@@ -136,6 +159,30 @@
         }
     }
 
+    /// Returns a feed of a host that starts again, and asks its neighbours first.
+    pub fn restarted(now: Moment) -> Feed {
+        Feed {
+            due: now + START_GREETING * 2,
+            ..Feed::new(now)
+        }
+    }
+
+    /// Takes in how many neighbours a host that starts again has.
+    ///
+    /// Made for the moment at which all hosts lose power: the more there are, the
+    /// longer each leaves the store to the others. `draw` is from 0 to 1.
+    /// One that is `known` to fewer than are `expected` waits to be introduced.
+    pub fn greeted(&mut self, known: usize, expected: usize, draw: f64, now: Moment) {
+        if self.next.is_some() || self.failures > 0 {
+            return;
+        }
+        let introduced = match known < expected / 2 {
+            true => (start_spread(expected) / 4).min(START_INTRODUCED),
+            false => Duration::ZERO,
+        };
+        self.due = now + introduced + start_spread(known.max(expected)).mul_f64(draw);
+    }
+
     /// Returns a feed of a host that starts together with its whole site.
     ///
     /// Were each to read at once, 133 hosts would make 266 calls in their first
@@ -199,6 +246,7 @@
     /// 0 to 1.
     pub fn handed(&mut self, next: u64, draw: f64, now: Moment) {
         self.hear(now);
+        self.missing = false;
         self.next = Some(next);
         if self.failures == 0 {
             self.due = now + patience(draw);
@@ -270,18 +318,29 @@
     /// Made for the moment at which the reader falls silent, or the store does: all
     /// hosts lose their patience within a quarter of a second, and a store that is
     /// silent tells the first of them nothing that it could tell the others. The
-    /// more have read in vain, the longer the next ones wait. One that knows nothing
-    /// yet, or lacks records, is served by nobody's reading on.
+    /// more have read in vain, the longer the next ones wait. One that lacks records is
+    /// served by nobody's reading on.
     pub fn heard_read(&mut self, draw: f64, now: Moment) {
+        if self.next.is_none() {
+            self.leave_start(draw, now);
+            return;
+        }
         let doubled = READ_HOLD * 2u32.saturating_pow(self.reads_heard / READS_DOUBLING);
         self.reads_heard = self.reads_heard.saturating_add(1);
-        let served = !self.missing && self.next.is_some();
-        if !self.reader && served {
+        if !self.reader && !self.missing {
             let hold = doubled.min(READ_HOLD_LIMIT).mul_f64(1.0 + draw);
             self.due = self.due.max(now + hold);
         }
     }
 
+    /// Leaves the first read to a neighbour, for a while.
+    fn leave_start(&mut self, draw: f64, now: Moment) {
+        let started = self.heard;
+        if !self.asking && self.failures == 0 && now.since(started) < START_HOLD_LIMIT {
+            self.due = self.due.max(now + START_HOLD.mul_f64(1.0 + draw));
+        }
+    }
+
     /// Returns whether this data centre has been told nothing for a while.
     pub fn is_stale(&self, now: Moment) -> bool {
         now.since(self.heard) > RETELL_AFTER
@@ -290,14 +349,22 @@
     /// Takes in that records are to be had at the store that nobody tells here.
     ///
     /// Of what is read elsewhere, large changes aren't sent between data centres.
+    /// This host reads them and tells its neighbours.
     pub fn lag(&mut self, now: Moment) {
         self.due = self.due.min(now);
         self.missing = !self.reader;
+        self.lags = true;
+    }
+
+    /// Returns whether this host reads for its data centre what was read elsewhere.
+    pub fn lags(&self) -> bool {
+        self.lags
     }
 
     fn hear(&mut self, now: Moment) {
         self.coming = None;
         self.heard = now;
+        self.lags = false;
         self.reads_heard = 0;
     }
 
@@ -347,6 +414,13 @@
     }
 }
 
+/// Returns over how long the hosts of a data centre spread what one of them does for all
+/// when they start again.
+pub fn start_spread(neighbours: usize) -> Duration {
+    let steps = u32::try_from(neighbours).unwrap_or(u32::MAX);
+    START_STEP.saturating_mul(steps).min(FIRST_SPREAD)
+}
+
 fn patience(draw: f64) -> Duration {
     PATIENCE + SPREAD.mul_f64(draw)
 }
--- a/components/coordination/src/neighbours.rs
+++ b/components/coordination/src/neighbours.rs
@@ -66,6 +66,26 @@
     NewStranger,
 }
 
+/// Returns a few of the hosts of each data centre, others by another `draw`.
+///
+/// `draw` is evenly drawn from all of `u64`.
+pub fn some_of_each(contacts: Vec<Contact>, draw: u64) -> Vec<Contact> {
+    let mut centres: BTreeMap<String, Vec<Contact>> = BTreeMap::new();
+    for contact in contacts {
+        let hosts = centres.entry(contact.centre.clone()).or_default();
+        hosts.push(contact);
+    }
+    let mut some = Vec::new();
+    for mut hosts in centres.into_values() {
+        let count = u64::try_from(hosts.len()).unwrap_or(u64::MAX);
+        let first = usize::try_from(draw % count).unwrap_or_default();
+        hosts.rotate_left(first);
+        hosts.truncate(NAMED);
+        some.append(&mut hosts);
+    }
+    some
+}
+
 /// The hosts of the same data centre, and when each was heard or heard of.
 #[derive(Clone, Debug)]
 pub struct Neighbours {
@@ -224,6 +244,11 @@
             .and_then(|at| all.get(at).copied())
     }
 
+    /// Returns how many neighbours are known.
+    pub fn len(&self) -> usize {
+        self.heard.len()
+    }
+
     fn forget_strangers(&mut self, now: Moment) {
         for strangers in self.strangers.values_mut() {
             strangers.retain(|_, heard| now.since(heard.at) < FORGET_AFTER);
--- a/components/coordination/tests/site_reader.rs
+++ b/components/coordination/tests/site_reader.rs
@@ -121,7 +121,7 @@
                 };
                 host.reading = Some(now + wait + answer);
                 self.reads += 1;
-                if !reader && host.feed.next().is_some() {
+                if !reader {
                     self.tell_reading(at, now);
                 }
             }
@@ -162,6 +162,7 @@
         host.fresh = now;
         let Some(from) = host.feed.next() else {
             host.feed.listed(self.end, draw, now);
+            self.hand_over(at, now);
             return;
         };
         host.feed.read(self.end, false, draw, now);
@@ -172,6 +173,17 @@
         self.tell_centre(at, at, from, next, now);
     }
 
+    /// Hands all to the neighbours that know nothing.
+    fn hand_over(&mut self, at: usize, now: Moment) {
+        for other in self.neighbours(at) {
+            if self.hosts[other].feed.next().is_none() && self.arrives(other) {
+                let draw = self.random.random();
+                self.hosts[other].feed.handed(self.end, draw, now);
+                self.hosts[other].fresh = now;
+            }
+        }
+    }
+
     fn tell_centre(&mut self, teller: usize, reader: usize, from: u64, next: u64, now: Moment) {
         for other in self.neighbours(teller) {
             if self.arrives(other) {
--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -85,6 +85,8 @@
     pub next: u64,
     /// The newest record of each key, as they lie in the store.
     pub records: Vec<Bytes>,
+    /// Whether all hosts of the data centre are handed the same.
+    pub shared: bool,
 }
 
 /// Records that a neighbour has read.
@@ -173,6 +175,9 @@
     /// Whether the sender has begun to read the topic.
     #[prost(bool, tag = "20")]
     reading: bool,
+    /// Whether all hosts of the data centre are handed the same.
+    #[prost(bool, tag = "21")]
+    shared: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -293,6 +298,7 @@
                 topic: number(held.topic),
                 from: held.next,
                 held: true,
+                shared: held.shared,
                 records: held.records.clone(),
                 ..WireNews::default()
             },
@@ -378,6 +384,7 @@
                     topic,
                     next: wire.from,
                     records: wire.records,
+                    shared: wire.shared,
                 }));
             }
             _ => {}
--- a/components/protocol/tests/news_messages.rs
+++ b/components/protocol/tests/news_messages.rs
@@ -44,6 +44,7 @@
             topic: Topic::Operators,
             next: 9,
             records: vec![Bytes::from_static(b"one")],
+            shared: true,
         }),
         Neighbourly::Reading(Topic::Endpoints),
         Neighbourly::Borrow(8),
--- a/components/stand_ins/src/log/store.rs
+++ b/components/stand_ins/src/log/store.rs
@@ -91,6 +91,8 @@
     pub reads: u64,
     /// Bytes of records handed out.
     pub bytes_read: u64,
+    /// Pages of newest records handed out.
+    pub listings: u64,
 }
 
 /// Records that one page of the newest ones holds.
@@ -447,6 +449,7 @@
     pub(super) fn newest(&self, name: &str, after: Option<&str>) -> NewestPage {
         let mut inner = self.lock();
         inner.counts.reads += 1;
+        inner.counts.listings += 1;
         let topic = inner.topics.entry(name.to_owned()).or_default();
         let later = |key: &str| after.is_none_or(|after| key > after);
         let mut rest = topic.newest.iter().filter(|(key, _)| later(key));
--- a/components/state/src/places.rs
+++ b/components/state/src/places.rs
@@ -31,6 +31,11 @@
         Places(named.collect())
     }
 
+    /// Returns how many data centres there are, one at least.
+    pub fn count(&self) -> usize {
+        self.0.len().max(1)
+    }
+
     /// Returns how far `to` is from `from`.
     ///
     /// A data centre that is named nowhere is taken to lie in the same region:
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -16,7 +16,7 @@
 use state::fleet::placing::{self, Refusal};
 use state::routing::Route;
 use state::{Moment, ServiceKey};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::answer::AnswerBody;
 use super::attempt::{Answer, Attempt, Ending};
@@ -110,6 +110,7 @@
     if *gateway.stage.borrow() >= Stage::Closing {
         return Err(Denial::Stopping);
     }
+    gateway.await_knowledge(parts).await;
     let (route, limit) = route(gateway, parts)?;
     let body = CallerBody::new(incoming, limit).map_err(Denial::Body)?;
     let body = body.gather(REPLAY_LIMIT).await.map_err(Denial::Body)?;
@@ -158,6 +159,29 @@
     Ok((route.clone(), catalogue.limits.body_size))
 }
 
+/// The share of the time left for which a request waits at a host that has just started.
+const START_SHARE: f64 = 0.25;
+
+/// The longest time for which it waits.
+const START_LIMIT: Duration = Duration::from_millis(1_500);
+
+impl Gateway {
+    /// Waits until routes and endpoints are known, for a part of the request's time.
+    ///
+    /// Made for the moment at which all hosts start again: rejected, a request comes
+    /// back to another host that has just started, and callers come back once or
+    /// twice only.
+    async fn await_knowledge(&self, parts: &Parts) {
+        let left = platform::fields::time_left(&parts.headers).unwrap_or(START_LIMIT);
+        let last = Instant::now() + left.mul_f64(START_SHARE).min(START_LIMIT);
+        while !self.knows_all() {
+            if timeout_at(last, self.known.notified()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
 /// When to come back where nothing better is known.
 const SOON: Duration = Duration::from_millis(300);
 
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -31,7 +31,7 @@
                 feed.ask();
                 (feed.next(), feed.is_reader())
             });
-            if !reads && next.is_some() {
+            if !reads {
                 self.tell_all(&Neighbourly::Reading(topic));
             }
             let result = match next {
@@ -104,6 +104,9 @@
             return;
         };
         if news.from > next {
+            if self.awaits(topic) {
+                return;
+            }
             self.feed(topic, |feed| feed.lag(clock::now()));
             self.sooner.notify_waiters();
             return;
@@ -111,11 +114,12 @@
         let stale = self.feed(topic, |feed| feed.is_stale(clock::now()));
         let new = self.take_news(&news, teller);
         if new || stale {
-            self.tell_news(News {
+            let news = News {
                 teller: self.settings.peers,
                 abroad: false,
                 ..news
-            });
+            };
+            self.tell_news(news, true);
         }
     }
 
@@ -136,7 +140,7 @@
         topic: Topic,
         from: u64,
     ) -> Result<(), StoreError> {
-        let wait = self.feed(topic, |feed| feed.wait(clock::now()));
+        let (wait, lags) = self.feed(topic, |feed| (feed.wait(clock::now()), feed.lags()));
         let read = store.read(name(topic), from, wait, None).await?;
         // A neighbour may have told some of it meanwhile.
         let known = self.feed(topic, |feed| feed.next()).unwrap_or(from);
@@ -156,10 +160,11 @@
             from,
             records: read.records,
         };
-        if self.feed(topic, |feed| feed.is_reader()) {
+        let reader = self.feed(topic, |feed| feed.is_reader());
+        if reader {
             self.tell_abroad(&news);
         }
-        self.tell_news(news);
+        self.tell_news(news, reader || lags);
         Ok(())
     }
 
@@ -230,7 +235,9 @@
         let draw = self.draw_share();
         let back = self.feed(topic, |feed| feed.listed(end, draw, clock::now()));
         self.note_return(topic, back);
+        let first = !self.knows(topic);
         self.take_all(topic, &records);
+        self.share_all(topic, first);
         Ok(())
     }
 
@@ -241,7 +248,6 @@
             Topic::Operators => self.take_all_orders(records),
             Topic::Endpoints => self.take_all_endpoints(records),
         }
-        self.serve_askers(topic);
     }
 
     fn take_all_endpoints(&self, records: &[Record]) {
@@ -252,6 +258,7 @@
         let mut registry = self.registry.borrow_mut();
         registry.replace(entries, clock::now());
         self.listed.set(true);
+        self.known.notify_waiters();
         log::info!("E0313 endpoints-listed endpoints={}", registry.len());
     }
 
@@ -294,6 +301,7 @@
                         value.len()
                     );
                     self.forget_routes();
+                    self.known.notify_waiters();
                 }
             }
             Err(error) => log::error!("E0304 record-skipped key=config error={error:?}"),
--- a/components/transport/src/gateway/fragments.rs
+++ b/components/transport/src/gateway/fragments.rs
@@ -44,6 +44,10 @@
             self.tell(to, message);
             return;
         }
+        if self.large.borrow().outbox.is_busy() {
+            // It asks another one soon, or reads the store.
+            return;
+        }
         let fragments = self.cut(&encoded);
         let queued = |f: &Fragment| self.large.borrow().outbox.holds(to, f.message);
         if fragments.first().is_some_and(queued) {
--- a/components/transport/src/gateway/held.rs
+++ b/components/transport/src/gateway/held.rs
@@ -10,9 +10,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coordination::feed::START_GREETING;
 use coordination::recent::Recent;
 use platform::store::Record;
 use protocol::news::{Held, Neighbourly, News, Topic};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::Gateway;
@@ -26,11 +28,11 @@
 /// By how much hosts differ in that, so that they don't all ask at once.
 const SEEK_SPREAD: Duration = Duration::from_millis(300);
 
-/// Neighbours that are served at once, when this host comes to know a topic.
-///
-/// What 240 endpoints fill takes a link of 10 Mbit/s 40 ms. Those served serve
-/// others in turn; who is left out reads the store.
-const SERVED: usize = 3;
+/// How long a host that starts again waits until it asks the next neighbour.
+const SEEK_AGAIN: Duration = Duration::from_millis(150);
+
+/// How often it looks whether it has been greeted.
+const SEEK_STEP: Duration = Duration::from_millis(5);
 
 /// The newest record of each key of one topic, as it lies in the store.
 #[derive(Default)]
@@ -73,14 +75,54 @@
         }
     }
 
-    /// Asks a neighbour for both topics soon after a whole site has started.
+    /// Asks neighbours for both topics until this host knows them.
     pub(super) async fn seek_all(self: Rc<Self>) {
-        if !self.settings.first_start {
-            return;
+        match self.settings.first_start {
+            true => sleep(SEEK_AFTER + SEEK_SPREAD.mul_f64(self.draw_share())).await,
+            false => {
+                spawn_local(Rc::clone(&self).defer_reading());
+                self.await_greeting().await;
+            }
+        }
+        while !self.knows_all() {
+            for topic in [Topic::Operators, Topic::Endpoints] {
+                self.want(topic);
+            }
+            sleep(SEEK_AGAIN).await;
+        }
+    }
+
+    /// Waits until a neighbour has greeted this host, not for long.
+    async fn await_greeting(&self) {
+        let last = clock::now() + START_GREETING;
+        while self.neighbours.borrow().is_empty() && clock::now() < last {
+            sleep(SEEK_STEP).await;
         }
-        sleep(SEEK_AFTER + SEEK_SPREAD.mul_f64(self.draw_share())).await;
+    }
+
+    /// Puts this host's own reading off for the neighbours that have greeted it.
+    async fn defer_reading(self: Rc<Self>) {
+        sleep(START_GREETING).await;
+        let known = self.neighbours.borrow().len();
+        let expected = self.expected_neighbours();
         for topic in [Topic::Operators, Topic::Endpoints] {
-            self.want(topic);
+            let draw = self.draw_share();
+            self.feed(topic, |feed| {
+                feed.greeted(known, expected, draw, clock::now());
+            });
+        }
+        self.sooner.notify_waiters();
+    }
+
+    /// Returns how many neighbours this host should have, by its part of all hosts.
+    ///
+    /// Where all hosts start at once it has been greeted by a few of them only.
+    pub(super) fn expected_neighbours(&self) -> usize {
+        let share = self.share.get();
+        let centres = self.settings.places.count() as f64;
+        match share > 0.0 {
+            true => (1.0 / share / centres) as usize,
+            false => 0,
         }
     }
 
@@ -101,18 +143,39 @@
             self.shelves.borrow_mut().of(topic).askers.insert(to);
             return;
         };
+        let held = self.held(topic, next, false);
+        self.tell_whole(to, topic, &Neighbourly::Held(held));
+    }
+
+    fn held(&self, topic: Topic, next: u64, shared: bool) -> Held {
         let records = self.shelves.borrow_mut().of(topic).records.clone();
-        let held = Held {
+        Held {
             topic,
             next,
+            shared,
             records: records.into_values().collect(),
-        };
-        self.tell_whole(to, topic, &Neighbourly::Held(held));
+        }
+    }
+
+    /// Hands what this host has read to all neighbours, where they may know nothing.
+    ///
+    /// Made for the moment at which all hosts have lost power: handed from one to
+    /// the next, it would reach the last of a hundred hosts after a second. A host
+    /// that reads all for the `first` time got nothing from its neighbours.
+    pub(super) fn share_all(self: &Rc<Self>, topic: Topic, first: bool) {
+        let askers = std::mem::take(&mut self.shelves.borrow_mut().of(topic).askers);
+        let next = self.feed(topic, |feed| feed.next());
+        let lacking = !askers.is_empty() || first && self.knows_neighbours();
+        if let (true, Some(next)) = (lacking, next) {
+            let held = self.held(topic, next, true);
+            self.spread(topic, &Neighbourly::Held(held));
+        }
     }
 
     /// Sends records again that a neighbour missed; it reads the store where it gets none.
     pub(super) fn send_again(self: &Rc<Self>, to: SocketAddr, topic: Topic, from: u64) {
         let Some(records) = self.shelves.borrow_mut().of(topic).recent.since(from) else {
+            self.hand_over(to, topic);
             return;
         };
         let news = News {
@@ -126,18 +189,13 @@
         self.tell_whole(to, topic, &Neighbourly::News(news));
     }
 
-    /// Hands all on to a few neighbours that asked before this host knew it.
-    pub(super) fn serve_askers(self: &Rc<Self>, topic: Topic) {
-        let askers = std::mem::take(&mut self.shelves.borrow_mut().of(topic).askers);
-        for asker in askers.into_iter().take(SERVED) {
-            self.hand_over(asker, topic);
-        }
-    }
-
     /// Takes in what a neighbour hands over.
     pub(super) fn take_held(self: &Rc<Self>, held: Held) {
         let (topic, next) = (held.topic, held.next);
-        if self.feed(topic, |feed| feed.next()).is_some() {
+        if self
+            .feed(topic, |feed| feed.next())
+            .is_some_and(|known| known >= next)
+        {
             return;
         }
         let records: Vec<Record> = held
@@ -152,6 +210,12 @@
         let draw = self.draw_share();
         self.feed(topic, |feed| feed.handed(next, draw, clock::now()));
         self.take_all(topic, &records);
+        let askers = std::mem::take(&mut self.shelves.borrow_mut().of(topic).askers);
+        if !held.shared {
+            for asker in askers {
+                self.hand_over(asker, topic);
+            }
+        }
     }
 }
 
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -82,7 +82,7 @@
     fn new(first: bool, draw: f64, now: Moment) -> Feeds {
         let feed = match first {
             true => Feed::beginning(draw, now),
-            false => Feed::new(now),
+            false => Feed::restarted(now),
         };
         Feeds {
             operators: feed.clone(),
@@ -103,6 +103,8 @@
     feeds: RefCell<Feeds>,
     /// Wakes the tasks that follow the store where they have to read sooner.
     sooner: Notify,
+    /// Wakes requests that wait until routes and endpoints are known.
+    known: Notify,
     shelves: RefCell<Shelves>,
     socket: UdpSocket,
     neighbours: RefCell<Neighbours>,
@@ -171,6 +173,7 @@
             listed: Cell::new(false),
             feeds: RefCell::new(feeds),
             sooner: Notify::new(),
+            known: Notify::new(),
             shelves: RefCell::default(),
             socket,
             neighbours: RefCell::new(neighbours),
@@ -196,8 +199,18 @@
 
     /// Returns whether this host can serve: it knows routes and endpoints.
     pub fn is_ready(&self) -> bool {
-        let knows = self.orders.borrow().catalogue.is_some() && self.listed.get();
-        knows && *self.stage.borrow() == Stage::Serving
+        self.knows_all() && *self.stage.borrow() == Stage::Serving
+    }
+
+    fn knows_all(&self) -> bool {
+        self.knows(Topic::Operators) && self.knows(Topic::Endpoints)
+    }
+
+    fn knows(&self, topic: Topic) -> bool {
+        match topic {
+            Topic::Operators => self.orders.borrow().catalogue.is_some(),
+            Topic::Endpoints => self.listed.get(),
+        }
     }
 
     /// Returns an evenly drawn number from all of `u64`.
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use coordination::neighbours::Greeted;
+use coordination::neighbours::{self, Contact, Greeted};
 use coordination::relay;
 use protocol::news::{DATAGRAM_LIMIT, Hello, Neighbourly, News, Topic};
 use tokio::net::UdpSocket;
@@ -56,7 +56,8 @@
         for _ in 0..SEED_GREETINGS {
             self.greet_seeds();
             sleep(SEED_PAUSE).await;
-            if !self.neighbours.borrow().is_empty() {
+            let known = self.neighbours.borrow();
+            if !known.is_empty() && known.any_stranger(0).is_some() {
                 break;
             }
         }
@@ -117,11 +118,26 @@
         }
     }
 
-    /// Asks a neighbour that the store names whom it knows.
-    pub(super) fn ask_neighbours(&self, address: SocketAddr) {
-        if address != self.settings.peers {
-            self.tell(address, &self.hello(true));
+    /// Greets the neighbours that the store names, and names them to each other.
+    ///
+    /// They are told of a few hosts of `others`, the other data centres, as well.
+    pub(super) fn introduce(&self, hosts: Vec<SocketAddr>, others: Vec<Contact>) {
+        let now = clock::now();
+        let draw = self.draw();
+        let mut known = self.neighbours.borrow_mut();
+        for host in &hosts {
+            known.meet(*host, now);
         }
+        for contact in &others {
+            known.hear_of(contact.clone(), now);
+        }
+        drop(known);
+        self.tell_all(&Neighbourly::Hello(Hello {
+            centre: self.settings.data_centre.clone(),
+            seeks: false,
+            neighbours: hosts,
+            contacts: neighbours::some_of_each(others, draw),
+        }));
     }
 
     /// Greets a neighbour that another neighbour names.
@@ -134,25 +150,20 @@
 
     /// Tells the neighbours what was read: all of them where it is little, else
     /// those that pass it on, in fragments where no datagram holds it.
-    pub(super) fn tell_news(self: &Rc<Self>, news: News) {
+    ///
+    /// Where many read something large at the same moment, only one that `spreads` it
+    /// tells them, and none that is hearing it: the links would be filled twice.
+    pub(super) fn tell_news(self: &Rc<Self>, news: News, spreads: bool) {
         match news.size() {
             n if n <= SMALL => self.tell_all(&Neighbourly::News(news)),
             n if n <= DATAGRAM_LIMIT => self.pass_on(&news),
-            _ if self.spreads(news.topic) => {
+            _ if spreads && !self.awaits(news.topic) => {
                 self.spread(news.topic, &Neighbourly::News(news.anonymous()));
             }
             _ => {}
         }
     }
 
-    /// Returns whether this host is the one to tell something large.
-    ///
-    /// Where many read it at the same moment, one that is hearing it from another
-    /// would only fill the links a second time.
-    fn spreads(&self, topic: Topic) -> bool {
-        self.feed(topic, |feed| feed.is_reader()) && !self.awaits(topic)
-    }
-
     /// Passes on what a neighbour, or this host, has read.
     fn pass_on(&self, news: &News) {
         let known = self.neighbours.borrow_mut().current(clock::now());
@@ -195,9 +206,15 @@
                     self.pass_on(&news);
                 }
             }
-            Neighbourly::Reading(topic) => self.take_reading(topic),
+            Neighbourly::Reading(topic) => {
+                self.meet(from);
+                self.take_reading(topic);
+            }
             Neighbourly::Trouble(topic) => self.take_trouble(topic),
-            Neighbourly::Wanted(topic) => self.hand_over(from, topic),
+            Neighbourly::Wanted(topic) => {
+                self.meet(from);
+                self.hand_over(from, topic);
+            }
             Neighbourly::Held(held) => self.take_held(held),
             Neighbourly::Missing(topic, next) => self.send_again(from, topic, next),
             Neighbourly::Fragment(topic, fragment) => self.take_fragment(topic, &fragment),
--- a/components/transport/src/gateway/share.rs
+++ b/components/transport/src/gateway/share.rs
@@ -1,10 +1,11 @@
 //! Learns from the store's groups which part of all hosts this one is, and who
 //! its neighbours are.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use coordination::feed::{self, START_GREETING};
+use coordination::neighbours::Contact;
 use state::Moment;
 use tokio::time::sleep;
 
@@ -52,11 +53,10 @@
 }
 
 impl Search {
-    /// Returns the first search, a little later: when a whole site starts, all
-    /// hosts are in the group only after a moment.
-    fn new(now: Moment) -> Search {
+    /// Returns the first search.
+    fn new(due: Moment) -> Search {
         Search {
-            due: now + SEARCH_PAUSE,
+            due,
             pause: SEARCH_PAUSE,
         }
     }
@@ -86,7 +86,9 @@
         let mut generation = 0;
         let mut pause = JOIN_EVERY;
         let mut due = clock::now();
-        let mut search = Search::new(clock::now());
+        // When a whole site starts, all hosts are in the group only after a moment.
+        let mut search = Search::new(clock::now() + SEARCH_PAUSE);
+        let mut first = !self.settings.first_start;
         loop {
             if clock::now() >= due {
                 let session = (pause * 2).min(JOIN_LONGEST) * SESSION_PAUSES;
@@ -110,12 +112,23 @@
                 };
                 due = clock::now() + pause;
             }
+            if std::mem::take(&mut first) {
+                search = Search::new(self.started + self.start_pause());
+            }
             self.search(&mut store, &mut search).await;
             let now = clock::now();
             sleep(now.until(due).min(search.left(now))).await;
         }
     }
 
+    /// Returns how long a host that starts again waits to be greeted before it asks the store.
+    ///
+    /// Made for the moment at which all hosts lose power, and those that the settings
+    /// name are back last: one of many asks, and tells the others of each other.
+    fn start_pause(&self) -> Duration {
+        START_GREETING + feed::start_spread(self.expected_neighbours()).mul_f64(self.draw_share())
+    }
+
     fn set_share(&self, parts: usize) {
         let total = (TOPICS * self.settings.partitions).max(1);
         let share = parts as f64 / total as f64;
@@ -140,17 +153,18 @@
         search.done(self.knows_neighbours(), clock::now());
     }
 
-    fn knows_neighbours(&self) -> bool {
+    pub(super) fn knows_neighbours(&self) -> bool {
         !self.neighbours.borrow().is_empty()
     }
 
-    /// Greets the hosts of this data centre that hold a part.
+    /// Greets the hosts of this data centre that hold a part, and learns of others.
     async fn find_neighbours(&self, store: &mut Store) -> Result<(), StoreError> {
-        for member in store.owners(GROUP).await? {
-            if let Some(address) = self.neighbour(&member) {
-                self.ask_neighbours(address);
-            }
-        }
+        let members = store.owners(GROUP).await?;
+        let contacts = members.iter().filter_map(|m| contact(m));
+        let (here, elsewhere): (Vec<Contact>, Vec<Contact>) =
+            contacts.partition(|c| c.centre == self.settings.data_centre);
+        let here = here.into_iter().map(|c| c.address);
+        self.introduce(here.collect(), elsewhere);
         Ok(())
     }
 
@@ -163,10 +177,13 @@
     fn member(&self) -> String {
         format!("{}/{}", self.settings.data_centre, self.settings.peers)
     }
+}
 
-    /// Returns the address of a member of the same data centre.
-    fn neighbour(&self, member: &str) -> Option<SocketAddr> {
-        let rest = member.strip_prefix(&self.settings.data_centre)?;
-        rest.strip_prefix('/')?.split('/').next()?.parse().ok()
-    }
+/// Returns the host that joins under this name.
+fn contact(member: &str) -> Option<Contact> {
+    let (centre, address) = member.rsplit_once('/')?;
+    Some(Contact {
+        centre: centre.to_owned(),
+        address: address.parse().ok()?,
+    })
 }
--- /dev/null
+++ b/tests/host_starts.rs
@@ -0,0 +1,75 @@
+//! Hosts that start again, beside others and all at once.
+
+mod site;
+
+use std::time::Duration;
+
+use site::{Endpoint, Host, ROUTES, Store, config, until};
+use tokio::time::sleep;
+
+/// Hosts are started again in turn, and each reads all from the store though its
+/// neighbours know it: hundreds of hosts make thousands of calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn neighbours_asked() {
+    let store = Store::start().await;
+    let endpoint = Endpoint::start("i-1").await;
+    endpoint.register(&store, "ready");
+    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let peers = site::peers(6);
+    let first = Host::start_beside("first", &store, peers[0], None).await;
+    until("the first host is ready", async || {
+        first.readiness().await == 200
+    })
+    .await;
+    let before = store.listings();
+    let mut others = Vec::new();
+    for (n, address) in peers.iter().enumerate().skip(1) {
+        let host = Host::start_beside(&format!("h-{n}"), &store, *address, Some(peers[0])).await;
+        until("it is ready", async || host.readiness().await == 200).await;
+        others.push(host);
+    }
+    let read = store.listings() - before;
+    // Two pages a host where it reads all by itself.
+    assert!(read <= 4, "{} hosts read {read} pages", others.len());
+    assert_eq!(others[0].request("GET", "/read/x", "r1").await.status, 200);
+}
+
+/// All hosts have just started. A caller who is rejected comes back to another that knows
+/// as little, and gives up; one whose request waits a moment is served.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_waits() {
+    let store = Store::start().await;
+    let endpoint = Endpoint::start("i-1").await;
+    endpoint.register(&store, "ready");
+    let peers = site::peers(2);
+    let first = Host::start_beside("first", &store, peers[0], None).await;
+    let second = Host::start_beside("second", &store, peers[1], Some(peers[0])).await;
+    let calls = store.calls();
+    until("one reads for both", async || store.calls() > calls + 4).await;
+    let request = "GET /read/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: r1\r\nTime-Remaining: 8000\r\nConnection: close\r\n\r\n";
+    let served = async {
+        let answers = tokio::join!(
+            site::exchange(first.callers, request),
+            site::exchange(second.callers, request)
+        );
+        [answers.0, answers.1]
+    };
+    let known = async {
+        sleep(Duration::from_millis(100)).await;
+        store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    };
+    let (answers, ()) = tokio::join!(served, known);
+    for answer in answers {
+        assert_eq!(answer.map(|a| a.status), Some(200));
+    }
+}
+
+/// A host that learns nothing rejects what waits, and says truly that it was not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn wait_ends() {
+    let store = Store::start().await;
+    let host = Host::start("entry", &store).await;
+    let answer = host.request("GET", "/read/x", "r1").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.has("retry-after"));
+}
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -57,6 +57,11 @@
         self.log.counts().bytes_read
     }
 
+    /// Returns how many pages of newest records were handed out.
+    pub fn listings(&self) -> u64 {
+        self.log.counts().listings
+    }
+
     /// Returns how many calls came.
     pub fn calls(&self) -> u32 {
         u32::try_from(self.log.counts().calls).expect("a test makes few calls")
