--- a/components/coordination/src/feed.rs
+++ b/components/coordination/src/feed.rs
@@ -95,7 +95,7 @@
 /// How long it does so altogether.
 const START_HOLD_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// How long such a host waits at most to be told of its neighbours.
+/// How long a host that starts again waits at most to be told of its neighbours.
 const START_INTRODUCED: Duration = Duration::from_millis(100);
 
 /// How long a host that starts again waits to be greeted.
@@ -170,8 +170,8 @@
     /// Takes in how many neighbours a host that starts again has.
     ///
     /// Made for the moment at which all hosts lose power: the more there are, the
-    /// longer each leaves the store to the others. `draw` is from 0 to 1.
-    /// One that is `known` to fewer than are `expected` waits to be introduced.
+    /// longer each leaves the store to the others. A host that knows far fewer than it
+    /// expects waits to be told of them. `draw` is from 0 to 1.
     pub fn greeted(&mut self, known: usize, expected: usize, draw: f64, now: Moment) {
         if self.next.is_some() || self.failures > 0 {
             return;
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -292,10 +292,12 @@
         let now = clock::now();
         let mut registry = self.registry.borrow_mut();
         if registry.note(key, outcome, now) {
-            let instance = registry.get(key).map(|s| s.endpoint.instance.as_str());
+            let endpoint = registry.get(key).map(|s| &s.endpoint);
+            let instance = endpoint.map(|e| e.instance.as_str());
             log::info!(
-                "E0122 endpoint-avoided instance={} outcome={outcome:?}",
-                instance.unwrap_or_default()
+                "E0122 endpoint-avoided instance={} address={:?} outcome={outcome:?}",
+                instance.unwrap_or_default(),
+                endpoint.map(|e| e.address)
             );
         }
     }
