gateway: datagrams between hosts are counted by kind

Each host logs every ten seconds how many datagrams of each kind it sent and got, with their bytes (E0424).

--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -264,6 +264,25 @@
 }
 
 impl Neighbourly {
+    /// Returns the name of this kind of message, for counts.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Neighbourly::Hello(hello) if hello.neighbours.is_empty() => "greeting",
+            Neighbourly::Hello(_) => "hosts",
+            Neighbourly::News(news) if news.abroad => "news_abroad",
+            Neighbourly::News(news) if news.records.is_empty() => "news_empty",
+            Neighbourly::News(_) => "news",
+            Neighbourly::Reading(_) => "reading",
+            Neighbourly::Trouble(_) => "trouble",
+            Neighbourly::Wanted(_) => "wanted",
+            Neighbourly::Held(_) => "held",
+            Neighbourly::Missing(..) => "missing",
+            Neighbourly::Fragment(..) => "fragment",
+            Neighbourly::Lacking(..) => "lacking",
+            Neighbourly::Borrow(_) | Neighbourly::Lend(_) => "loan",
+        }
+    }
+
     /// Returns the datagram.
     pub fn encode(&self) -> Vec<u8> {
         let wire = match self {
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod settings;
 mod share;
 mod stream;
+mod traffic;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -51,6 +52,7 @@
 use pool::Pool;
 use request_log::RequestLog;
 pub use settings::{Bounds, Live, Settings};
+use traffic::Traffic;
 
 /// Why a host can't start.
 #[derive(Debug, Error)]
@@ -109,6 +111,7 @@
     socket: UdpSocket,
     neighbours: RefCell<Neighbours>,
     large: RefCell<Large>,
+    traffic: RefCell<Traffic>,
     /// Wakes the task that sends fragments.
     fragments_wait: Notify,
     pool: RefCell<Pool>,
@@ -146,6 +149,7 @@
         spawn_local(Rc::clone(&gateway).follow(Topic::Endpoints));
         spawn_local(Rc::clone(&gateway).keep_share());
         spawn_local(Rc::clone(&gateway).keep_pool());
+        spawn_local(Rc::clone(&gateway).report_traffic());
         log::info!(
             "E0502 host-started name={} callers={} log={}",
             gateway.settings.name,
@@ -178,6 +182,7 @@
             socket,
             neighbours: RefCell::new(neighbours),
             large: RefCell::default(),
+            traffic: RefCell::default(),
             fragments_wait: Notify::new(),
             pool: RefCell::default(),
             budgets: RefCell::default(),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -197,6 +197,7 @@
                 return;
             }
         };
+        self.traffic.borrow_mut().received(&message, datagram.len());
         match message {
             Neighbourly::News(news) if news.abroad => self.take_abroad(news, from),
             Neighbourly::News(news) => {
@@ -295,14 +296,15 @@
 
     /// Tells one neighbour.
     pub(super) fn tell(&self, address: SocketAddr, message: &Neighbourly) {
-        send(&self.socket, address, message);
+        let datagram = message.encode();
+        self.traffic.borrow_mut().sent(message, datagram.len());
+        send(&self.socket, address, &datagram);
     }
 }
 
 /// Sends a datagram, or drops it where the link is full: telling never blocks.
-fn send(socket: &UdpSocket, address: SocketAddr, message: &Neighbourly) {
-    let datagram = message.encode();
-    match socket.try_send_to(&datagram, address) {
+fn send(socket: &UdpSocket, address: SocketAddr, datagram: &[u8]) {
+    match socket.try_send_to(datagram, address) {
         Ok(_) => {}
         Err(error) if error.kind() == ErrorKind::WouldBlock => {
             log::debug!("E0406 datagram-not-sent address={address} error={error:?}");
