joins: parts reach the hosts before callers do

The first host to join holds all parts until it joins twice more; hosts without a part took the unchanged generation for calm and came back after ten seconds, then twenty. Change: a host whose parts became fewer joins again at once, which gives them up; one that has none asks again after 2 s, then ever later. The rhythm stands apart from input and output (coordination::joins). Tests: group_joins (parts_in_time: 13, 94, 472 hosts; calm_minute).

--- /dev/null
+++ b/components/coordination/src/joins.rs
@@ -0,0 +1,72 @@
+//! How often a host joins the store's group, which deals parts to its members.
+//!
+//! A part moves only when the member that held it has joined again. So a member whose
+//! parts become fewer joins again at once, one that has none asks again soon, and the
+//! others have nothing to learn while the group stays the same.
+
+use std::time::Duration;
+
+/// How long after a join the next one comes where the group has just changed.
+const USUAL: Duration = Duration::from_secs(5);
+
+/// How long where it stays the same: every join is paid for.
+const LONGEST: Duration = Duration::from_secs(20);
+
+/// How long where this member has no part yet.
+const SOON: Duration = Duration::from_secs(2);
+
+/// How many of its pauses a silent member keeps its parts for.
+///
+/// Fewer, and one slow answer of the store would deal all parts anew.
+const SESSION_PAUSES: u32 = 3;
+
+/// What this host learned by its last join, and when it joins again.
+#[derive(Clone, Debug)]
+pub struct Joins {
+    generation: u64,
+    parts: usize,
+    pause: Duration,
+}
+
+impl Default for Joins {
+    fn default() -> Joins {
+        Joins {
+            generation: 0,
+            parts: 0,
+            pause: USUAL,
+        }
+    }
+}
+
+impl Joins {
+    /// Returns the generation of the group that this host knows.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Returns how long the store is to keep this host's parts without a join.
+    pub fn session(&self) -> Duration {
+        (self.pause.max(SOON) * 2).clamp(USUAL, LONGEST) * SESSION_PAUSES
+    }
+
+    /// Takes in what a join told, and returns how long it is until the next.
+    pub fn joined(&mut self, generation: u64, parts: usize) -> Duration {
+        let same = generation == self.generation && parts == self.parts;
+        self.pause = match parts {
+            0 if same => (self.pause * 3 / 2).clamp(SOON, LONGEST),
+            0 => SOON,
+            n if n < self.parts => Duration::ZERO,
+            _ if same => (self.pause * 2).clamp(USUAL, LONGEST),
+            _ => USUAL,
+        };
+        self.generation = generation;
+        self.parts = parts;
+        self.pause
+    }
+
+    /// Takes in that a join failed, and returns how long it is until the next.
+    pub fn failed(&mut self) -> Duration {
+        self.pause = USUAL;
+        self.pause
+    }
+}
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod feed;
 pub mod fragments;
+pub mod joins;
 pub mod members;
 pub mod neighbours;
 pub mod outbox;
--- /dev/null
+++ b/components/coordination/tests/group_joins.rs
@@ -0,0 +1,94 @@
+//! How soon hosts have their parts of the group, and what that costs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use coordination::joins::Joins;
+use state::Moment;
+
+const PARTS: usize = 576;
+
+/// The store's group: a part moves when the member that held it has joined again.
+#[derive(Default)]
+struct Group {
+    generation: u64,
+    /// The generation that each member has told with its last join.
+    members: BTreeMap<usize, u64>,
+    held: BTreeMap<usize, usize>,
+}
+
+impl Group {
+    fn join(&mut self, member: usize, generation: u64) -> (u64, usize) {
+        if !self.members.contains_key(&member) {
+            self.generation += 1;
+        }
+        self.members.insert(member, generation);
+        let held = self.held.get(&member).copied().unwrap_or_default();
+        let fair = self.fair(member);
+        // What isn't listed any more is given up by the next join.
+        let listed = held.min(fair);
+        if generation == self.generation {
+            self.held.insert(member, listed);
+        }
+        let free = PARTS - self.held.values().sum::<usize>();
+        let more = free.min(fair - listed);
+        if more > 0 {
+            self.held.insert(member, listed + more);
+        }
+        (self.generation, listed + more)
+    }
+
+    fn fair(&self, member: usize) -> usize {
+        let count = self.members.len();
+        let rank = self.members.range(..member).count();
+        PARTS / count + usize::from(rank < PARTS % count)
+    }
+}
+
+/// Plays hosts that all start within 300 ms; returns what each holds, and the joins made.
+fn play(hosts: usize, seconds: u64) -> (Vec<usize>, usize) {
+    let mut group = Group::default();
+    let mut joins = vec![Joins::default(); hosts];
+    let mut due: Vec<Moment> = (0..hosts)
+        .map(|n| Moment::from_millis((n * 300 / hosts) as u64))
+        .collect();
+    let mut known = vec![0; hosts];
+    let mut calls = 0;
+    for millis in 0..seconds * 1_000 {
+        let now = Moment::from_millis(millis);
+        for host in 0..hosts {
+            if due[host] > now {
+                continue;
+            }
+            let (generation, parts) = group.join(host, joins[host].generation());
+            known[host] = parts;
+            let pause = joins[host].joined(generation, parts);
+            due[host] = now + pause.max(Duration::from_millis(4));
+            calls += 1;
+            assert!(
+                known.iter().sum::<usize>() <= PARTS,
+                "more than all is dealt"
+            );
+        }
+    }
+    (known, calls)
+}
+
+/// A site starts, and callers come eight seconds later. A host without a part may not
+/// repeat a request, nor keep connections; the first to join holds all parts until it
+/// joins again.
+#[test]
+fn parts_in_time() {
+    for hosts in [13, 94, 472] {
+        let (known, _) = play(hosts, 8);
+        let without = known.iter().filter(|n| **n == 0).count();
+        assert_eq!(without, 0, "of {hosts} hosts");
+    }
+}
+
+/// Nothing changes for a minute, and every join is paid for.
+#[test]
+fn calm_minute() {
+    let (_, calls) = play(472, 60);
+    assert!(calls <= 472 * 8, "{calls} joins");
+}
--- a/components/transport/src/gateway/share.rs
+++ b/components/transport/src/gateway/share.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coordination::feed::{self, START_GREETING};
+use coordination::joins::Joins;
 use coordination::neighbours::Contact;
 use state::Moment;
 use tokio::time::sleep;
@@ -23,19 +24,6 @@
 /// a host that gets none takes no share, which errs on the safe side.
 const TOPICS: usize = 24;
 
-/// How often a host shows that it lives where the group has just changed.
-const JOIN_EVERY: Duration = Duration::from_secs(5);
-
-/// How often it does where the group stays the same.
-///
-/// Every host pays for its joins, and nothing is to be learned from them then.
-const JOIN_LONGEST: Duration = Duration::from_secs(20);
-
-/// How many of its pauses a silent host keeps its part for.
-///
-/// Fewer, and one slow answer of the store would deal all parts anew.
-const SESSION_PAUSES: u32 = 3;
-
 /// How long a host that knows no neighbour waits before it asks the store again.
 ///
 /// Doubled each time, since a host may be the only one of its data centre.
@@ -83,33 +71,14 @@
         let mut store = Store::new(self.settings.log);
         let topics: Vec<String> = (0..TOPICS).map(|n| format!("hosts-{n}")).collect();
         let member = self.member();
-        let mut generation = 0;
-        let mut pause = JOIN_EVERY;
+        let mut joins = Joins::default();
         let mut due = clock::now();
         // When a whole site starts, all hosts are in the group only after a moment.
         let mut search = Search::new(clock::now() + SEARCH_PAUSE);
         let mut first = !self.settings.first_start;
         loop {
             if clock::now() >= due {
-                let session = (pause * 2).min(JOIN_LONGEST) * SESSION_PAUSES;
-                let timeout = session.as_secs_f64();
-                let body = platform::store::join_body(GROUP, &member, &topics, timeout, generation);
-                pause = match store.join(body).await {
-                    Ok(membership) => {
-                        let same = generation == membership.generation;
-                        generation = membership.generation;
-                        self.set_share(membership.parts);
-                        if same {
-                            (pause * 2).min(JOIN_LONGEST)
-                        } else {
-                            JOIN_EVERY
-                        }
-                    }
-                    Err(error) => {
-                        log::warn!("E0315 share-not-renewed error={error:?}");
-                        JOIN_EVERY
-                    }
-                };
+                let pause = self.join(&mut store, &member, &topics, &mut joins).await;
                 due = clock::now() + pause;
             }
             if std::mem::take(&mut first) {
@@ -121,6 +90,29 @@
         }
     }
 
+    /// Joins the group, and returns how long it is until the next time.
+    async fn join(
+        &self,
+        store: &mut Store,
+        member: &str,
+        topics: &[String],
+        joins: &mut Joins,
+    ) -> Duration {
+        let timeout = joins.session().as_secs_f64();
+        let generation = joins.generation();
+        let body = platform::store::join_body(GROUP, member, topics, timeout, generation);
+        match store.join(body).await {
+            Ok(membership) => {
+                self.set_share(membership.parts);
+                joins.joined(membership.generation, membership.parts)
+            }
+            Err(error) => {
+                log::warn!("E0315 share-not-renewed error={error:?}");
+                joins.failed()
+            }
+        }
+    }
+
     /// Returns how long a host that starts again waits to be greeted before it asks the store.
     ///
     /// Made for the moment at which all hosts lose power, and those that the settings
