--- a/components/coordination/src/feed.rs
+++ b/components/coordination/src/feed.rs
@@ -1,7 +1,8 @@
 //! Who reads a topic of the store, so that a data centre's hosts don't all do.
 //!
-//! Each read is paid for, and bytes within a data centre are not. So whoever
-//! reads tells its neighbours, and whoever was told doesn't read. There is no
+//! Each read is paid for, bytes within a data centre are not, and those to another
+//! one hardly count beside it. So whoever reads tells its neighbours and a few hosts
+//! elsewhere, which tell theirs, and whoever was told doesn't read. There is no
 //! election: the last reader reads again soonest, and where nothing is heard
 //! for a while every host reads by itself, at a moment of its own. A reader
 //! that dies, is paused, or is turned away by the store is thus replaced before
@@ -185,8 +186,7 @@
 
     /// Returns a feed of a host that starts together with its whole site.
     ///
-    /// Were each to read at once, 133 hosts would make 266 calls in their first
-    /// second, a third of all that they make in a quiet half minute.
+    /// Were each to read at once, a start would cost as many calls as minutes of quiet.
     pub fn beginning(draw: f64, now: Moment) -> Feed {
         Feed {
             due: now + FIRST_PAUSE + FIRST_SPREAD.mul_f64(draw),
@@ -262,8 +262,7 @@
     ///
     /// The host reads on for its neighbours, unless it gave way to one meanwhile.
     /// One that knows none, as `alone` says, reads no more often than it would
-    /// lose its patience: when a whole site starts, nobody knows anybody, and 94
-    /// hosts made 10,000 reads in the three seconds until they did.
+    /// lose its patience: when a whole site starts, nobody knows anybody.
     pub fn read(&mut self, next: u64, alone: bool, draw: f64, now: Moment) -> bool {
         self.hear(now);
         let brought = self.next != Some(next);
--- a/components/coordination/src/outbox.rs
+++ b/components/coordination/src/outbox.rs
@@ -22,8 +22,8 @@
 
 /// Bytes that wait above which a host answers nobody who lacks fragments.
 ///
-/// What they lack may be on its way in this very queue. Answers to all of them
-/// held the next message up by as long as it takes to send one.
+/// What they lack may be on its way in this very queue, and answers to all of them
+/// would hold up the next message.
 const BUSY: usize = 64 * 1_024;
 
 /// The fragments that wait, each with the host it goes to and what it is about.
--- a/components/coordination/src/relay.rs
+++ b/components/coordination/src/relay.rs
@@ -5,9 +5,8 @@
 
 /// How many hosts each host passes something on to.
 ///
-/// Six each reach 42 others in two steps. A reader that told 43 others by
-/// itself filled its link of 10 Mbit/s: two thirds of them missed what they were
-/// told and read the store themselves.
+/// Six each reach 42 others in two steps. A reader that told dozens by itself would
+/// fill a narrow link, and those that miss something read the store.
 const FAN_OUT: usize = 6;
 
 /// Returns to whom `me` passes on what `reader` has read.
@@ -34,8 +33,7 @@
 ///
 /// When endpoints are replaced one after the other, several hosts read the same
 /// records at the same moment. Were news passed on only by hosts to which they
-/// are new, the readers would never hear of each other and all go on reading: 59
-/// of 103 hosts did, six times the calls that one reader a data centre makes.
+/// are new, the readers would never hear of each other and all go on reading.
 #[derive(Clone, Debug, Default)]
 pub struct Passed {
     readers: BTreeMap<SocketAddr, u64>,
--- a/components/state/src/fleet/asks.rs
+++ b/components/state/src/fleet/asks.rs
@@ -13,9 +13,7 @@
 /// How long a host may save up what it doesn't use.
 ///
 /// The bound holds over a day. Bursts last a few seconds, and are what asking is
-/// for: a host that asks fifty times a second on average needs 500 then. With ten
-/// seconds saved, requests placed unasked were late, and more was lost than by
-/// asking (0.02 of what the heaviest day earns).
+/// for: a host that asks fifty times a second on average needs 500 then.
 const SAVED: Duration = Duration::from_secs(60);
 
 /// Questions that a host may ask before it knows its share.
--- a/components/state/src/fleet/comeback.rs
+++ b/components/state/src/fleet/comeback.rs
@@ -21,7 +21,8 @@
 /// can then still be in time.
 const AT_ONCE: Duration = Duration::from_millis(20);
 
-/// Returns when a caller comes back whose request an endpoint with room rejected.
+/// Returns when a caller comes back whose request an endpoint with room rejected, or
+/// whose connection to it was closed before the request was sent.
 ///
 /// Made for endpoints that reject a part of their requests at random while their
 /// health checks are good: waiting makes the next try no likelier to be served,
