--- a/tests/host_starts.rs
+++ b/tests/host_starts.rs
@@ -11,10 +11,7 @@
 /// neighbours know it: hundreds of hosts make thousands of calls.
 #[tokio::test(flavor = "multi_thread")]
 async fn neighbours_asked() {
-    let store = Store::start().await;
-    let endpoint = Endpoint::start("i-1").await;
-    endpoint.register(&store, "ready");
-    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let (store, _endpoint) = site::served(&config(1, ROUTES)).await;
     let peers = site::peers(6);
     let first = Host::start_beside("first", &store, peers[0], None).await;
     until("the first host is ready", async || {
--- a/tests/large_changes.rs
+++ b/tests/large_changes.rs
@@ -2,7 +2,7 @@
 
 mod site;
 
-use site::{Endpoint, Host, ROUTES, Store, config, until};
+use site::{Host, ROUTES, Store, config, until};
 
 /// Routes that operators add at once: 290 KB of configuration.
 const MANY: usize = 4_200;
@@ -49,10 +49,7 @@
 /// times their usual in two seconds.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_change_told() {
-    let store = Store::start().await;
-    let endpoint = Endpoint::start("i-1").await;
-    endpoint.register(&store, "ready");
-    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let (store, _endpoint) = site::served(&config(1, ROUTES)).await;
     let hosts = site_of(HOSTS, &store).await;
     let change = config(2, &many_routes());
     let before = store.bytes_read();
@@ -70,10 +67,7 @@
 /// went in datagrams too, and no datagram held it.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_topic_handed_over() {
-    let store = Store::start().await;
-    let endpoint = Endpoint::start("i-1").await;
-    endpoint.register(&store, "ready");
-    store.put("keyed.op", "config", Some(&config(2, &many_routes())));
+    let (store, _endpoint) = site::served(&config(2, &many_routes())).await;
     let [_old, new] = site::started_in_outage(&store).await;
     assert!(serves_last(&new).await);
 }
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -23,10 +23,7 @@
 /// lose routes that their operators have put in force.
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_catalogues() {
-    let store = Store::start().await;
-    let endpoint = Endpoint::start("i-1").await;
-    endpoint.register(&store, "ready");
-    store.put("keyed.op", "config", Some(&config(5, ROUTES)));
+    let (store, _endpoint) = site::served(&config(5, ROUTES)).await;
     let host = Host::ready("entry", &store).await;
     let unknown = ONE_ROUTE.replace("svc", "nowhere");
     store.put("keyed.op", "config", Some(&config(6, &unknown)));
@@ -90,10 +87,7 @@
 /// Operators empty a data centre, and take it back.
 #[tokio::test(flavor = "multi_thread")]
 async fn emptied_centre() {
-    let store = Store::start().await;
-    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
-    let endpoint = Endpoint::start("i-1").await;
-    endpoint.register(&store, "ready");
+    let (store, _endpoint) = site::served(&config(1, ROUTES)).await;
     let host = Host::ready("entry", &store).await;
     store.put("keyed.op", "evacuate/here", Some("{}"));
     until("nothing is run", async || {
@@ -114,10 +108,7 @@
 #[case(Mode::Refusing)]
 #[tokio::test(flavor = "multi_thread")]
 async fn store_away(#[case] mode: Mode) {
-    let store = Store::start().await;
-    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
-    let endpoint = Endpoint::start("i-1").await;
-    endpoint.register(&store, "ready");
+    let (store, _endpoint) = site::served(&config(1, ROUTES)).await;
     let host = Host::ready("entry", &store).await;
     store.set(mode);
     let calls = store.calls();
@@ -139,10 +130,7 @@
 /// is back.
 #[tokio::test(flavor = "multi_thread")]
 async fn started_while_away() {
-    let store = Store::start().await;
-    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
-    let endpoint = Endpoint::start("i-1").await;
-    endpoint.register(&store, "ready");
+    let (store, _endpoint) = site::served(&config(1, ROUTES)).await;
     let [_old, new] = site::started_in_outage(&store).await;
     assert_eq!(new.request("GET", "/read/x", "r1").await.status, 200);
 }
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -31,6 +31,15 @@
     )
 }
 
+/// Starts a store with this configuration, and an endpoint that is ready.
+pub async fn served(config: &str) -> (Store, Endpoint) {
+    let store = Store::start().await;
+    store.put("keyed.op", "config", Some(config));
+    let endpoint = Endpoint::start("i-1").await;
+    endpoint.register(&store, "ready");
+    (store, endpoint)
+}
+
 /// An entry host as a process of its own.
 pub struct Host {
     pub callers: SocketAddr,
