--- a/components/coordination/tests/group_joins.rs
+++ b/components/coordination/tests/group_joins.rs
@@ -47,11 +47,15 @@
 
 /// Plays hosts that all start within 300 ms; returns what each holds, and the joins made.
 fn play(hosts: usize, seconds: u64) -> (Vec<usize>, usize) {
+    let starts = (0..hosts).map(|n| Moment::from_millis((n * 300 / hosts) as u64));
+    play_from(starts.collect(), seconds)
+}
+
+/// Plays hosts that start at these times.
+fn play_from(mut due: Vec<Moment>, seconds: u64) -> (Vec<usize>, usize) {
+    let hosts = due.len();
     let mut group = Group::default();
     let mut joins = vec![Joins::default(); hosts];
-    let mut due: Vec<Moment> = (0..hosts)
-        .map(|n| Moment::from_millis((n * 300 / hosts) as u64))
-        .collect();
     let mut known = vec![0; hosts];
     let mut calls = 0;
     for millis in 0..seconds * 1_000 {
@@ -92,3 +96,14 @@
     let (_, calls) = play(472, 60);
     assert!(calls <= 472 * 8, "{calls} joins");
 }
+
+/// Hosts are added by the hundred to a site that has been calm. What they get, others
+/// must have given up before: the sum over all would exceed the bounds meanwhile.
+#[test]
+fn hosts_added() {
+    let first = (0..400).map(Moment::from_millis);
+    let added = (0..100).map(|n| Moment::from_millis(40_000 + n));
+    let starts: Vec<Moment> = first.chain(added).collect();
+    let (known, _) = play_from(starts, 75);
+    assert!(known.iter().all(|n| (1..=2).contains(n)), "{known:?}");
+}
