gateway: E0123 names the request that was at a broken connection

A fingerprint of method, host, path and body, one with the caller, names it the same on every host. Lines count against the limit on request lines.

--- /dev/null
+++ b/components/state/tests/fingerprints.rs
@@ -0,0 +1,45 @@
+//! Which requests are taken for the same one.
+
+use std::net::IpAddr;
+
+use rstest::rstest;
+use state::fleet::Fingerprints;
+use state::fleet::fingerprint::Content;
+
+const CALLER: IpAddr = IpAddr::V4(std::net::Ipv4Addr::new(10, 0, 0, 1));
+
+const REQUEST: Content<'static> = Content {
+    method: "POST",
+    host: "a.example",
+    path: "/write/x",
+    body: b"body",
+    length: Some(4),
+};
+
+fn named(content: Content<'_>) -> Fingerprints {
+    Fingerprints::new(content, CALLER)
+}
+
+#[test]
+fn same_again() {
+    assert_eq!(named(REQUEST), named(REQUEST));
+}
+
+/// A caller whose request differs must not be rejected for another's.
+#[rstest]
+#[case(Content { method: "GET", ..REQUEST })]
+#[case(Content { host: "b.example", ..REQUEST })]
+#[case(Content { path: "/write/x?y=1", ..REQUEST })]
+#[case(Content { body: b"other", ..REQUEST })]
+#[case(Content { length: Some(5), ..REQUEST })]
+#[case(Content { host: "a.example/", path: "write/x", ..REQUEST })]
+fn differs(#[case] other: Content<'_>) {
+    assert_ne!(named(other).content, named(REQUEST).content);
+}
+
+#[test]
+fn other_caller() {
+    let other = Fingerprints::new(REQUEST, IpAddr::from([10, 0, 0, 2]));
+    assert_eq!(other.content, named(REQUEST).content);
+    assert_ne!(other.request, named(REQUEST).request);
+}
--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -8,9 +8,9 @@
 use hyper::http::request::Parts as RequestParts;
 use hyper::http::response::Parts as AnswerParts;
 use hyper::{Request, StatusCode, Version};
-use state::fleet::Placing;
 use state::fleet::outcome::Outcome;
 use state::fleet::placing::{self, Refusal};
+use state::fleet::{Fingerprints, Placing};
 use state::{EndpointKey, Moment};
 
 use super::Gateway;
@@ -37,6 +37,8 @@
     pub request: placing::Request,
     /// The route's name, for what is learned of its work.
     pub route: &'a state::routing::Route,
+    /// The request's names, the same whenever it comes again.
+    pub fingerprints: Fingerprints,
     /// Endpoints that the request was sent to.
     pub placing: &'a RefCell<Placing>,
     /// Requests sent that may have run.
@@ -137,7 +139,7 @@
                 Ending::Unsent("the connection was closed before the request was sent")
             }
             Err(WireError::Sent(error)) => {
-                log::debug!("E0123 endpoint-broke error={error:?}");
+                self.gateway.log_broken(self, key, began, &error);
                 self.gateway.note(key, Outcome::Broken);
                 Ending::Lost("the connection to the endpoint broke")
             }
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -2,17 +2,19 @@
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::future::{Future, poll_fn};
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use state::fleet::Placing;
 use state::fleet::comeback;
+use state::fleet::fingerprint::{Content, Fingerprints};
 use state::fleet::placing::{self, Refusal};
 use state::routing::Route;
 use state::{Moment, ServiceKey};
@@ -45,6 +47,7 @@
     parts: &'a Parts,
     route: &'a Route,
     service: ServiceKey,
+    fingerprints: Fingerprints,
     arrived: Moment,
     deadline: Moment,
 }
@@ -82,11 +85,15 @@
 }
 
 /// Answers one request.
-pub(super) async fn answer(gateway: &Gateway, request: Request<Incoming>) -> Response<AnswerBody> {
+pub(super) async fn answer(
+    gateway: &Gateway,
+    request: Request<Incoming>,
+    caller: IpAddr,
+) -> Response<AnswerBody> {
     let arrived = clock::now();
     let (parts, incoming) = request.into_parts();
     let rest = OnceCell::new();
-    let mut response = match run(gateway, &parts, incoming, arrived, &rest).await {
+    let mut response = match run(gateway, &parts, incoming, (arrived, caller), &rest).await {
         Ok(answer) => pass_on(answer),
         Err(denial) => {
             gateway.log_denial(&parts.headers, &denial, arrived);
@@ -104,7 +111,7 @@
     gateway: &Gateway,
     parts: &Parts,
     incoming: Incoming,
-    arrived: Moment,
+    (arrived, caller): (Moment, IpAddr),
     rest: &OnceCell<SharedBody>,
 ) -> Result<Box<Answer>, Denial> {
     if *gateway.stage.borrow() >= Stage::Closing {
@@ -112,8 +119,14 @@
     }
     gateway.await_knowledge(parts).await;
     let (route, limit) = route(gateway, parts)?;
+    let announced = incoming.size_hint().exact();
     let body = CallerBody::new(incoming, limit).map_err(Denial::Body)?;
     let body = body.gather(REPLAY_LIMIT).await.map_err(Denial::Body)?;
+    let length = match body.rest {
+        None => u64::try_from(body.start.len()).ok(),
+        Some(_) => announced,
+    };
+    let fingerprints = Fingerprints::new(content(parts, &body.start, length), caller);
     let body = match body.rest {
         None => RequestBody::Whole(body.start),
         Some(more) => {
@@ -130,6 +143,7 @@
         parts,
         route: &route,
         service,
+        fingerprints,
         arrived,
         deadline: arrived + patience.min(route.timeout),
     };
@@ -141,6 +155,26 @@
     result
 }
 
+/// Returns what a request asks for; `start` is the part of its body that is held.
+fn content<'a>(parts: &'a Parts, start: &'a [u8], length: Option<u64>) -> Content<'a> {
+    Content {
+        method: parts.method.as_str(),
+        host: host(parts).unwrap_or_default(),
+        path: parts.uri.path_and_query().map_or("", |p| p.as_str()),
+        body: &start[..start.len().min(REPLAY_LIMIT)],
+        length,
+    }
+}
+
+/// Returns the host name that a request is for.
+fn host(parts: &Parts) -> Result<&str, Denial> {
+    match (parts.uri.host(), parts.headers.get(HOST)) {
+        (Some(host), _) => Ok(host),
+        (None, Some(host)) => host.to_str().map_err(|_| Denial::NoHost),
+        (None, None) => Err(Denial::NoHost),
+    }
+}
+
 /// Finds the route of a request, and the largest body it may have.
 fn route(gateway: &Gateway, parts: &Parts) -> Result<(Route, u64), Denial> {
     let orders = gateway.orders.borrow();
@@ -148,13 +182,8 @@
     if !gateway.listed.get() {
         return Err(Denial::NoCatalogue);
     }
-    let host = match (parts.uri.host(), parts.headers.get(HOST)) {
-        (Some(host), _) => host,
-        (None, Some(host)) => host.to_str().map_err(|_| Denial::NoHost)?,
-        (None, None) => return Err(Denial::NoHost),
-    };
     let route = catalogue
-        .route(host, parts.uri.path())
+        .route(host(parts)?, parts.uri.path())
         .ok_or(Denial::NoRoute)?;
     Ok((route.clone(), catalogue.limits.body_size))
 }
@@ -194,6 +223,7 @@
             parts: self.parts,
             request: self.placing_request(),
             route: self.route,
+            fingerprints: self.fingerprints,
             placing: &placing,
             exposed: &exposed,
         };
--- a/components/transport/src/gateway/request_log.rs
+++ b/components/transport/src/gateway/request_log.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use state::Moment;
+use state::{EndpointKey, Moment};
 
 use super::Gateway;
-use super::attempt::Answer;
+use super::attempt::{Answer, Attempt};
 use super::refusal::Denial;
 use crate::clock;
 
@@ -96,6 +96,33 @@
         );
     }
 
+    /// Logs that the connection to an endpoint broke while a request was there.
+    ///
+    /// Lines of one endpoint and moment name the requests that ran beside each other;
+    /// those of one fingerprint are about the same request, whatever their ids.
+    pub(super) fn log_broken(
+        &self,
+        attempt: &Attempt<'_>,
+        key: EndpointKey,
+        began: Moment,
+        error: &hyper::Error,
+    ) {
+        let now = clock::now();
+        if !self.requests.borrow_mut().take(now) {
+            return;
+        }
+        let registry = self.registry.borrow();
+        let endpoint = registry.get(key).map(|s| &s.endpoint);
+        log::info!(
+            "E0123 endpoint-broke id={} content={:016x} request={:016x} instance={} ran_ms={} error={error:?}",
+            id(&attempt.parts.headers),
+            attempt.fingerprints.content.0,
+            attempt.fingerprints.request.0,
+            endpoint.map_or("-", |e| e.instance.as_str()),
+            now.since(began).as_millis()
+        );
+    }
+
     /// Logs that a request goes to another endpoint.
     pub(super) fn log_repeat(&self, fields: &HeaderMap, why: &str, arrived: Moment) {
         let now = clock::now();
--- a/components/transport/src/gateway/server.rs
+++ b/components/transport/src/gateway/server.rs
@@ -1,6 +1,7 @@
 //! Callers' connections.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -52,10 +53,10 @@
                 Ok(_) if self.callers.get() >= self.live.borrow().callers_limit => {
                     log::warn!("E0124 callers-limit callers={}", self.callers.get());
                 }
-                Ok((stream, _)) => {
+                Ok((stream, address)) => {
                     self.callers.set(self.callers.get() + 1);
                     let counted = Counted(Rc::clone(&self));
-                    spawn_local(serve(counted, stream));
+                    spawn_local(serve(counted, stream, address.ip()));
                 }
                 Err(error) => {
                     log::warn!("E0101 accept-failed error={error:?}");
@@ -81,7 +82,7 @@
 }
 
 /// Serves the requests of one connection, one after the other.
-async fn serve(counted: Counted, stream: TcpStream) {
+async fn serve(counted: Counted, stream: TcpStream, caller: IpAddr) {
     let gateway = &counted.0;
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("E0125 caller-lost error={error:?}");
@@ -94,7 +95,7 @@
         let phase = Rc::clone(&phase);
         async move {
             phase.serving();
-            let mut response = call::answer(&gateway, request).await;
+            let mut response = call::answer(&gateway, request, caller).await;
             if *gateway.stage.borrow() >= Stage::Leaving {
                 let fields = response.headers_mut();
                 fields.insert(CONNECTION, HeaderValue::from_static("close"));
