--- /dev/null
+++ b/tests/query_of_death.rs
@@ -0,0 +1,97 @@
+//! A request that crashes the endpoints that run it, through real entry hosts.
+
+mod site;
+
+use site::{Answer, Endpoint, Host, ROUTES, Store, config, peers, until};
+
+/// The path whose requests crash endpoints.
+const FATAL: &str = "/read/fatal";
+
+/// Arrivals of the request after all hosts reject it, before it is a fault.
+const REPEATS: usize = 3;
+
+/// A store, endpoints that `FATAL` crashes, and hosts that know each other.
+struct Site {
+    _store: Store,
+    endpoints: Vec<Endpoint>,
+    hosts: Vec<Host>,
+}
+
+impl Site {
+    async fn start() -> Site {
+        let store = Store::start().await;
+        store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+        let mut endpoints = Vec::new();
+        for number in 1..=8 {
+            let endpoint = Endpoint::start(&format!("i-{number}")).await;
+            endpoint.register(&store, "ready");
+            endpoint.crash_on(FATAL, &store);
+            endpoints.push(endpoint);
+        }
+        let addresses = peers(3);
+        let mut hosts = Vec::new();
+        for address in &addresses {
+            let name = format!("host-{}", hosts.len());
+            hosts.push(Host::start_beside(&name, &store, *address, Some(addresses[0])).await);
+        }
+        for host in &hosts {
+            until("the host is ready", async || host.readiness().await == 200).await;
+        }
+        Site {
+            _store: store,
+            endpoints,
+            hosts,
+        }
+    }
+
+    /// Returns how often an endpoint has begun to run the request.
+    fn crashes(&self) -> usize {
+        let runs = self.endpoints.iter().flat_map(Endpoint::runs);
+        runs.filter(|id| id.starts_with("fatal")).count()
+    }
+
+    /// Sends the request to each host in turn; true where all reject it unrun.
+    async fn all_reject(&self) -> bool {
+        let before = self.crashes();
+        let mut all = true;
+        for host in &self.hosts {
+            let answer = host.request("GET", FATAL, "fatal").await;
+            all &= answer.status == 503 && answer.has("retry-after");
+        }
+        all && self.crashes() == before && self.serves().await
+    }
+
+    /// Returns whether every host serves other requests, and those beside them.
+    async fn serves(&self) -> bool {
+        for host in &self.hosts {
+            let answer: Answer = host.request("GET", "/read/popular", "popular").await;
+            if answer.status != 200 {
+                return false;
+            }
+        }
+        true
+    }
+}
+
+/// A request that crashes every endpoint that runs it must not reach one endpoint after
+/// the other, sent again by its caller to another host each time.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request() {
+    let site = Site::start().await;
+    until("all hosts reject it and serve the rest", async || {
+        site.all_reject().await
+    })
+    .await;
+    let before = site.crashes();
+    for _ in 0..10 {
+        until("the rest is served", async || site.serves().await).await;
+        for host in &site.hosts {
+            host.request("GET", FATAL, "fatal").await;
+        }
+    }
+    let repeats = site.crashes() - before;
+    assert!(
+        repeats <= REPEATS,
+        "it reached endpoints {repeats} times more"
+    );
+}
--- a/tests/site/endpoint.rs
+++ b/tests/site/endpoint.rs
@@ -16,6 +16,8 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use super::store::Store;
@@ -45,8 +47,25 @@
     Hang,
 }
 
+/// A path whose requests crash the endpoint, after it has begun to run them.
+struct Crash {
+    path: &'static str,
+    store: Store,
+}
+
+/// How long an endpoint runs a request that crashes it.
+const CRASH_AFTER: Duration = Duration::from_millis(60);
+
+/// How long a crashed endpoint is down.
+const DOWN: Duration = Duration::from_millis(500);
+
 struct Inner {
     id: String,
+    /// How often it has crashed.
+    life: Mutex<u64>,
+    crash: Mutex<Option<Crash>>,
+    /// Wakes the task that ends this life.
+    crashed: Notify,
     behaviour: Mutex<Behaviour>,
     slowness: Mutex<u32>,
     runs: Mutex<Vec<String>>,
@@ -68,6 +87,9 @@
         let address = listener.local_addr().expect("it has an address");
         let inner = Arc::new(Inner {
             id: id.to_owned(),
+            life: Mutex::default(),
+            crash: Mutex::default(),
+            crashed: Notify::new(),
             behaviour: Mutex::new(Behaviour::Serve),
             slowness: Mutex::new(100),
             runs: Mutex::default(),
@@ -75,14 +97,10 @@
         });
         let shared = Arc::clone(&inner);
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let inner = Arc::clone(&shared);
-                tokio::spawn(async move {
-                    let service = service_fn(|request| serve(request, Arc::clone(&inner)));
-                    let _ = http1::Builder::new()
-                        .serve_connection(TokioIo::new(stream), service)
-                        .await;
-                });
+            let mut listener = listener;
+            loop {
+                live(listener, &shared).await;
+                listener = shared.restart(address).await;
             }
         });
         Endpoint { address, inner }
@@ -90,11 +108,13 @@
 
     /// Writes its entry into the store.
     pub fn register(&self, store: &Store, state: &str) {
-        let entry = format!(
-            r#"{{"service":"svc","address":"{}","zone":"here","version":"v1","slots":6,"state":"{state}","warmupRemainingS":0,"sequence":1,"born":1}}"#,
-            self.address
-        );
-        store.put("keyed.servers", &self.inner.id, Some(&entry));
+        self.inner.register(self.address, store, state);
+    }
+
+    /// Has requests of this path crash it; it is back after a moment, in another life.
+    pub fn crash_on(&self, path: &'static str, store: &Store) {
+        let store = store.clone();
+        *self.inner.crash.lock().expect("no test panics here") = Some(Crash { path, store });
     }
 
     pub fn set(&self, behaviour: Behaviour) {
@@ -117,6 +137,61 @@
     }
 }
 
+impl Inner {
+    /// Returns the name of its present life.
+    fn instance(&self) -> String {
+        match *self.life.lock().expect("no test panics here") {
+            0 => self.id.clone(),
+            life => format!("{}-{life}", self.id),
+        }
+    }
+
+    fn register(&self, address: SocketAddr, store: &Store, state: &str) {
+        let entry = format!(
+            r#"{{"service":"svc","address":"{address}","zone":"here","version":"v1","slots":6,"state":"{state}","warmupRemainingS":0,"sequence":1,"born":1}}"#,
+        );
+        store.put("keyed.servers", &self.instance(), Some(&entry));
+    }
+
+    /// Returns whether requests of this path crash it.
+    fn crashes_on(&self, path: &str) -> bool {
+        let crash = self.crash.lock().expect("no test panics here");
+        crash.as_ref().is_some_and(|c| c.path == path)
+    }
+
+    /// Begins another life at the same address.
+    async fn restart(&self, address: SocketAddr) -> TcpListener {
+        let store = {
+            let crash = self.crash.lock().expect("no test panics here");
+            crash.as_ref().expect("it has crashed").store.clone()
+        };
+        store.put("keyed.servers", &self.instance(), None);
+        sleep(DOWN).await;
+        let listener = TcpListener::bind(address).await.expect("it is free again");
+        *self.life.lock().expect("no test panics here") += 1;
+        self.register(address, &store, "ready");
+        listener
+    }
+}
+
+/// Accepts connections until the endpoint crashes, and then breaks them all.
+async fn live(listener: TcpListener, inner: &Arc<Inner>) {
+    let mut connections = JoinSet::new();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => accepted.expect("it listens").0,
+            () = inner.crashed.notified() => return,
+        };
+        let inner = Arc::clone(inner);
+        connections.spawn(async move {
+            let service = service_fn(|request| serve(request, Arc::clone(&inner)));
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
 /// Counts a request as given up unless it is told that it ended.
 struct Work<'a> {
     inner: &'a Inner,
@@ -145,12 +220,12 @@
     let slowness = *inner.slowness.lock().expect("no test panics here");
     if request.uri().path() == "/health" {
         let mut response = respond(StatusCode::OK, "", "");
-        set(&mut response, "instance-id", &inner.id);
+        set(&mut response, "instance-id", &inner.instance());
         set(&mut response, "server-load", &format!("0,0,6,{slowness}"));
         return Ok(response);
     }
     let id = field("attempt-id");
-    if field("expected-instance") != inner.id {
+    if field("expected-instance") != inner.instance() {
         return Ok(respond(StatusCode::MISDIRECTED_REQUEST, "", &id));
     }
     let behaviour = *inner.behaviour.lock().expect("no test panics here");
@@ -168,6 +243,11 @@
         inner: &inner,
         ended: false,
     };
+    if inner.crashes_on(request.uri().path()) {
+        sleep(CRASH_AFTER).await;
+        inner.crashed.notify_one();
+        std::future::pending::<()>().await;
+    }
     match behaviour {
         Behaviour::Take(millis) => sleep(Duration::from_millis(millis)).await,
         Behaviour::Hang => sleep(Duration::from_secs(3_600)).await,
@@ -184,7 +264,7 @@
         set(
             &mut response,
             "server-signature",
-            &format!("by-{}", inner.id),
+            &format!("by-{}", inner.instance()),
         );
     }
     if behaviour == Behaviour::Encoded {
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -1,6 +1,7 @@
 //! The platform's store, as the stand-in of the product gives it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use stand_ins::log::{Behaviour, LogStandIn, Outage};
@@ -17,9 +18,10 @@
 }
 
 /// A running store.
+#[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
-    log: LogStandIn,
+    log: Arc<LogStandIn>,
 }
 
 impl Store {
@@ -27,7 +29,7 @@
         let log = LogStandIn::on_loopback(Behaviour::default()).expect("a port is free");
         Store {
             address: log.address(),
-            log,
+            log: Arc::new(log),
         }
     }
 
