gateway: a request that crashes endpoints is quarantined at all hosts

What callers saw (BUDGET's incident): one request came again and again, to another host each time, and ended each endpoint that ran it. 26 endpoints of hallboard ended, and of its ordinary requests 9% were refused. Cause: what an outcome says was kept of endpoints only, never of the request under which they ended, and by each host for itself. A class of fault: a failure that travels with the request meets a memory that is kept by endpoint and host. Ruled out: overload (nothing was full before the seventh end, E0126); our own repeats alone (they double the ends, but the request came from callers each time). Change: hosts name requests by a fingerprint. Where a connection breaks under one, the endpoint's port is tried; refused means that it ended, and the others are told. Three crashes, each of a run that began after the crash before, quarantine it; a trial after the TTL, an answer clears it. Why it holds: three runs in a row tell it from copies that end together when many endpoints crash at once; answers tell it from popular requests beside it; a refused port tells crashes from resets and from a host that is cut off. Neighbours' reminders reach hosts that missed a report or started since.

--- /dev/null
+++ b/components/protocol/src/crashes.rs
@@ -0,0 +1,131 @@
+//! What entry hosts tell each other of requests that crash endpoints.
+
+use std::time::Duration;
+
+use derives::value;
+use prost::Message;
+use state::fleet::quarantine::Finding;
+use state::fleet::{Fingerprint, Fingerprints};
+
+/// Runs that ended with their endpoint, or requests that are quarantined or cleared.
+#[value]
+pub struct Crashes {
+    /// Whether the receiver is to tell the hosts of its data centre.
+    pub abroad: bool,
+    /// Runs that ended with their endpoint.
+    pub ended: Vec<Ended>,
+    /// Requests that are quarantined, or were lately.
+    pub findings: Vec<Finding>,
+}
+
+/// A run that ended with its endpoint, in times that any host can read.
+#[value]
+pub struct Ended {
+    /// The request that ran.
+    pub request: Fingerprints,
+    /// How long it ran.
+    pub ran: Duration,
+    /// How long ago it ended.
+    pub age: Duration,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireCrashes {
+    #[prost(message, repeated, tag = "1")]
+    ended: Vec<WireEnded>,
+    #[prost(message, repeated, tag = "2")]
+    findings: Vec<WireFinding>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireEnded {
+    #[prost(fixed64, tag = "1")]
+    content: u64,
+    #[prost(fixed64, tag = "2")]
+    request: u64,
+    #[prost(uint32, tag = "3")]
+    ran_ms: u32,
+    #[prost(uint32, tag = "4")]
+    age_ms: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireFinding {
+    #[prost(fixed64, tag = "1")]
+    request: u64,
+    #[prost(uint32, tag = "2")]
+    crashes: u32,
+    #[prost(uint32, tag = "3")]
+    left_ms: u32,
+    #[prost(uint32, tag = "4")]
+    age_ms: u32,
+}
+
+impl From<&Crashes> for WireCrashes {
+    fn from(crashes: &Crashes) -> WireCrashes {
+        WireCrashes {
+            ended: crashes.ended.iter().map(WireEnded::from).collect(),
+            findings: crashes.findings.iter().map(WireFinding::from).collect(),
+        }
+    }
+}
+
+impl WireCrashes {
+    pub(crate) fn read(self, abroad: bool) -> Crashes {
+        Crashes {
+            abroad,
+            ended: self.ended.iter().map(WireEnded::read).collect(),
+            findings: self.findings.iter().map(WireFinding::read).collect(),
+        }
+    }
+}
+
+impl From<&Ended> for WireEnded {
+    fn from(ended: &Ended) -> WireEnded {
+        WireEnded {
+            content: ended.request.content.0,
+            request: ended.request.request.0,
+            ran_ms: millis(ended.ran),
+            age_ms: millis(ended.age),
+        }
+    }
+}
+
+impl WireEnded {
+    fn read(&self) -> Ended {
+        Ended {
+            request: Fingerprints {
+                content: Fingerprint(self.content),
+                request: Fingerprint(self.request),
+            },
+            ran: Duration::from_millis(self.ran_ms.into()),
+            age: Duration::from_millis(self.age_ms.into()),
+        }
+    }
+}
+
+impl From<&Finding> for WireFinding {
+    fn from(finding: &Finding) -> WireFinding {
+        WireFinding {
+            request: finding.request.0,
+            crashes: finding.crashes,
+            left_ms: millis(finding.left),
+            age_ms: millis(finding.age),
+        }
+    }
+}
+
+impl WireFinding {
+    fn read(&self) -> Finding {
+        Finding {
+            request: Fingerprint(self.request),
+            crashes: self.crashes,
+            left: Duration::from_millis(self.left_ms.into()),
+            age: Duration::from_millis(self.age_ms.into()),
+        }
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 //! another version or of an unknown kind is an error and never a panic.
 
 pub mod claim;
+pub mod crashes;
 pub mod heartbeat;
 pub mod news;
 pub mod peer;
--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -12,6 +12,8 @@
 use prost::Message;
 use thiserror::Error;
 
+use crate::crashes::{Crashes, WireCrashes};
+
 /// The version of this protocol; others are refused.
 const VERSION: u8 = 3;
 
@@ -52,6 +54,8 @@
     Borrow(u32),
     /// Questions that the receiver may ask in the sender's place.
     Lend(Loan),
+    /// Requests that crash endpoints.
+    Crashes(Crashes),
 }
 
 /// Questions lent in answer to a request.
@@ -125,7 +129,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 struct WireNews {
-    /// 0 for a hello, the topic's number, or what is borrowed or lent.
+    /// 0 for a hello, the topic's number, what is borrowed or lent, or crashes.
     #[prost(uint32, tag = "1")]
     topic: u32,
     #[prost(uint64, tag = "2")]
@@ -178,6 +182,8 @@
     /// Whether all hosts of the data centre are handed the same.
     #[prost(bool, tag = "21")]
     shared: bool,
+    #[prost(message, optional, tag = "22")]
+    crashes: Option<WireCrashes>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -221,6 +227,7 @@
 const ENDPOINTS: u32 = 2;
 const BORROW: u32 = 3;
 const LEND: u32 = 4;
+const CRASHES: u32 = 5;
 
 impl News {
     /// Returns these news as any host that read the same would tell them.
@@ -280,6 +287,7 @@
             Neighbourly::Fragment(..) => "fragment",
             Neighbourly::Lacking(..) => "lacking",
             Neighbourly::Borrow(_) | Neighbourly::Lend(_) => "loan",
+            Neighbourly::Crashes(_) => "crashes",
         }
     }
 
@@ -346,6 +354,12 @@
                 questions: loan.questions,
                 ..WireNews::default()
             },
+            Neighbourly::Crashes(crashes) => WireNews {
+                topic: CRASHES,
+                abroad: crashes.abroad,
+                crashes: Some(WireCrashes::from(crashes)),
+                ..WireNews::default()
+            },
             Neighbourly::Reading(topic) => WireNews {
                 topic: number(*topic),
                 reading: true,
@@ -389,6 +403,10 @@
                     questions: wire.questions,
                 }));
             }
+            CRASHES => {
+                let crashes = wire.crashes.unwrap_or_default();
+                return Ok(Neighbourly::Crashes(crashes.read(wire.abroad)));
+            }
             OPERATORS => Topic::Operators,
             ENDPOINTS => Topic::Endpoints,
             _ => return Err(NewsError::UnknownTopic),
--- a/components/protocol/tests/news_messages.rs
+++ b/components/protocol/tests/news_messages.rs
@@ -1,10 +1,15 @@
 //! What neighbours tell each other, and what is refused.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use coordination::fragments::{Fragment, Lacking, MessageKey};
 use coordination::neighbours::Contact;
 use proptest::prelude::*;
+use protocol::crashes::{Crashes, Ended};
 use protocol::news::{Held, Hello, Loan, Neighbourly, News, Topic};
+use state::fleet::quarantine::Finding;
+use state::fleet::{Fingerprint, Fingerprints};
 
 fn news(records: Vec<Vec<u8>>) -> News {
     News {
@@ -24,9 +29,30 @@
     }
 }
 
+fn crashes() -> Crashes {
+    Crashes {
+        abroad: true,
+        ended: vec![Ended {
+            request: Fingerprints {
+                content: Fingerprint(u64::MAX),
+                request: Fingerprint(1),
+            },
+            ran: Duration::from_millis(60),
+            age: Duration::from_millis(2),
+        }],
+        findings: vec![Finding {
+            request: Fingerprint(7),
+            crashes: 3,
+            left: Duration::from_secs(10),
+            age: Duration::ZERO,
+        }],
+    }
+}
+
 #[test]
 fn there_and_back() {
     let messages = [
+        Neighbourly::Crashes(crashes()),
         Neighbourly::Hello(Hello {
             centre: "trent".to_owned(),
             seeks: true,
--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request at one endpoint.
 
 use std::cell::{Cell, RefCell};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use hyper::body::Incoming;
@@ -59,6 +60,8 @@
     Lost(&'static str),
     /// No endpoint was found for it.
     Refused(Refusal),
+    /// It crashed endpoints before, and may not be sent for as long.
+    Quarantined(Duration),
 }
 
 /// An endpoint's answer.
@@ -117,6 +120,9 @@
             Ok(found) => found,
             Err(refusal) => return Ending::Refused(refusal),
         };
+        if let Err(left) = self.gateway.admit(self.fingerprints) {
+            return Ending::Quarantined(left);
+        }
         let Some(request) = self.request_to(key, body) else {
             return Ending::Unsent("the endpoint has left");
         };
@@ -140,6 +146,7 @@
             }
             Err(WireError::Sent(error)) => {
                 self.gateway.log_broken(self, key, began, &error);
+                self.gateway.note_broken(self.fingerprints, key, began);
                 self.gateway.note(key, Outcome::Broken);
                 Ending::Lost("the connection to the endpoint broke")
             }
@@ -191,7 +198,10 @@
                     self.gateway.keep(connection, &parts.headers);
                     break None;
                 }
-                Some(Err(_)) => return Ending::Lost("the answer broke off"),
+                Some(Err(_)) => {
+                    self.gateway.note_broken(self.fingerprints, key, sent);
+                    return Ending::Lost("the answer broke off");
+                }
                 Some(Ok(piece)) => start.extend_from_slice(&piece),
             }
             if start.len() > HELD_LIMIT {
@@ -250,6 +260,7 @@
         let time = clock::now().since(began);
         let outcome = match ending {
             Ending::Answered(_) => {
+                self.gateway.note_answered(self.fingerprints);
                 let usual = self.request.usual.mul_f64(pace.max(1.0) * SLOW_FACTOR);
                 self.gateway
                     .with_tempo(self.route, |tempo| tempo.note(time, pace));
@@ -261,7 +272,7 @@
             Ending::Failed(_) => Outcome::Failed,
             Ending::Rejected(_) => Outcome::Shed,
             Ending::Lost(_) => Outcome::Broken,
-            Ending::Unsent(_) | Ending::Refused(_) => return,
+            Ending::Unsent(_) | Ending::Refused(_) | Ending::Quarantined(_) => return,
         };
         self.gateway.note(key, outcome);
     }
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -73,6 +73,7 @@
     Unsent(&'static str),
     Lost(&'static str),
     Refused(Refusal),
+    Quarantined(Duration),
 }
 
 type Racer<'a> = Pin<Box<dyn Future<Output = Ending> + 'a>>;
@@ -216,6 +217,9 @@
 
 impl Call<'_> {
     async fn serve(&self, body: RequestBody) -> Result<Box<Answer>, Denial> {
+        if let Some(left) = self.gateway.quarantined(self.fingerprints) {
+            return Err(Denial::Quarantined(left));
+        }
         let placing = RefCell::new(Placing::default());
         let exposed = Cell::new(0);
         let attempt = Attempt {
@@ -347,7 +351,8 @@
     fn may_repeat(&self, progress: &mut Progress, exposed: u32) -> bool {
         match progress.last {
             _ if exposed > 0 && !self.route.idempotent => return false,
-            Some(Last::Refused(_)) => return false,
+            Some(Last::Refused(_) | Last::Quarantined(_)) => return false,
+            _ if self.gateway.quarantined(self.fingerprints).is_some() => return false,
             Some(Last::Unsent(_)) => return progress.unsent < UNSENT_LIMIT,
             _ => {}
         }
@@ -382,6 +387,7 @@
             }
             Ending::Lost(reason) => Last::Lost(reason),
             Ending::Refused(refusal) => Last::Refused(refusal),
+            Ending::Quarantined(left) => Last::Quarantined(left),
         });
     }
 
@@ -390,6 +396,7 @@
         match self.last {
             Some(Last::Rejected(why) | Last::Unsent(why) | Last::Lost(why)) => why,
             Some(Last::Failed) => "the endpoint failed",
+            Some(Last::Quarantined(_)) => "it crashed endpoints before",
             Some(Last::Refused(_)) | None => "no endpoint was found",
         }
     }
@@ -413,6 +420,7 @@
         Err(match self.last {
             Some(Last::Lost(reason)) => Denial::Unknown(reason),
             _ if exposed > 0 => Denial::Unknown("an earlier attempt may have run"),
+            Some(Last::Quarantined(left)) => Denial::Quarantined(left),
             Some(Last::Refused(refusal)) => not_run(refusal, back),
             Some(Last::Rejected(reason) | Last::Unsent(reason)) => Denial::NotRun(reason, back),
             Some(Last::Failed) | None => Denial::Unknown("the endpoint failed"),
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod line;
 mod neighbours;
 mod pool;
+mod quarantine;
 mod ready;
 mod refusal;
 mod request_log;
@@ -50,6 +51,7 @@
 use held::Shelves;
 use line::Lines;
 use pool::Pool;
+use quarantine::Suspects;
 use request_log::RequestLog;
 pub use settings::{Bounds, Live, Settings};
 use traffic::Traffic;
@@ -124,6 +126,9 @@
     stage: watch::Sender<Stage>,
     callers: Cell<usize>,
     requests: RefCell<RequestLog>,
+    suspects: RefCell<Suspects>,
+    /// Wakes the task that finds out whether an endpoint crashed.
+    broken_wait: Notify,
 }
 
 impl Gateway {
@@ -150,6 +155,8 @@
         spawn_local(Rc::clone(&gateway).keep_share());
         spawn_local(Rc::clone(&gateway).keep_pool());
         spawn_local(Rc::clone(&gateway).report_traffic());
+        spawn_local(Rc::clone(&gateway).confirm_crashes());
+        spawn_local(Rc::clone(&gateway).remind_of_crashes());
         log::info!(
             "E0502 host-started name={} callers={} log={}",
             gateway.settings.name,
@@ -194,6 +201,8 @@
             stage: watch::Sender::new(Stage::Serving),
             callers: Cell::new(0),
             requests: RefCell::default(),
+            suspects: RefCell::default(),
+            broken_wait: Notify::new(),
         }
     }
 
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -221,6 +221,7 @@
             Neighbourly::Fragment(topic, fragment) => self.take_fragment(topic, &fragment),
             Neighbourly::Lacking(topic, lacking) => self.take_lacking(from, topic, &lacking),
             Neighbourly::Hello(hello) => self.take_hello(from, hello),
+            Neighbourly::Crashes(crashes) => self.learn_crashes(crashes),
             Neighbourly::Borrow(number) => self.lend_questions(from, number),
             Neighbourly::Lend(loan) => {
                 let mut asks = self.asks.borrow_mut();
@@ -246,7 +247,12 @@
             .borrow_mut()
             .greeted(from, &hello.centre, now);
         match greeted {
-            _ if hello.seeks => self.tell(from, &self.list(&hello.centre)),
+            _ if hello.seeks => {
+                self.tell(from, &self.list(&hello.centre));
+                if let Some(crashes) = self.known_crashes() {
+                    self.tell(from, &crashes);
+                }
+            }
             Greeted::New | Greeted::NewStranger => self.tell(from, &self.hello(false)),
             Greeted::Known | Greeted::Stranger => {}
         }
--- /dev/null
+++ b/components/transport/src/gateway/quarantine.rs
@@ -0,0 +1,263 @@
+//! Finds requests that crash endpoints, and keeps them from the other endpoints.
+//!
+//! What hosts tell each other of them is bounded: a few reports a second, and one
+//! reminder a second to one neighbour and one host elsewhere while there are any.
+
+use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use protocol::crashes::{Crashes, Ended};
+use protocol::news::Neighbourly;
+use state::fleet::quarantine::{Admission, Crash, Finding, Witness};
+use state::fleet::{Fingerprints, Quarantine};
+use state::{EndpointKey, Moment};
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::Gateway;
+use crate::clock;
+use crate::upstream::Connection;
+use crate::upstream::connection::ConnectError;
+
+/// How often another host is reminded of what is quarantined.
+///
+/// It reaches hosts that a report did not, and those that have just started.
+const REMIND_EVERY: Duration = Duration::from_secs(1);
+
+/// Reports a second that this host tells the others.
+const REPORTS: usize = 8;
+
+/// The span in which reports are counted.
+const SPAN: Duration = Duration::from_secs(1);
+
+/// A run whose connection broke.
+struct Broken {
+    endpoint: EndpointKey,
+    address: SocketAddr,
+    crash: Crash,
+}
+
+/// What this host knows of requests that crash endpoints.
+#[derive(Default)]
+pub(super) struct Suspects {
+    quarantine: Quarantine,
+    /// Runs of which it isn't known yet whether their endpoint ended.
+    broken: Vec<Broken>,
+    /// When the reports of this second began to be counted.
+    began: Moment,
+    reports: usize,
+}
+
+impl Suspects {
+    /// Returns how many of so many reports may be told now, and counts them.
+    fn grant(&mut self, wanted: usize, now: Moment) -> usize {
+        if now.since(self.began) >= SPAN {
+            self.began = now;
+            self.reports = 0;
+        }
+        let granted = wanted.min(REPORTS - self.reports);
+        self.reports += granted;
+        granted
+    }
+}
+
+impl Gateway {
+    /// Returns how much longer a request is quarantined, nothing where it may be sent.
+    pub(super) fn quarantined(&self, request: Fingerprints) -> Option<Duration> {
+        let suspects = self.suspects.borrow();
+        suspects.quarantine.left(request, clock::now())
+    }
+
+    /// Decides whether a request may be sent to an endpoint now.
+    ///
+    /// # Errors
+    ///
+    /// Says how much longer it is quarantined.
+    pub(super) fn admit(&self, request: Fingerprints) -> Result<(), Duration> {
+        let now = clock::now();
+        let admission = self.suspects.borrow_mut().quarantine.admit(request, now);
+        match admission {
+            Admission::Pass => Ok(()),
+            Admission::Reject(left) => Err(left),
+            Admission::Trial(findings) => {
+                log::info!("E0142 quarantine-trial content={:016x}", request.content.0);
+                self.tell_site(Vec::new(), findings);
+                Ok(())
+            }
+        }
+    }
+
+    /// Takes in that the connection broke on which a request ran since `sent`.
+    pub(super) fn note_broken(&self, request: Fingerprints, endpoint: EndpointKey, sent: Moment) {
+        let registry = self.registry.borrow();
+        let Some(state) = registry.get(endpoint) else {
+            // One that has left ends its connections.
+            return;
+        };
+        self.suspects.borrow_mut().broken.push(Broken {
+            endpoint,
+            address: state.endpoint.address,
+            crash: Crash {
+                request,
+                sent,
+                at: clock::now(),
+            },
+        });
+        self.broken_wait.notify_one();
+    }
+
+    /// Takes in that an endpoint answered a request.
+    pub(super) fn note_answered(&self, request: Fingerprints) {
+        let now = clock::now();
+        let mut suspects = self.suspects.borrow_mut();
+        let cleared = suspects.quarantine.answered(request, now);
+        let told = suspects.grant(cleared.len(), now);
+        drop(suspects);
+        if told > 0 {
+            self.tell_site(Vec::new(), cleared);
+        }
+    }
+
+    /// Finds out of broken runs whether their endpoints crashed, for ever.
+    pub(super) async fn confirm_crashes(self: Rc<Self>) {
+        loop {
+            self.broken_wait.notified().await;
+            let broken = std::mem::take(&mut self.suspects.borrow_mut().broken);
+            let mut endpoints: BTreeMap<(EndpointKey, SocketAddr), Vec<Crash>> = BTreeMap::new();
+            for run in broken {
+                let runs = endpoints.entry((run.endpoint, run.address)).or_default();
+                runs.push(run.crash);
+            }
+            for ((endpoint, address), runs) in endpoints {
+                spawn_local(Rc::clone(&self).confirm(endpoint, address, runs));
+            }
+        }
+    }
+
+    /// Finds out whether an endpoint crashed under these runs.
+    ///
+    /// Connections also break where something between the two ends resets them, or
+    /// where an endpoint fails a part of its requests. Only a port on which nobody
+    /// listens any more shows that the process has ended. Silence shows nothing: it
+    /// may be this host that is cut off.
+    async fn confirm(self: Rc<Self>, endpoint: EndpointKey, address: SocketAddr, runs: Vec<Crash>) {
+        match Connection::open(endpoint, address).await {
+            Ok(connection) => self.keep(connection, &HeaderMap::new()),
+            Err(ConnectError::Refused(_, error))
+                if error.kind() == ErrorKind::ConnectionRefused =>
+            {
+                self.take_crashes(&runs);
+            }
+            Err(error) => log::debug!("E0143 crash-unconfirmed address={address} error={error}"),
+        }
+    }
+
+    /// Takes in runs that ended with their endpoint, and tells the other hosts.
+    fn take_crashes(&self, runs: &[Crash]) {
+        let now = clock::now();
+        let mut suspects = self.suspects.borrow_mut();
+        let mut findings = Vec::new();
+        for run in runs {
+            findings.extend(suspects.quarantine.crashed(run, Witness::Own));
+        }
+        let told = suspects.grant(runs.len(), now);
+        drop(suspects);
+        findings.iter().for_each(log_finding);
+        let ended = runs.iter().take(told).map(|run| Ended {
+            request: run.request,
+            ran: run.at.since(run.sent),
+            age: now.since(run.at),
+        });
+        self.tell_site(ended.collect(), findings);
+    }
+
+    /// Takes in what another host tells of such requests.
+    pub(super) fn learn_crashes(&self, crashes: Crashes) {
+        let now = clock::now();
+        let mut suspects = self.suspects.borrow_mut();
+        for ended in &crashes.ended {
+            let at = now - ended.age;
+            let crash = Crash {
+                request: ended.request,
+                sent: at - ended.ran,
+                at,
+            };
+            let findings = suspects.quarantine.crashed(&crash, Witness::Other);
+            findings.iter().for_each(log_finding);
+        }
+        for finding in &crashes.findings {
+            if suspects.quarantine.learn(finding, now) {
+                log_finding(finding);
+            }
+        }
+        drop(suspects);
+        if crashes.abroad {
+            self.tell_all(&Neighbourly::Crashes(Crashes {
+                abroad: false,
+                ..crashes
+            }));
+        }
+    }
+
+    /// Returns what a host that has just started is to know, nothing where there is nothing.
+    pub(super) fn known_crashes(&self) -> Option<Neighbourly> {
+        let suspects = self.suspects.borrow();
+        let findings = suspects.quarantine.findings(clock::now());
+        (!findings.is_empty()).then(|| message(false, Vec::new(), findings))
+    }
+
+    /// Reminds other hosts of what is quarantined, for ever.
+    pub(super) async fn remind_of_crashes(self: Rc<Self>) {
+        let mut ticks = interval(REMIND_EVERY);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let now = clock::now();
+            self.suspects.borrow_mut().quarantine.forget(now);
+            let Some(reminder) = self.known_crashes() else {
+                continue;
+            };
+            let known = self.neighbours.borrow();
+            let one = known.any(self.draw());
+            let stranger = known.any_stranger(self.draw());
+            drop(known);
+            for host in one.into_iter().chain(stranger) {
+                self.tell(host, &reminder);
+            }
+        }
+    }
+
+    /// Tells all hosts: the neighbours, and some elsewhere that tell theirs.
+    fn tell_site(&self, ended: Vec<Ended>, findings: Vec<Finding>) {
+        if ended.is_empty() && findings.is_empty() {
+            return;
+        }
+        let abroad = message(true, ended.clone(), findings.clone());
+        self.tell_all(&message(false, ended, findings));
+        let contacts = self.neighbours.borrow_mut().contacts(clock::now());
+        for host in contacts.into_iter().flatten() {
+            self.tell(host, &abroad);
+        }
+    }
+}
+
+fn message(abroad: bool, ended: Vec<Ended>, findings: Vec<Finding>) -> Neighbourly {
+    Neighbourly::Crashes(Crashes {
+        abroad,
+        ended,
+        findings,
+    })
+}
+
+fn log_finding(finding: &Finding) {
+    log::info!(
+        "E0141 request-quarantined fingerprint={:016x} crashes={} left_ms={}",
+        finding.request.0,
+        finding.crashes,
+        finding.left.as_millis()
+    );
+}
--- a/components/transport/src/gateway/refusal.rs
+++ b/components/transport/src/gateway/refusal.rs
@@ -34,6 +34,9 @@
     /// It was rejected before it was sent anywhere, or everywhere it was sent.
     #[error("the request was not run: {0}")]
     NotRun(&'static str, Duration),
+    /// It crashed the endpoints that ran it before, and may not be sent for as long.
+    #[error("the request was not run: it crashed endpoints before")]
+    Quarantined(Duration),
     /// It may have run.
     #[error("the request may have run: {0}")]
     Unknown(&'static str),
@@ -49,9 +52,10 @@
     /// Returns the HTTP status; 503 promises that the request was not run.
     pub fn status(&self) -> StatusCode {
         match self {
-            Denial::NoCatalogue | Denial::Stopping | Denial::NotRun(..) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Denial::NoCatalogue
+            | Denial::Stopping
+            | Denial::NotRun(..)
+            | Denial::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             Denial::NoRoute => StatusCode::NOT_FOUND,
             Denial::NoHost | Denial::Body(BodyError::Broken(_)) => StatusCode::BAD_REQUEST,
             Denial::Body(BodyError::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
@@ -85,7 +89,7 @@
         match self {
             Denial::NoCatalogue => Some(SOON),
             Denial::Stopping => Some(Duration::ZERO),
-            Denial::NotRun(_, time) => Some(*time),
+            Denial::NotRun(_, time) | Denial::Quarantined(time) => Some(*time),
             _ => None,
         }
     }
