tests: quarantined requests at 3, 13 and 472 hosts, late hosts, reset connections

In virtual time: reports that get lost, hosts that start anew, one arrival each 250 ms to 5 s, eight seeds; at most three arrivals at hosts that ran for 3 s. With real processes: a host that starts later rejects the request too, and a request whose connections are reset while its endpoints live is served again.

--- /dev/null
+++ b/components/state/tests/quarantine_fleet.rs
@@ -0,0 +1,224 @@
+//! A request that crashes endpoints, met by many hosts that tell each other, in virtual time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use state::Moment;
+use state::fleet::quarantine::{Admission, Crash, Finding, Quarantine, Witness};
+use state::fleet::{Fingerprint, Fingerprints};
+
+/// How long an endpoint runs the request before it crashes.
+const RUN: u64 = 60;
+
+/// How long a report takes from one host to another.
+const DELAY: u64 = 5;
+
+/// How long after the third crash all hosts have to know.
+const KNOWN_AFTER: u64 = 3_000;
+
+/// How long a host has to run before its requests count.
+const SETTLED: u64 = 3_000;
+
+/// Arrivals later than that which are granted.
+const GRANTED: usize = 3;
+
+/// Endpoints that one request of a caller is sent to at most.
+const ATTEMPTS: u32 = 2;
+
+const FATAL: Fingerprints = Fingerprints {
+    content: Fingerprint(1),
+    request: Fingerprint(2),
+};
+
+/// What happens at a moment.
+#[derive(Clone)]
+enum Event {
+    Arrives {
+        host: usize,
+        attempt: u32,
+    },
+    Ends {
+        host: usize,
+        attempt: u32,
+        sent: Moment,
+    },
+    Report {
+        to: usize,
+        crash: Crash,
+    },
+    Findings {
+        to: usize,
+        findings: Vec<Finding>,
+    },
+    Reminders,
+    Restart {
+        host: usize,
+    },
+}
+
+/// The hosts, and what is still to come.
+struct Fleet {
+    hosts: Vec<Quarantine>,
+    /// When each host started.
+    started: Vec<u64>,
+    events: BTreeMap<(u64, u64), Event>,
+    next: u64,
+    random: SmallRng,
+    /// The share of reports that get lost.
+    loss: f64,
+    crashes: Vec<u64>,
+    arrivals: Vec<u64>,
+}
+
+impl Fleet {
+    fn new(hosts: usize, loss: f64, seed: u64) -> Fleet {
+        Fleet {
+            hosts: vec![Quarantine::default(); hosts],
+            started: vec![0; hosts],
+            events: BTreeMap::new(),
+            next: 0,
+            random: SmallRng::seed_from_u64(seed),
+            loss,
+            crashes: Vec::new(),
+            arrivals: Vec::new(),
+        }
+    }
+
+    fn at(&mut self, millis: u64, event: Event) {
+        self.next += 1;
+        self.events.insert((millis, self.next), event);
+    }
+
+    /// Sends an event to one host, unless it gets lost.
+    fn send(&mut self, millis: u64, event: Event) {
+        if self.random.random::<f64>() >= self.loss {
+            self.at(millis + DELAY, event);
+        }
+    }
+
+    fn tell_all(&mut self, from: usize, millis: u64, crash: Crash, findings: &[Finding]) {
+        for to in (0..self.hosts.len()).filter(|to| *to != from) {
+            self.send(millis, Event::Report { to, crash });
+            if !findings.is_empty() {
+                let findings = findings.to_vec();
+                self.send(millis, Event::Findings { to, findings });
+            }
+        }
+    }
+
+    /// Plays all events until `end`.
+    fn run(&mut self, end: u64) {
+        while let Some(((millis, _), event)) = self.events.pop_first() {
+            if millis > end {
+                return;
+            }
+            self.take(millis, event);
+        }
+    }
+
+    fn take(&mut self, millis: u64, event: Event) {
+        let now = Moment::from_millis(millis);
+        match event {
+            Event::Arrives { host, attempt } => {
+                if matches!(self.hosts[host].admit(FATAL, now), Admission::Reject(_)) {
+                    return;
+                }
+                if millis >= self.started[host] + SETTLED {
+                    self.arrivals.push(millis);
+                }
+                let ends = Event::Ends {
+                    host,
+                    attempt,
+                    sent: now,
+                };
+                self.at(millis + RUN, ends);
+            }
+            Event::Ends {
+                host,
+                attempt,
+                sent,
+            } => {
+                self.crashes.push(millis);
+                let crash = Crash {
+                    request: FATAL,
+                    sent,
+                    at: now,
+                };
+                let findings = self.hosts[host].crashed(&crash, Witness::Own);
+                self.tell_all(host, millis, crash, &findings);
+                if attempt < ATTEMPTS {
+                    let attempt = attempt + 1;
+                    self.at(millis + 1, Event::Arrives { host, attempt });
+                }
+            }
+            Event::Report { to, crash } => {
+                let late = Duration::from_millis(DELAY);
+                let crash = Crash {
+                    sent: crash.sent + late,
+                    at: crash.at + late,
+                    ..crash
+                };
+                self.hosts[to].crashed(&crash, Witness::Other);
+            }
+            Event::Findings { to, findings } => {
+                for finding in &findings {
+                    self.hosts[to].learn(finding, now);
+                }
+            }
+            Event::Reminders => {
+                for host in 0..self.hosts.len() {
+                    let findings = self.hosts[host].findings(now);
+                    let to = self.random.random_range(0..self.hosts.len());
+                    self.send(millis, Event::Findings { to, findings });
+                }
+                self.at(millis + 1_000, Event::Reminders);
+            }
+            Event::Restart { host } => {
+                self.hosts[host] = Quarantine::default();
+                self.started[host] = millis;
+                let other = (host + 1) % self.hosts.len();
+                let findings = self.hosts[other].findings(now);
+                self.send(millis + DELAY, Event::Findings { to: host, findings });
+            }
+        }
+    }
+
+    /// Returns how often it arrived once all hosts had to know.
+    fn late_arrivals(&self) -> usize {
+        let third = self
+            .crashes
+            .get(2)
+            .copied()
+            .unwrap_or(u64::MAX - KNOWN_AFTER);
+        let late = self.arrivals.iter().filter(|a| **a > third + KNOWN_AFTER);
+        late.count()
+    }
+}
+
+/// A request that crashes endpoints must not go on because each time another of many hosts
+/// gets it, reports get lost, and hosts start anew and have forgotten it.
+#[rstest]
+fn known_everywhere(
+    #[values(3, 13, 472)] hosts: usize,
+    #[values(0.0, 0.1)] loss: f64,
+    #[values(250, 1_000, 5_000)] pause: u64,
+) {
+    for seed in 0..8 {
+        let mut fleet = Fleet::new(hosts, loss, seed);
+        fleet.at(500, Event::Reminders);
+        for millis in (0..100_000).step_by(usize::try_from(pause).expect("it fits")) {
+            let host = fleet.random.random_range(0..hosts);
+            fleet.at(millis, Event::Arrives { host, attempt: 1 });
+        }
+        for number in 0..10 {
+            let host = fleet.random.random_range(0..hosts);
+            fleet.at(20_000 + number * 5_000, Event::Restart { host });
+        }
+        fleet.run(100_000);
+        let late = fleet.late_arrivals();
+        assert!(late <= GRANTED, "{late} late arrivals with seed {seed}");
+    }
+}
--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -2,6 +2,9 @@
 
 mod site;
 
+use std::net::SocketAddr;
+
+use site::endpoint::Behaviour;
 use site::{Answer, Endpoint, Host, ROUTES, Store, config, peers, until};
 
 /// The path whose requests crash endpoints.
@@ -12,9 +15,11 @@
 
 /// A store, endpoints that `FATAL` crashes, and hosts that know each other.
 struct Site {
-    _store: Store,
+    store: Store,
     endpoints: Vec<Endpoint>,
     hosts: Vec<Host>,
+    /// Where hosts hear each other, for those still to be started as well.
+    addresses: Vec<SocketAddr>,
 }
 
 impl Site {
@@ -28,20 +33,26 @@
             endpoint.crash_on(FATAL, &store);
             endpoints.push(endpoint);
         }
-        let addresses = peers(3);
-        let mut hosts = Vec::new();
-        for address in &addresses {
-            let name = format!("host-{}", hosts.len());
-            hosts.push(Host::start_beside(&name, &store, *address, Some(addresses[0])).await);
-        }
-        for host in &hosts {
-            until("the host is ready", async || host.readiness().await == 200).await;
-        }
-        Site {
-            _store: store,
+        let mut site = Site {
+            store,
             endpoints,
-            hosts,
+            hosts: Vec::new(),
+            addresses: peers(4),
+        };
+        for _ in 0..3 {
+            site.add_host().await;
         }
+        site
+    }
+
+    /// Starts one more host, which greets the first.
+    async fn add_host(&mut self) {
+        let number = self.hosts.len();
+        let seed = Some(self.addresses[0]);
+        let name = format!("host-{number}");
+        let host = Host::start_beside(&name, &self.store, self.addresses[number], seed).await;
+        until("the host is ready", async || host.readiness().await == 200).await;
+        self.hosts.push(host);
     }
 
     /// Returns how often an endpoint has begun to run the request.
@@ -95,3 +106,40 @@
         "it reached endpoints {repeats} times more"
     );
 }
+
+/// A host that starts after a request was quarantined must not let it crash endpoints anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_host() {
+    let mut site = Site::start().await;
+    until("all hosts reject it and serve the rest", async || {
+        site.all_reject().await
+    })
+    .await;
+    site.add_host().await;
+    let before = site.crashes();
+    until("the new host rejects it too", async || {
+        site.all_reject().await
+    })
+    .await;
+    let repeats = site.crashes() - before;
+    assert!(
+        repeats <= REPEATS,
+        "it reached endpoints {repeats} times more"
+    );
+}
+
+/// A popular request must not be quarantined because connections are reset under it while
+/// its endpoints live.
+#[tokio::test(flavor = "multi_thread")]
+async fn reset_connections() {
+    let site = Site::start().await;
+    site.endpoints.iter().for_each(|e| e.set(Behaviour::Reset));
+    for host in &site.hosts {
+        for _ in 0..3 {
+            let answer = host.request("GET", "/read/popular", "popular").await;
+            assert_ne!(answer.status, 200);
+        }
+    }
+    site.endpoints.iter().for_each(|e| e.set(Behaviour::Serve));
+    assert!(site.serves().await);
+}
--- a/tests/site/endpoint.rs
+++ b/tests/site/endpoint.rs
@@ -1,6 +1,5 @@
 //! An endpoint in small, which behaves as a test says.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -45,6 +44,8 @@
     Encoded,
     /// It runs them and never answers.
     Hang,
+    /// It runs them and closes the connection.
+    Reset,
 }
 
 /// A path whose requests crash the endpoint, after it has begun to run them.
@@ -206,10 +207,7 @@
     }
 }
 
-async fn serve(
-    request: Request<Incoming>,
-    inner: Arc<Inner>,
-) -> Result<Response<Part>, Infallible> {
+async fn serve(request: Request<Incoming>, inner: Arc<Inner>) -> io::Result<Response<Part>> {
     let field = |name: &str| {
         let value = request.headers().get(name);
         value
@@ -254,6 +252,9 @@
         _ => {}
     }
     work.ended = true;
+    if behaviour == Behaviour::Reset {
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
     let mut response = match behaviour {
         Behaviour::Fail => respond(StatusCode::INTERNAL_SERVER_ERROR, "failed", &id),
         Behaviour::FailAsFull => respond(StatusCode::SERVICE_UNAVAILABLE, "full", &id),
