--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -12,7 +12,8 @@
 use state::fleet::look::Look;
 use state::fleet::outcome::Outcome;
 use state::fleet::placing::{self, Knowledge, Refusal, Step};
-use state::fleet::{Placing, Registry};
+use state::fleet::rate_limit::Source;
+use state::fleet::{Placing, RateLimit, Registry};
 use state::{EndpointKey, Moment, RegionKey};
 use tokio::time::timeout;
 
@@ -266,6 +267,8 @@
         let told = platform::fields::load(fields, well, now);
         state.see(told.unwrap_or_else(|| untold(state.running, state.endpoint.slots, well, now)));
         registry.answered(key);
+        drop(registry);
+        self.learn_limit(key, fields, Source::Probe);
         true
     }
 
@@ -274,6 +277,7 @@
     /// Whoever is first in line hears of the room: the host whose request has just
     /// ended there knows of it before any other host can ask.
     pub(super) fn overhear(&self, key: EndpointKey, fields: &HeaderMap) {
+        self.learn_limit(key, fields, Source::Request);
         let now = clock::now();
         let mut room = None;
         with_state(&mut self.registry.borrow_mut(), key, |state| {
@@ -288,6 +292,30 @@
         }
     }
 
+    /// Takes in the rate limit that an endpoint advertises with an answer, or that it doesn't.
+    ///
+    /// A rejection may leave it out, and ends none.
+    fn learn_limit(&self, key: EndpointKey, fields: &HeaderMap, source: Source) {
+        let rate = match platform::fields::rate_limit(fields) {
+            Ok(None) if platform::fields::says_not_run(fields) => return,
+            Ok(rate) => rate,
+            Err(error) => {
+                log::debug!("E0145 limit-unreadable error={error}");
+                return;
+            }
+        };
+        with_state(&mut self.registry.borrow_mut(), key, |state| {
+            let limit = RateLimit::after(state.limit, rate, source);
+            if limit.is_some() != state.limit.is_some() {
+                log::info!(
+                    "E0144 limit-advertised instance={} rate={rate:?} source={source:?}",
+                    state.endpoint.instance
+                );
+            }
+            state.limit = limit;
+        });
+    }
+
     /// Takes in what a request met at an endpoint.
     pub(super) fn note(&self, key: EndpointKey, outcome: Outcome) {
         let now = clock::now();
