--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use site::endpoint::Behaviour;
-use site::{Answer, Endpoint, Host, ROUTES, Store, config, peers, until};
+use site::{Answer, Endpoint, Host, Store, peers, until};
 
 /// The path whose requests crash endpoints.
 const FATAL: &str = "/read/fatal";
@@ -24,33 +24,22 @@
 
 impl Site {
     async fn start() -> Site {
-        let store = Store::start().await;
-        store.put("keyed.op", "config", Some(&config(1, ROUTES)));
-        let mut endpoints = Vec::new();
-        for number in 1..=8 {
-            let endpoint = Endpoint::start(&format!("i-{number}")).await;
-            endpoint.register(&store, "ready");
-            endpoint.crash_on(FATAL, &store);
-            endpoints.push(endpoint);
-        }
-        let mut site = Site {
+        let (store, endpoints) = site::endpoints(8).await;
+        endpoints.iter().for_each(|e| e.crash_on(FATAL, &store));
+        let addresses = peers(4);
+        let hosts = site::hosts(&store, &addresses[..3]).await;
+        Site {
             store,
             endpoints,
-            hosts: Vec::new(),
-            addresses: peers(4),
-        };
-        for _ in 0..3 {
-            site.add_host().await;
+            hosts,
+            addresses,
         }
-        site
     }
 
     /// Starts one more host, which greets the first.
     async fn add_host(&mut self) {
-        let number = self.hosts.len();
         let seed = Some(self.addresses[0]);
-        let name = format!("host-{number}");
-        let host = Host::start_beside(&name, &self.store, self.addresses[number], seed).await;
+        let host = Host::start_beside("late", &self.store, self.addresses[3], seed).await;
         until("the host is ready", async || host.readiness().await == 200).await;
         self.hosts.push(host);
     }
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -157,6 +157,32 @@
     }
 }
 
+/// Starts a store with `ROUTES`, and so many endpoints that are ready.
+pub async fn endpoints(count: usize) -> (Store, Vec<Endpoint>) {
+    let store = Store::start().await;
+    store.put("keyed.op", "config", Some(&config(1, ROUTES)));
+    let mut endpoints = Vec::new();
+    for number in 1..=count {
+        let endpoint = Endpoint::start(&format!("i-{number}")).await;
+        endpoint.register(&store, "ready");
+        endpoints.push(endpoint);
+    }
+    (store, endpoints)
+}
+
+/// Starts hosts at these peer addresses, which greet the first, and waits until they are ready.
+pub async fn hosts(store: &Store, addresses: &[SocketAddr]) -> Vec<Host> {
+    let mut hosts = Vec::new();
+    for (number, address) in addresses.iter().enumerate() {
+        let name = format!("host-{number}");
+        hosts.push(Host::start_beside(&name, store, *address, Some(addresses[0])).await);
+    }
+    for host in &hosts {
+        until("the host is ready", async || host.readiness().await == 200).await;
+    }
+    hosts
+}
+
 /// Starts a host while the store is down, beside one that had started before.
 ///
 /// Returns both, the new one last, once they are ready.
