--- a/tests/site/endpoint.rs
+++ b/tests/site/endpoint.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -69,7 +69,9 @@
     crashed: Notify,
     behaviour: Mutex<Behaviour>,
     slowness: Mutex<u32>,
-    runs: Mutex<Vec<String>>,
+    /// The rate limit that it advertises in its answers to requests.
+    limit: Mutex<Option<f64>>,
+    runs: Mutex<Vec<(String, Instant)>>,
     gone: Mutex<u32>,
 }
 
@@ -93,6 +95,7 @@
             crashed: Notify::new(),
             behaviour: Mutex::new(Behaviour::Serve),
             slowness: Mutex::new(100),
+            limit: Mutex::default(),
             runs: Mutex::default(),
             gone: Mutex::default(),
         });
@@ -129,9 +132,19 @@
 
     /// Returns the ids of the requests that it ran.
     pub fn runs(&self) -> Vec<String> {
+        self.arrivals().into_iter().map(|(id, _)| id).collect()
+    }
+
+    /// Returns the ids of the requests that it ran, and when each came.
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
         self.inner.runs.lock().expect("no test panics here").clone()
     }
 
+    /// Has it advertise a limit of requests a second, or none.
+    pub fn limit(&self, rate: Option<f64>) {
+        *self.inner.limit.lock().expect("no test panics here") = rate;
+    }
+
     /// Returns how many requests were given up while it was at work.
     pub fn given_up(&self) -> u32 {
         *self.inner.gone.lock().expect("no test panics here")
@@ -236,7 +249,7 @@
         .runs
         .lock()
         .expect("no test panics here")
-        .push(id.clone());
+        .push((id.clone(), Instant::now()));
     let mut work = Work {
         inner: &inner,
         ended: false,
@@ -272,6 +285,10 @@
         let encoding = HeaderValue::from_static("gzip");
         response.headers_mut().insert(CONTENT_ENCODING, encoding);
     }
+    let limit = *inner.limit.lock().expect("no test panics here");
+    if let Some(rate) = limit {
+        set(&mut response, "server-limit", &rate.to_string());
+    }
     response.body_mut().cut = behaviour == Behaviour::Cut;
     Ok(response)
 }
