--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -5,7 +5,6 @@
 //! nothing known of an endpoint stays true for long: see [`look`].
 
 pub mod asks;
-pub mod cold;
 pub mod comeback;
 pub mod endpoint;
 pub mod fingerprint;
@@ -15,13 +14,13 @@
 pub mod placing;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod rate_share;
 pub mod reach;
 pub mod registry;
 pub mod repeats;
 pub mod tempo;
 
 pub use asks::AskBudget;
-pub use cold::ColdShare;
 pub use endpoint::{Endpoint, EndpointState};
 pub use fingerprint::{Fingerprint, Fingerprints};
 pub use line::{Line, Ticket};
@@ -29,5 +28,6 @@
 pub use placing::{Placing, Step};
 pub use quarantine::Quarantine;
 pub use rate_limit::RateLimit;
+pub use rate_share::RateShare;
 pub use registry::{Entry, Registry};
 pub use repeats::RepeatBudget;
--- a/components/state/src/fleet/placing.rs
+++ b/components/state/src/fleet/placing.rs
@@ -11,9 +11,9 @@
 
 use derives::tag;
 
-use super::cold::Allowance;
 use super::endpoint::EndpointState;
 use super::look::GOOD;
+use super::rate_share::Allowance;
 use super::registry::Registry;
 use crate::places::{Distance, Places};
 use crate::{DataCentreKey, EndpointKey, Moment, RegionKey, ServiceKey};
--- a/components/state/src/fleet/cold.rs
+++ b/components/state/src/fleet/rate_share.rs
@@ -1,41 +1,52 @@
-//! How many requests a cold endpoint gets, over all hosts together.
+//! How many requests an endpoint gets from all hosts together, where that is bounded.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::{EndpointKey, Moment};
 
-/// This host's part of what cold endpoints bear.
+/// This host's part of the requests a second that each of some endpoints bears.
 ///
-/// A cold endpoint falls over when it gets clearly more than its rate. The
-/// bound holds for the sum over all hosts, so each takes only its share of
+/// Made for cold endpoints, which fall over when they get clearly more than their rate.
+/// The bound holds for the sum over all hosts, so each takes only its share of
 /// the rate: its turn comes once a pause, at a moment of its own. Hosts that
 /// start together therefore don't all send in the same second, and a host whose
 /// pause is longer than an endpoint stays cold mostly sends nothing.
 #[derive(Clone, Debug, Default)]
-pub struct ColdShare {
+pub struct RateShare {
     next: BTreeMap<EndpointKey, Moment>,
 }
 
-/// The longest pause between two requests of one host to a cold endpoint.
+/// The longest pause between two requests of one host to an endpoint.
 const LONGEST: Duration = Duration::from_secs(24 * 60 * 60);
 
-/// How long a host may use its turn.
+/// How long a host may use its turn at a cold endpoint.
 ///
 /// Were turns kept, those that hosts had no use for would all be used in the
 /// second in which a flood begins.
-const TURN: Duration = Duration::from_millis(500);
+const COLD_TURN: Duration = Duration::from_millis(500);
 
-/// What a host may send to cold endpoints of one service.
+/// What a host may send to one endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allowance {
-    /// Requests a second that one cold endpoint bears from all hosts.
-    pub rate: f64,
+    /// Requests a second that the endpoint bears from all hosts.
+    rate: f64,
     /// This host's part of all hosts, 0 to 1.
-    pub share: f64,
+    share: f64,
+    /// How long a turn may be used.
+    turn: Duration,
 }
 
 impl Allowance {
+    /// Returns what a host with this part of all hosts may send to a cold endpoint.
+    pub fn cold(rate: f64, share: f64) -> Allowance {
+        Allowance {
+            rate,
+            share,
+            turn: COLD_TURN,
+        }
+    }
+
     /// Returns the time between two requests of this host to one endpoint.
     fn pause(self) -> Duration {
         let rate = self.rate * self.share;
@@ -46,15 +57,15 @@
     }
 }
 
-impl ColdShare {
-    /// Returns whether a request may go to a cold endpoint now.
+impl RateShare {
+    /// Returns whether a request may go to an endpoint now.
     ///
     /// `draw`, a number from 0 to 1, spreads the hosts' first requests.
     pub fn is_due(&mut self, key: EndpointKey, allowed: Allowance, draw: f64, now: Moment) -> bool {
         let pause = allowed.pause();
         let next = self.next.entry(key).or_insert(now + pause.mul_f64(draw));
         let late = now.since(*next);
-        if late > TURN {
+        if late > allowed.turn {
             let missed = (late.as_secs_f64() / pause.as_secs_f64()).ceil();
             *next = *next + pause.mul_f64(missed);
         }
@@ -70,7 +81,7 @@
         due
     }
 
-    /// Forgets endpoints that `keep` says are cold no more.
+    /// Forgets all endpoints but those that `keep` names.
     pub fn retain(&mut self, keep: impl Fn(EndpointKey) -> bool) {
         self.next.retain(|key, _| keep(*key));
     }
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::cold::ColdShare;
 use super::endpoint::{Endpoint, EndpointState};
 use super::outcome::{Outcome, Shedding};
+use super::rate_share::RateShare;
 use super::reach::Reach;
 use crate::{DataCentreKey, EndpointKey, Moment, ServiceKey};
 
@@ -33,7 +33,7 @@
     names: BTreeMap<String, EndpointKey>,
     lapsed: BTreeMap<String, Moment>,
     grace_until: Option<Moment>,
-    cold: ColdShare,
+    cold: RateShare,
     shedding: BTreeMap<ServiceKey, Shedding>,
     reach: BTreeMap<DataCentreKey, Reach>,
 }
@@ -148,7 +148,7 @@
     }
 
     /// Returns what this host has sent to cold endpoints, to be asked and counted.
-    pub fn cold_mut(&mut self) -> &mut ColdShare {
+    pub fn cold_mut(&mut self) -> &mut RateShare {
         &mut self.cold
     }
 
--- a/components/state/tests/fleet_placing.rs
+++ b/components/state/tests/fleet_placing.rs
@@ -6,10 +6,10 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use state::fleet::cold::Allowance;
 use state::fleet::comeback;
 use state::fleet::outcome::Outcome;
 use state::fleet::placing::{Knowledge, Refusal, Request};
+use state::fleet::rate_share::Allowance;
 use state::fleet::{Endpoint, Entry, Look, Placing, Registry, Step};
 use state::places::Places;
 use state::{DataCentreKey, EndpointKey, Moment, RegionKey, ServiceKey};
@@ -112,10 +112,7 @@
                 left: &self.left,
                 places: &self.places,
                 regions: &self.regions,
-                cold: Allowance {
-                    rate: 6.0,
-                    share: self.share,
-                },
+                cold: Allowance::cold(6.0, self.share),
             };
             let random = &mut self.random;
             let mut draw = || random.random::<f64>();
@@ -412,10 +409,7 @@
                 left: &fleet.left,
                 places: &fleet.places,
                 regions: &fleet.regions,
-                cold: Allowance {
-                    rate: 6.0,
-                    share: fleet.share,
-                },
+                cold: Allowance::cold(6.0, fleet.share),
             };
             let wanted = Request {
                 objective: now + Duration::from_millis(600),
--- a/components/state/tests/lost_centre.rs
+++ b/components/state/tests/lost_centre.rs
@@ -6,9 +6,9 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use state::fleet::cold::Allowance;
 use state::fleet::outcome::Outcome;
 use state::fleet::placing::{Knowledge, Request};
+use state::fleet::rate_share::Allowance;
 use state::fleet::{Endpoint, Entry, Look, Placing, Registry, Step};
 use state::places::Places;
 use state::{DataCentreKey, EndpointKey, Moment, ServiceKey};
@@ -102,10 +102,7 @@
             left: &BTreeSet::new(),
             places: &Places::default(),
             regions: &BTreeSet::new(),
-            cold: Allowance {
-                rate: 3.0,
-                share: 0.1,
-            },
+            cold: Allowance::cold(3.0, 0.1),
         };
         let random = &mut self.random;
         let mut draw = || random.random::<f64>();
--- a/components/state/tests/cold_share.rs
+++ b/components/state/tests/rate_share.rs
@@ -4,8 +4,8 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use state::fleet::ColdShare;
-use state::fleet::cold::Allowance;
+use state::fleet::RateShare;
+use state::fleet::rate_share::Allowance;
 use state::{EndpointKey, Moment};
 
 const ENDPOINT: EndpointKey = EndpointKey(7);
@@ -16,11 +16,8 @@
 /// `hosts` have callers from `from` on.
 fn sent(hosts: usize, from: Duration, seed: u64) -> Vec<usize> {
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut shares = vec![ColdShare::default(); hosts];
-    let allowed = Allowance {
-        rate: RATE,
-        share: 1.0 / hosts as f64,
-    };
+    let mut shares = vec![RateShare::default(); hosts];
+    let allowed = Allowance::cold(RATE, 1.0 / hosts as f64);
     let start = Moment::from_millis(1_000);
     let mut seconds = vec![0; 30];
     for step in 0..3_000 {
--- a/components/state/tests/waiting_line.rs
+++ b/components/state/tests/waiting_line.rs
@@ -6,8 +6,8 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use state::fleet::cold::Allowance;
 use state::fleet::placing::{Knowledge, Request};
+use state::fleet::rate_share::Allowance;
 use state::fleet::{Endpoint, Entry, Line, Look, Placing, Registry, Step, Ticket};
 use state::places::Places;
 use state::{DataCentreKey, EndpointKey, Moment, ServiceKey};
@@ -118,10 +118,7 @@
             left: &BTreeSet::new(),
             places: &Places::default(),
             regions: &BTreeSet::new(),
-            cold: Allowance {
-                rate: 0.0,
-                share: 0.0,
-            },
+            cold: Allowance::cold(0.0, 0.0),
             turn,
             asks: true,
         };
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -8,11 +8,11 @@
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
 use protocol::news::{Loan, Neighbourly};
-use state::fleet::cold::Allowance;
 use state::fleet::look::Look;
 use state::fleet::outcome::Outcome;
 use state::fleet::placing::{self, Knowledge, Refusal, Step};
 use state::fleet::rate_limit::Source;
+use state::fleet::rate_share::Allowance;
 use state::fleet::{Placing, RateLimit, Registry};
 use state::{EndpointKey, Moment, RegionKey};
 use tokio::time::timeout;
@@ -160,10 +160,7 @@
             left: &orders.left,
             places: &self.settings.places,
             regions,
-            cold: Allowance {
-                rate: plan.map_or(0.0, |p| p.cold_rate),
-                share: self.share.get(),
-            },
+            cold: Allowance::cold(plan.map_or(0.0, |p| p.cold_rate), self.share.get()),
         };
         let mut draw = || self.draw_share();
         placing.next(&mut knowledge, request, clock::now(), &mut draw)
