state: a host that learns its share late uses cold endpoints by then

Cause: the first turn was set from the share known at first sight. Ruled out: that turns are dropped elsewhere; forget_warm drops them only once the endpoint is warm. Change: a turn lies at most one pause ahead, by the share known now. Shown: share_known_late sent nothing in 10 s before, and passes.

--- a/components/state/src/fleet/rate_share.rs
+++ b/components/state/src/fleet/rate_share.rs
@@ -64,6 +64,8 @@
     pub fn is_due(&mut self, key: EndpointKey, allowed: Allowance, draw: f64, now: Moment) -> bool {
         let pause = allowed.pause();
         let next = self.next.entry(key).or_insert(now + pause.mul_f64(draw));
+        // The pause may have been longer before, or unknown.
+        *next = (*next).min(now + pause);
         let late = now.since(*next);
         if late > allowed.turn {
             let missed = (late.as_secs_f64() / pause.as_secs_f64()).ceil();
--- a/components/state/tests/rate_share.rs
+++ b/components/state/tests/rate_share.rs
@@ -67,3 +67,16 @@
         }
     }
 }
+
+/// A host that saw an endpoint before it knew its part of all hosts must not leave it out
+/// for a day.
+#[test]
+fn share_known_late() {
+    let mut share = RateShare::default();
+    let start = Moment::from_millis(1_000);
+    assert!(!share.take(ENDPOINT, Allowance::cold(RATE, 0.0), 0.5, start));
+    let allowed = Allowance::cold(RATE, 0.1);
+    let steps = (0..1_000).map(|step| start + STEP * step);
+    let sent = steps.filter(|now| share.take(ENDPOINT, allowed, 0.5, *now));
+    assert!(sent.count() >= 2);
+}
