gateway: endpoints that advertise a rate limit get no more from all hosts together

Two of hallboard named 1.4 requests a second at 8.000 s and went on getting 1 to 8, 17 in 4 s by 11.2 s where 13 are granted. Cause: no host read the limit. A class of fault: a bound that holds for the sum of all hosts, known to each and kept by none. Ruled out: each host holding the whole limit (arrivals didn't change at 8 s); ways around it (there was nothing to go round). Change: a host's quota is its part of all hosts, as with cold endpoints: its turn comes once a pause and lapses after 2 s. Endpoints whose turn hasn't come are no candidates; where nothing else is left a request waits for a turn that is in time, else it is rejected at once. Why it holds: turns of all hosts add up to the limit whatever they know of each other, and those kept unused for 2 s to half as much again. Whatever is sent to an endpoint passes placing: repeats and second copies count too.

--- a/components/state/src/fleet/endpoint.rs
+++ b/components/state/src/fleet/endpoint.rs
@@ -8,7 +8,6 @@
 
 use super::look::{GOOD, Look};
 use super::outcome::Record;
-use super::rate_limit::RateLimit;
 use crate::{DataCentreKey, EndpointKey, Moment, ServiceKey};
 
 /// One life of a backend server, as it registered itself.
@@ -47,8 +46,6 @@
     pub cold_until: Option<Moment>,
     /// When it joined, none where it was there before this host knew any.
     pub joined: Option<Moment>,
-    /// The rate limit that it advertises.
-    pub limit: Option<RateLimit>,
     /// What this host's requests met there.
     pub record: Record,
 }
@@ -78,7 +75,6 @@
             running: 0,
             cold_until,
             joined: Some(now),
-            limit: None,
             record: Record::default(),
         }
     }
--- a/components/state/src/fleet/placing.rs
+++ b/components/state/src/fleet/placing.rs
@@ -6,7 +6,7 @@
 //! before one is taken, one after the other, and the first good one is taken:
 //! on average less than two questions.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use derives::tag;
@@ -78,6 +78,8 @@
     Full,
     /// It could not be done before its deadline.
     TooLate,
+    /// All endpoints that could take it advertise a rate limit, which is used up.
+    Limited,
 }
 
 /// The placing of one request.
@@ -140,21 +142,44 @@
     }
 
     /// Decides the next step; `draw` gives numbers from 0 to 1.
+    ///
+    /// Whatever is sent to an endpoint that advertises a rate limit counts there: first
+    /// tries, repeats and second copies.
     pub fn next(
         &mut self,
         knowledge: &mut Knowledge<'_>,
         request: &Request,
         now: Moment,
         draw: &mut dyn FnMut() -> f64,
+    ) -> Step {
+        let share = knowledge.cold.share();
+        let spent = knowledge.registry.limits_mut().spent(share, now, draw);
+        let step = self.decide(knowledge, &spent, request, now, draw);
+        if let Step::Place(key) = step {
+            knowledge.registry.limits_mut().count(key, share, now);
+        }
+        step
+    }
+
+    fn decide(
+        &mut self,
+        knowledge: &mut Knowledge<'_>,
+        spent: &BTreeMap<EndpointKey, Moment>,
+        request: &Request,
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
     ) -> Step {
         let left = now.until(request.deadline);
         if left < request.usual.mul_f64(LEAST) {
             return Step::Refuse(Refusal::TooLate);
         }
         let registry = &*knowledge.registry;
-        let usable: Vec<Candidate<'_>> = registry
-            .of(request.service)
-            .filter(|(key, s)| self.may_use(*key, s, knowledge))
+        let allowed = || {
+            let all = registry.of(request.service);
+            all.filter(|(key, s)| self.may_use(*key, s, knowledge))
+        };
+        let usable: Vec<Candidate<'_>> = allowed()
+            .filter(|(key, _)| !spent.contains_key(key))
             .map(|(key, state)| Candidate {
                 key,
                 state,
@@ -165,7 +190,11 @@
             })
             .collect();
         if usable.is_empty() {
-            return Step::Refuse(Refusal::NoEndpoint);
+            let turns = allowed().filter_map(|(key, _)| spent.get(&key));
+            return match turns.min() {
+                Some(turn) => wait_for_turn(*turn, request, now),
+                None => Step::Refuse(Refusal::NoEndpoint),
+            };
         }
         let warm: Vec<&Candidate<'_>> = usable.iter().filter(|c| !c.state.is_cold(now)).collect();
         if warm.is_empty() {
@@ -346,6 +375,18 @@
     }
 }
 
+/// Waits for this host's next turn at an endpoint that advertises a rate limit.
+///
+/// Made for a service most of whose endpoints advertise one, under more load than they
+/// take: requests whose turn would come too late are rejected at once.
+fn wait_for_turn(turn: Moment, request: &Request, now: Moment) -> Step {
+    let done = turn + request.usual.mul_f64(SPREAD);
+    match done <= request.objective {
+        true => Step::Wait(now.until(turn)),
+        false => Step::Refuse(Refusal::Limited),
+    }
+}
+
 /// How much chance weighs against what is expected of endpoints.
 ///
 /// Without it all hosts would ask the same endpoint at the same moment.
--- a/components/state/src/fleet/rate_share.rs
+++ b/components/state/src/fleet/rate_share.rs
@@ -38,13 +38,19 @@
 }
 
 impl Allowance {
+    /// Returns what a host with this part of all hosts may send; a turn is kept so long.
+    pub fn new(rate: f64, share: f64, turn: Duration) -> Allowance {
+        Allowance { rate, share, turn }
+    }
+
     /// Returns what a host with this part of all hosts may send to a cold endpoint.
     pub fn cold(rate: f64, share: f64) -> Allowance {
-        Allowance {
-            rate,
-            share,
-            turn: COLD_TURN,
-        }
+        Allowance::new(rate, share, COLD_TURN)
+    }
+
+    /// Returns this host's part of all hosts, 0 to 1.
+    pub fn share(self) -> f64 {
+        self.share
     }
 
     /// Returns the time between two requests of this host to one endpoint.
@@ -74,7 +80,12 @@
         *next <= now
     }
 
-    /// Does the same, and counts the request where it may go.
+    /// Returns when a request may go to an endpoint next, where that has been asked.
+    pub fn next(&self, key: EndpointKey) -> Option<Moment> {
+        self.next.get(&key).copied()
+    }
+
+    /// Does the same as `is_due`, and counts the request where it may go.
     pub fn take(&mut self, key: EndpointKey, allowed: Allowance, draw: f64, now: Moment) -> bool {
         let due = self.is_due(key, allowed, draw, now);
         if due {
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -5,6 +5,7 @@
 
 use super::endpoint::{Endpoint, EndpointState};
 use super::outcome::{Outcome, Shedding};
+use super::rate_limit::RateLimits;
 use super::rate_share::RateShare;
 use super::reach::Reach;
 use crate::{DataCentreKey, EndpointKey, Moment, ServiceKey};
@@ -34,6 +35,7 @@
     lapsed: BTreeMap<String, Moment>,
     grace_until: Option<Moment>,
     cold: RateShare,
+    limits: RateLimits,
     shedding: BTreeMap<ServiceKey, Shedding>,
     reach: BTreeMap<DataCentreKey, Reach>,
 }
@@ -152,6 +154,11 @@
         &mut self.cold
     }
 
+    /// Returns the rate limits that endpoints advertise, to be learned and counted.
+    pub fn limits_mut(&mut self) -> &mut RateLimits {
+        &mut self.limits
+    }
+
     /// Returns the endpoints of a service.
     pub fn of(&self, service: ServiceKey) -> impl Iterator<Item = (EndpointKey, &EndpointState)> {
         self.endpoints
@@ -214,6 +221,7 @@
     fn remove(&mut self, name: &str) {
         if let Some(key) = self.names.remove(name) {
             self.endpoints.remove(&key);
+            self.limits.forget(key);
         }
     }
 }
--- a/components/state/tests/fleet_placing.rs
+++ b/components/state/tests/fleet_placing.rs
@@ -9,6 +9,7 @@
 use state::fleet::comeback;
 use state::fleet::outcome::Outcome;
 use state::fleet::placing::{Knowledge, Refusal, Request};
+use state::fleet::rate_limit::Source;
 use state::fleet::rate_share::Allowance;
 use state::fleet::{Endpoint, Entry, Look, Placing, Registry, Step};
 use state::places::Places;
@@ -520,3 +521,51 @@
     }
     assert_eq!(met, BTreeSet::from([key("a"), key("e")]));
 }
+
+/// Most endpoints advertise a rate limit whose quota this host has used up. Its requests
+/// must go to the others, and not wait or be rejected.
+#[test]
+fn others_filled() {
+    let mut fleet = Fleet::of(&[("a", "near"), ("b", "near"), ("c", "far")]);
+    fleet.share = 0.01;
+    for name in ["a", "b"] {
+        let limits = fleet.registry.limits_mut();
+        limits.learn(key(name), Some(1.0), Source::Request);
+    }
+    for _ in 0..20 {
+        let mut now = START;
+        let chosen = fleet.place(&request(600), &mut now, |_, at| look(100, 0, 0, at));
+        assert_eq!(chosen, Ok(key("c")));
+    }
+}
+
+/// All endpoints advertise one. A request whose turn comes too late must be rejected at
+/// once, so that its caller can come back in time.
+#[test]
+fn quota_used_up() {
+    let mut fleet = Fleet::of(&[("a", "near"), ("b", "far")]);
+    fleet.share = 0.01;
+    for name in ["a", "b"] {
+        let limits = fleet.registry.limits_mut();
+        limits.learn(key(name), Some(1.0), Source::Request);
+    }
+    let mut now = START;
+    let chosen = fleet.place(&request(600), &mut now, |_, at| look(100, 0, 0, at));
+    assert_eq!((chosen, now), (Err(Refusal::Limited), START));
+}
+
+/// The quota frees within the objective: the request waits for it.
+#[test]
+fn next_turn() {
+    let mut fleet = Fleet::of(&[("a", "near")]);
+    fleet.share = 1.0;
+    let limits = fleet.registry.limits_mut();
+    limits.learn(key("a"), Some(4.0), Source::Request);
+    let mut now = START;
+    for _ in 0..3 {
+        let wanted = request_at(now);
+        let chosen = fleet.place(&wanted, &mut now, |_, at| look(100, 0, 0, at));
+        assert_eq!(chosen, Ok(key("a")));
+    }
+    assert!(now.since(START) >= Duration::from_millis(500));
+}
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -13,7 +13,7 @@
 use state::fleet::placing::{self, Knowledge, Refusal, Step};
 use state::fleet::rate_limit::Source;
 use state::fleet::rate_share::Allowance;
-use state::fleet::{Placing, RateLimit, Registry};
+use state::fleet::{Placing, Registry};
 use state::{EndpointKey, Moment, RegionKey};
 use tokio::time::timeout;
 
@@ -301,16 +301,17 @@
                 return;
             }
         };
-        with_state(&mut self.registry.borrow_mut(), key, |state| {
-            let limit = RateLimit::after(state.limit, rate, source);
-            if limit.is_some() != state.limit.is_some() {
-                log::info!(
-                    "E0144 limit-advertised instance={} rate={rate:?} source={source:?}",
-                    state.endpoint.instance
-                );
-            }
-            state.limit = limit;
-        });
+        let mut registry = self.registry.borrow_mut();
+        if registry.get(key).is_none() {
+            return;
+        }
+        if registry.limits_mut().learn(key, rate, source) {
+            let instance = registry.get(key).map(|s| s.endpoint.instance.as_str());
+            log::info!(
+                "E0144 limit-advertised instance={} rate={rate:?} source={source:?}",
+                instance.unwrap_or_default()
+            );
+        }
     }
 
     /// Takes in what a request met at an endpoint.
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -433,6 +433,7 @@
         Refusal::NoEndpoint => Denial::NotRun("no endpoint can be used", back),
         Refusal::Full => Denial::NotRun("all endpoints are full", back),
         Refusal::TooLate => Denial::NotRun("no endpoint was free in time", back),
+        Refusal::Limited => Denial::NotRun("the endpoints' rate limits are used up", back),
     }
 }
 
