gateway: hosts tell each other of advertised rate limits

Cause: a host learned of a limit, and of its end, from its own answers only. Of 472 hosts each sends an endpoint a request in minutes: in virtual time an endpoint that named 1.2 requests a second got 49 in 4 s (12 granted), all from hosts that hadn't heard, and would have kept its quotas minutes after its need. Ruled out: that hosts greet or read the store for it; neither knows limits. Change: a host that hears of a limit from the endpoint, of one that differs by a quarter, or of its end tells all hosts: eight reports a second at most. An endpoint whose turn has come is asked as soon as one that is connected: else none would find out that the limit has ended. Shown: rare_requests fails without the telling (49 in 4 s) and passes; the end is known to all 472 hosts within 10 s. told_once: no flood; named_to_one: a host that alone is told stays within the bound though others' answers end the limit.

--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claim;
 pub mod crashes;
 pub mod heartbeat;
+pub mod limits;
 pub mod news;
 pub mod peer;
 pub mod record;
--- /dev/null
+++ b/components/protocol/src/limits.rs
@@ -0,0 +1,57 @@
+//! What entry hosts tell each other of rate limits that endpoints advertise.
+
+use prost::Message;
+use state::EndpointKey;
+use state::fleet::rate_limit::Advice;
+
+/// Limits that endpoints have named, or name no more.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Whether the receiver is to tell the hosts of its data centre.
+    pub abroad: bool,
+    /// One entry an endpoint.
+    pub advice: Vec<Advice>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WireLimits {
+    #[prost(message, repeated, tag = "1")]
+    advice: Vec<WireAdvice>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireAdvice {
+    #[prost(fixed64, tag = "1")]
+    endpoint: u64,
+    /// Requests a second from all hosts together.
+    #[prost(double, optional, tag = "2")]
+    rate: Option<f64>,
+}
+
+impl From<&Limits> for WireLimits {
+    fn from(limits: &Limits) -> WireLimits {
+        let advice = limits.advice.iter().map(|advice| WireAdvice {
+            endpoint: advice.endpoint.0,
+            rate: advice.rate,
+        });
+        WireLimits {
+            advice: advice.collect(),
+        }
+    }
+}
+
+impl WireLimits {
+    /// Reads the message; a limit that is no number of requests is left out.
+    pub(crate) fn read(self, abroad: bool) -> Limits {
+        let sound = |rate: f64| rate.is_finite() && rate >= 0.0;
+        let advice = self.advice.into_iter();
+        let advice = advice.filter(|a| a.rate.is_none_or(sound)).map(|a| Advice {
+            endpoint: EndpointKey(a.endpoint),
+            rate: a.rate,
+        });
+        Limits {
+            abroad,
+            advice: advice.collect(),
+        }
+    }
+}
--- a/components/protocol/src/news.rs
+++ b/components/protocol/src/news.rs
@@ -13,6 +13,7 @@
 use thiserror::Error;
 
 use crate::crashes::{Crashes, WireCrashes};
+use crate::limits::{Limits, WireLimits};
 
 /// The version of this protocol; others are refused.
 const VERSION: u8 = 3;
@@ -30,7 +31,7 @@
 }
 
 /// One message between neighbours.
-#[value]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Neighbourly {
     /// The sender is here.
     Hello(Hello),
@@ -56,6 +57,8 @@
     Lend(Loan),
     /// Requests that crash endpoints.
     Crashes(Crashes),
+    /// Rate limits that endpoints advertise.
+    Limits(Limits),
 }
 
 /// Questions lent in answer to a request.
@@ -129,7 +132,7 @@
 
 #[derive(Clone, PartialEq, Message)]
 struct WireNews {
-    /// 0 for a hello, the topic's number, what is borrowed or lent, or crashes.
+    /// 0 for a hello, the topic's number, what is borrowed or lent, crashes, or limits.
     #[prost(uint32, tag = "1")]
     topic: u32,
     #[prost(uint64, tag = "2")]
@@ -184,6 +187,8 @@
     shared: bool,
     #[prost(message, optional, tag = "22")]
     crashes: Option<WireCrashes>,
+    #[prost(message, optional, tag = "23")]
+    limits: Option<WireLimits>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -228,6 +233,7 @@
 const BORROW: u32 = 3;
 const LEND: u32 = 4;
 const CRASHES: u32 = 5;
+const LIMITS: u32 = 6;
 
 impl News {
     /// Returns these news as any host that read the same would tell them.
@@ -288,6 +294,7 @@
             Neighbourly::Lacking(..) => "lacking",
             Neighbourly::Borrow(_) | Neighbourly::Lend(_) => "loan",
             Neighbourly::Crashes(_) => "crashes",
+            Neighbourly::Limits(_) => "limits",
         }
     }
 
@@ -360,6 +367,12 @@
                 crashes: Some(WireCrashes::from(crashes)),
                 ..WireNews::default()
             },
+            Neighbourly::Limits(limits) => WireNews {
+                topic: LIMITS,
+                abroad: limits.abroad,
+                limits: Some(WireLimits::from(limits)),
+                ..WireNews::default()
+            },
             Neighbourly::Reading(topic) => WireNews {
                 topic: number(*topic),
                 reading: true,
@@ -407,6 +420,10 @@
                 let crashes = wire.crashes.unwrap_or_default();
                 return Ok(Neighbourly::Crashes(crashes.read(wire.abroad)));
             }
+            LIMITS => {
+                let limits = wire.limits.unwrap_or_default();
+                return Ok(Neighbourly::Limits(limits.read(wire.abroad)));
+            }
             OPERATORS => Topic::Operators,
             ENDPOINTS => Topic::Endpoints,
             _ => return Err(NewsError::UnknownTopic),
--- a/components/protocol/tests/news_messages.rs
+++ b/components/protocol/tests/news_messages.rs
@@ -7,8 +7,11 @@
 use coordination::neighbours::Contact;
 use proptest::prelude::*;
 use protocol::crashes::{Crashes, Ended};
+use protocol::limits::Limits;
 use protocol::news::{Held, Hello, Loan, Neighbourly, News, Topic};
+use state::EndpointKey;
 use state::fleet::quarantine::Finding;
+use state::fleet::rate_limit::Advice;
 use state::fleet::{Fingerprint, Fingerprints};
 
 fn news(records: Vec<Vec<u8>>) -> News {
@@ -29,6 +32,17 @@
     }
 }
 
+fn limits() -> Limits {
+    let advice = [Some(1.5), None].map(|rate| Advice {
+        endpoint: EndpointKey(u64::MAX),
+        rate,
+    });
+    Limits {
+        abroad: true,
+        advice: advice.to_vec(),
+    }
+}
+
 fn crashes() -> Crashes {
     Crashes {
         abroad: true,
@@ -53,6 +67,7 @@
 fn there_and_back() {
     let messages = [
         Neighbourly::Crashes(crashes()),
+        Neighbourly::Limits(limits()),
         Neighbourly::Hello(Hello {
             centre: "trent".to_owned(),
             seeks: true,
@@ -118,3 +133,21 @@
         let _ = Neighbourly::decode(&bytes);
     }
 }
+
+/// A limit that is no number of requests must not reach what counts by it.
+#[test]
+fn senseless_limits() {
+    let rates = [f64::NAN, f64::INFINITY, -1.0, 2.0];
+    let advice = rates.map(|rate| Advice {
+        endpoint: EndpointKey(1),
+        rate: Some(rate),
+    });
+    let message = Neighbourly::Limits(Limits {
+        abroad: false,
+        advice: advice.to_vec(),
+    });
+    let Ok(Neighbourly::Limits(read)) = Neighbourly::decode(&message.encode()) else {
+        panic!("it is read");
+    };
+    assert_eq!(read.advice, advice[3..]);
+}
--- a/components/state/src/fleet/placing.rs
+++ b/components/state/src/fleet/placing.rs
@@ -107,6 +107,8 @@
     state: &'a EndpointState,
     distance: Distance,
     kept: bool,
+    /// Whether it advertises a rate limit of which this host may use a turn now.
+    limited: bool,
 }
 
 /// What one host knows at the moment of placing.
@@ -187,6 +189,7 @@
                     .places
                     .distance(request.home, state.endpoint.centre),
                 kept: (knowledge.kept)(key),
+                limited: registry.limits().holds(key),
             })
             .collect();
         if usable.is_empty() {
@@ -407,13 +410,14 @@
 /// is connected to while they do well. A new connection costs an endpoint a
 /// millisecond of a slot; a host of many has few requests, and would find most
 /// of its connections closed for idleness. One that has just joined is asked as
-/// soon: kept to the others, no host would ever find the room that was added.
+/// soon: kept to the others, no host would ever find the room that was added. So is one
+/// that advertises a rate limit: only its answers tell that the limit has ended.
 const KEPT: f64 = 0.5;
 
 /// Returns what pace to expect of an endpoint without a fresh look.
 fn expectation(candidate: &Candidate<'_>, now: Moment) -> f64 {
     let state = candidate.state;
-    let first = candidate.kept || state.is_newcomer(now);
+    let first = candidate.kept || candidate.limited || state.is_newcomer(now);
     let kept = if first { KEPT } else { 0.0 };
     let busy = f64::from(state.running) / f64::from(state.endpoint.slots.max(1));
     let old = match state.look {
--- a/components/state/src/fleet/rate_limit.rs
+++ b/components/state/src/fleet/rate_limit.rs
@@ -23,6 +23,9 @@
 /// Only its answers tell that a limit has ended.
 const LEAST_RATE: f64 = 0.1;
 
+/// By what factor a limit has to change for the other hosts to be told at once.
+const NOTABLE: f64 = 1.25;
+
 /// What kind of answer an endpoint gave.
 #[tag]
 pub enum Source {
@@ -62,26 +65,86 @@
     }
 }
 
+/// What one host tells others of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Advice {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// The limit that it advertises, none where it advertises none any more.
+    pub rate: Option<f64>,
+}
+
+/// A limit, and what other hosts know of it.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    limit: RateLimit,
+    /// The limit that all hosts were told last.
+    told: f64,
+}
+
+impl Known {
+    /// Returns whether the other hosts are to be told of the limit as it is now.
+    fn is_outdated(&self, rate: f64) -> bool {
+        let factor = rate.max(LEAST_RATE) / self.told.max(LEAST_RATE);
+        !(1.0 / NOTABLE..=NOTABLE).contains(&factor)
+    }
+}
+
 /// The limits of all endpoints that advertise one, and this host's turns there.
+///
+/// Made for hundreds of hosts, of which each sends an endpoint a request in minutes: one
+/// that has heard a limit tells the others, and when it has ended. A host that missed
+/// it learns it from the answer to its next request there.
 #[derive(Debug, Default)]
 pub struct RateLimits {
-    limits: BTreeMap<EndpointKey, RateLimit>,
+    limits: BTreeMap<EndpointKey, Known>,
     turns: RateShare,
 }
 
 impl RateLimits {
-    /// Takes in an endpoint's answer; true where it names a limit and didn't before, or
-    /// names none any more.
-    pub fn learn(&mut self, key: EndpointKey, rate: Option<f64>, source: Source) -> bool {
-        let known = self.limits.get(&key).copied();
-        let limit = RateLimit::after(known, rate, source);
-        match limit {
-            Some(limit) => {
-                self.limits.insert(key, limit);
-            }
-            None => self.forget(key),
-        }
-        known.is_some() != limit.is_some()
+    /// Takes in an endpoint's answer, and returns what other hosts are to be told.
+    pub fn learn(
+        &mut self,
+        endpoint: EndpointKey,
+        rate: Option<f64>,
+        source: Source,
+    ) -> Option<Advice> {
+        let known = self.limits.get(&endpoint).copied();
+        let limit = RateLimit::after(known.map(|k| k.limit), rate, source);
+        let Some(limit) = limit else {
+            self.forget(endpoint);
+            let ended = Advice {
+                endpoint,
+                rate: None,
+            };
+            return known.map(|_| ended);
+        };
+        // A probe that names none leaves a limit as it was.
+        rate?;
+        let news = known.is_none_or(|k| k.is_outdated(limit.rate));
+        let told = known.filter(|_| !news).map_or(limit.rate, |k| k.told);
+        self.limits.insert(endpoint, Known { limit, told });
+        news.then_some(Advice { endpoint, rate })
+    }
+
+    /// Takes in what another host has heard of an endpoint.
+    pub fn hear(&mut self, advice: &Advice) {
+        let Some(rate) = advice.rate else {
+            self.forget(advice.endpoint);
+            return;
+        };
+        let known = self.limits.get(&advice.endpoint);
+        let probed = known.is_some_and(|k| k.limit.probed);
+        let heard = Known {
+            limit: RateLimit { rate, probed },
+            told: rate,
+        };
+        self.limits.insert(advice.endpoint, heard);
+    }
+
+    /// Returns whether an endpoint is known to advertise a limit.
+    pub fn holds(&self, endpoint: EndpointKey) -> bool {
+        self.limits.contains_key(&endpoint)
     }
 
     /// Forgets an endpoint.
@@ -101,8 +164,8 @@
         draw: &mut dyn FnMut() -> f64,
     ) -> BTreeMap<EndpointKey, Moment> {
         let mut spent = BTreeMap::new();
-        for (key, limit) in &self.limits {
-            let allowed = limit.allowance(share);
+        for (key, known) in &self.limits {
+            let allowed = known.limit.allowance(share);
             if !self.turns.is_due(*key, allowed, draw(), now) {
                 let next = self.turns.next(*key).unwrap_or(now);
                 spent.insert(*key, next);
@@ -113,8 +176,8 @@
 
     /// Counts a request that is sent to an endpoint.
     pub fn count(&mut self, key: EndpointKey, share: f64, now: Moment) {
-        if let Some(limit) = self.limits.get(&key) {
-            self.turns.take(key, limit.allowance(share), 0.0, now);
+        if let Some(known) = self.limits.get(&key) {
+            self.turns.take(key, known.limit.allowance(share), 0.0, now);
         }
     }
 }
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -154,6 +154,11 @@
         &mut self.cold
     }
 
+    /// Returns the rate limits that endpoints advertise.
+    pub fn limits(&self) -> &RateLimits {
+        &self.limits
+    }
+
     /// Returns the rate limits that endpoints advertise, to be learned and counted.
     pub fn limits_mut(&mut self) -> &mut RateLimits {
         &mut self.limits
--- a/components/state/tests/rate_limits.rs
+++ b/components/state/tests/rate_limits.rs
@@ -5,7 +5,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use state::fleet::rate_limit::{RateLimit, RateLimits, Source};
+use state::fleet::rate_limit::{Advice, RateLimit, RateLimits, Source};
 use state::{EndpointKey, Moment};
 
 const ENDPOINT: EndpointKey = EndpointKey(7);
@@ -44,6 +44,8 @@
     random: SmallRng,
     now: Moment,
     sent: Vec<Moment>,
+    /// What the first host sent.
+    first: Vec<Moment>,
 }
 
 impl Fleet {
@@ -53,6 +55,7 @@
             random: SmallRng::seed_from_u64(seed),
             now: Moment::from_millis(1_000),
             sent: Vec::new(),
+            first: Vec::new(),
         }
     }
 
@@ -80,16 +83,54 @@
         }
     }
 
+    /// Passes time, in which a request comes to a random host each millisecond. One in a
+    /// hundred goes to the endpoint where it is any, and each where its turn has come. The
+    /// endpoint answers with what `rate` says for the host.
+    fn requests(&mut self, time: Duration, rate: impl Fn(usize) -> Option<f64>) {
+        let end = self.now + time;
+        let share = 1.0 / self.hosts.len() as f64;
+        while self.now < end {
+            let at = self.random.random_range(0..self.hosts.len());
+            let host = &mut self.hosts[at];
+            let random = &mut self.random;
+            let chosen = host.holds(ENDPOINT) || random.random_ratio(1, 100);
+            let spent = host.spent(share, self.now, &mut || random.random());
+            if chosen && !spent.contains_key(&ENDPOINT) {
+                host.count(ENDPOINT, share, self.now);
+                self.sent.push(self.now);
+                if at == 0 {
+                    self.first.push(self.now);
+                }
+                let advice = host.learn(ENDPOINT, rate(at), Source::Request);
+                self.tell_others(at, advice);
+            }
+            self.now = self.now + Duration::from_millis(1);
+        }
+    }
+
+    fn tell_others(&mut self, from: usize, advice: Option<Advice>) {
+        let others = self.hosts.iter_mut().enumerate();
+        for (_, host) in others.filter(|(at, _)| *at != from) {
+            if let Some(advice) = &advice {
+                host.hear(advice);
+            }
+        }
+    }
+
     /// Returns the most requests in one window.
     fn busiest(&self) -> usize {
-        let windows = self.sent.iter().map(|first| {
-            let inside = |at: &&Moment| **at >= *first && at.since(*first) < WINDOW;
-            self.sent.iter().filter(inside).count()
-        });
-        windows.max().unwrap_or_default()
+        busiest(&self.sent)
     }
 }
 
+fn busiest(sent: &[Moment]) -> usize {
+    let windows = sent.iter().map(|first| {
+        let inside = |at: &&Moment| **at >= *first && at.since(*first) < WINDOW;
+        sent.iter().filter(inside).count()
+    });
+    windows.max().unwrap_or_default()
+}
+
 /// What an endpoint may get in a window, by the bound that users set.
 fn granted(rate: f64) -> usize {
     (rate * WINDOW.as_secs_f64() * 1.5) as usize + 5
@@ -153,3 +194,61 @@
     fleet.pass(Duration::from_secs(1), true);
     assert_eq!(fleet.sent.len(), 150);
 }
+
+fn learned(limits: &mut RateLimits, rate: Option<f64>) -> Option<Option<f64>> {
+    let advice = limits.learn(ENDPOINT, rate, Source::Request);
+    advice.map(|a| a.rate)
+}
+
+/// Hosts that seldom send an endpoint anything must hear of its limit, and of its end,
+/// and not be told each time it is named.
+#[test]
+fn told_once() {
+    let mut limits = RateLimits::default();
+    assert_eq!(learned(&mut limits, None), None);
+    assert_eq!(learned(&mut limits, Some(2.0)), Some(Some(2.0)));
+    assert_eq!(learned(&mut limits, Some(2.2)), None);
+    assert_eq!(learned(&mut limits, Some(3.0)), Some(Some(3.0)));
+    assert_eq!(learned(&mut limits, None), Some(None));
+    assert!(!limits.holds(ENDPOINT));
+}
+
+/// An endpoint that names its limit to one host only must not get too much from that host
+/// since others, told none, say that it has ended.
+#[test]
+fn named_to_one() {
+    for hosts in [3, 13] {
+        let mut fleet = Fleet::new(hosts, 3);
+        fleet.requests(Duration::from_secs(60), |host| (host == 0).then_some(1.2));
+        let most = busiest(&fleet.first);
+        assert!(
+            most <= granted(1.2),
+            "{most} from the first host of {hosts}"
+        );
+    }
+}
+
+#[test]
+fn ended_elsewhere() {
+    let mut limits = RateLimits::default();
+    learned(&mut limits, Some(1.5));
+    limits.hear(&Advice {
+        endpoint: ENDPOINT,
+        rate: None,
+    });
+    assert!(!limits.holds(ENDPOINT));
+}
+
+/// Hundreds of hosts send an endpoint a request in minutes each. It must not get them all
+/// since none has heard its limit from it, nor stand idle for minutes after it has ended.
+#[test]
+fn rare_requests() {
+    let mut fleet = Fleet::new(472, 3);
+    fleet.requests(Duration::from_secs(60), |_| Some(1.2));
+    let most = fleet.busiest();
+    assert!(most <= granted(1.2), "{most} requests in {WINDOW:?}");
+    let all = fleet.sent.len();
+    assert!(all >= 40, "{all} requests in a minute");
+    fleet.requests(Duration::from_secs(10), |_| None);
+    assert!(fleet.hosts.iter().all(|host| !host.holds(ENDPOINT)));
+}
--- a/components/transport/src/gateway/ask.rs
+++ b/components/transport/src/gateway/ask.rs
@@ -289,31 +289,6 @@
         }
     }
 
-    /// Takes in the rate limit that an endpoint advertises with an answer, or that it doesn't.
-    ///
-    /// A rejection may leave it out, and ends none.
-    fn learn_limit(&self, key: EndpointKey, fields: &HeaderMap, source: Source) {
-        let rate = match platform::fields::rate_limit(fields) {
-            Ok(None) if platform::fields::says_not_run(fields) => return,
-            Ok(rate) => rate,
-            Err(error) => {
-                log::debug!("E0145 limit-unreadable error={error}");
-                return;
-            }
-        };
-        let mut registry = self.registry.borrow_mut();
-        if registry.get(key).is_none() {
-            return;
-        }
-        if registry.limits_mut().learn(key, rate, source) {
-            let instance = registry.get(key).map(|s| s.endpoint.instance.as_str());
-            log::info!(
-                "E0144 limit-advertised instance={} rate={rate:?} source={source:?}",
-                instance.unwrap_or_default()
-            );
-        }
-    }
-
     /// Takes in what a request met at an endpoint.
     pub(super) fn note(&self, key: EndpointKey, outcome: Outcome) {
         let now = clock::now();
--- /dev/null
+++ b/components/transport/src/gateway/limits.rs
@@ -0,0 +1,65 @@
+//! Learns the rate limits that endpoints advertise, from them and from other hosts.
+
+use hyper::HeaderMap;
+use protocol::limits::Limits;
+use protocol::news::Neighbourly;
+use state::EndpointKey;
+use state::fleet::rate_limit::{Advice, Source};
+
+use super::Gateway;
+use crate::clock;
+
+impl Gateway {
+    /// Takes in the rate limit that an endpoint advertises with an answer, or that it doesn't.
+    ///
+    /// A rejection may leave it out, and ends none.
+    pub(super) fn learn_limit(&self, key: EndpointKey, fields: &HeaderMap, source: Source) {
+        let rate = match platform::fields::rate_limit(fields) {
+            Ok(None) if platform::fields::says_not_run(fields) => return,
+            Ok(rate) => rate,
+            Err(error) => {
+                log::debug!("E0145 limit-unreadable error={error}");
+                return;
+            }
+        };
+        let mut registry = self.registry.borrow_mut();
+        if registry.get(key).is_none() {
+            return;
+        }
+        let limits = registry.limits_mut();
+        let held = limits.holds(key);
+        let advice = limits.learn(key, rate, source);
+        if held != limits.holds(key) {
+            let instance = registry.get(key).map(|s| s.endpoint.instance.as_str());
+            log::info!(
+                "E0144 limit-advertised instance={} rate={rate:?} source={source:?}",
+                instance.unwrap_or_default()
+            );
+        }
+        drop(registry);
+        let granted = |_: &Advice| self.limit_reports.borrow_mut().take(1, clock::now()) == 1;
+        if let Some(advice) = advice.filter(granted) {
+            self.tell_site(|abroad| {
+                Neighbourly::Limits(Limits {
+                    abroad,
+                    advice: vec![advice],
+                })
+            });
+        }
+    }
+
+    /// Takes in what another host has heard of endpoints' rate limits.
+    pub(super) fn hear_limits(&self, limits: Limits) {
+        let mut registry = self.registry.borrow_mut();
+        for advice in &limits.advice {
+            registry.limits_mut().hear(advice);
+        }
+        drop(registry);
+        if limits.abroad {
+            self.tell_all(&Neighbourly::Limits(Limits {
+                abroad: false,
+                ..limits
+            }));
+        }
+    }
+}
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -12,12 +12,14 @@
 mod follow;
 mod fragments;
 mod held;
+mod limits;
 mod line;
 mod neighbours;
 mod pool;
 mod quarantine;
 mod ready;
 mod refusal;
+mod reports;
 mod request_log;
 mod server;
 mod settings;
@@ -52,6 +54,7 @@
 use line::Lines;
 use pool::Pool;
 use quarantine::Suspects;
+use reports::Reports;
 use request_log::RequestLog;
 pub use settings::{Bounds, Live, Settings};
 use traffic::Traffic;
@@ -127,6 +130,7 @@
     callers: Cell<usize>,
     requests: RefCell<RequestLog>,
     suspects: RefCell<Suspects>,
+    limit_reports: RefCell<Reports>,
     /// Wakes the task that finds out whether an endpoint crashed.
     broken_wait: Notify,
 }
@@ -202,6 +206,7 @@
             callers: Cell::new(0),
             requests: RefCell::default(),
             suspects: RefCell::default(),
+            limit_reports: RefCell::default(),
             broken_wait: Notify::new(),
         }
     }
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -222,6 +222,7 @@
             Neighbourly::Lacking(topic, lacking) => self.take_lacking(from, topic, &lacking),
             Neighbourly::Hello(hello) => self.take_hello(from, hello),
             Neighbourly::Crashes(crashes) => self.learn_crashes(crashes),
+            Neighbourly::Limits(limits) => self.hear_limits(limits),
             Neighbourly::Borrow(number) => self.lend_questions(from, number),
             Neighbourly::Lend(loan) => {
                 let mut asks = self.asks.borrow_mut();
@@ -300,6 +301,18 @@
         }
     }
 
+    /// Tells all hosts: the neighbours, and some elsewhere that tell theirs.
+    ///
+    /// `message` makes the message, by whether it goes to another data centre.
+    pub(super) fn tell_site(&self, message: impl Fn(bool) -> Neighbourly) {
+        self.tell_all(&message(false));
+        let abroad = message(true);
+        let contacts = self.neighbours.borrow_mut().contacts(clock::now());
+        for host in contacts.into_iter().flatten() {
+            self.tell(host, &abroad);
+        }
+    }
+
     /// Tells one neighbour.
     pub(super) fn tell(&self, address: SocketAddr, message: &Neighbourly) {
         let datagram = message.encode();
--- a/components/transport/src/gateway/quarantine.rs
+++ b/components/transport/src/gateway/quarantine.rs
@@ -19,6 +19,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::Gateway;
+use super::reports::Reports;
 use crate::clock;
 use crate::upstream::Connection;
 use crate::upstream::connection::ConnectError;
@@ -28,12 +29,6 @@
 /// It reaches hosts that a report did not, and those that have just started.
 const REMIND_EVERY: Duration = Duration::from_secs(1);
 
-/// Reports a second that this host tells the others.
-const REPORTS: usize = 8;
-
-/// The span in which reports are counted.
-const SPAN: Duration = Duration::from_secs(1);
-
 /// A run whose connection broke.
 struct Broken {
     endpoint: EndpointKey,
@@ -47,22 +42,7 @@
     quarantine: Quarantine,
     /// Runs of which it isn't known yet whether their endpoint ended.
     broken: Vec<Broken>,
-    /// When the reports of this second began to be counted.
-    began: Moment,
-    reports: usize,
-}
-
-impl Suspects {
-    /// Returns how many of so many reports may be told now, and counts them.
-    fn grant(&mut self, wanted: usize, now: Moment) -> usize {
-        if now.since(self.began) >= SPAN {
-            self.began = now;
-            self.reports = 0;
-        }
-        let granted = wanted.min(REPORTS - self.reports);
-        self.reports += granted;
-        granted
-    }
+    reports: Reports,
 }
 
 impl Gateway {
@@ -85,7 +65,7 @@
             Admission::Reject(left) => Err(left),
             Admission::Trial(findings) => {
                 log::info!("E0142 quarantine-trial content={:016x}", request.content.0);
-                self.tell_site(Vec::new(), findings);
+                self.tell_crashes(&[], &findings);
                 Ok(())
             }
         }
@@ -115,10 +95,10 @@
         let now = clock::now();
         let mut suspects = self.suspects.borrow_mut();
         let cleared = suspects.quarantine.answered(request, now);
-        let told = suspects.grant(cleared.len(), now);
+        let told = suspects.reports.take(cleared.len(), now);
         drop(suspects);
         if told > 0 {
-            self.tell_site(Vec::new(), cleared);
+            self.tell_crashes(&[], &cleared);
         }
     }
 
@@ -164,7 +144,7 @@
         for run in runs {
             findings.extend(suspects.quarantine.crashed(run, Witness::Own));
         }
-        let told = suspects.grant(runs.len(), now);
+        let told = suspects.reports.take(runs.len(), now);
         drop(suspects);
         findings.iter().for_each(log_finding);
         let ended = runs.iter().take(told).map(|run| Ended {
@@ -172,7 +152,8 @@
             ran: run.at.since(run.sent),
             age: now.since(run.at),
         });
-        self.tell_site(ended.collect(), findings);
+        let ended: Vec<Ended> = ended.collect();
+        self.tell_crashes(&ended, &findings);
     }
 
     /// Takes in what another host tells of such requests.
@@ -231,16 +212,10 @@
         }
     }
 
-    /// Tells all hosts: the neighbours, and some elsewhere that tell theirs.
-    fn tell_site(&self, ended: Vec<Ended>, findings: Vec<Finding>) {
-        if ended.is_empty() && findings.is_empty() {
-            return;
-        }
-        let abroad = message(true, ended.clone(), findings.clone());
-        self.tell_all(&message(false, ended, findings));
-        let contacts = self.neighbours.borrow_mut().contacts(clock::now());
-        for host in contacts.into_iter().flatten() {
-            self.tell(host, &abroad);
+    /// Tells all hosts of runs that ended with their endpoint, and of what that led to.
+    fn tell_crashes(&self, ended: &[Ended], findings: &[Finding]) {
+        if !ended.is_empty() || !findings.is_empty() {
+            self.tell_site(|abroad| message(abroad, ended.to_vec(), findings.to_vec()));
         }
     }
 }
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -2,7 +2,6 @@
 
 mod site;
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,7 +18,7 @@
 /// Arrivals granted in a window at an endpoint that advertises the limit.
 const GRANTED: usize = 14;
 
-/// How long after a host was told it has to act on a limit.
+/// How long after an endpoint first named its limit all hosts have to act on it.
 const TOLD: Duration = Duration::from_millis(500);
 
 /// Endpoints in need, of eight.
@@ -67,17 +66,15 @@
     }
 }
 
-/// Returns the most arrivals in one window from hosts that the endpoint had told.
+/// Returns the most arrivals in one window that begins once all hosts have to know.
 fn busiest(endpoint: &Endpoint) -> usize {
-    let arrivals = endpoint.arrivals();
-    let mut told: BTreeMap<&str, Instant> = BTreeMap::new();
-    let mut counted: Vec<Instant> = Vec::new();
-    for (host, at) in &arrivals {
-        let first = *told.entry(host).or_insert(*at);
-        if *at > first + TOLD {
-            counted.push(*at);
-        }
-    }
+    let arrivals: Vec<Instant> = endpoint.arrivals().into_iter().map(|(_, at)| at).collect();
+    let known = arrivals.first().map(|first| *first + TOLD);
+    let counted: Vec<Instant> = arrivals
+        .iter()
+        .copied()
+        .filter(|at| known.is_some_and(|known| *at > known))
+        .collect();
     let windows = counted.iter().map(|first| {
         let inside = counted
             .iter()
