state: limits are kept of endpoints that are known only

Cause: what another host told of an endpoint was kept whether the endpoint was known or not; told after the endpoint had left, its limit stayed for ever, and each life of an endpoint has another key. Ruled out: answers, for which the gateway looked the endpoint up. Change: both go through the registry, which knows who is there. Shown: limits_of_gone.

--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -5,7 +5,7 @@
 
 use super::endpoint::{Endpoint, EndpointState};
 use super::outcome::{Outcome, Shedding};
-use super::rate_limit::RateLimits;
+use super::rate_limit::{Advice, RateLimits, Source};
 use super::rate_share::RateShare;
 use super::reach::Reach;
 use crate::{DataCentreKey, EndpointKey, Moment, ServiceKey};
@@ -159,7 +159,29 @@
         &self.limits
     }
 
-    /// Returns the rate limits that endpoints advertise, to be learned and counted.
+    /// Takes in an endpoint's answer that names a rate limit or none, and returns what
+    /// other hosts are to be told.
+    pub fn learn_limit(
+        &mut self,
+        key: EndpointKey,
+        rate: Option<f64>,
+        source: Source,
+    ) -> Option<Advice> {
+        self.endpoints.get(&key)?;
+        self.limits.learn(key, rate, source)
+    }
+
+    /// Takes in what another host has heard of an endpoint's rate limit.
+    ///
+    /// One that this host doesn't know has left, or is told of later: kept for it, limits
+    /// of endpoints that are gone would gather for ever.
+    pub fn hear_limit(&mut self, advice: &Advice) {
+        if self.endpoints.contains_key(&advice.endpoint) {
+            self.limits.hear(advice);
+        }
+    }
+
+    /// Returns the rate limits that endpoints advertise, to be asked and counted.
     pub fn limits_mut(&mut self) -> &mut RateLimits {
         &mut self.limits
     }
--- a/components/state/tests/fleet_registry.rs
+++ b/components/state/tests/fleet_registry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use state::fleet::rate_limit::{Advice, Source};
 use state::fleet::{Endpoint, Entry, Registry};
 use state::{DataCentreKey, Moment, ServiceKey};
 
@@ -92,3 +93,22 @@
     state.note_cold(Duration::ZERO, now);
     assert!(!state.is_cold(now));
 }
+
+/// Limits of endpoints that are gone must not gather for ever, by answers that come late
+/// or by what other hosts tell.
+#[test]
+fn limits_of_gone() {
+    let mut registry = with(&["a"]);
+    let key = endpoint("a", 1).key();
+    let advice = Advice {
+        endpoint: key,
+        rate: Some(1.5),
+    };
+    registry.hear_limit(&advice);
+    assert!(registry.limits().holds(key));
+    registry.apply("a", None, Moment::from_millis(1));
+    assert!(!registry.limits().holds(key));
+    registry.hear_limit(&advice);
+    assert_eq!(registry.learn_limit(key, Some(1.5), Source::Request), None);
+    assert!(!registry.limits().holds(key));
+}
--- a/components/transport/src/gateway/limits.rs
+++ b/components/transport/src/gateway/limits.rs
@@ -23,13 +23,9 @@
             }
         };
         let mut registry = self.registry.borrow_mut();
-        if registry.get(key).is_none() {
-            return;
-        }
-        let limits = registry.limits_mut();
-        let held = limits.holds(key);
-        let advice = limits.learn(key, rate, source);
-        if held != limits.holds(key) {
+        let held = registry.limits().holds(key);
+        let advice = registry.learn_limit(key, rate, source);
+        if held != registry.limits().holds(key) {
             let instance = registry.get(key).map(|s| s.endpoint.instance.as_str());
             log::info!(
                 "E0144 limit-advertised instance={} rate={rate:?} source={source:?}",
@@ -52,7 +48,7 @@
     pub(super) fn hear_limits(&self, limits: Limits) {
         let mut registry = self.registry.borrow_mut();
         for advice in &limits.advice {
-            registry.limits_mut().hear(advice);
+            registry.hear_limit(advice);
         }
         drop(registry);
         if limits.abroad {
