gateway: hosts divide by the partitions that the store deals

Cause: hosts join for 24 topics and take their part of the partitions of 24. The store deals those of 20 and passes over the rest (seen in E0314: a host alone holds 0.833, thirteen hosts 0.829 together), so a sixth of each bound that holds for all hosts lay idle: advertised limits, cold endpoints, repeats, probes. Ruled out: members that are counted and gone (the same with one host). Change: 20 topics. The stand-in of the store deals 20 at most.

--- a/components/coordination/src/joins.rs
+++ b/components/coordination/src/joins.rs
@@ -6,6 +6,14 @@
 
 use std::time::Duration;
 
+/// Topics whose partitions are dealt to the hosts.
+///
+/// The store deals partitions evenly, so a host's part of them is its part of
+/// the hosts. It passes over any further topics: divided by those too, all shares
+/// would add up to less than the whole. A dozen partitions a topic tell 240 hosts
+/// apart; a host that gets none takes no share, which errs on the safe side.
+pub const TOPICS: usize = 20;
+
 /// How long after a join the next one comes where the group has just changed.
 const USUAL: Duration = Duration::from_secs(5);
 
@@ -20,6 +28,11 @@
 /// Fewer, and one slow answer of the store would deal all parts anew.
 const SESSION_PAUSES: u32 = 3;
 
+/// Returns the names of the topics that hosts join for.
+pub fn topics() -> Vec<String> {
+    (0..TOPICS).map(|n| format!("hosts-{n}")).collect()
+}
+
 /// What this host learned by its last join, and when it joins again.
 #[derive(Clone, Debug)]
 pub struct Joins {
--- a/components/stand_ins/src/log/groups.rs
+++ b/components/stand_ins/src/log/groups.rs
@@ -5,6 +5,9 @@
 
 use platform::served::{Join, Owned};
 
+/// Topics of a group whose partitions are dealt; the platform's store passes over the rest.
+const TOPICS: usize = 20;
+
 /// Partitions of each topic.
 const PARTS: u32 = 12;
 
@@ -69,6 +72,7 @@
         let parts = self
             .topics
             .iter()
+            .take(TOPICS)
             .flat_map(|t| (0..PARTS).map(move |p| (t.clone(), p)));
         let members = self.members.keys().cycle();
         parts.zip(members).map(|((topic, part), member)| Owned {
--- a/components/stand_ins/tests/log_calls.rs
+++ b/components/stand_ins/tests/log_calls.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coordination::joins;
 use stand_ins::log::{Behaviour, LogStandIn, Loss, Outage};
 use transport::store::{Store, StoreError};
 
@@ -99,6 +100,17 @@
     assert_eq!(again.parts, 24);
 }
 
+/// Partitions that hosts divide by but the store deals to nobody are a part of each bound
+/// that no host uses.
+#[tokio::test]
+async fn all_parts() {
+    let (_log, mut store) = started();
+    let topics = joins::topics();
+    let body = platform::store::join_body("g", "one", &topics, 60.0, 0);
+    let alone = store.join(body).await.unwrap();
+    assert_eq!(alone.parts, joins::TOPICS * 12);
+}
+
 /// More reads come in a second than the store grants: the rest is refused, and
 /// nothing but the store's own word counts as a refusal.
 #[tokio::test]
--- a/components/transport/src/gateway/share.rs
+++ b/components/transport/src/gateway/share.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coordination::feed::{self, START_GREETING};
-use coordination::joins::Joins;
+use coordination::joins::{self, Joins};
 use coordination::neighbours::Contact;
 use state::Moment;
 use tokio::time::sleep;
@@ -17,13 +17,6 @@
 /// The group that all entry hosts join.
 const GROUP: &str = "entry-hosts";
 
-/// Topics whose partitions are dealt to the hosts.
-///
-/// The store deals partitions evenly, so a host's part of them is its part of
-/// the hosts. A dozen partitions a topic and these topics tell 288 hosts apart;
-/// a host that gets none takes no share, which errs on the safe side.
-const TOPICS: usize = 24;
-
 /// How long a host that knows no neighbour waits before it asks the store again.
 ///
 /// Doubled each time, since a host may be the only one of its data centre.
@@ -69,7 +62,7 @@
     /// still adds up with those of the others.
     pub(super) async fn keep_share(self: Rc<Self>) {
         let mut store = Store::new(self.settings.log);
-        let topics: Vec<String> = (0..TOPICS).map(|n| format!("hosts-{n}")).collect();
+        let topics = joins::topics();
         let member = self.member();
         let mut joins = Joins::default();
         let mut due = clock::now();
@@ -122,7 +115,7 @@
     }
 
     fn set_share(&self, parts: usize) {
-        let total = (TOPICS * self.settings.partitions).max(1);
+        let total = (joins::TOPICS * self.settings.partitions).max(1);
         let share = parts as f64 / total as f64;
         if (share - self.share.get()).abs() > f64::EPSILON {
             log::info!("E0314 share-changed share={share:.3}");
