--- a/components/protocol/tests/news_messages.rs
+++ b/components/protocol/tests/news_messages.rs
@@ -151,3 +151,23 @@
     };
     assert_eq!(read.advice, advice[3..]);
 }
+
+/// Reports go to all hosts, so that their size counts hundreds of times.
+#[test]
+fn small_reports() {
+    let Crashes {
+        ended, findings, ..
+    } = crashes();
+    let size = |ended: &[Ended], findings: &[Finding]| {
+        let crashes = Crashes {
+            abroad: true,
+            ended: ended.to_vec(),
+            findings: findings.to_vec(),
+        };
+        Neighbourly::Crashes(crashes).encode().len()
+    };
+    assert!(size(&ended, &[]) <= 40);
+    assert!(size(&[], &findings) <= 40);
+    assert!(size(&[], &findings.repeat(32)) <= 800);
+    assert!(Neighbourly::Limits(limits()).encode().len() <= 48);
+}
