stand_ins: every connection to the store and control port is served at once

Cause: tiny_http 0.12 hands several connections that are opened at the same moment to one thread that it takes for idle. The last of them gets no thread until another connection closes; entry hosts keep theirs open. Ruled out: a lost wake-up of a waiting read (the calls of the test don't wait), the client's pool (the test opens plain sockets). Change: both ports are served by hyper, each request on a blocking thread of its own. E0902 now names an accept that failed, as for stand-in backend servers.

--- a/components/stand_ins/src/lib.rs
+++ b/components/stand_ins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod fleet;
 pub mod history;
+mod http_server;
 pub mod load;
 pub mod proxy;
 pub mod site;
--- a/components/stand_ins/src/store/server.rs
+++ b/components/stand_ins/src/store/server.rs
@@ -1,27 +1,24 @@
 //! The HTTP server of the store's stand-in.
 
-use std::io::{self, Read};
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::{Method, Request, StatusCode};
 use platform::store_server::{self, Call};
 use serde::Serialize;
-use socket2::SockRef;
-use tiny_http::{Method, Request, Response, Server};
 use transport::peers::host_list::HostEntry;
 
 use super::topics::{Behaviour, Counts, Loss, Refused, StoreState};
-
-/// The largest body of a call that is accepted, in bytes.
-const MAX_CALL_SIZE: u64 = 4 * 1024 * 1024;
+use crate::http_server::{self, Answer, HttpServer};
 
 /// A stand-in for the platform's store, served from its own threads until dropped.
 pub struct StoreStandIn {
     address: SocketAddr,
     store: Arc<StoreState>,
-    servers: Vec<Arc<Server>>,
+    servers: Vec<HttpServer>,
 }
 
 #[derive(Serialize)]
@@ -62,12 +59,9 @@
     ///
     /// Fails if the listener can't be served.
     pub fn add_listener(&mut self, listener: TcpListener) -> io::Result<()> {
-        // Accepted connections inherit the option. Without it an answer of more than one write
-        // waits 40 ms for a delayed acknowledgement, which the real store doesn't.
-        SockRef::from(&listener).set_tcp_nodelay(true)?;
-        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-        let server = Arc::new(server);
-        serve(&server, &self.store)?;
+        let store = Arc::clone(&self.store);
+        let handler = Arc::new(move |request: &Request<Bytes>| answer(request, &store));
+        let server = HttpServer::start("log-stand-in", listener, handler)?;
         self.servers.push(server);
         Ok(())
     }
@@ -127,62 +121,24 @@
 impl Drop for StoreStandIn {
     fn drop(&mut self) {
         self.store.stop();
-        self.servers.iter().for_each(|s| s.unblock());
     }
 }
 
-fn serve(server: &Arc<Server>, store: &Arc<StoreState>) -> io::Result<()> {
-    let server = Arc::clone(server);
-    let store = Arc::clone(store);
-    std::thread::Builder::new()
-        .name("log-stand-in".to_owned())
-        .spawn(move || accept(&server, &store))?;
-    Ok(())
-}
-
-/// Answers each request on its own thread, since reads are long polls.
-fn accept(server: &Server, store: &Arc<StoreState>) {
-    for request in server.incoming_requests() {
-        let store = Arc::clone(store);
-        let spawned = std::thread::Builder::new()
-            .name("log-request".to_owned())
-            .spawn(move || answer(request, &store));
-        if let Err(error) = spawned {
-            log::warn!("E0902 log-stand-in-overloaded error=\"{error}\"");
-        }
-    }
-}
-
-fn answer(mut request: Request, store: &StoreState) {
-    let path = request.url().to_owned();
-    let response = match (request.method(), path.as_str()) {
-        (Method::Put, "/control") => control(&mut request, store),
-        (Method::Get, "/control") => json(200, &store.behaviour()),
-        (Method::Put, "/hosts") => set_hosts(&mut request, store),
-        (Method::Get, "/counts") => json(200, &store.counts()),
-        (Method::Get, "/hosts") => hosts(store),
-        _ => match read_call(&mut request, &path) {
-            None => refuse(400),
-            Some(call) => match execute(store, call) {
-                Some(response) => response,
-                None => return leave_unanswered(request),
-            },
+fn answer(request: &Request<Bytes>, store: &StoreState) -> Option<Answer> {
+    let path = request.uri().path_and_query().map_or("", |p| p.as_str());
+    match (request.method(), path) {
+        (&Method::PUT, "/control") => Some(control(request, store)),
+        (&Method::GET, "/control") => Some(json(&store.behaviour())),
+        (&Method::PUT, "/hosts") => Some(set_hosts(request, store)),
+        (&Method::GET, "/counts") => Some(json(&store.counts())),
+        (&Method::GET, "/hosts") => Some(hosts(store)),
+        _ => match store_server::parse_call(path, request.body().clone()) {
+            None => Some(refuse(StatusCode::BAD_REQUEST)),
+            Some(call) => execute(store, call),
         },
-    };
-    // The client may have disconnected, which is no fault of the stand-in.
-    let _ = request.respond(response);
-}
-
-fn read_call(request: &mut Request, path: &str) -> Option<Call> {
-    let body = match request.method() {
-        Method::Post => body(request)?,
-        _ => Vec::new(),
-    };
-    store_server::parse_call(path, Bytes::from(body))
+    }
 }
 
-type Answer = Response<io::Cursor<Vec<u8>>>;
-
 /// Executes a call; returns `None` if its answer is to be lost in silence.
 fn execute(store: &StoreState, call: Call) -> Option<Answer> {
     if let Err(refused) = store.admit(&call) {
@@ -193,7 +149,7 @@
         Call::Append { topic, records, at } => match store.append(&topic, records, at) {
             Ok(appended) => match appended.loss {
                 Some(Loss::Silence) => return None,
-                Some(Loss::Gateway) => return Some(refuse(504)),
+                Some(Loss::Gateway) => return Some(refuse(StatusCode::GATEWAY_TIMEOUT)),
                 None => Ok(store_server::append_answer(appended.offset, appended.end)),
             },
             Err(refused) => Err(refused),
@@ -225,81 +181,63 @@
         Call::Owners { group } => Ok(store_server::owners_answer(&store.owners(&group))),
     };
     Some(match result {
-        Ok(body) => Response::from_data(body),
+        Ok(body) => http_server::data(StatusCode::OK, body),
         Err(refused) => refused_answer(&refused),
     })
 }
 
 fn refused_answer(refused: &Refused) -> Answer {
     match refused {
-        Refused::Down => refuse(503),
-        Refused::Budget => refuse(429),
+        Refused::Down => refuse(StatusCode::SERVICE_UNAVAILABLE),
+        Refused::Budget => refuse(StatusCode::TOO_MANY_REQUESTS),
         Refused::WrongOffset(end) => {
-            Response::from_data(store_server::append_answer(*end, *end)).with_status_code(412)
+            let body = store_server::append_answer(*end, *end);
+            http_server::data(StatusCode::PRECONDITION_FAILED, body)
         }
         Refused::Trimmed(first) => {
-            Response::from_data(store_server::trimmed_answer(*first)).with_status_code(410)
+            http_server::data(StatusCode::GONE, store_server::trimmed_answer(*first))
         }
     }
 }
 
-/// Leaves a request without an answer, as a link that has gone silent does.
-fn leave_unanswered(request: Request) {
-    drop(request.into_writer());
-}
-
 fn hosts(store: &StoreState) -> Answer {
     match store.is_up() {
-        true => json(
-            200,
-            &Hosts {
-                hosts: store.hosts(),
-            },
-        ),
-        false => refuse(503),
+        true => json(&Hosts {
+            hosts: store.hosts(),
+        }),
+        false => refuse(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
 
-fn control(request: &mut Request, store: &StoreState) -> Answer {
-    let parsed = body(request).and_then(|b| serde_json::from_slice::<Behaviour>(&b).ok());
-    match parsed {
-        Some(behaviour) => {
+fn control(request: &Request<Bytes>, store: &StoreState) -> Answer {
+    match serde_json::from_slice::<Behaviour>(request.body()) {
+        Ok(behaviour) => {
             store.change(|b| *b = behaviour);
-            json(200, &store.behaviour())
+            json(&store.behaviour())
         }
-        None => refuse(400),
+        Err(error) => http_server::text(StatusCode::BAD_REQUEST, &error.to_string()),
     }
 }
 
-fn set_hosts(request: &mut Request, store: &StoreState) -> Answer {
-    let parsed = body(request).and_then(|b| serde_json::from_slice::<Vec<HostEntry>>(&b).ok());
-    match parsed {
-        Some(list) => {
+fn set_hosts(request: &Request<Bytes>, store: &StoreState) -> Answer {
+    match serde_json::from_slice::<Vec<HostEntry>>(request.body()) {
+        Ok(list) => {
             store.set_hosts(list);
-            json(
-                200,
-                &Hosts {
-                    hosts: store.hosts(),
-                },
-            )
+            json(&Hosts {
+                hosts: store.hosts(),
+            })
         }
-        None => refuse(400),
+        Err(error) => http_server::text(StatusCode::BAD_REQUEST, &error.to_string()),
     }
 }
 
-fn body(request: &mut Request) -> Option<Vec<u8>> {
-    let announced = request.body_length()?;
-    let mut data = Vec::new();
-    let reader = request.as_reader();
-    reader.take(MAX_CALL_SIZE + 1).read_to_end(&mut data).ok()?;
-    (data.len() == announced && data.len() as u64 <= MAX_CALL_SIZE).then_some(data)
-}
-
-fn json(status: u16, value: &impl Serialize) -> Answer {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    Response::from_data(body).with_status_code(status)
+fn json(value: &impl Serialize) -> Answer {
+    match serde_json::to_vec(value) {
+        Ok(body) => http_server::data(StatusCode::OK, body),
+        Err(error) => http_server::text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
 }
 
-fn refuse(status: u16) -> Answer {
-    Response::from_data("{}").with_status_code(status)
+fn refuse(status: StatusCode) -> Answer {
+    http_server::data(status, b"{}".to_vec())
 }
--- a/components/stand_ins/tests/store_calls.rs
+++ b/components/stand_ins/tests/store_calls.rs
@@ -1,6 +1,8 @@
 //! The store's stand-in, called by the client that entry hosts use.
 
 use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +10,9 @@
 use stand_ins::store::{Behaviour, Loss, Outage, StoreStandIn};
 use transport::store::{StoreClient, StoreError};
 
+/// The longest wait for an answer.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
+
 fn started() -> (StoreStandIn, StoreClient) {
     let store = StoreStandIn::on_loopback(Behaviour::default()).unwrap();
     let client = StoreClient::new(store.address());
@@ -132,3 +137,28 @@
     assert!(lost.is_err_and(|e| !e.is_not_applied()));
     assert_eq!(store.counts().appends, 1);
 }
+
+/// Hosts connect at the same moment and keep their connections open. The server must answer on
+/// every one of them, or a host's read stays without an answer until another host disconnects.
+#[test]
+fn simultaneous_connections() {
+    for round in 0..40 {
+        let store = StoreStandIn::on_loopback(Behaviour::default()).unwrap();
+        let connect = |_| TcpStream::connect(store.address()).unwrap();
+        let mut connections: Vec<TcpStream> = (0..32).map(connect).collect();
+        for connection in &mut connections {
+            let request = b"GET /counts HTTP/1.1\r\nHost: store\r\n\r\n";
+            connection.write_all(request).unwrap();
+        }
+        for (index, connection) in connections.iter_mut().enumerate() {
+            connection.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+            let mut status = [0; 15];
+            let read = connection.read_exact(&mut status);
+            assert!(
+                read.is_ok(),
+                "round {round}: connection {index} got no answer: {read:?}"
+            );
+            assert_eq!(&status, b"HTTP/1.1 200 OK");
+        }
+    }
+}
