claims: a read that gets no answer is repeated on another connection

Seen: while one read of a claims stream gets no answer, all keyed calls of that stream wait up to 2 s and are then refused as not run, though the store serves new connections. Cause: the home of a stream reads on one connection and waits out STORE_TIMEOUT; only the follower of the configuration hedged its reads. Ruled out: a store that is down: there the repeat fails too and calls are refused as before (store_down, silent_store, slow_store). Change: the home's reads are sent once more on a new connection after 250 ms without an answer; the first answer counts and its connection is kept. Appends are never repeated. The stand-in can lose the answer to the next read of a topic. Before: unanswered_read fails 3 of 3 (NotRun). After: passes, claims_run 12 of 12.

--- a/components/stand_ins/src/store/server.rs
+++ b/components/stand_ins/src/store/server.rs
@@ -154,6 +154,7 @@
             },
             Err(refused) => Err(refused),
         },
+        Call::Read { topic, .. } if store.loses_read(&topic) => return None,
         Call::Read {
             topic,
             from,
--- a/components/stand_ins/src/store/topics.rs
+++ b/components/stand_ins/src/store/topics.rs
@@ -1,6 +1,6 @@
 //! The topics of the stand-in, in memory, and the faults that it injects.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -36,6 +36,8 @@
     pub losses: u32,
     /// Whether the store goes down when an answer gets lost.
     pub down_after_loss: bool,
+    /// Topics whose next read gets no answer.
+    pub lost_reads: BTreeSet<String>,
 }
 
 impl Default for Behaviour {
@@ -50,6 +52,7 @@
             loss: None,
             losses: 0,
             down_after_loss: false,
+            lost_reads: BTreeSet::new(),
         }
     }
 }
@@ -414,6 +417,11 @@
             .trim(before);
     }
 
+    /// Returns whether the answer to this read of a topic is to be lost.
+    pub(super) fn loses_read(&self, name: &str) -> bool {
+        self.lock().behaviour.lost_reads.remove(name)
+    }
+
     /// Reads records from offset `from`, waiting up to `wait` for the first.
     pub(super) fn read(
         &self,
--- a/components/transport/src/claims/worker.rs
+++ b/components/transport/src/claims/worker.rs
@@ -131,8 +131,9 @@
 }
 
 impl HomeLoop {
-    fn new(setup: WorkerSetup) -> HomeLoop {
+    fn new(mut setup: WorkerSetup) -> HomeLoop {
         let now = clock::now();
+        setup.client = setup.client.with_hedge(READ_HEDGE_DELAY);
         HomeLoop {
             stream: format!("claims-{}", setup.stream),
             home: Home::new(setup.options.carry_after),
@@ -364,3 +365,9 @@
 
 /// Interval at which an idle home reads its stream.
 const READ_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Time without an answer after which a read is repeated on another connection.
+///
+/// While a read is unanswered, keyed calls of the stream can't be granted. A slow store takes
+/// about this long, so a longer silence is more likely that of one connection.
+const READ_HEDGE_DELAY: Duration = Duration::from_millis(250);
--- a/components/transport/src/log/client.rs
+++ b/components/transport/src/log/client.rs
@@ -3,16 +3,19 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::mpsc::{SyncSender, sync_channel};
 use std::time::Duration;
 
 use bytes::Bytes;
 use derives::value;
+use futures_util::future::{Either, select};
 use platform::store::ReadAnswer;
 use tokio::runtime;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
 
 use crate::store::{StoreClient, StoreError};
 
@@ -54,6 +57,7 @@
         max_kilobytes: Option<u32>,
         wait: Duration,
         timeout: Duration,
+        hedge: Option<Duration>,
         answer: SyncSender<Result<ReadAnswer, StoreError>>,
     },
 }
@@ -66,6 +70,7 @@
 pub struct BlockingStoreClient {
     calls: UnboundedSender<Call>,
     timeout: Duration,
+    hedge: Option<Duration>,
 }
 
 impl BlockingStoreClient {
@@ -83,6 +88,7 @@
         BlockingStoreClient {
             calls: sender,
             timeout,
+            hedge: None,
         }
     }
 
@@ -93,6 +99,17 @@
         client
     }
 
+    /// Returns a clone of this client that repeats a read on a new connection if no answer has
+    /// arrived `delay` after the read's own wait.
+    ///
+    /// A connection may go silent for good while new ones work. Reads change nothing, so the
+    /// repeat is safe; appends are never repeated.
+    pub fn with_hedge(&self, delay: Duration) -> BlockingStoreClient {
+        let mut client = self.clone();
+        client.hedge = Some(delay);
+        client
+    }
+
     /// Appends one record and returns its offset. Blocks.
     ///
     /// # Errors
@@ -143,6 +160,7 @@
             max_kilobytes,
             wait,
             timeout: self.timeout,
+            hedge: self.hedge,
             answer,
         };
         self.calls
@@ -203,14 +221,20 @@
             max_kilobytes,
             wait,
             timeout,
+            hedge,
             answer,
         } => {
             store.set_timeout(timeout);
-            let mut result = store.read(&topic, from, wait, max_kilobytes).await;
-            if let Err(StoreError::Forgotten(Some(first))) = result {
-                result = store.read(&topic, first, wait, max_kilobytes).await;
-            }
-            let silent = is_silent(&result);
+            let read = Read {
+                topic,
+                from,
+                max_kilobytes,
+                wait,
+            };
+            let (result, silent) = match hedge {
+                None => read.run(&mut store).await,
+                Some(delay) => read.run_hedged(&mut store, delay, timeout).await,
+            };
             let _ = answer.send(result);
             silent
         }
@@ -222,6 +246,57 @@
     idle.borrow_mut().push(store);
 }
 
+/// A read of one topic.
+struct Read {
+    topic: String,
+    from: u64,
+    max_kilobytes: Option<u32>,
+    wait: Duration,
+}
+
+impl Read {
+    /// Reads; also returns whether the connection was silent.
+    async fn run(&self, store: &mut StoreClient) -> (Result<ReadAnswer, StoreError>, bool) {
+        let kilobytes = self.max_kilobytes;
+        let mut result = store
+            .read(&self.topic, self.from, self.wait, kilobytes)
+            .await;
+        if let Err(StoreError::Forgotten(Some(first))) = result {
+            result = store.read(&self.topic, first, self.wait, kilobytes).await;
+        }
+        let silent = is_silent(&result);
+        (result, silent)
+    }
+
+    /// Reads on `store`, and after `delay` without an answer also on a new connection. The first
+    /// answer counts, and the new connection is kept only if it was the one that answered.
+    async fn run_hedged(
+        &self,
+        store: &mut StoreClient,
+        delay: Duration,
+        timeout: Duration,
+    ) -> (Result<ReadAnswer, StoreError>, bool) {
+        let mut other = StoreClient::new(store.address());
+        other.set_timeout(timeout);
+        let hedge = async {
+            sleep(self.wait + delay).await;
+            log::debug!("E0320 log-read-hedged topic={}", self.topic);
+            self.run(&mut other).await
+        };
+        let answered = {
+            let first = pin!(self.run(store));
+            let second = pin!(hedge);
+            match select(first, second).await {
+                Either::Left((answer, _)) => return answer,
+                Either::Right(((Err(_), _), first)) => return first.await,
+                Either::Right(((Ok(page), _), _)) => page,
+            }
+        };
+        *store = other;
+        (Ok(answered), true)
+    }
+}
+
 fn is_silent<T>(result: &Result<T, StoreError>) -> bool {
     matches!(result, Err(StoreError::Silent { .. }))
 }
--- a/components/transport/src/store.rs
+++ b/components/transport/src/store.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Returns the address of the store.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sets the time limit for the head of an answer and each chunk of its body.
     pub fn set_timeout(&mut self, limit: Duration) {
         self.answer_timeout = limit;
--- a/components/transport/tests/claims_run.rs
+++ b/components/transport/tests/claims_run.rs
@@ -2,12 +2,13 @@
 
 mod entry_hosts;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bytes::Bytes;
 use coordination::claims::ClaimKey;
 use entry_hosts::{Host, Site, request, until};
-use stand_ins::store::{Loss, Outage};
+use stand_ins::store::{Behaviour, Loss, Outage};
 use transport::claims::{CachedAnswer, ClaimEnding, ClaimTicket, Verdict, WorkerOptions};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
@@ -223,6 +224,19 @@
     ticket(&claim_with_retries(&site.hosts[1], "deposit").await);
 }
 
+// One connection to the store goes silent as the home first reads its stream, while new ones
+// work. The home must read again on another connection: the call must be granted, not refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn unanswered_read() {
+    let stream = transport::claims::claim_key(&request("deposit", 0, CALL_TIMEOUT)).stream();
+    let behaviour = Behaviour {
+        lost_reads: BTreeSet::from([format!("claims-{stream}")]),
+        ..Behaviour::default()
+    };
+    let site = Site::start_with(behaviour, 1, WorkerOptions::default()).await;
+    ticket(&claim(&site.hosts[0], "deposit").await);
+}
+
 // The caller closes its connection while its key is being claimed. The claim
 // must be given up, so that the caller's retry is granted.
 #[tokio::test(flavor = "multi_thread")]
--- a/components/transport/tests/entry_hosts/mod.rs
+++ b/components/transport/tests/entry_hosts/mod.rs
@@ -46,9 +46,14 @@
 impl Site {
     /// Starts a store and `count` hosts, and waits until all are members with their links up.
     pub async fn start(count: usize, worker: WorkerOptions) -> Site {
+        Site::start_with(Behaviour::default(), count, worker).await
+    }
+
+    /// Starts a store with this behaviour and an ample budget of appends, and `count` hosts.
+    pub async fn start_with(behaviour: Behaviour, count: usize, worker: WorkerOptions) -> Site {
         let behaviour = Behaviour {
             appends_second: 10_000,
-            ..Behaviour::default()
+            ..behaviour
         };
         let log = StoreStandIn::on_loopback(behaviour).unwrap();
         let mut site = Site {
