serve: prints its addresses, and takes any free port for port 0

Cause: tests looked for a free port, let it go, and passed it to the process, which bound it later; what was free may be bound by another meanwhile. Change: the test's hosts bind port 0 and print the addresses, as `entry` does; peer addresses of a site take the first host's port at further loopback addresses, and the settings file is named by process and count. free_port is gone from all tests. A host with seeds needs a port of its own (seeds_without_port).

--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -55,7 +55,7 @@
 use quarantine::CrashTracker;
 use report_limiter::ReportLimiter;
 use request_log::RequestLog;
-pub use settings::{Bounds, Live, Settings};
+pub use settings::{Bounds, Live, Ports, Settings};
 use topic_cache::TopicCaches;
 use traffic::Traffic;
 use wait_queue::WaitQueues;
@@ -149,12 +149,10 @@
     /// # Errors
     ///
     /// Fails if a socket can't be bound.
-    pub async fn start(settings: Settings) -> Result<Rc<Gateway>, StartError> {
-        let callers = listen(settings.callers).await?;
-        let readiness = listen(settings.readiness).await?;
-        let socket = UdpSocket::bind(settings.peers)
-            .await
-            .map_err(|e| StartError::Listen(settings.peers, e))?;
+    pub async fn start(mut settings: Settings) -> Result<Rc<Gateway>, StartError> {
+        let callers = listen(&mut settings.callers).await?;
+        let readiness = listen(&mut settings.readiness).await?;
+        let socket = bind(&mut settings.peers).await?;
         let gateway = Rc::new(Gateway::new(settings, socket));
         spawn_local(Rc::clone(&gateway).accept(callers));
         spawn_local(Rc::clone(&gateway).answer_readiness(readiness));
@@ -219,6 +217,15 @@
         }
     }
 
+    /// Returns the addresses that this host listens on.
+    pub fn ports(&self) -> Ports {
+        Ports {
+            callers: self.settings.callers,
+            readiness: self.settings.readiness,
+            peers: self.settings.peers,
+        }
+    }
+
     /// Replaces the reloadable settings; requests and connections from now on use them.
     pub fn reload(&self, live: Live) {
         self.live.replace(live);
@@ -282,8 +289,18 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|e| StartError::Listen(address, e))
+/// Listens on `address`, and sets its port if it was 0.
+async fn listen(address: &mut SocketAddr) -> Result<TcpListener, StartError> {
+    let failed = |e| StartError::Listen(*address, e);
+    let listener = TcpListener::bind(*address).await.map_err(failed)?;
+    *address = listener.local_addr().map_err(failed)?;
+    Ok(listener)
+}
+
+/// Binds a UDP socket to `address`, and sets its port if it was 0.
+async fn bind(address: &mut SocketAddr) -> Result<UdpSocket, StartError> {
+    let failed = |e| StartError::Listen(*address, e);
+    let socket = UdpSocket::bind(*address).await.map_err(failed)?;
+    *address = socket.local_addr().map_err(failed)?;
+    Ok(socket)
 }
--- a/components/transport/src/gateway/settings.rs
+++ b/components/transport/src/gateway/settings.rs
@@ -3,8 +3,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Serialize;
 use state::topology::Topology;
 
+/// The addresses that a running entry host listens on.
+#[derive(Clone, Debug, Serialize)]
+pub struct Ports {
+    /// The TCP address for callers.
+    pub callers: SocketAddr,
+    /// The TCP address for the readiness checks of the platform's balancer.
+    pub readiness: SocketAddr,
+    /// The UDP address for datagrams from other hosts.
+    pub peers: SocketAddr,
+}
+
 /// Validated settings of one entry host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -14,7 +26,7 @@
     pub data_centre: String,
     /// The locations of all data centres.
     pub topology: Topology,
-    /// The TCP address for callers.
+    /// The TCP address for callers. Port 0 stands for any free port, here and below.
     pub callers: SocketAddr,
     /// The TCP address for the readiness checks of the platform's balancer.
     pub readiness: SocketAddr,
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -66,6 +66,7 @@
         let gateway = Gateway::start(settings.clone())
             .await
             .wrap_err("the entry host can't start")?;
+        println!("{}", serde_json::to_string(&gateway.ports())?);
         spawn_local(watch_settings(
             path.to_owned(),
             settings,
--- a/src/settings_file.rs
+++ b/src/settings_file.rs
@@ -144,6 +144,9 @@
         .iter()
         .filter_map(|seed| address("seeds", seed, &mut errors))
         .collect();
+    if peers.is_some_and(|p| p.port() == 0) && !seeds.is_empty() {
+        errors.push("peer_address: needs a port, which is also that of the seeds".to_owned());
+    }
     let log = address("log_address", &file.log_address, &mut errors);
     let grace = seconds("grace_seconds", file.grace_seconds, &mut errors);
     let window = seconds(
--- a/tests/host_settings.rs
+++ b/tests/host_settings.rs
@@ -60,6 +60,19 @@
     }
 }
 
+/// Seeds have the host's own peer port, so a host with any free port could reach none of them.
+#[test]
+fn seeds_without_port() {
+    let text = VALID.replace(
+        "127.0.0.1:8002\"",
+        "127.0.0.1:0\"\nseeds = [\"127.0.0.2:8002\"]",
+    );
+    let output = check("seeds", &text);
+    assert_eq!(output.status.code(), Some(2));
+    let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(stderr.contains("peer_address:"), "{stderr}");
+}
+
 #[test]
 fn missing_file() {
     let output = Command::new(env!("CARGO_BIN_EXE_cardamomvale"))
--- a/tests/host_starts.rs
+++ b/tests/host_starts.rs
@@ -12,16 +12,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn loads_from_neighbours() {
     let (store, _endpoint) = site::store_and_endpoint(&config(1, ROUTES)).await;
-    let peers = site::peer_addresses(6);
-    let first = Host::start_at("first", &store, peers[0], None).await;
-    until("the first host is ready", async || {
-        first.readiness().await == 200
-    })
-    .await;
+    let first = Host::ready("first", &store).await;
     let before = store.listings();
     let mut others = Vec::new();
-    for (n, address) in peers.iter().enumerate().skip(1) {
-        let host = Host::start_at(&format!("h-{n}"), &store, *address, Some(peers[0])).await;
+    for n in 1..6 {
+        let host = first.join(&format!("h-{n}"), &store).await;
         until("the host is ready", async || host.readiness().await == 200).await;
         others.push(host);
     }
@@ -38,9 +33,8 @@
     let store = Store::start().await;
     let endpoint = Endpoint::start("i-1").await;
     endpoint.register(&store, "ready");
-    let peers = site::peer_addresses(2);
-    let first = Host::start_at("first", &store, peers[0], None).await;
-    let second = Host::start_at("second", &store, peers[1], Some(peers[0])).await;
+    let first = Host::start("first", &store).await;
+    let second = first.join("second", &store).await;
     let calls = store.calls();
     until("one host reads the store for both", async || {
         store.calls() > calls + 4
--- a/tests/large_changes.rs
+++ b/tests/large_changes.rs
@@ -2,7 +2,7 @@
 
 mod site;
 
-use site::{Host, ROUTES, Store, config, until};
+use site::{Host, ROUTES, config, until};
 
 /// How many routes operators add at once: 290 KB of configuration.
 const ROUTE_COUNT: usize = 4_200;
@@ -18,19 +18,6 @@
     rows
 }
 
-async fn start_site(count: usize, store: &Store) -> Vec<Host> {
-    let peers = site::peer_addresses(count);
-    let mut hosts = Vec::new();
-    for (n, address) in peers.iter().enumerate() {
-        let seed = (n > 0).then_some(peers[0]);
-        hosts.push(Host::start_at(&format!("bulk-{n}"), store, *address, seed).await);
-    }
-    for host in &hosts {
-        until("a host is ready", async || host.readiness().await == 200).await;
-    }
-    hosts
-}
-
 /// Returns whether a host serves the last route of the large configuration.
 async fn serves_last_route(host: &Host) -> bool {
     let path = format!("/bulk{}/x", ROUTE_COUNT - 1);
@@ -49,7 +36,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_change_gossiped() {
     let (store, _endpoint) = site::store_and_endpoint(&config(1, ROUTES)).await;
-    let hosts = start_site(HOST_COUNT, &store).await;
+    let hosts = site::start_hosts(&store, HOST_COUNT).await;
     let change = config(2, &many_routes());
     let before = store.bytes_read();
     store.put("keyed.op", "config", Some(&change));
--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -2,10 +2,8 @@
 
 mod site;
 
-use std::net::SocketAddr;
-
 use site::endpoint::Behaviour;
-use site::{Answer, Endpoint, Host, Store, peer_addresses, until};
+use site::{Answer, Endpoint, Host, Store, until};
 
 /// The path whose requests crash endpoints.
 const CRASHING_PATH: &str = "/read/fatal";
@@ -18,8 +16,6 @@
     store: Store,
     endpoints: Vec<Endpoint>,
     hosts: Vec<Host>,
-    /// The peer addresses of the hosts, also of the one that starts later.
-    addresses: Vec<SocketAddr>,
 }
 
 impl Site {
@@ -28,20 +24,17 @@
         endpoints
             .iter()
             .for_each(|e| e.crash_on(CRASHING_PATH, &store));
-        let addresses = peer_addresses(4);
-        let hosts = site::start_hosts(&store, &addresses[..3]).await;
+        let hosts = site::start_hosts(&store, 3).await;
         Site {
             store,
             endpoints,
             hosts,
-            addresses,
         }
     }
 
     /// Starts one more host, which joins through the first.
     async fn add_host(&mut self) {
-        let seed = Some(self.addresses[0]);
-        let host = Host::start_at("late", &self.store, self.addresses[3], seed).await;
+        let host = self.hosts[0].join("late", &self.store).await;
         until("the host is ready", async || host.readiness().await == 200).await;
         self.hosts.push(host);
     }
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use site::{Endpoint, Host, peer_addresses};
+use site::{Endpoint, Host};
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -41,7 +41,7 @@
 impl Site {
     async fn start() -> Site {
         let (store, endpoints) = site::store_and_endpoints(8).await;
-        let hosts = site::start_hosts(&store, &peer_addresses(HOST_COUNT)).await;
+        let hosts = site::start_hosts(&store, HOST_COUNT).await;
         let hosts = hosts.into_iter().map(Arc::new).collect();
         Site { endpoints, hosts }
     }
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -7,12 +7,14 @@
 pub mod raw;
 pub mod store;
 
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 
+use serde::Deserialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
@@ -23,6 +25,9 @@
 /// The longest wait for a condition or an answer before a test fails.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The number of hosts started by this test process, which names their settings files.
+static STARTED: AtomicU64 = AtomicU64::new(0);
+
 /// The routes of most tests: one idempotent (`safe`), one not (`unsafe`).
 pub const ROUTES: &str = r#"["read","a.example","/read/","safe",2.0,0.5,2,null,2,"svc"],["write","a.example","/write/","unsafe",2.0,0.5,1,null,2,"svc"]"#;
 
@@ -46,42 +51,75 @@
 pub struct Host {
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    peers: SocketAddr,
+    /// The number of hosts that joined through this one.
+    joined: AtomicU8,
     process: Child,
     settings: PathBuf,
 }
 
+/// The addresses on which a host listens, as it prints them on standard output.
+#[derive(Deserialize)]
+struct Ports {
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    peers: SocketAddr,
+}
+
+/// A loopback address with any free port, which the process reports once it has bound it.
+///
+/// A port that was only found free may be bound by another process meanwhile.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 impl Host {
     /// Starts an entry host and waits until its readiness port answers.
     pub async fn start(name: &str, store: &Store) -> Host {
-        Host::start_at(name, store, free_port(), None).await
+        Host::start_at(name, store, ANY_PORT, None).await
     }
 
-    /// Starts an entry host at this peer address, which joins the others through `seed`.
-    pub async fn start_at(
+    /// Starts a further entry host, which joins the others through this one.
+    ///
+    /// All hosts of a site use the same peer port, each at a loopback address of its own.
+    pub async fn join(&self, name: &str, store: &Store) -> Host {
+        let joined = self.joined.fetch_add(1, Ordering::Relaxed);
+        let ip = Ipv4Addr::new(127, 0, 0, 2 + joined);
+        let address = SocketAddr::from((ip, self.peers.port()));
+        Host::start_at(name, store, address, Some(self.peers)).await
+    }
+
+    async fn start_at(
         name: &str,
         store: &Store,
         peer_address: SocketAddr,
         seed: Option<SocketAddr>,
     ) -> Host {
-        let callers = free_port();
-        let readiness = free_port();
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let file = format!("{name}-{}-{number}.toml", std::process::id());
+        let settings = std::env::temp_dir().join(file);
         let seeds = seed.map_or(String::new(), |s| format!("\"{s}\""));
-        let settings = std::env::temp_dir().join(format!("{name}-{}.toml", callers.port()));
         let text = format!(
-            "name = \"{name}\"\ndata_centre = \"here\"\ncaller_address = \"{callers}\"\nreadiness_address = \"{readiness}\"\npeer_address = \"{peer_address}\"\nseeds = [{seeds}]\nlog_address = \"{}\"\ngrace_seconds = 6\nrepeat_slack = 50\n",
+            "name = \"{name}\"\ndata_centre = \"here\"\ncaller_address = \"{ANY_PORT}\"\nreadiness_address = \"{ANY_PORT}\"\npeer_address = \"{peer_address}\"\nseeds = [{seeds}]\nlog_address = \"{}\"\ngrace_seconds = 6\nrepeat_slack = 50\n",
             store.address
         );
         std::fs::write(&settings, text).expect("the settings file is written");
-        let process = Command::new(env!("CARGO_BIN_EXE_cardamomvale"))
+        let mut process = Command::new(env!("CARGO_BIN_EXE_cardamomvale"))
             .arg("serve")
             .arg("--settings")
             .arg(&settings)
+            .stdout(Stdio::piped())
             .stderr(Stdio::inherit())
             .spawn()
             .expect("the process starts");
+        let mut line = String::new();
+        let mut stdout = BufReader::new(process.stdout.take().expect("the output is piped"));
+        stdout.read_line(&mut line).expect("the output can be read");
+        let ports: Ports = serde_json::from_str(&line)
+            .unwrap_or_else(|_| panic!("{name} printed {line:?} instead of its ports"));
         let host = Host {
-            callers,
-            readiness,
+            callers: ports.callers,
+            readiness: ports.readiness,
+            peers: ports.peers,
+            joined: AtomicU8::new(0),
             process,
             settings,
         };
@@ -178,13 +216,12 @@
     (store, endpoints)
 }
 
-/// Starts hosts at these peer addresses, which join through the first, and waits until all are
-/// ready.
-pub async fn start_hosts(store: &Store, addresses: &[SocketAddr]) -> Vec<Host> {
-    let mut hosts = Vec::new();
-    for (number, address) in addresses.iter().enumerate() {
-        let name = format!("host-{number}");
-        hosts.push(Host::start_at(&name, store, *address, Some(addresses[0])).await);
+/// Starts `count` hosts, which join through the first, and waits until all are ready.
+pub async fn start_hosts(store: &Store, count: usize) -> Vec<Host> {
+    let mut hosts = vec![Host::start("host-0", store).await];
+    for number in 1..count {
+        let host = hosts[0].join(&format!("host-{number}"), store).await;
+        hosts.push(host);
     }
     for host in &hosts {
         until("the host is ready", async || host.readiness().await == 200).await;
@@ -196,14 +233,9 @@
 ///
 /// Returns both once they are ready, the second one last.
 pub async fn start_in_outage(store: &Store) -> [Host; 2] {
-    let [first, second] = two_addresses();
-    let old = Host::start_at("old", store, first, None).await;
-    until("the old host is ready", async || {
-        old.readiness().await == 200
-    })
-    .await;
+    let old = Host::ready("old", store).await;
     store.set_mode(store::Mode::Refusing);
-    let new = Host::start_at("new", store, second, Some(first)).await;
+    let new = old.join("new", store).await;
     until("the new host is ready", async || {
         new.readiness().await == 200
     })
@@ -264,39 +296,3 @@
         sleep(Duration::from_millis(20)).await;
     }
 }
-
-/// Returns one free port at `count` loopback addresses.
-///
-/// All hosts of a site use the same peer port.
-pub fn peer_addresses(count: usize) -> Vec<SocketAddr> {
-    let port = free_port().port();
-    let numbers = (1..=u8::MAX).take(count);
-    numbers
-        .map(|n| SocketAddr::from(([127, 0, 0, n], port)))
-        .collect()
-}
-
-/// Returns one free port at two loopback addresses.
-fn two_addresses() -> [SocketAddr; 2] {
-    let two: Result<[SocketAddr; 2], _> = peer_addresses(2).try_into();
-    two.expect("peers returns two addresses")
-}
-
-/// Returns a loopback address with a port that is free for TCP and UDP.
-///
-/// The port is below the kernel's ephemeral range, so that no concurrent test is assigned it
-/// before the process binds it.
-fn free_port() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = u16::try_from(std::process::id() % 10_000).expect("a number below 10,000 fits");
-    loop {
-        let step = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = 20_000 + (start + step) % 10_000;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if std::net::TcpListener::bind(address).is_ok()
-            && std::net::UdpSocket::bind(address).is_ok()
-        {
-            return address;
-        }
-    }
-}
