edge: a call with less than a millisecond left is not sent

Seen: half_is_served fails beside busy loops: 2,215 of 7,921 calls complete where over two fifths are asked for. Traced with the times of caller, host and backend server, six busy loops on six cores: the work takes 20 ms as planned, callers send at most 45 ms late, yet of 24 slots only 13 to 15 are busy, with gaps of 0.1 to 1.2 s at some endpoints. Cause: under overload calls get a slot when hardly any time is left. The time left is sent in whole milliseconds, so it was sent as 0; a server rejects that as not run, and the host takes it for shedding: the endpoint's cap falls from 6 to 1 and grows by one in 250 ms. Calls then wait longer, more of them get their slot in the last millisecond, and so on. Ruled out: the machine. Change: such a call is refused as not run before it is sent; 1 ms is the least that is sent.

--- a/components/transport/src/edge/call.rs
+++ b/components/transport/src/edge/call.rs
@@ -258,6 +258,12 @@
     }
 }
 
+/// The least time that must be left for a call to be sent.
+///
+/// Backend servers get the time left in whole milliseconds. One that gets 0 rejects the call as
+/// not run, as an overloaded one does, and would get fewer calls for no reason.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
+
 /// Acquires a slot and a connection, both valid at the moment of sending.
 async fn acquire_slot(
     edge: &Arc<Edge>,
@@ -279,7 +285,7 @@
                 failure: Failure::NotRun,
             });
         };
-        if clock::now() >= call.deadline {
+        if clock::now().until(call.deadline) < MIN_TIME_LEFT {
             edge.pool.put(connection);
             return Err(FailedAttempt::without_slot(Fault::Refused(
                 Refusal::Expired,
--- a/components/transport/src/edge/headers.rs
+++ b/components/transport/src/edge/headers.rs
@@ -50,9 +50,9 @@
     }
 }
 
-/// Sets the deadline field to the time that is left for the call.
+/// Sets the deadline field to the time that is left for the call, at least 1 ms.
 pub fn set_deadline(headers: &mut HeaderMap, left: Duration) {
-    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
     headers.insert(DEADLINE_HEADER, HeaderValue::from(millis));
 }
 
--- a/components/transport/tests/deadlines.rs
+++ b/components/transport/tests/deadlines.rs
@@ -51,6 +51,25 @@
     assert_eq!(server.requests(), []);
 }
 
+/// Under overload calls get their slot when hardly any time is left. A backend server that
+/// receives 0 ms rejects the call as not run, which looks like an overloaded server, and the host
+/// would give it fewer calls for a second. Such a call must not be sent.
+#[tokio::test]
+async fn last_millisecond() {
+    let server = ScriptedServer::always(Reply::Keep(ok("done"))).await;
+    let edge_server = EdgeServer::start(&[&server]).await;
+    for _ in 0..50 {
+        edge_server.call(&get_within("/hallboard/", 1)).await;
+    }
+    edge_server.call(&get_within("/hallboard/", 15_000)).await;
+    let sent_without_time = server
+        .requests()
+        .iter()
+        .filter(|r| field(&r.head, "cardamomvale-deadline-ms").as_deref() == Some("0"))
+        .count();
+    assert_eq!(sent_without_time, 0);
+}
+
 /// A backend server accepts the request and never answers. At the deadline the
 /// caller must get the outcome "unknown", and the work must be cancelled.
 #[tokio::test]
