--- a/tests/backend_faults.rs
+++ b/tests/backend_faults.rs
@@ -21,17 +21,8 @@
     });
     cluster.wait_for_answers(3_000).await;
     let samples = load.stop().await;
-    let failed: Vec<_> = samples
-        .iter()
-        .filter(|s| s.outcome != Outcome::Complete)
-        .collect();
-    assert!(
-        failed.is_empty(),
-        "{} of {}: {:?}",
-        failed.len(),
-        samples.len(),
-        failed[0]
-    );
+    let failed = cluster.describe_failures(&samples);
+    assert!(failed.is_empty(), "of {}:\n{failed}", samples.len());
     cluster.assert_no_violations();
 }
 
--- a/tests/centre_leaves.rs
+++ b/tests/centre_leaves.rs
@@ -43,16 +43,7 @@
     until("trent serves again", || !cluster.select(served).is_empty()).await;
     cluster.wait_for_answers(500).await;
     let samples = load.stop().await;
-    let failed: Vec<_> = samples
-        .iter()
-        .filter(|s| s.outcome != Outcome::Complete)
-        .collect();
-    assert!(
-        failed.is_empty(),
-        "{} of {}: {:?}",
-        failed.len(),
-        samples.len(),
-        failed[0]
-    );
+    let failed = cluster.describe_failures(&samples);
+    assert!(failed.is_empty(), "of {}:\n{failed}", samples.len());
     cluster.assert_no_violations();
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -346,6 +346,44 @@
         samples.iter().filter(is_failed).collect()
     }
 
+    /// Returns a line for each sample that is not complete, with its times in milliseconds from
+    /// the moment of sending: at the backend servers, and at the caller.
+    pub fn describe_failures(&self, samples: &[Sample]) -> String {
+        let records = self.history.sorted();
+        let mut lines = String::new();
+        for sample in samples.iter().filter(|s| s.outcome != Outcome::Complete) {
+            let number = self.call_number(sample);
+            let sent = records.iter().find_map(|r| match r.event {
+                Event::Sent { call, .. } if call == number => Some(r.at),
+                _ => None,
+            });
+            let sent = sent.unwrap_or_default();
+            let seen = records.iter().filter_map(|r| match &r.event {
+                Event::Received { call, started, .. } if *call == number => {
+                    Some((r.at, format!("received started={started}")))
+                }
+                Event::Ended { call, ending, .. } if *call == number => {
+                    Some((r.at, format!("ended {ending:?}")))
+                }
+                Event::Answered { call, .. } if *call == number => {
+                    Some((r.at, "answered".to_owned()))
+                }
+                _ => None,
+            });
+            let times: Vec<String> = seen
+                .map(|(at, what)| format!("{what} at {}", at.saturating_sub(sent) / 1_000))
+                .collect();
+            lines += &format!(
+                "call {number} sent at {sent} us, {} ms late, {:?}: {} ({})\n",
+                sample.lag.as_millis(),
+                sample.outcome,
+                times.join(", "),
+                sample.why
+            );
+        }
+        lines
+    }
+
     /// Stops the balancer and returns every violation of the guarantees in the history.
     pub fn violations(&mut self, limits: &Limits) -> Vec<Violation> {
         self.balancer = None;
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -37,7 +37,7 @@
     let load = cluster.load();
     cluster.wait_for_answers(1_000).await;
     let samples = load.stop().await;
-    let failed = samples.iter().filter(|s| s.outcome != Outcome::Complete);
-    assert_eq!(failed.count(), 0);
+    let failed = cluster.describe_failures(&samples);
+    assert!(failed.is_empty(), "of {}:\n{failed}", samples.len());
     cluster.assert_no_violations();
 }
