Roll-outs: a new version gets a few requests first and goes back if it is bad

Cause: an endpoint's version wasn't decoded, orders were passed over. Change: orders and versions are decoded in platform/. state::fleet::rollout decides how many requests a new version gets (exposure), where they go (canary) and whether it is bad (a cumulative sum against the baseline of the same seconds); coordination::rollouts is the state machine of one host; the gateway tells other hosts and writes the state by an append that holds only where the topic ends as read. Switched on by exposure_ratio.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod read_schedule;
 pub mod recent_records;
 pub mod relay;
+pub mod rollouts;
 pub mod slots;
--- a/components/coordination/src/neighbours.rs
+++ b/components/coordination/src/neighbours.rs
@@ -16,6 +16,10 @@
 /// How long a host is kept after it was last seen.
 const HOST_TTL: Duration = Duration::from_secs(20);
 
+/// How long a host counts as running after it was last seen. Hosts greet each other every
+/// second.
+const LIVE_TIME: Duration = Duration::from_millis(2_500);
+
 /// Number of greetings with which a host that has just started queries a neighbour for
 /// its known hosts.
 ///
@@ -188,6 +192,19 @@
         self.last_seen.keys().copied().collect()
     }
 
+    /// Returns the neighbours that have just been heard of, in the order of their addresses.
+    pub fn heard_lately(&self, now: Moment) -> Vec<SocketAddr> {
+        let lately = self.last_seen.iter();
+        let lately = lately.filter(|(_, at)| now.since(**at) < LIVE_TIME);
+        lately.map(|(address, _)| *address).collect()
+    }
+
+    /// Returns the names of the other data centres that hosts are known of.
+    pub fn remote_centres(&mut self, now: Moment) -> Vec<String> {
+        self.expire_remotes(now);
+        self.remotes.keys().cloned().collect()
+    }
+
     /// Returns the known hosts of `centre`, for a query from a host of that data centre.
     pub fn hosts_of(&mut self, centre: &str, now: Moment) -> Vec<SocketAddr> {
         if centre == self.centre {
--- a/components/coordination/tests/slot_faults.rs
+++ b/components/coordination/tests/slot_faults.rs
@@ -441,3 +441,20 @@
     let in_time = |r: &Refusal| matches!(r, Refusal::TooLate(_) | Refusal::QueueFull);
     assert!(site.refused.iter().all(in_time));
 }
+
+// All hosts stand still for most of a second, as when their machine is starved, and the calls
+// that came meanwhile arrive at once. All leases have ended by then. The hosts have room for
+// these calls and the deadline is seconds away, so none may be refused.
+#[test]
+fn all_paused() {
+    for pause in [300, 800, 1_500] {
+        let mut site = Site::new(4);
+        site.run(2_000, 3);
+        site.now += pause;
+        for n in 0..pause as usize / 5 {
+            site.call(n % 4);
+        }
+        site.run(3_000, 3);
+        assert_eq!(site.refused, [], "after a pause of {pause} ms");
+    }
+}
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod member;
 pub mod neighbour;
 pub mod peer;
+pub mod rollout_message;
 pub mod slots;
 
 pub use peer::{PeerMessage, ProtocolError};
--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -15,6 +15,7 @@
 
 use crate::crash_report::{CrashReport, WireCrashReport};
 use crate::limit_report::{LimitReport, WireLimitReport};
+use crate::rollout_message::{RolloutMessage, WireRollout};
 
 /// The protocol version, sent as the first byte of each datagram.
 ///
@@ -67,6 +68,8 @@
     CrashReport(CrashReport),
     /// Reports rate limits that endpoints advertise.
     LimitReport(LimitReport),
+    /// Tells about a roll-out; the flag is set if the sender is in another data centre.
+    Rollout(RolloutMessage, bool),
 }
 
 /// Probes lent to a neighbour, in answer to its request.
@@ -140,6 +143,9 @@
     /// The datagram refers to an unknown topic.
     #[error("the datagram refers to an unknown topic")]
     UnknownTopic,
+    /// The datagram is about a roll-out, in a form that this release doesn't know.
+    #[error("the datagram about a roll-out is of an unknown form")]
+    UnknownRollout,
     /// The datagram contains an invalid address of a host.
     #[error("the datagram contains {0:?}, which is not an IP address and port")]
     NoAddress(String),
@@ -204,6 +210,8 @@
     crash_report: Option<WireCrashReport>,
     #[prost(message, optional, tag = "23")]
     limit_report: Option<WireLimitReport>,
+    #[prost(message, optional, tag = "24")]
+    rollout: Option<WireRollout>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -249,6 +257,7 @@
 const LEND: u32 = 4;
 const CRASH_REPORT: u32 = 5;
 const LIMIT_REPORT: u32 = 6;
+const ROLLOUT: u32 = 7;
 
 impl RecordUpdate {
     /// Returns the same records without the addresses of hosts.
@@ -312,6 +321,9 @@
             NeighbourMessage::Borrow(_) | NeighbourMessage::Lend(_) => "loan",
             NeighbourMessage::CrashReport(_) => "crashes",
             NeighbourMessage::LimitReport(_) => "limits",
+            NeighbourMessage::Rollout(RolloutMessage::State(_), _) => "rollout_state",
+            NeighbourMessage::Rollout(RolloutMessage::Report(_), _) => "rollout_report",
+            NeighbourMessage::Rollout(RolloutMessage::Summary(_), _) => "rollout_summary",
         }
     }
 
@@ -390,6 +402,12 @@
                 limit_report: Some(WireLimitReport::from(limit_report)),
                 ..WireMessage::default()
             },
+            NeighbourMessage::Rollout(message, cross_centre) => WireMessage {
+                topic: ROLLOUT,
+                cross_centre: *cross_centre,
+                rollout: Some(WireRollout::from(message)),
+                ..WireMessage::default()
+            },
             NeighbourMessage::ReadStarted(topic) => WireMessage {
                 topic: topic_number(*topic),
                 read_started: true,
@@ -445,6 +463,11 @@
                     limit_report.into_report(wire.cross_centre),
                 ));
             }
+            ROLLOUT => {
+                let message = wire.rollout.and_then(WireRollout::into_message);
+                let message = message.ok_or(DatagramError::UnknownRollout)?;
+                return Ok(NeighbourMessage::Rollout(message, wire.cross_centre));
+            }
             OPERATORS => Topic::Operators,
             ENDPOINTS => Topic::Endpoints,
             _ => return Err(DatagramError::UnknownTopic),
--- a/components/state/src/fleet/endpoint.rs
+++ b/components/state/src/fleet/endpoint.rs
@@ -8,7 +8,7 @@
 
 use super::load_sample::{GOOD_SLOWDOWN, LoadSample};
 use super::outcome::PassiveHealth;
-use crate::{DataCentreKey, EndpointKey, Moment, ServiceKey};
+use crate::{DataCentreKey, EndpointKey, Moment, ServiceKey, VersionKey};
 
 /// One instance of a backend server, as registered in the store.
 #[value]
@@ -24,6 +24,8 @@
     pub address: SocketAddr,
     /// The server's data centre.
     pub centre: DataCentreKey,
+    /// The version of its software; none if unknown.
+    pub version: Option<VersionKey>,
     /// The number of requests that the server runs at once.
     pub slots: u32,
     /// Whether the server has announced its shutdown.
@@ -119,6 +121,13 @@
         self.slowdown(now).is_some_and(|p| p <= GOOD_SLOWDOWN)
     }
 
+    /// Returns whether a fresh load sample shows a free slot on an undisturbed machine, or
+    /// `None` without one.
+    pub fn has_room(&self, now: Moment) -> Option<bool> {
+        let sample = self.sample.filter(|l| l.is_fresh(now))?;
+        Some(sample.has_room(self.sent))
+    }
+
     /// Returns the slowdown predicted by a fresh load sample, or `None` without one.
     pub fn slowdown(&self, now: Moment) -> Option<f64> {
         let sample = self.sample.filter(|l| l.is_fresh(now))?;
--- a/components/state/src/fleet/load_sample.rs
+++ b/components/state/src/fleet/load_sample.rs
@@ -95,6 +95,12 @@
         f64::from(self.requests(sent)) / f64::from(self.slots.max(1))
     }
 
+    /// Returns whether a slot is free on a machine that is not disturbed.
+    pub fn has_room(&self, sent: u32) -> bool {
+        let disturbed = f64::from(self.slowness) / 100.0 > GOOD_SLOWDOWN;
+        self.healthy && !disturbed && self.requests(sent) < self.slots
+    }
+
     /// Returns whether the endpoint has no requests.
     pub fn is_idle(&self, sent: u32) -> bool {
         self.requests(sent) == 0
--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 pub mod registry;
 pub mod retry_after;
 pub mod retry_budget;
+pub mod rollout;
 pub mod service_time;
 pub mod token_buckets;
 pub mod wait_queue;
--- a/components/state/src/fleet/placement.rs
+++ b/components/state/src/fleet/placement.rs
@@ -16,6 +16,7 @@
 use super::endpoint::EndpointState;
 use super::load_sample::GOOD_SLOWDOWN;
 use super::registry::Registry;
+use super::rollout::VersionRule;
 use super::token_buckets::Quota;
 use crate::topology::{Distance, Topology};
 use crate::{DataCentreKey, EndpointKey, Moment, RegionKey, ServiceKey};
@@ -42,7 +43,7 @@
 const MIN_TIME_FRACTION: f64 = 0.5;
 
 /// The properties of a request that placement depends on.
-#[tag]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Request {
     /// The service that the request is for.
     pub service: ServiceKey,
@@ -56,6 +57,17 @@
     pub service_time: Duration,
     /// The priority of the route; 0 is the most urgent.
     pub priority: u32,
+    /// A hash of the route's name.
+    pub route: u64,
+    /// A random number from 0 to 1, the same for all attempts of the request.
+    pub draw: f64,
+}
+
+impl Request {
+    /// Returns whether the request can still complete before its deadline.
+    pub(super) fn has_time(&self, now: Moment) -> bool {
+        now.until(self.deadline) >= self.service_time.mul_f64(MIN_TIME_FRACTION)
+    }
 }
 
 /// The next step for a request.
@@ -124,6 +136,8 @@
     pub topology: &'a Topology,
     /// The regions that the request must stay in; empty if it may go anywhere.
     pub regions: &'a BTreeSet<RegionKey>,
+    /// The versions of the service that the request may be sent to.
+    pub versions: &'a VersionRule,
     /// This host's quota for cold endpoints of the service.
     pub cold: Quota,
     /// Returns whether this host has an idle connection to an endpoint.
@@ -176,14 +190,15 @@
         now: Moment,
         draw: &mut dyn FnMut() -> f64,
     ) -> Step {
-        let left = now.until(request.deadline);
-        if left < request.service_time.mul_f64(MIN_TIME_FRACTION) {
+        if !request.has_time(now) {
             return Step::Refuse(Refusal::TooLate);
         }
         let registry = &*context.registry;
         let allowed = || {
             let all = registry.endpoints_of(request.service);
-            all.filter(|(key, s)| self.may_use(*key, s, context))
+            all.filter(|(key, s)| {
+                context.versions.allows(&s.endpoint) && self.may_use(*key, s, context)
+            })
         };
         let usable: Vec<Candidate<'_>> = allowed()
             .filter(|(key, _)| !exhausted.contains_key(key))
@@ -272,7 +287,23 @@
         None
     }
 
-    fn may_use(&self, key: EndpointKey, state: &EndpointState, context: &Context<'_>) -> bool {
+    /// Returns whether the request has not been sent anywhere yet.
+    pub(super) fn is_untried(&self) -> bool {
+        self.tried.is_empty()
+    }
+
+    /// Notes that `key` is about to be probed; returns whether it wasn't before.
+    pub(super) fn note_probed(&mut self, key: EndpointKey) -> bool {
+        self.probed.insert(key)
+    }
+
+    /// Returns whether the request may be sent to an endpoint, whatever its version.
+    pub(super) fn may_use(
+        &self,
+        key: EndpointKey,
+        state: &EndpointState,
+        context: &Context<'_>,
+    ) -> bool {
         let centre = state.endpoint.centre;
         !state.endpoint.draining
             && !context.leaving_centres.contains(&centre)
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -1,6 +1,6 @@
 //! The endpoints known to a host, kept up to date from the store's records.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::endpoint::{Endpoint, EndpointState};
@@ -202,6 +202,14 @@
             .map(|(key, state)| (*key, state))
     }
 
+    /// Returns the services that have endpoints.
+    pub fn services(&self) -> BTreeSet<ServiceKey> {
+        self.endpoints
+            .values()
+            .map(|s| s.endpoint.service)
+            .collect()
+    }
+
     /// Returns an endpoint's state.
     pub fn get(&self, key: EndpointKey) -> Option<&EndpointState> {
         self.endpoints.get(&key)
--- a/components/state/src/keys.rs
+++ b/components/state/src/keys.rs
@@ -31,6 +31,17 @@
 #[key]
 pub struct RegionKey(pub u64);
 
+/// Identifies a version of a service's software.
+#[key]
+pub struct VersionKey(pub u64);
+
+impl VersionKey {
+    /// Returns the key of the version with this name.
+    pub fn named(name: &str) -> VersionKey {
+        VersionKey(xxh3_64(name.as_bytes()))
+    }
+}
+
 impl HostKey {
     /// Returns the key of the entry host with this name.
     pub fn named(name: &str) -> HostKey {
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -21,6 +21,6 @@
 pub mod topology;
 
 pub use config::Config;
-pub use keys::{DataCentreKey, EndpointKey, HostKey, RegionKey, ServiceKey};
+pub use keys::{DataCentreKey, EndpointKey, HostKey, RegionKey, ServiceKey, VersionKey};
 pub use moment::Moment;
 pub use preset::Preset;
--- a/components/state/tests/fleet_placement.rs
+++ b/components/state/tests/fleet_placement.rs
@@ -10,6 +10,7 @@
 use state::fleet::placement::{Context, Refusal, Request};
 use state::fleet::rate_limit::Source;
 use state::fleet::retry_after;
+use state::fleet::rollout::VersionRule;
 use state::fleet::token_buckets::Quota;
 use state::fleet::{Endpoint, Entry, LoadSample, Placement, Registry, Step};
 use state::topology::Topology;
@@ -36,6 +37,7 @@
         service: ServiceKey::named("svc"),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         centre: DataCentreKey::named(centre),
+        version: None,
         slots: 6,
         draining: false,
         cold: Duration::ZERO,
@@ -66,6 +68,8 @@
         deadline: START + Duration::from_millis(2_000),
         service_time: SERVICE_TIME,
         priority: 0,
+        route: 0,
+        draw: 1.0,
     }
 }
 
@@ -114,6 +118,7 @@
                 leaving_centres: &self.leaving_centres,
                 topology: &self.topology,
                 regions: &self.regions,
+                versions: &VersionRule::All,
                 cold: Quota::cold(6.0, self.share),
             };
             let random = &mut self.random;
@@ -432,6 +437,7 @@
                 leaving_centres: &fleet.leaving_centres,
                 topology: &fleet.topology,
                 regions: &fleet.regions,
+                versions: &VersionRule::All,
                 cold: Quota::cold(6.0, fleet.share),
             };
             let wanted = Request {
--- a/components/state/tests/fleet_registry.rs
+++ b/components/state/tests/fleet_registry.rs
@@ -14,6 +14,7 @@
         service: ServiceKey::named("svc"),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         centre: DataCentreKey::named("here"),
+        version: None,
         slots: 6,
         draining: false,
         cold: Duration::ZERO,
--- a/components/state/tests/unreachable_centre.rs
+++ b/components/state/tests/unreachable_centre.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use state::fleet::outcome::Outcome;
 use state::fleet::placement::{Context, Request};
+use state::fleet::rollout::VersionRule;
 use state::fleet::token_buckets::Quota;
 use state::fleet::{Endpoint, Entry, LoadSample, Placement, Registry, Step};
 use state::topology::Topology;
@@ -37,6 +38,7 @@
         service: ServiceKey::named("svc"),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         centre: DataCentreKey::named(centre),
+        version: None,
         slots: 6,
         draining: false,
         cold: Duration::ZERO,
@@ -77,6 +79,8 @@
             deadline: began + Duration::from_millis(2_000),
             service_time: Duration::from_millis(450),
             priority: 0,
+            route: 0,
+            draw: 1.0,
         };
         let mut placement = Placement::default();
         loop {
@@ -103,6 +107,7 @@
             leaving_centres: &BTreeSet::new(),
             topology: &Topology::default(),
             regions: &BTreeSet::new(),
+            versions: &VersionRule::All,
             cold: Quota::cold(3.0, 0.1),
         };
         let random = &mut self.random;
--- a/components/state/tests/wait_queue.rs
+++ b/components/state/tests/wait_queue.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use state::fleet::placement::{Context, Request};
+use state::fleet::rollout::VersionRule;
 use state::fleet::token_buckets::Quota;
 use state::fleet::{Endpoint, Entry, LoadSample, Placement, Registry, Step, Ticket, WaitQueue};
 use state::topology::Topology;
@@ -47,6 +48,7 @@
         service: ServiceKey::named("svc"),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         centre: DataCentreKey::named("near"),
+        version: None,
         slots: SLOTS,
         draining: false,
         cold: Duration::ZERO,
@@ -82,6 +84,8 @@
             deadline: now + Duration::from_millis(2_000),
             service_time: Duration::from_millis(60),
             priority,
+            route: 0,
+            draw: 1.0,
         };
         let ticket = (!self.queue.is_empty()).then(|| self.queue.push(priority, request.objective));
         self.waiting.push(Waiting {
@@ -118,6 +122,7 @@
             leaving_centres: &BTreeSet::new(),
             topology: &Topology::default(),
             regions: &BTreeSet::new(),
+            versions: &VersionRule::All,
             cold: Quota::cold(0.0, 0.0),
             is_first,
             may_probe: true,
--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -11,8 +11,9 @@
 use hyper::{Request, StatusCode, Version};
 use state::fleet::outcome::Outcome;
 use state::fleet::placement::{self, Refusal};
+use state::fleet::rollout::evidence::Answer as Answered;
 use state::fleet::{Fingerprints, Placement};
-use state::{EndpointKey, Moment};
+use state::{EndpointKey, Moment, VersionKey};
 
 use super::Gateway;
 use crate::clock;
@@ -29,6 +30,16 @@
 /// An answer counts as slow if it takes this many times as long as expected.
 const SLOW_FACTOR: f64 = 3.0;
 
+/// An answer is bad evidence on a version if it takes this many times as long as expected.
+///
+/// The work of one request varies by a third, and a machine that becomes disturbed after
+/// the load sample takes four times as long for a part of it.
+const LATE_FACTOR: f64 = 2.5;
+
+/// The time below which no answer is bad evidence: the network and the scheduling of
+/// processes take milliseconds, whatever the version.
+const MIN_LATE_TIME: Duration = Duration::from_millis(10);
+
 /// The inputs shared by all attempts of one request.
 pub(super) struct Attempt<'a> {
     pub gateway: &'a Gateway,
@@ -106,6 +117,73 @@
     }
 }
 
+/// Watches how an attempt ends, as evidence on its endpoint's version.
+///
+/// An attempt that is dropped before its answer counts if it had taken too long by then:
+/// the answers of a version that has become slow are hardly ever awaited to the end.
+struct Witness<'a> {
+    attempt: &'a Attempt<'a>,
+    version: Option<VersionKey>,
+    began: Moment,
+    /// The time from which an answer is late; none for a cold endpoint, which is slow.
+    late_after: Option<Duration>,
+    is_done: bool,
+}
+
+impl<'a> Witness<'a> {
+    fn new(attempt: &'a Attempt<'a>, key: EndpointKey, slowdown: f64, began: Moment) -> Self {
+        let registry = attempt.gateway.registry.borrow();
+        let state = registry.get(key);
+        let expected = attempt.request.service_time.mul_f64(slowdown.max(1.0));
+        Witness {
+            attempt,
+            version: state.and_then(|s| s.endpoint.version),
+            began,
+            late_after: state
+                .is_some_and(|s| !s.is_cold(began))
+                .then(|| expected.mul_f64(LATE_FACTOR).max(MIN_LATE_TIME)),
+            is_done: false,
+        }
+    }
+
+    /// Takes in the end of the attempt.
+    fn ended(&mut self, ending: &AttemptEnd) {
+        self.is_done = true;
+        let answer = match ending {
+            AttemptEnd::Answered(_) if self.is_late() => Answered::Bad,
+            AttemptEnd::Answered(_) => Answered::Good,
+            AttemptEnd::Failed(_) | AttemptEnd::Lost(_) | AttemptEnd::Rejected(_) => Answered::Bad,
+            AttemptEnd::Unsent(_) | AttemptEnd::Refused(_) | AttemptEnd::Quarantined(_) => return,
+        };
+        self.note(answer);
+    }
+
+    /// Ignores the attempt, which reached no endpoint.
+    fn dismiss(&mut self) {
+        self.is_done = true;
+    }
+
+    fn is_late(&self) -> bool {
+        let time = clock::now().since(self.began);
+        self.late_after.is_some_and(|limit| time > limit)
+    }
+
+    fn note(&self, answer: Answered) {
+        let Attempt {
+            gateway, request, ..
+        } = self.attempt;
+        gateway.note_rollout_answer(request, self.version, answer);
+    }
+}
+
+impl Drop for Witness<'_> {
+    fn drop(&mut self) {
+        if !self.is_done && self.is_late() {
+            self.note(Answered::Bad);
+        }
+    }
+}
+
 impl Attempt<'_> {
     /// Selects an endpoint, sends the request and reads the answer.
     ///
@@ -124,6 +202,10 @@
         if let Err(left) = self.gateway.admit(self.fingerprints) {
             return AttemptEnd::Quarantined(left);
         }
+        if !self.gateway.is_version_allowed(key, &self.request) {
+            self.gateway.keep_connection(connection, &HeaderMap::new());
+            return AttemptEnd::Unsent("the endpoint's version gets no requests now");
+        }
         let Some(request) = self.build_request(key, body) else {
             return AttemptEnd::Unsent("the endpoint has left");
         };
@@ -131,6 +213,7 @@
         let began = clock::now();
         let slowdown = self.expected_slowdown(key, began);
         let _running = RunningGuard::start(self.gateway, key);
+        let mut witness = Witness::new(self, key, slowdown, began);
         self.may_have_run.set(self.may_have_run.get() + 1);
         match connection.send(request).await {
             Ok(answer) => {
@@ -138,10 +221,12 @@
                 let ending = self
                     .read(key, connection, parts, incoming, (began, slowdown))
                     .await;
+                witness.ended(&ending);
                 self.record_ending(key, &ending, began, slowdown);
                 ending
             }
             Err(RequestError::Unsent) => {
+                witness.dismiss();
                 self.mark_not_run();
                 AttemptEnd::Unsent("the connection was closed before the request was sent")
             }
@@ -149,11 +234,20 @@
                 self.gateway.log_broken(self, key, began, &error);
                 self.gateway.note_broken(self.fingerprints, key, began);
                 self.gateway.record_outcome(key, Outcome::Broken);
-                AttemptEnd::Lost("the connection to the endpoint broke")
+                let ending = AttemptEnd::Lost("the connection to the endpoint broke");
+                witness.ended(&ending);
+                ending
             }
         }
     }
 
+    /// Returns whether an endpoint runs the new version of a roll-out without a verdict.
+    fn is_candidate(&self, key: EndpointKey) -> bool {
+        let version = self.gateway.version_of(key);
+        let rollouts = self.gateway.rollouts.borrow();
+        rollouts.is_candidate(self.request.service, version)
+    }
+
     /// Records that this attempt didn't run.
     fn mark_not_run(&self) {
         self.may_have_run.set(self.may_have_run.get() - 1);
@@ -271,8 +365,11 @@
                     .request
                     .service_time
                     .mul_f64(slowdown.max(1.0) * SLOW_FACTOR);
-                self.gateway
-                    .with_service_time(self.route, |s| s.note(time, slowdown));
+                // What is usual is what the version in use takes.
+                if !self.is_candidate(key) {
+                    self.gateway
+                        .with_service_time(self.route, |s| s.note(time, slowdown));
+                }
                 match time > slow_limit {
                     true => Outcome::Slow,
                     false => Outcome::Answered,
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -50,6 +50,8 @@
     fingerprints: Fingerprints,
     arrived: Moment,
     deadline: Moment,
+    /// A random number from 0 to 1, the same for all attempts of the request.
+    draw: f64,
 }
 
 /// The results of a request's attempts so far.
@@ -153,7 +155,9 @@
         fingerprints,
         arrived,
         deadline: arrived + timeout.min(route.timeout),
+        draw: gateway.random_fraction(),
     };
+    gateway.note_rollout_request(&call.placement_request());
     gateway.with_retry_budget(service, |budget| budget.count(arrived));
     let result = call.serve(body).await;
     if let Ok(answer) = &result {
@@ -210,7 +214,7 @@
     async fn await_config(&self, parts: &Parts) {
         let left = platform::headers::time_remaining(&parts.headers).unwrap_or(MAX_START_WAIT);
         let last = Instant::now() + left.mul_f64(START_WAIT_FRACTION).min(MAX_START_WAIT);
-        while !self.has_all_topics() {
+        while !self.knows_endpoints() {
             if timeout_at(last, self.config_loaded.notified())
                 .await
                 .is_err()
@@ -317,6 +321,8 @@
             deadline: self.deadline,
             service_time,
             priority: self.route.priority,
+            route: ServiceKey::named(&self.route.name).0,
+            draw: self.draw,
         }
     }
 
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -13,7 +13,7 @@
 use platform::operator::{self, Subject};
 use platform::store::Record;
 use protocol::neighbour::{NeighbourMessage, RecordUpdate, Topic};
-use state::fleet::Entry;
+use state::fleet::{Endpoint, Entry};
 use state::{DataCentreKey, ServiceKey};
 use tokio::time::timeout;
 
@@ -225,7 +225,12 @@
     }
 
     /// Applies records; `from` is the offset of the first one.
-    fn apply_records<'a>(&self, topic: Topic, from: u64, records: impl Iterator<Item = &'a Bytes>) {
+    fn apply_records<'a>(
+        self: &Rc<Self>,
+        topic: Topic,
+        from: u64,
+        records: impl Iterator<Item = &'a Bytes>,
+    ) {
         for (offset, bytes) in (from..).zip(records) {
             let mut caches = self.caches.borrow_mut();
             caches.of(topic).recent.push(offset, bytes.clone());
@@ -239,9 +244,12 @@
                 .of(topic)
                 .put(&record, bytes.clone());
             match topic {
-                Topic::Operators => self.apply_operator_record(&record),
+                Topic::Operators => self.apply_operator_record(&record, true),
                 Topic::Endpoints => {
                     let entry = decode_entry(&record);
+                    if let Some(Entry::Endpoint(endpoint)) = &entry {
+                        self.note_version(endpoint);
+                    }
                     self.registry
                         .borrow_mut()
                         .apply(&record.key, entry, clock::now());
@@ -250,6 +258,14 @@
         }
     }
 
+    /// Takes in the version of an endpoint that registered or renewed its entry.
+    fn note_version(&self, endpoint: &Endpoint) {
+        if let Some(version) = endpoint.version {
+            let mut rollouts = self.rollouts.borrow_mut();
+            rollouts.endpoint_registered(endpoint.service, version);
+        }
+    }
+
     /// Reads the newest record of each key, at the start or after the store has trimmed records.
     async fn read_snapshot(
         self: &Rc<Self>,
@@ -284,13 +300,17 @@
             .collect();
         let mut registry = self.registry.borrow_mut();
         registry.replace(entries, clock::now());
+        let mut rollouts = self.rollouts.borrow_mut();
+        rollouts.endpoints_listed(&registry, clock::now());
+        drop(rollouts);
+        self.rollouts_changed.notify_one();
         self.endpoints_loaded.set(true);
         self.config_loaded.notify_waiters();
         log::info!("E0313 endpoints-listed endpoints={}", registry.len());
     }
 
     /// Applies the newest operator records; data centres without a record return to service.
-    fn apply_all_operator_records(&self, records: &[Record]) {
+    fn apply_all_operator_records(self: &Rc<Self>, records: &[Record]) {
         let named: BTreeSet<DataCentreKey> = records
             .iter()
             .filter_map(|r| match operator::classify_key(&r.key) {
@@ -303,13 +323,17 @@
             self.set_leaving(*centre, false);
         }
         for record in records {
-            self.apply_operator_record(record);
+            self.apply_operator_record(record, false);
         }
     }
 
-    fn apply_operator_record(&self, record: &Record) {
+    /// Applies an operators' record; `is_fresh` tells that this host read it when it was written.
+    fn apply_operator_record(self: &Rc<Self>, record: &Record, is_fresh: bool) {
         match (operator::classify_key(&record.key), &record.value) {
             (Subject::Leaving(centre), value) => self.set_leaving(centre, value.is_some()),
+            (Subject::Rollout(service), value) => {
+                self.apply_rollout_order(&service, value.as_deref(), is_fresh);
+            }
             (Subject::Catalogue, Some(value)) => self.apply_catalogue(value),
             (Subject::Catalogue, None) => {
                 log::warn!("E0311 config-withdrawn; the current configuration stays in force");
@@ -386,7 +410,7 @@
 ///
 /// The pages are not a consistent snapshot. Reading continues from the end offset
 /// of the first page, so records written in the meantime are read again.
-async fn read_newest(
+pub(super) async fn read_newest(
     store: &mut StoreClient,
     topic: &str,
 ) -> Result<(Vec<Record>, u64), StoreError> {
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod ready;
 mod report_limiter;
 mod request_log;
+mod rollouts;
 mod server;
 mod settings;
 mod stream;
@@ -36,6 +37,7 @@
 
 use coordination::neighbours::Neighbours;
 use coordination::read_schedule::ReadSchedule;
+use coordination::rollouts::Rollouts;
 use protocol::neighbour::Topic;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -141,6 +143,9 @@
     limit_reports: RefCell<ReportLimiter>,
     /// Wakes the task that checks whether an endpoint crashed.
     broken_notify: Notify,
+    rollouts: RefCell<Rollouts>,
+    /// Wakes the task that steps the roll-outs.
+    rollouts_changed: Notify,
 }
 
 impl Gateway {
@@ -167,6 +172,9 @@
         spawn_local(Rc::clone(&gateway).report_traffic());
         spawn_local(Rc::clone(&gateway).confirm_crashes());
         spawn_local(Rc::clone(&gateway).send_reminders());
+        if gateway.rollouts.borrow().is_enabled() {
+            spawn_local(Rc::clone(&gateway).run_rollouts());
+        }
         log::info!(
             "E0502 host-started name={} callers={} log={}",
             gateway.settings.name,
@@ -180,6 +188,12 @@
         let mut random = SmallRng::from_os_rng();
         let schedules = ReadSchedules::new(settings.first_start, random.random(), clock::now());
         let neighbours = Neighbours::new(settings.peers, &settings.data_centre);
+        let rollouts = Rollouts::new(
+            settings.peers,
+            random.random(),
+            &settings.data_centre,
+            settings.exposure,
+        );
         let probe_budget = match settings.first_start {
             true => HostProbeBudget::new(clock::now()),
             false => HostProbeBudget::restarted(clock::now()),
@@ -214,6 +228,8 @@
             crash_tracker: RefCell::default(),
             limit_reports: RefCell::default(),
             broken_notify: Notify::new(),
+            rollouts: RefCell::new(rollouts),
+            rollouts_changed: Notify::new(),
         }
     }
 
@@ -233,7 +249,12 @@
 
     /// Returns whether this host has routes and endpoints and isn't shutting down.
     pub fn is_ready(&self) -> bool {
-        self.has_all_topics() && *self.stage.borrow() == Stage::Serving
+        self.knows_endpoints() && *self.stage.borrow() == Stage::Serving
+    }
+
+    /// Returns whether this host knows which endpoints a request may be sent to.
+    fn knows_endpoints(&self) -> bool {
+        self.has_all_topics() && !self.rollouts.borrow().must_wait(clock::now())
     }
 
     fn has_all_topics(&self) -> bool {
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -205,6 +205,7 @@
             }
         };
         self.traffic.borrow_mut().received(&message, datagram.len());
+        self.rollouts.borrow_mut().note_contact(clock::now());
         match message {
             NeighbourMessage::Update(u) if u.cross_centre => self.handle_cross_centre(u, from),
             NeighbourMessage::Update(update) => {
@@ -230,6 +231,9 @@
             NeighbourMessage::Hello(hello) => self.handle_hello(from, hello),
             NeighbourMessage::CrashReport(crashes) => self.handle_crash_report(crashes),
             NeighbourMessage::LimitReport(limits) => self.handle_limit_report(limits),
+            NeighbourMessage::Rollout(message, cross_centre) => {
+                self.handle_rollout(from, message, cross_centre);
+            }
             NeighbourMessage::Borrow(number) => self.lend_probes(from, number),
             NeighbourMessage::Lend(loan) => {
                 let mut budget = self.probe_budget.borrow_mut();
@@ -260,6 +264,7 @@
                 if let Some(crashes) = self.quarantine_message() {
                     self.send(from, &crashes);
                 }
+                self.send_rollout_states(from);
             }
             GreetingEffect::New | GreetingEffect::NewRemote => self.send(from, &self.hello(false)),
             GreetingEffect::Known | GreetingEffect::Remote => {}
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -147,6 +147,8 @@
         is_first: bool,
     ) -> Step {
         let may_probe = self.may_probe();
+        let versions = self.version_rule(request);
+        let canary = self.canary_target(request);
         let config = self.config.borrow();
         let plan = config
             .catalogue
@@ -163,10 +165,15 @@
             leaving_centres: &config.leaving_centres,
             topology: &self.settings.topology,
             regions,
+            versions: &versions,
             cold: Quota::cold(plan.map_or(0.0, |p| p.cold_rate), self.share.get()),
         };
         let mut draw = || self.random_fraction();
-        placement.next(&mut context, request, clock::now(), &mut draw)
+        let now = clock::now();
+        let canary_step = canary.and_then(|target| {
+            placement.next_canary(&mut context, request, &target, now, &mut draw)
+        });
+        canary_step.unwrap_or_else(|| placement.next(&mut context, request, now, &mut draw))
     }
 
     /// Returns a connection to an endpoint: the given one, an idle one or a new one.
--- a/components/transport/src/gateway/settings.rs
+++ b/components/transport/src/gateway/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use state::fleet::rollout::exposure::ExposureBound;
 use state::topology::Topology;
 
 /// The addresses that a running entry host listens on.
@@ -40,6 +41,8 @@
     pub first_start: bool,
     /// The number of partitions of each topic of the store.
     pub partitions: usize,
+    /// The bound on requests to a bad version; without one there are no roll-outs.
+    pub exposure: Option<ExposureBound>,
     /// The settings that may change while the host runs.
     pub live: Live,
 }
--- a/components/transport/src/store.rs
+++ b/components/transport/src/store.rs
@@ -57,6 +57,9 @@
     /// The store has trimmed the requested records; holds its oldest offset, if reported.
     #[error("the store has trimmed the requested records; its oldest offset is {0:?}")]
     Forgotten(Option<u64>),
+    /// The topic doesn't end at the offset that the append required; nothing was appended.
+    #[error("the topic was appended to in the meantime")]
+    Conflict,
     /// The store answered with a status other than 200 or 410.
     #[error("the store answered with status {}", .0.as_u16())]
     Refused(StatusCode),
@@ -80,7 +83,7 @@
                         StatusCode::SERVICE_UNAVAILABLE | StatusCode::INSUFFICIENT_STORAGE
                     )
             }
-            StoreError::Forgotten(_) => true,
+            StoreError::Forgotten(_) | StoreError::Conflict => true,
             StoreError::Wire(RequestError::Sent(_))
             | StoreError::Cut(_)
             | StoreError::Silent { .. }
@@ -127,7 +130,32 @@
     /// Returns why the call failed; [`StoreError::is_not_applied`] tells whether the
     /// record may have been appended nevertheless.
     pub async fn append(&mut self, topic: &str, record: &Bytes) -> Result<u64, StoreError> {
-        let path = platform::store::append_path(topic);
+        self.append_if(topic, None, record).await
+    }
+
+    /// Appends one record if the topic ends at offset `at`, and returns the record's offset.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Conflict`] if the topic ends elsewhere. After an error for which
+    /// [`StoreError::is_not_applied`] is false, the record may still be appended as long as
+    /// the topic ends at `at`.
+    pub async fn append_at(
+        &mut self,
+        topic: &str,
+        at: u64,
+        record: &Bytes,
+    ) -> Result<u64, StoreError> {
+        self.append_if(topic, Some(at), record).await
+    }
+
+    async fn append_if(
+        &mut self,
+        topic: &str,
+        at: Option<u64>,
+        record: &Bytes,
+    ) -> Result<u64, StoreError> {
+        let path = platform::store::append_path(topic, at);
         let body = platform::store::frame([record]);
         let answer = self
             .call(Method::POST, &path, body, self.answer_timeout)
@@ -225,6 +253,7 @@
                     .inspect_err(|e| log::warn!("E0319 log-answer-unclear error={e:?}"));
                 Err(StoreError::Forgotten(first.ok()))
             }
+            StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict),
             other => Err(StoreError::Refused(other)),
         }
     }
--- a/src/settings_file.rs
+++ b/src/settings_file.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use state::fleet::rollout::exposure::ExposureBound;
 use state::topology::Topology;
 use transport::gateway::{Bounds, Live, Settings};
 
@@ -59,6 +60,12 @@
     /// Probes per second that one endpoint may receive from all hosts together.
     #[serde(default = "default_probe_rate")]
     probes_per_second: f64,
+    /// The fraction of a service's requests that a bad version may get before it is rolled
+    /// back. Without it there are no roll-outs.
+    exposure_ratio: Option<f64>,
+    /// The number of requests that a bad version may get besides.
+    #[serde(default)]
+    exposure_slack: f64,
     /// The region of each data centre.
     ///
     /// A data centre that is not listed is assumed to be in the same region as any other.
@@ -158,6 +165,8 @@
         ("repeat_ratio", file.repeat_ratio),
         ("repeat_slack", file.repeat_slack),
         ("probes_per_second", file.probes_per_second),
+        ("exposure_ratio", file.exposure_ratio.unwrap_or_default()),
+        ("exposure_slack", file.exposure_slack),
     ] {
         if !value.is_finite() || value < 0.0 {
             errors.push(format!("{key}: must be 0 or more, is {value}"));
@@ -185,6 +194,10 @@
                 log,
                 first_start: file.first_start,
                 partitions: file.partitions,
+                exposure: file.exposure_ratio.map(|fraction| ExposureBound {
+                    fraction,
+                    slack: file.exposure_slack,
+                }),
                 live: Live {
                     bounds: Bounds {
                         grace,
--- a/tests/site/endpoint.rs
+++ b/tests/site/endpoint.rs
@@ -62,6 +62,8 @@
 
 struct Inner {
     id: String,
+    /// The version of the endpoint's software.
+    version: String,
     /// How often the endpoint has crashed; names the present instance.
     restarts: Mutex<u64>,
     crash: Mutex<Option<Crash>>,
@@ -86,12 +88,18 @@
 
 impl Endpoint {
     pub async fn start(id: &str) -> Endpoint {
+        Endpoint::start_version(id, "v1").await
+    }
+
+    /// Starts an endpoint that runs this version of its software.
+    pub async fn start_version(id: &str, version: &str) -> Endpoint {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
         let inner = Arc::new(Inner {
             id: id.to_owned(),
+            version: version.to_owned(),
             restarts: Mutex::default(),
             crash: Mutex::default(),
             crashed: Notify::new(),
@@ -193,7 +201,8 @@
 
     fn register(&self, address: SocketAddr, store: &Store, state: &str) {
         let entry = format!(
-            r#"{{"service":"svc","address":"{address}","zone":"here","version":"v1","slots":6,"state":"{state}","warmupRemainingS":0,"sequence":1,"born":1}}"#,
+            r#"{{"service":"svc","address":"{address}","zone":"here","version":"{}","slots":6,"state":"{state}","warmupRemainingS":0,"sequence":1,"born":1}}"#,
+            self.version
         );
         store.put("keyed.servers", &self.instance(), Some(&entry));
     }
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -98,7 +98,7 @@
         let settings = std::env::temp_dir().join(file);
         let seeds = seed.map_or(String::new(), |s| format!("\"{s}\""));
         let text = format!(
-            "name = \"{name}\"\ndata_centre = \"here\"\ncaller_address = \"{ANY_PORT}\"\nreadiness_address = \"{ANY_PORT}\"\npeer_address = \"{peer_address}\"\nseeds = [{seeds}]\nlog_address = \"{}\"\ngrace_seconds = 6\nrepeat_slack = 50\n",
+            "name = \"{name}\"\ndata_centre = \"here\"\ncaller_address = \"{ANY_PORT}\"\nreadiness_address = \"{ANY_PORT}\"\npeer_address = \"{peer_address}\"\nseeds = [{seeds}]\nlog_address = \"{}\"\ngrace_seconds = 6\nrepeat_slack = 50\nexposure_ratio = 0.1\nexposure_slack = 20\n",
             store.address
         );
         std::fs::write(&settings, text).expect("the settings file is written");
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use stand_ins::store::{Behaviour, Outage, StoreStandIn};
+use transport::store::StoreClient;
 
 /// How the store handles calls.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -54,6 +55,14 @@
         });
     }
 
+    /// Returns the value of a key as text, `None` if there is none.
+    pub async fn value(&self, topic: &str, key: &str) -> Option<String> {
+        let mut client = StoreClient::new(self.address);
+        let page = client.newest(topic, None).await.ok()?;
+        let record = page.records.into_iter().find(|r| r.key == key)?;
+        String::from_utf8(record.value?.to_vec()).ok()
+    }
+
     /// Returns how many bytes of records the store has sent in answer to reads.
     pub fn bytes_read(&self) -> u64 {
         self.stand_in.counts().bytes_read
