accounts: API keys on the gateway

What callers saw: every request with an API key was forwarded with the key, under whatever account the caller named, also with a key that nobody holds. Unknown, missing, repeated, empty and overlong keys get 401 before a body is read. The key and a caller's own account header are removed; endpoints are told the account. A key is looked up again just before a request is sent, so one that waits while its key is revoked isn't run. An account's priority goes before the route's. A host that has heard nothing for revocation_seconds serves no key if fail_closed is set.

--- a/components/coordination/src/read_schedule.rs
+++ b/components/coordination/src/read_schedule.rs
@@ -359,6 +359,11 @@
         }
     }
 
+    /// Returns how long this host has neither read the store nor received an update.
+    pub fn silence(&self, now: Moment) -> Duration {
+        now.since(self.updated_at)
+    }
+
     /// Returns whether this data centre has received no update for a while.
     pub fn is_stale(&self, now: Moment) -> bool {
         now.since(self.updated_at) > STALE_AFTER
--- a/components/state/src/keys.rs
+++ b/components/state/src/keys.rs
@@ -35,6 +35,17 @@
 #[key]
 pub struct VersionKey(pub u64);
 
+/// Identifies a client account.
+#[key]
+pub struct AccountKey(pub u64);
+
+impl AccountKey {
+    /// Returns the key of the client account with this name.
+    pub fn named(name: &str) -> AccountKey {
+        AccountKey(xxh3_64(name.as_bytes()))
+    }
+}
+
 impl VersionKey {
     /// Returns the key of the version with this name.
     pub fn named(name: &str) -> VersionKey {
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -4,6 +4,7 @@
 //! random numbers. Time and randomness are passed in, so that a decision runs in a test
 //! exactly as it does in production.
 
+pub mod accounts;
 pub mod admission;
 pub mod capacity;
 pub mod config;
@@ -21,6 +22,8 @@
 pub mod topology;
 
 pub use config::Config;
-pub use keys::{DataCentreKey, EndpointKey, HostKey, RegionKey, ServiceKey, VersionKey};
+pub use keys::{
+    AccountKey, DataCentreKey, EndpointKey, HostKey, RegionKey, ServiceKey, VersionKey,
+};
 pub use moment::Moment;
 pub use preset::Preset;
--- a/components/state/src/routing.rs
+++ b/components/state/src/routing.rs
@@ -5,6 +5,7 @@
 
 use derives::value;
 
+use crate::accounts::AccountTable;
 use crate::{DataCentreKey, RegionKey, ServiceKey};
 
 /// The routes, services and limits that operators have put in force.
@@ -21,6 +22,8 @@
     pub services: BTreeMap<ServiceKey, ServiceConfig>,
     /// The limits on callers' requests.
     pub limits: CallerLimits,
+    /// The client accounts; none if requests need no API key.
+    pub accounts: Option<AccountTable>,
 }
 
 /// A table of routes with lookup by host and path.
@@ -87,6 +90,8 @@
     pub weighted_services: Vec<WeightedService>,
     /// The regions that requests must stay in; empty if they may go anywhere.
     pub regions: BTreeSet<RegionKey>,
+    /// Whether requests need no API key.
+    pub public: bool,
 }
 
 /// A service's share of a route.
--- a/components/state/tests/route_choice.rs
+++ b/components/state/tests/route_choice.rs
@@ -20,6 +20,7 @@
         priority: 0,
         attempts: 2,
         weighted_services: vec![weighted("svc", 1)],
+        public: false,
         regions: BTreeSet::new(),
     }
 }
@@ -40,6 +41,7 @@
             route("other", "b.example", "/x/y/z/"),
         ]),
         services: BTreeMap::new(),
+        accounts: None,
         limits: CallerLimits {
             head_size: 16_384,
             body_size: 1_000,
--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use state::{EndpointKey, Moment, VersionKey};
 
 use super::Gateway;
+use super::accounts::Caller;
 use crate::clock;
 use crate::edge::headers::remove_hop_by_hop;
 use crate::upstream::connection::RequestError;
@@ -49,6 +50,8 @@
     pub request: placement::Request,
     /// The route, under whose name service times are recorded.
     pub route: &'a state::routing::Route,
+    /// The account that the request belongs to.
+    pub caller: &'a Caller,
     /// The request's fingerprints, equal for each repetition of the request.
     pub fingerprints: Fingerprints,
     /// The endpoint selection, with the endpoints already tried.
@@ -73,6 +76,8 @@
     Refused(Refusal),
     /// The request crashed endpoints before and is quarantined for this time.
     Quarantined(Duration),
+    /// The request's API key was revoked while the request waited.
+    Revoked,
 }
 
 /// An endpoint's answer.
@@ -153,7 +158,10 @@
             AttemptEnd::Answered(_) if self.is_late() => Answered::Bad,
             AttemptEnd::Answered(_) => Answered::Good,
             AttemptEnd::Failed(_) | AttemptEnd::Lost(_) | AttemptEnd::Rejected(_) => Answered::Bad,
-            AttemptEnd::Unsent(_) | AttemptEnd::Refused(_) | AttemptEnd::Quarantined(_) => return,
+            AttemptEnd::Unsent(_)
+            | AttemptEnd::Refused(_)
+            | AttemptEnd::Quarantined(_)
+            | AttemptEnd::Revoked => return,
         };
         self.note(answer);
     }
@@ -202,6 +210,10 @@
         if let Err(left) = self.gateway.admit(self.fingerprints) {
             return AttemptEnd::Quarantined(left);
         }
+        if !self.gateway.is_authorized(self.caller) {
+            self.gateway.keep_connection(connection, &HeaderMap::new());
+            return AttemptEnd::Revoked;
+        }
         if !self.gateway.is_version_allowed(key, &self.request) {
             self.gateway.keep_connection(connection, &HeaderMap::new());
             return AttemptEnd::Unsent("the endpoint's version gets no requests now");
@@ -274,6 +286,7 @@
         headers.remove(EXPECT);
         let left = clock::now().until(self.request.deadline);
         platform::headers::set_request_headers(&mut headers, &endpoint.instance, left);
+        platform::headers::set_account(&mut headers, self.caller.name.as_deref());
         *request.headers_mut() = headers;
         Some(request)
     }
@@ -378,7 +391,10 @@
             AttemptEnd::Failed(_) => Outcome::Failed,
             AttemptEnd::Rejected(_) => Outcome::Shed,
             AttemptEnd::Lost(_) => Outcome::Broken,
-            AttemptEnd::Unsent(_) | AttemptEnd::Refused(_) | AttemptEnd::Quarantined(_) => return,
+            AttemptEnd::Unsent(_)
+            | AttemptEnd::Refused(_)
+            | AttemptEnd::Quarantined(_)
+            | AttemptEnd::Revoked => return,
         };
         self.gateway.record_outcome(key, outcome);
     }
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -20,6 +20,7 @@
 use state::{Moment, ServiceKey};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use super::accounts::Caller;
 use super::answer_body::AnswerBody;
 use super::attempt::{Answer, Attempt, AttemptEnd};
 use super::denial::Denial;
@@ -47,6 +48,7 @@
     parts: &'a Parts,
     route: &'a Route,
     service: ServiceKey,
+    caller: &'a Caller,
     fingerprints: Fingerprints,
     arrived: Moment,
     deadline: Moment,
@@ -76,6 +78,7 @@
     Lost(&'static str),
     Refused(Refusal),
     Quarantined(Duration),
+    Revoked,
 }
 
 type PendingAttempt<'a> = Pin<Box<dyn Future<Output = AttemptEnd> + 'a>>;
@@ -122,6 +125,7 @@
     }
     gateway.await_config(parts).await;
     let (route, limit) = route(gateway, parts)?;
+    let identity = gateway.identify(&parts.headers, &route)?;
     let announced = incoming.size_hint().exact();
     let body = CallerBody::new(incoming, limit).map_err(Denial::Body)?;
     let body = body
@@ -152,6 +156,7 @@
         parts,
         route: &route,
         service,
+        caller: &identity,
         fingerprints,
         arrived,
         deadline: arrived + timeout.min(route.timeout),
@@ -240,6 +245,7 @@
             parts: self.parts,
             request: self.placement_request(),
             route: self.route,
+            caller: self.caller,
             fingerprints: self.fingerprints,
             placement: &placement,
             may_have_run: &may_have_run,
@@ -320,7 +326,7 @@
             objective: self.arrived + self.route.objective,
             deadline: self.deadline,
             service_time,
-            priority: self.route.priority,
+            priority: self.caller.priority.unwrap_or(self.route.priority),
             route: ServiceKey::named(&self.route.name).0,
             draw: self.draw,
         }
@@ -371,7 +377,9 @@
     fn may_retry(&self, progress: &mut Progress, may_have_run: u32) -> bool {
         match progress.last {
             _ if may_have_run > 0 && !self.route.idempotent => return false,
-            Some(LastFailure::Refused(_) | LastFailure::Quarantined(_)) => return false,
+            Some(LastFailure::Refused(_) | LastFailure::Quarantined(_) | LastFailure::Revoked) => {
+                return false;
+            }
             _ if self.gateway.quarantine_left(self.fingerprints).is_some() => return false,
             Some(LastFailure::Unsent(_)) => return progress.unsent < MAX_UNSENT_ATTEMPTS,
             _ => {}
@@ -408,6 +416,7 @@
             AttemptEnd::Lost(reason) => LastFailure::Lost(reason),
             AttemptEnd::Refused(refusal) => LastFailure::Refused(refusal),
             AttemptEnd::Quarantined(left) => LastFailure::Quarantined(left),
+            AttemptEnd::Revoked => LastFailure::Revoked,
         });
     }
 
@@ -421,6 +430,7 @@
             ) => reason,
             Some(LastFailure::Failed) => "the endpoint failed",
             Some(LastFailure::Quarantined(_)) => "it crashed endpoints before",
+            Some(LastFailure::Revoked) => "its API key was revoked",
             Some(LastFailure::Refused(_)) | None => "no endpoint was found",
         }
     }
@@ -445,6 +455,7 @@
             Some(LastFailure::Lost(reason)) => Denial::Unknown(reason),
             _ if may_have_run > 0 => Denial::Unknown("an earlier attempt may have run"),
             Some(LastFailure::Quarantined(left)) => Denial::Quarantined(left),
+            Some(LastFailure::Revoked) => Denial::UnknownKey,
             Some(LastFailure::Refused(refusal)) => not_run(refusal, delay),
             Some(LastFailure::Rejected(reason) | LastFailure::Unsent(reason)) => {
                 Denial::NotRun(reason, delay)
--- a/components/transport/src/gateway/denial.rs
+++ b/components/transport/src/gateway/denial.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
-use platform::headers::ATTEMPT_ID;
+use platform::headers::{ATTEMPT_ID, ApiKeyError};
 use thiserror::Error;
 
 use super::answer_body::AnswerBody;
@@ -28,6 +28,15 @@
     /// The request has no host name.
     #[error("the request must name its host")]
     NoHost,
+    /// The request's API key can't be read.
+    #[error("the request is not authorized: {0}")]
+    ApiKey(ApiKeyError),
+    /// No account holds the request's API key.
+    #[error("the request is not authorized: no account holds its API key")]
+    UnknownKey,
+    /// This host can't tell whether the API key has been revoked.
+    #[error("this host does not know which API keys are valid now")]
+    KeysOutdated,
     /// The request body can't be read.
     #[error("{0}")]
     Body(BodyError),
@@ -55,8 +64,10 @@
         match self {
             Denial::NoCatalogue
             | Denial::Stopping
+            | Denial::KeysOutdated
             | Denial::NotRun(..)
             | Denial::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Denial::ApiKey(_) | Denial::UnknownKey => StatusCode::UNAUTHORIZED,
             Denial::NoRoute => StatusCode::NOT_FOUND,
             Denial::NoHost | Denial::Body(BodyError::Broken(_)) => StatusCode::BAD_REQUEST,
             Denial::Body(BodyError::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
@@ -88,7 +99,7 @@
 
     fn retry_after(&self) -> Option<Duration> {
         match self {
-            Denial::NoCatalogue => Some(START_RETRY_DELAY),
+            Denial::NoCatalogue | Denial::KeysOutdated => Some(START_RETRY_DELAY),
             Denial::Stopping => Some(Duration::ZERO),
             Denial::NotRun(_, time) | Denial::Quarantined(time) => Some(*time),
             _ => None,
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! state without locks. `state::fleet` makes the decisions; this module transfers
 //! bytes, reads the clock and follows the store.
 
+mod accounts;
 mod answer_body;
 mod attempt;
 mod call;
--- a/src/settings_file.rs
+++ b/src/settings_file.rs
@@ -66,6 +66,11 @@
     /// The number of requests that a bad version may get besides.
     #[serde(default)]
     exposure_slack: f64,
+    /// The time in seconds after which a revoked API key must run nothing more.
+    revocation_seconds: Option<f64>,
+    /// Whether a host that hears nothing for that time serves no API key.
+    #[serde(default)]
+    fail_closed: bool,
     /// The region of each data centre.
     ///
     /// A data centre that is not listed is assumed to be in the same region as any other.
@@ -161,6 +166,9 @@
         file.repeat_window_seconds,
         &mut errors,
     );
+    let revocation = file
+        .revocation_seconds
+        .and_then(|time| seconds("revocation_seconds", time, &mut errors));
     for (key, value) in [
         ("repeat_ratio", file.repeat_ratio),
         ("repeat_slack", file.repeat_slack),
@@ -205,6 +213,8 @@
                         repeat_slack: file.repeat_slack,
                         repeat_window: window,
                         ask_rate: file.probes_per_second,
+                        revocation,
+                        fail_closed: file.fail_closed,
                     },
                     callers_limit: (file.open_files - RESERVED_FILES) / CALLERS_DIVISOR,
                 },
