accounts: quotas hold for all hosts together

Change: in each data centre one host, found by rendezvous hashing among those heard of, keeps an account's token bucket (coordination::quota::home); the others take tokens from it, a few in advance (held), and a small reserve of their own where they hear of less than half of their neighbours. Homes tell other data centres the demand twice a second and divide the quota by it. Retries and second copies take a token each; a request that didn't run gives it back.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod group_joins;
 pub mod members;
 pub mod neighbours;
+pub mod quota;
 pub mod read_schedule;
 pub mod recent_records;
 pub mod relay;
--- /dev/null
+++ b/components/coordination/src/quota/home.rs
@@ -0,0 +1,241 @@
+//! The home of an account's quota in one data centre.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use state::accounts::QuotaLimit;
+use state::fleet::QuotaBucket;
+use state::{AccountKey, DataCentreKey, Moment};
+
+use super::demand::Demand;
+use super::{DemandEntry, DemandReport, USED_SLACK};
+
+/// How long the demand of another data centre counts after it was last heard of.
+const DEMAND_TTL: Duration = Duration::from_secs(20);
+
+/// The demand that each data centre is credited with, as a fraction of the quota's rate.
+///
+/// Without it a data centre where the first caller of an account appears would have no
+/// share until its demand has become known elsewhere.
+const BASE_DEMAND: f64 = 0.05;
+
+/// The rate of grants of a host that isn't the first choice of home, as a fraction.
+///
+/// The first choice may still be granting tokens to hosts that reach it.
+const SECOND_FRACTION: f64 = 0.5;
+
+/// The time over which refused requests are counted, for the time at which they return.
+const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
+
+/// The bounds on the time after which a refused caller is told to return.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
+
+/// The data centres that share the quotas with this one.
+#[derive(Clone, Debug, Default)]
+pub struct Centres {
+    /// The other data centres with known hosts.
+    pub others: Vec<DataCentreKey>,
+}
+
+/// A request for tokens.
+#[derive(Clone, Copy, Debug)]
+pub struct Claim {
+    /// The account.
+    pub account: AccountKey,
+    /// The account's quota over all hosts.
+    pub limit: QuotaLimit,
+    /// The tokens that the sender can use now or soon; the first is for a waiting request.
+    pub wanted: u32,
+    /// Whether this host is the first choice of home.
+    pub is_first: bool,
+}
+
+/// The answer to a request for tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The tokens granted; none if the quota is used up.
+    pub tokens: u32,
+    /// How long a refused caller has to wait; zero if tokens were granted.
+    pub retry_after: Duration,
+}
+
+/// The demand of another data centre.
+#[derive(Clone, Copy, Debug)]
+struct RemoteDemand {
+    rate: f64,
+    at: Moment,
+}
+
+/// One account at its home.
+#[derive(Clone, Debug)]
+struct HomeAccount {
+    bucket: QuotaBucket,
+    demand: Demand,
+    /// The demand of this data centre that the others were last told.
+    reported: Option<f64>,
+    remote: BTreeMap<DataCentreKey, RemoteDemand>,
+    refused: Demand,
+    used: Moment,
+}
+
+/// The accounts whose home this host is, or has been.
+#[derive(Clone, Debug, Default)]
+pub struct QuotaHomes {
+    accounts: BTreeMap<AccountKey, HomeAccount>,
+}
+
+impl HomeAccount {
+    fn new(now: Moment) -> HomeAccount {
+        let nothing = QuotaLimit {
+            rate: 0.0,
+            burst: 0.0,
+        };
+        HomeAccount {
+            bucket: QuotaBucket::new(nothing, 0.0, now),
+            demand: Demand::new(now),
+            reported: None,
+            remote: BTreeMap::new(),
+            refused: Demand::new(now),
+            used: now,
+        }
+    }
+
+    /// Returns this data centre's part of a quota.
+    ///
+    /// All data centres divide the quota by the demand that they last told each other, so
+    /// their parts add up to the quota. One that has not been heard of counts as if its
+    /// demand were the same as here.
+    fn part(&self, limit: QuotaLimit, centres: &Centres, now: Moment) -> f64 {
+        let base = limit.rate * BASE_DEMAND;
+        let own = self.reported.unwrap_or_else(|| self.demand.rate(now)) + base;
+        let others = centres.others.iter().map(|centre| {
+            let heard = self.remote.get(centre);
+            let heard = heard.filter(|r| now.since(r.at) < DEMAND_TTL);
+            heard.map_or(own, |r| r.rate + base)
+        });
+        own / (own + others.sum::<f64>())
+    }
+
+    /// Returns the limit of this data centre.
+    fn limit(&self, claim: &Claim, centres: &Centres, slack: f64, now: Moment) -> QuotaLimit {
+        let part = self.part(claim.limit, centres, now);
+        let count = (centres.others.len() + 1) as f64;
+        let factor = if claim.is_first { 1.0 } else { SECOND_FRACTION };
+        let slack = slack * USED_SLACK / count;
+        let burst = match claim.is_first {
+            true => claim.limit.burst * part + slack,
+            // The first choice grants the burst, and may still do so.
+            false => slack.max(1.0),
+        };
+        // With less than one token at once, no data centre could grant any.
+        let is_largest = part * count >= 1.0;
+        QuotaLimit {
+            rate: claim.limit.rate * part * factor,
+            burst: if is_largest { burst.max(1.0) } else { burst },
+        }
+    }
+}
+
+impl QuotaHomes {
+    /// Grants tokens of an account's quota.
+    ///
+    /// `slack` is the number of requests by which all hosts together may exceed a quota.
+    pub fn grant(&mut self, claim: &Claim, centres: &Centres, slack: f64, now: Moment) -> Grant {
+        let is_new = !self.accounts.contains_key(&claim.account);
+        let account = self
+            .accounts
+            .entry(claim.account)
+            .or_insert_with(|| HomeAccount::new(now));
+        account.used = now;
+        let limit = account.limit(claim, centres, slack, now);
+        match is_new {
+            // An earlier home may have granted the whole burst a moment ago.
+            true => {
+                account.bucket = QuotaBucket::new(limit, first_level(limit, slack, centres), now)
+            }
+            false => account.bucket.set_limit(limit, now),
+        }
+        let tokens = account.bucket.take(1, claim.wanted, now);
+        account.demand.count(tokens.max(1), now);
+        if tokens > 0 {
+            return Grant {
+                tokens,
+                retry_after: Duration::ZERO,
+            };
+        }
+        let before = account.refused.rate(now) * REFUSAL_WINDOW.as_secs_f64();
+        account.refused.count(1, now);
+        let wait = account.bucket.wait(before);
+        Grant {
+            tokens: 0,
+            retry_after: wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY),
+        }
+    }
+
+    /// Takes in the demand of another data centre.
+    pub fn demand_reported(&mut self, report: &DemandReport, now: Moment) {
+        for entry in &report.entries {
+            let account = self
+                .accounts
+                .entry(entry.account)
+                .or_insert_with(|| HomeAccount::new(now));
+            if entry.demand > 0.0 {
+                account.used = now;
+            }
+            let remote = RemoteDemand {
+                rate: entry.demand,
+                at: now,
+            };
+            account.remote.insert(report.centre, remote);
+        }
+    }
+
+    /// Returns the demand here that the other data centres have to be told.
+    ///
+    /// Called at a fixed interval; `is_first` tells for which accounts this host is the first
+    /// choice of home. The others' buckets are drained: while this host was cut off or passed
+    /// over they filled up, and another host granted the quota. Their demand isn't told, since
+    /// it would replace that of their present home. Accounts without demand anywhere are
+    /// forgotten.
+    pub fn report(
+        &mut self,
+        is_first: impl Fn(AccountKey) -> bool,
+        now: Moment,
+    ) -> Vec<DemandEntry> {
+        self.accounts
+            .retain(|_, account| now.since(account.used) < DEMAND_TTL);
+        let mut entries = Vec::with_capacity(self.accounts.len());
+        for (key, account) in &mut self.accounts {
+            if !is_first(*key) {
+                account.bucket.drain(now);
+                account.reported = None;
+                continue;
+            }
+            let demand = match account.demand.rate(now) {
+                rate if rate < MIN_DEMAND => 0.0,
+                rate => rate,
+            };
+            account.reported = Some(demand);
+            entries.push(DemandEntry {
+                account: *key,
+                demand,
+            });
+        }
+        entries
+    }
+
+    /// Returns whether this host is home of any account.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+}
+
+/// A lower demand counts as none, in requests per second.
+const MIN_DEMAND: f64 = 0.01;
+
+/// Returns the tokens in a new home's bucket: the data centre's part of the slack.
+fn first_level(limit: QuotaLimit, slack: f64, centres: &Centres) -> f64 {
+    let slack = slack * USED_SLACK / (centres.others.len() + 1) as f64;
+    slack.max(1.0).min(limit.burst)
+}
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod member;
 pub mod neighbour;
 pub mod peer;
+pub mod quota_message;
 pub mod rollout_message;
 pub mod slots;
 
--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -15,6 +15,7 @@
 
 use crate::crash_report::{CrashReport, WireCrashReport};
 use crate::limit_report::{LimitReport, WireLimitReport};
+use crate::quota_message::{QuotaMessage, WireQuota};
 use crate::rollout_message::{RolloutMessage, WireRollout};
 
 /// The protocol version, sent as the first byte of each datagram.
@@ -70,6 +71,8 @@
     LimitReport(LimitReport),
     /// Tells about a roll-out; the flag is set if the sender is in another data centre.
     Rollout(RolloutMessage, bool),
+    /// Divides the quotas of client accounts.
+    Quota(QuotaMessage),
 }
 
 /// Probes lent to a neighbour, in answer to its request.
@@ -146,6 +149,9 @@
     /// The datagram is about a roll-out, in a form that this release doesn't know.
     #[error("the datagram about a roll-out is of an unknown form")]
     UnknownRollout,
+    /// The datagram is about a quota, in a form that this release doesn't know.
+    #[error("the datagram about a quota is of an unknown form")]
+    UnknownQuota,
     /// The datagram contains an invalid address of a host.
     #[error("the datagram contains {0:?}, which is not an IP address and port")]
     NoAddress(String),
@@ -212,6 +218,8 @@
     limit_report: Option<WireLimitReport>,
     #[prost(message, optional, tag = "24")]
     rollout: Option<WireRollout>,
+    #[prost(message, optional, tag = "25")]
+    quota: Option<WireQuota>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -258,6 +266,7 @@
 const CRASH_REPORT: u32 = 5;
 const LIMIT_REPORT: u32 = 6;
 const ROLLOUT: u32 = 7;
+const QUOTA: u32 = 8;
 
 impl RecordUpdate {
     /// Returns the same records without the addresses of hosts.
@@ -321,6 +330,8 @@
             NeighbourMessage::Borrow(_) | NeighbourMessage::Lend(_) => "loan",
             NeighbourMessage::CrashReport(_) => "crashes",
             NeighbourMessage::LimitReport(_) => "limits",
+            NeighbourMessage::Quota(QuotaMessage::Demand(..)) => "quota_demand",
+            NeighbourMessage::Quota(_) => "quota",
             NeighbourMessage::Rollout(RolloutMessage::State(_), _) => "rollout_state",
             NeighbourMessage::Rollout(RolloutMessage::Report(_), _) => "rollout_report",
             NeighbourMessage::Rollout(RolloutMessage::Summary(_), _) => "rollout_summary",
@@ -408,6 +419,12 @@
                 rollout: Some(WireRollout::from(message)),
                 ..WireMessage::default()
             },
+            NeighbourMessage::Quota(message) => WireMessage {
+                topic: QUOTA,
+                cross_centre: matches!(message, QuotaMessage::Demand(_, true)),
+                quota: Some(WireQuota::new(message)),
+                ..WireMessage::default()
+            },
             NeighbourMessage::ReadStarted(topic) => WireMessage {
                 topic: topic_number(*topic),
                 read_started: true,
@@ -468,6 +485,13 @@
                 let message = message.ok_or(DatagramError::UnknownRollout)?;
                 return Ok(NeighbourMessage::Rollout(message, wire.cross_centre));
             }
+            QUOTA => {
+                let message = wire
+                    .quota
+                    .and_then(|quota| quota.into_message(wire.cross_centre));
+                let message = message.ok_or(DatagramError::UnknownQuota)?;
+                return Ok(NeighbourMessage::Quota(message));
+            }
             OPERATORS => Topic::Operators,
             ENDPOINTS => Topic::Endpoints,
             _ => return Err(DatagramError::UnknownTopic),
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -81,6 +81,37 @@
     Revoked,
 }
 
+/// The tokens of an account's quota that a request has taken, one for each run.
+///
+/// Tokens of attempts that didn't run are given back when the request ends.
+struct QuotaTokens<'a> {
+    call: &'a Call<'a>,
+    may_have_run: &'a Cell<u32>,
+    taken: Cell<u32>,
+}
+
+impl QuotaTokens<'_> {
+    /// Takes a token for a further attempt, if all others may have run; returns whether the
+    /// attempt may be sent.
+    async fn take_further(&self) -> bool {
+        if self.taken.get() > self.may_have_run.get() {
+            return true;
+        }
+        let taken = self.call.take_quota().await.is_ok();
+        self.taken.set(self.taken.get() + u32::from(taken));
+        taken
+    }
+}
+
+impl Drop for QuotaTokens<'_> {
+    fn drop(&mut self) {
+        if let Some(account) = self.call.caller.account() {
+            let unused = self.taken.get().saturating_sub(self.may_have_run.get());
+            self.call.gateway.return_quota(account, unused);
+        }
+    }
+}
+
 type PendingAttempt<'a> = Pin<Box<dyn Future<Output = AttemptEnd> + 'a>>;
 
 /// The next event of a request with attempts in progress.
@@ -238,8 +269,14 @@
         if let Some(left) = self.gateway.quarantine_left(self.fingerprints) {
             return Err(Denial::Quarantined(left));
         }
+        self.take_quota().await?;
         let placement = RefCell::new(Placement::default());
         let may_have_run = Cell::new(0);
+        let tokens = QuotaTokens {
+            call: self,
+            may_have_run: &may_have_run,
+            taken: Cell::new(1),
+        };
         let attempt = Attempt {
             gateway: self.gateway,
             parts: self.parts,
@@ -254,7 +291,15 @@
             RequestBody::Buffered(bytes) => Some(bytes.clone()),
             RequestBody::Streamed(..) => None,
         };
-        self.run_attempts(&attempt, body, replay).await
+        self.run_attempts(&attempt, body, replay, &tokens).await
+    }
+
+    /// Takes a token of the account's quota, for one run of the request at an endpoint.
+    async fn take_quota(&self) -> Result<(), Denial> {
+        match self.caller.account() {
+            Some(account) => self.gateway.take_quota(account).await,
+            None => Ok(()),
+        }
     }
 
     /// Runs attempts until one gets an answer or no further attempt is allowed.
@@ -265,6 +310,7 @@
         attempt: &'a Attempt<'a>,
         first: RequestBody,
         replay: Option<Bytes>,
+        tokens: &QuotaTokens<'_>,
     ) -> Result<Box<Answer>, Denial> {
         let again = || attempt.run(RequestBody::Buffered(replay.clone().unwrap_or_default()));
         let mut pending: Vec<PendingAttempt<'a>> = vec![Box::pin(attempt.run(first))];
@@ -279,7 +325,10 @@
                 Event::Ended(ending) => {
                     progress.record(ending);
                     let may_have_run = attempt.may_have_run.get();
-                    if replay.is_some() && self.may_retry(&mut progress, may_have_run) {
+                    if replay.is_some()
+                        && self.may_retry(&mut progress, may_have_run)
+                        && tokens.take_further().await
+                    {
                         self.log_retry(progress.reason());
                         pending.push(Box::pin(again()));
                     } else if pending.is_empty() {
@@ -289,7 +338,10 @@
                 }
                 Event::HedgeDue => {
                     hedge = None;
-                    if attempt.may_have_run.get() > 0 && self.may_send(&mut progress) {
+                    if attempt.may_have_run.get() > 0
+                        && self.may_send(&mut progress)
+                        && tokens.take_further().await
+                    {
                         self.log_retry("no answer yet");
                         pending.push(Box::pin(again()));
                     }
--- a/components/transport/src/gateway/denial.rs
+++ b/components/transport/src/gateway/denial.rs
@@ -34,6 +34,9 @@
     /// No account holds the request's API key.
     #[error("the request is not authorized: no account holds its API key")]
     UnknownKey,
+    /// The account's quota is used up; with the time until there is room again.
+    #[error("the request was not run: the account's quota is used up")]
+    OverQuota(Duration),
     /// This host can't tell whether the API key has been revoked.
     #[error("this host does not know which API keys are valid now")]
     KeysOutdated,
@@ -67,6 +70,7 @@
             | Denial::KeysOutdated
             | Denial::NotRun(..)
             | Denial::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Denial::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Denial::ApiKey(_) | Denial::UnknownKey => StatusCode::UNAUTHORIZED,
             Denial::NoRoute => StatusCode::NOT_FOUND,
             Denial::NoHost | Denial::Body(BodyError::Broken(_)) => StatusCode::BAD_REQUEST,
@@ -101,7 +105,9 @@
         match self {
             Denial::NoCatalogue | Denial::KeysOutdated => Some(START_RETRY_DELAY),
             Denial::Stopping => Some(Duration::ZERO),
-            Denial::NotRun(_, time) | Denial::Quarantined(time) => Some(*time),
+            Denial::NotRun(_, time) | Denial::Quarantined(time) | Denial::OverQuota(time) => {
+                Some(*time)
+            }
             _ => None,
         }
     }
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -352,6 +352,7 @@
                         value.len()
                     );
                     self.forget_routes();
+                    self.forget_accounts();
                     self.config_loaded.notify_waiters();
                 }
             }
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod probe;
 mod quarantine;
+mod quota;
 mod ready;
 mod report_limiter;
 mod request_log;
@@ -56,6 +57,7 @@
 use fragments::Transfers;
 use pool::Pool;
 use quarantine::CrashTracker;
+use quota::Quotas;
 use report_limiter::ReportLimiter;
 use request_log::RequestLog;
 pub use settings::{Bounds, Live, Ports, Settings};
@@ -131,6 +133,7 @@
     /// Service time estimates by route name.
     service_times: RefCell<BTreeMap<String, ServiceTime>>,
     probe_budget: RefCell<HostProbeBudget>,
+    quotas: Quotas,
     queues: RefCell<WaitQueues>,
     /// This host's fraction of all hosts, from 0 to 1; 0 until known.
     share: Cell<f64>,
@@ -173,6 +176,7 @@
         spawn_local(Rc::clone(&gateway).report_traffic());
         spawn_local(Rc::clone(&gateway).confirm_crashes());
         spawn_local(Rc::clone(&gateway).send_reminders());
+        spawn_local(Rc::clone(&gateway).report_demand());
         if gateway.rollouts.borrow().is_enabled() {
             spawn_local(Rc::clone(&gateway).run_rollouts());
         }
@@ -220,6 +224,7 @@
             retry_budgets: RefCell::default(),
             service_times: RefCell::default(),
             probe_budget: RefCell::new(probe_budget),
+            quotas: Quotas::default(),
             queues: RefCell::default(),
             share: Cell::new(0.0),
             random: RefCell::new(random),
--- /dev/null
+++ b/components/transport/src/gateway/quota.rs
@@ -0,0 +1,317 @@
+//! Takes tokens of client accounts' quotas, and exchanges them with other hosts.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use coordination::quota::held::HeldTokens;
+use coordination::quota::home::{Centres, Claim, Grant, QuotaHomes};
+use coordination::quota::{self, DemandEntry, DemandReport, HomeRanks};
+use protocol::neighbour::NeighbourMessage;
+use protocol::quota_message::{QuotaClaim, QuotaGrant, QuotaMessage};
+use state::accounts::QuotaLimit;
+use state::{AccountKey, DataCentreKey};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+
+use super::Gateway;
+use super::denial::Denial;
+use crate::clock;
+
+/// How long a request waits for an answer of its account's home.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(30);
+
+/// How often the first choice of home is asked before the second.
+///
+/// A lost datagram must not make two hosts grant the same quota.
+const FIRST_CHOICE_TRIES: usize = 3;
+
+/// The interval at which homes tell other data centres the demand in theirs.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long a request waits for a host that has just started to hear of its neighbours.
+const MAJORITY_WAIT: Duration = Duration::from_millis(500);
+
+/// The interval at which such a request looks again.
+const MAJORITY_POLL_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Accounts in one datagram about the demand.
+const REPORT_ENTRIES: usize = 500;
+
+/// This host's part in the quotas of all accounts.
+#[derive(Default)]
+pub(super) struct Quotas {
+    held: RefCell<HeldTokens>,
+    homes: RefCell<QuotaHomes>,
+    last_id: Cell<u32>,
+    /// Requests that wait for the answer with this id.
+    waiting: RefCell<BTreeMap<u32, oneshot::Sender<Grant>>>,
+}
+
+/// Removes a waiting request when dropped.
+struct ClaimGuard<'a> {
+    quotas: &'a Quotas,
+    id: u32,
+}
+
+impl Drop for ClaimGuard<'_> {
+    fn drop(&mut self) {
+        self.quotas.waiting.borrow_mut().remove(&self.id);
+    }
+}
+
+impl Gateway {
+    /// Takes a token of the account's quota for one run of a request at an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns a denial if the quota is used up.
+    pub(super) async fn take_quota(&self, account: AccountKey) -> Result<(), Denial> {
+        let Some(limit) = self.quota_limit(account) else {
+            return Ok(());
+        };
+        let now = clock::now();
+        let mut held = self.quotas.held.borrow_mut();
+        held.count(account, now);
+        if held.take(account, now) {
+            return Ok(());
+        }
+        let wanted = held.wanted(account, now);
+        drop(held);
+        let grant = match self.await_homes(account).await {
+            Some(homes) => self.claim(&homes, account, limit, wanted).await,
+            None => None,
+        };
+        let Some(grant) = grant else {
+            let now = clock::now();
+            let share = self.share.get();
+            let mut held = self.quotas.held.borrow_mut();
+            let taken = held.take_reserve(account, limit, share, now);
+            return taken.map_err(Denial::OverQuota);
+        };
+        match grant.tokens {
+            0 => Err(Denial::OverQuota(grant.retry_after)),
+            n => {
+                let mut held = self.quotas.held.borrow_mut();
+                held.add(account, n - 1, clock::now());
+                Ok(())
+            }
+        }
+    }
+
+    /// Gives back tokens that were taken for runs that didn't take place.
+    pub(super) fn return_quota(&self, account: AccountKey, tokens: u32) {
+        if tokens > 0 && self.quota_limit(account).is_some() {
+            let mut held = self.quotas.held.borrow_mut();
+            held.add(account, tokens, clock::now());
+        }
+    }
+
+    fn quota_limit(&self, account: AccountKey) -> Option<QuotaLimit> {
+        let config = self.config.borrow();
+        let accounts = config.catalogue.as_ref()?.accounts.as_ref()?;
+        accounts.get(account)?.quota
+    }
+
+    /// Returns the homes of an account, or `None` if this host is cut off from its neighbours.
+    ///
+    /// A host that has just started waits for a moment until it hears of them.
+    async fn await_homes(&self, account: AccountKey) -> Option<HomeRanks> {
+        let last = Instant::now() + MAJORITY_WAIT;
+        loop {
+            let homes = self.homes(account);
+            let is_young = clock::now().since(self.started) < MAJORITY_WAIT * 4;
+            if homes.is_some() || !is_young || Instant::now() >= last {
+                return homes;
+            }
+            sleep(MAJORITY_POLL_INTERVAL).await;
+        }
+    }
+
+    fn homes(&self, account: AccountKey) -> Option<HomeRanks> {
+        let neighbours = self.neighbours.borrow();
+        let heard = neighbours.heard_lately(clock::now());
+        let known = neighbours.len().max(self.expected_neighbours());
+        let is_member = self.share.get() > 0.0 || !heard.is_empty();
+        if !is_member || !quota::has_majority(heard.len(), known) {
+            return None;
+        }
+        let hosts = heard.into_iter().chain([self.settings.peers]);
+        quota::homes(account, hosts)
+    }
+
+    /// Claims tokens from the account's home, or from the second choice if that fails.
+    async fn claim(
+        &self,
+        homes: &HomeRanks,
+        account: AccountKey,
+        limit: QuotaLimit,
+        wanted: u32,
+    ) -> Option<Grant> {
+        let has_failed = self
+            .quotas
+            .held
+            .borrow_mut()
+            .has_failed(account, clock::now());
+        if !has_failed || homes.second.is_none() {
+            for _ in 0..FIRST_CHOICE_TRIES {
+                let grant = self.claim_from(homes.first, account, limit, wanted).await;
+                if grant.is_some() {
+                    return grant;
+                }
+            }
+            let mut held = self.quotas.held.borrow_mut();
+            held.home_failed(account, clock::now());
+        }
+        self.claim_from(homes.second?, account, limit, wanted).await
+    }
+
+    async fn claim_from(
+        &self,
+        home: SocketAddr,
+        account: AccountKey,
+        limit: QuotaLimit,
+        wanted: u32,
+    ) -> Option<Grant> {
+        if home == self.settings.peers {
+            return Some(self.grant_here(account, limit, wanted));
+        }
+        let id = self.quotas.last_id.get().wrapping_add(1);
+        self.quotas.last_id.set(id);
+        let (sender, receiver) = oneshot::channel();
+        self.quotas.waiting.borrow_mut().insert(id, sender);
+        let _guard = ClaimGuard {
+            quotas: &self.quotas,
+            id,
+        };
+        let claim = QuotaClaim {
+            id,
+            account,
+            wanted,
+        };
+        self.send_quota(home, QuotaMessage::Claim(claim));
+        timeout(GRANT_TIMEOUT, receiver).await.ok()?.ok()
+    }
+
+    fn grant_here(&self, account: AccountKey, limit: QuotaLimit, wanted: u32) -> Grant {
+        let claim = Claim {
+            account,
+            limit,
+            wanted,
+            is_first: self
+                .homes(account)
+                .is_some_and(|h| h.first == self.settings.peers),
+        };
+        let centres = self.quota_centres();
+        let slack = self.live.borrow().bounds.quota_slack;
+        let mut homes = self.quotas.homes.borrow_mut();
+        homes.grant(&claim, &centres, slack, clock::now())
+    }
+
+    fn quota_centres(&self) -> Centres {
+        let names = self.neighbours.borrow_mut().remote_centres(clock::now());
+        Centres {
+            others: names.iter().map(|n| DataCentreKey::named(n)).collect(),
+        }
+    }
+
+    /// Handles a message about quotas from another host.
+    pub(super) fn handle_quota(&self, from: SocketAddr, message: QuotaMessage) {
+        match message {
+            QuotaMessage::Claim(claim) => {
+                // A host that doesn't know the account yet leaves the claim unanswered.
+                if let Some(limit) = self.quota_limit(claim.account) {
+                    let grant = self.grant_here(claim.account, limit, claim.wanted);
+                    let answer = QuotaGrant {
+                        id: claim.id,
+                        grant,
+                    };
+                    self.send_quota(from, QuotaMessage::Grant(answer));
+                }
+            }
+            QuotaMessage::Grant(answer) => self.handle_grant(&answer),
+            QuotaMessage::Demand(report, true) => self.forward_demand(report),
+            QuotaMessage::Demand(report, false) => {
+                let mut homes = self.quotas.homes.borrow_mut();
+                homes.demand_reported(&report, clock::now());
+            }
+        }
+    }
+
+    /// Hands a grant to the request that waits for it; a late one is dropped.
+    fn handle_grant(&self, answer: &QuotaGrant) {
+        let waiting = self.quotas.waiting.borrow_mut().remove(&answer.id);
+        // The request may have been given up since.
+        let _delivered = waiting.map(|sender| sender.send(answer.grant));
+    }
+
+    /// Passes the demand of another data centre on to the homes in this one.
+    fn forward_demand(&self, report: DemandReport) {
+        let mut by_home: BTreeMap<SocketAddr, Vec<DemandEntry>> = BTreeMap::new();
+        for entry in report.entries {
+            if let Some(homes) = self.homes(entry.account) {
+                by_home.entry(homes.first).or_default().push(entry);
+            }
+        }
+        for (home, entries) in by_home {
+            let part = DemandReport {
+                centre: report.centre,
+                entries,
+            };
+            match home == self.settings.peers {
+                true => {
+                    let mut homes = self.quotas.homes.borrow_mut();
+                    homes.demand_reported(&part, clock::now());
+                }
+                false => self.send_quota(home, QuotaMessage::Demand(part, false)),
+            }
+        }
+    }
+
+    /// Tells other data centres the demand for the accounts whose home this host is; never
+    /// returns.
+    pub(super) async fn report_demand(self: Rc<Self>) {
+        let mut ticks = interval(REPORT_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        for tick in 0usize.. {
+            ticks.tick().await;
+            if self.quotas.homes.borrow().is_empty() {
+                continue;
+            }
+            let now = clock::now();
+            let is_first = |account| {
+                self.homes(account)
+                    .is_some_and(|h| h.first == self.settings.peers)
+            };
+            let entries = self.quotas.homes.borrow_mut().report(is_first, now);
+            let contacts = self.neighbours.borrow_mut().remote_targets(now);
+            for hosts in contacts {
+                // Another host each time, so that the loss of one costs a single report.
+                let Some(host) = hosts.get(tick % hosts.len().max(1)) else {
+                    continue;
+                };
+                for part in entries.chunks(REPORT_ENTRIES) {
+                    let report = DemandReport {
+                        centre: self.home,
+                        entries: part.to_vec(),
+                    };
+                    self.send_quota(*host, QuotaMessage::Demand(report, true));
+                }
+            }
+        }
+    }
+
+    /// Drops the tokens of accounts that are no longer configured.
+    pub(super) fn forget_accounts(&self) {
+        let config = self.config.borrow();
+        let accounts = config.catalogue.as_ref().and_then(|c| c.accounts.as_ref());
+        let is_known = |key| accounts.is_some_and(|a| a.get(key).is_some());
+        self.quotas.held.borrow_mut().retain(is_known);
+    }
+
+    fn send_quota(&self, to: SocketAddr, message: QuotaMessage) {
+        self.send(to, &NeighbourMessage::Quota(message));
+    }
+}
--- a/src/settings_file.rs
+++ b/src/settings_file.rs
@@ -66,6 +66,9 @@
     /// The number of requests that a bad version may get besides.
     #[serde(default)]
     exposure_slack: f64,
+    /// The number of requests by which all hosts together may exceed an account's quota.
+    #[serde(default)]
+    quota_slack: f64,
     /// The time in seconds after which a revoked API key must run nothing more.
     revocation_seconds: Option<f64>,
     /// Whether a host that hears nothing for that time serves no API key.
@@ -175,6 +178,7 @@
         ("probes_per_second", file.probes_per_second),
         ("exposure_ratio", file.exposure_ratio.unwrap_or_default()),
         ("exposure_slack", file.exposure_slack),
+        ("quota_slack", file.quota_slack),
     ] {
         if !value.is_finite() || value < 0.0 {
             errors.push(format!("{key}: must be 0 or more, is {value}"));
@@ -213,6 +217,7 @@
                         repeat_slack: file.repeat_slack,
                         repeat_window: window,
                         ask_rate: file.probes_per_second,
+                        quota_slack: file.quota_slack,
                         revocation,
                         fail_closed: file.fail_closed,
                     },
