Pipelining: requests sent behind one another run at the same time

What callers saw: of four requests sent together the last waited for the work of three. Cause: the HTTP library serves a connection's requests one after the other. Change: the connection is read ahead (gateway::read_ahead), request by request (protocol::request_splitter, on the library's own parser); GET requests without a body on idempotent routes are started while those in front run (gateway::pipeline), eight a connection and 64 a host, and the library gets the answer when it comes to them. Whatever is in doubt (chunked bodies, two lengths, Connection, Upgrade, Expect) is left to the library. A host that stops starts nothing more and answers what it has passed on. Found on the way: the library doesn't read again after an answer unless the connection wakes it; the connection now does when it becomes idle with bytes unread. Ruled out: a server of our own in place of the library's.

--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod neighbour;
 pub mod peer;
 pub mod quota_message;
+pub mod request_splitter;
 pub mod rollout_message;
 pub mod slots;
 
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::Response;
 use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
-use hyper::{Request, Response};
 use state::fleet::Placement;
 use state::fleet::fingerprint::{Content, Fingerprints};
 use state::fleet::placement::{self, Refusal};
@@ -26,7 +26,7 @@
 use super::denial::Denial;
 use super::{Gateway, Stage};
 use crate::clock;
-use crate::edge::body::{CallerBody, MAX_REPLAY_BODY, SharedBody};
+use crate::edge::body::{BodyPrefix, CallerBody, MAX_REPLAY_BODY, SharedBody};
 use crate::upstream::RequestBody;
 
 /// Attempts of one request that may fail without reaching an endpoint.
@@ -122,13 +122,15 @@
 }
 
 /// Handles one request, and returns the answer for the caller.
+///
+/// A request without `incoming` has no body.
 pub(super) async fn handle(
     gateway: &Gateway,
-    request: Request<Incoming>,
+    parts: Parts,
+    incoming: Option<Incoming>,
     caller: IpAddr,
 ) -> Response<AnswerBody> {
     let arrived = clock::now();
-    let (parts, incoming) = request.into_parts();
     let rest = OnceCell::new();
     let mut response = match run(gateway, &parts, incoming, (arrived, caller), &rest).await {
         Ok(answer) => forward_answer(answer),
@@ -147,7 +149,7 @@
 async fn run(
     gateway: &Gateway,
     parts: &Parts,
-    incoming: Incoming,
+    incoming: Option<Incoming>,
     (arrived, caller): (Moment, IpAddr),
     rest: &OnceCell<SharedBody>,
 ) -> Result<Box<Answer>, Denial> {
@@ -157,12 +159,8 @@
     gateway.await_config(parts).await;
     let (route, limit) = route(gateway, parts)?;
     let identity = gateway.identify(&parts.headers, &route)?;
-    let announced = incoming.size_hint().exact();
-    let body = CallerBody::new(incoming, limit).map_err(Denial::Body)?;
-    let body = body
-        .read_prefix(MAX_REPLAY_BODY)
-        .await
-        .map_err(Denial::Body)?;
+    let announced = incoming.as_ref().map_or(Some(0), |b| b.size_hint().exact());
+    let body = read_body(incoming, limit).await?;
     let length = match body.rest {
         None => u64::try_from(body.start.len()).ok(),
         Some(_) => announced,
@@ -202,6 +200,24 @@
     result
 }
 
+/// Reads the beginning of a request's body, of at most `limit` bytes in all.
+async fn read_body(incoming: Option<Incoming>, limit: u64) -> Result<BodyPrefix, Denial> {
+    let Some(incoming) = incoming else {
+        return Ok(BodyPrefix {
+            start: Bytes::new(),
+            rest: None,
+        });
+    };
+    let body = CallerBody::new(incoming, limit).map_err(Denial::Body)?;
+    let prefix = body.read_prefix(MAX_REPLAY_BODY).await;
+    prefix.map_err(Denial::Body)
+}
+
+/// Returns whether a request is for a route whose requests may run more than once.
+pub(super) fn is_idempotent(gateway: &Gateway, parts: &Parts) -> bool {
+    route(gateway, parts).is_ok_and(|(route, _)| route.idempotent)
+}
+
 /// Returns the content that identifies a request; `start` is the buffered part of its body.
 fn content<'a>(parts: &'a Parts, start: &'a [u8], length: Option<u64>) -> Content<'a> {
     Content {
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -16,10 +16,12 @@
 mod group;
 mod limits;
 mod neighbours;
+mod pipeline;
 mod pool;
 mod probe;
 mod quarantine;
 mod quota;
+mod read_ahead;
 mod ready;
 mod report_limiter;
 mod request_log;
@@ -141,6 +143,8 @@
     stage: watch::Sender<Stage>,
     /// The number of open connections from callers.
     callers: Cell<usize>,
+    /// The number of pipelined requests that were started early.
+    ahead: Cell<usize>,
     request_log: RefCell<RequestLog>,
     crash_tracker: RefCell<CrashTracker>,
     /// Limits the reports of endpoints' rate limits to other hosts.
@@ -230,6 +234,7 @@
             random: RefCell::new(random),
             stage: watch::Sender::new(Stage::Serving),
             callers: Cell::new(0),
+            ahead: Cell::new(0),
             request_log: RefCell::default(),
             crash_tracker: RefCell::default(),
             limit_reports: RefCell::default(),
--- /dev/null
+++ b/components/transport/src/gateway/pipeline.rs
@@ -0,0 +1,132 @@
+//! Starts pipelined requests while an earlier one of their connection is still unanswered.
+//!
+//! The HTTP library reads one request at a time and writes answers in the order of the
+//! requests. The requests behind it are started here as soon as they have arrived; when
+//! the library comes to one, it gets the answer that is under way.
+//!
+//! Only idempotent requests without a body are started early: one that waits behind an
+//! answer that closes the connection counts as unread, and its caller sends it again.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::IpAddr;
+use std::rc::Rc;
+
+use hyper::Response;
+use hyper::http::request::Parts;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio_util::task::AbortOnDropHandle;
+
+use super::answer_body::AnswerBody;
+use super::denial::Denial;
+use super::{Gateway, Stage, call};
+
+/// Maximum number of requests of one connection that are started early.
+const MAX_AHEAD: usize = 8;
+
+/// Maximum number of requests of all connections that are started early.
+///
+/// Their answers wait in memory for those before them, up to 128 KB each, so the limit
+/// is 8 MB. Beyond it requests wait in their connections.
+const MAX_AHEAD_TOTAL: usize = 64;
+
+/// A request that was started early.
+pub(super) struct EarlyCall {
+    answer: AbortOnDropHandle<Response<AnswerBody>>,
+    gateway: Rc<Gateway>,
+}
+
+impl EarlyCall {
+    /// Waits for the answer.
+    pub async fn answer(mut self) -> Response<AnswerBody> {
+        match (&mut self.answer).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::error!("E0131 early-request-failed error={error:?}");
+                Denial::Unknown("this host failed").response(&hyper::HeaderMap::new())
+            }
+        }
+    }
+}
+
+impl Drop for EarlyCall {
+    fn drop(&mut self) {
+        let ahead = &self.gateway.ahead;
+        ahead.set(ahead.get() - 1);
+    }
+}
+
+/// The requests of one connection that were started early, in their order.
+///
+/// Dropping it, when the caller hangs up, cancels them.
+pub(super) struct Pipeline {
+    gateway: Rc<Gateway>,
+    caller: IpAddr,
+    started: RefCell<VecDeque<EarlyCall>>,
+    /// Whether the HTTP library has come to the first of them.
+    is_due: Cell<bool>,
+    taken: Notify,
+}
+
+impl Pipeline {
+    pub fn new(gateway: Rc<Gateway>, caller: IpAddr) -> Pipeline {
+        Pipeline {
+            gateway,
+            caller,
+            started: RefCell::default(),
+            is_due: Cell::new(false),
+            taken: Notify::new(),
+        }
+    }
+
+    /// Returns whether one more request may be started early.
+    pub fn has_room(&self) -> bool {
+        self.started.borrow().len() < MAX_AHEAD
+            && self.gateway.ahead.get() < MAX_AHEAD_TOTAL
+            && *self.gateway.stage.borrow() == Stage::Serving
+    }
+
+    /// Starts a request if its route allows it; returns whether it was started.
+    pub fn start(&self, parts: Parts) -> bool {
+        if !call::is_idempotent(&self.gateway, &parts) {
+            return false;
+        }
+        let gateway = Rc::clone(&self.gateway);
+        let caller = self.caller;
+        let answer = spawn_local(async move { call::handle(&gateway, parts, None, caller).await });
+        self.gateway.ahead.set(self.gateway.ahead.get() + 1);
+        self.started.borrow_mut().push_back(EarlyCall {
+            answer: AbortOnDropHandle::new(answer),
+            gateway: Rc::clone(&self.gateway),
+        });
+        true
+    }
+
+    /// Notes that the HTTP library reads the next request; `is_early` if it was started.
+    pub fn reading(&self, is_early: bool) {
+        self.is_due.set(is_early);
+    }
+
+    /// Returns the request that the HTTP library has just read, if it was started early.
+    pub fn take(&self) -> Option<EarlyCall> {
+        let call = match self.is_due.take() {
+            true => self.started.borrow_mut().pop_front(),
+            false => None,
+        };
+        self.taken.notify_waiters();
+        call
+    }
+
+    /// Returns whether answers are under way that the HTTP library hasn't come to.
+    pub fn is_waiting(&self) -> bool {
+        !self.started.borrow().is_empty()
+    }
+
+    /// Waits until the HTTP library has come to all requests that were started.
+    pub async fn all_taken(&self) {
+        while self.is_waiting() {
+            self.taken.notified().await;
+        }
+    }
+}
--- a/components/transport/src/gateway/server.rs
+++ b/components/transport/src/gateway/server.rs
@@ -6,23 +6,25 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::Request;
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use protocol::request_splitter::MAX_HEADER_FIELDS;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::pipeline::Pipeline;
+use super::read_ahead::ReadAhead;
 use super::stream::{CallerStream, CallerTimeouts, ConnectionActivity};
 use super::{Gateway, Stage, call};
 
 /// The pause after a connection could not be accepted, as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Maximum number of header fields in a request.
-const MAX_HEADER_FIELDS: usize = 200;
-
 /// The smallest buffer size that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -91,13 +93,23 @@
     }
     let activity = Rc::new(ConnectionActivity::new());
     let (timeouts, head) = gateway.timeouts();
-    let service = service_fn(|request| {
+    let pipeline = Rc::new(Pipeline::new(Rc::clone(gateway), caller));
+    let service = service_fn(|request: Request<Incoming>| {
         let gateway = Rc::clone(gateway);
         let activity = Rc::clone(&activity);
+        let pipeline = Rc::clone(&pipeline);
+        let early = pipeline.take();
+        activity.serving();
         async move {
-            activity.serving();
-            let mut response = call::handle(&gateway, request, caller).await;
-            if *gateway.stage.borrow() >= Stage::Leaving {
+            let mut response = match early {
+                Some(early) => early.answer().await,
+                None => {
+                    let (parts, incoming) = request.into_parts();
+                    call::handle(&gateway, parts, Some(incoming), caller).await
+                }
+            };
+            // Requests that were started are answered before the connection ends.
+            if *gateway.stage.borrow() >= Stage::Leaving && !pipeline.is_waiting() {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -105,17 +117,24 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let io = TokioIo::new(CallerStream::new(stream, Rc::clone(&activity), timeouts));
+    let max_bytes = head.max(MIN_BUFFER_BYTES) + MIN_BUFFER_BYTES;
+    let ahead = ReadAhead::new(Rc::clone(&pipeline), max_bytes);
+    let stream = CallerStream::new(stream, Rc::clone(&activity), timeouts, ahead);
+    let io = TokioIo::new(stream);
     let connection = http1::Builder::new()
         .max_headers(MAX_HEADER_FIELDS)
-        .max_buf_size(head.max(MIN_BUFFER_BYTES) + MIN_BUFFER_BYTES)
+        .max_buf_size(max_bytes)
         .serve_connection(io, service);
     let mut connection = pin!(connection);
     let mut stage = gateway.stage.subscribe();
-    let closing = async { stage.wait_for(|s| *s >= Stage::Closing).await.is_ok() };
+    let closing = async {
+        // The stage outlives its connections.
+        let _stage = stage.wait_for(|s| *s >= Stage::Closing).await;
+        pipeline.all_taken().await;
+    };
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        _ = closing => {
+        () = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/components/transport/src/gateway/stream.rs
+++ b/components/transport/src/gateway/stream.rs
@@ -1,18 +1,24 @@
 //! A caller's TCP stream with time limits for request heads and idle connections.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use super::read_ahead::ReadAhead;
+
 /// The current activity of a connection, shared between its requests and its stream.
-pub(super) struct ConnectionActivity(Cell<Activity>);
+pub(super) struct ConnectionActivity {
+    activity: Cell<Activity>,
+    /// Wakes the connection when it becomes idle, if a request waits there by then.
+    waker: RefCell<Option<Waker>>,
+}
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Activity {
@@ -27,17 +33,31 @@
 impl ConnectionActivity {
     /// Returns the activity of a new connection, which is idle.
     pub fn new() -> ConnectionActivity {
-        ConnectionActivity(Cell::new(Activity::Idle(Instant::now())))
+        ConnectionActivity {
+            activity: Cell::new(Activity::Idle(Instant::now())),
+            waker: RefCell::default(),
+        }
     }
 
     /// Marks a request as being served, after its head was read.
     pub fn serving(&self) {
-        self.0.set(Activity::Serving);
+        self.activity.set(Activity::Serving);
     }
 
     /// Marks the connection as idle, after an answer was sent.
     pub fn idle(&self) {
-        self.0.set(Activity::Idle(Instant::now()));
+        self.activity.set(Activity::Idle(Instant::now()));
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Wakes the connection once it is idle.
+    ///
+    /// The HTTP library reads again when the caller sends more, which may not happen
+    /// before the requests that have arrived are answered.
+    fn wake_when_idle(&self, cx: &Context<'_>) {
+        self.waker.replace(Some(cx.waker().clone()));
     }
 }
 
@@ -58,6 +78,7 @@
     activity: Rc<ConnectionActivity>,
     timeouts: CallerTimeouts,
     timer: Pin<Box<Sleep>>,
+    ahead: ReadAhead,
 }
 
 impl CallerStream {
@@ -65,17 +86,19 @@
         stream: TcpStream,
         activity: Rc<ConnectionActivity>,
         timeouts: CallerTimeouts,
+        ahead: ReadAhead,
     ) -> CallerStream {
         CallerStream {
             stream,
             activity,
             timeouts,
             timer: Box::pin(sleep_until(Instant::now() + timeouts.idle)),
+            ahead,
         }
     }
 
     fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let until = match self.activity.0.get() {
+        let until = match self.activity.activity.get() {
             Activity::Serving => return Poll::Pending,
             Activity::Idle(since) => since + self.timeouts.idle,
             Activity::Head(since) => since + self.timeouts.head,
@@ -83,7 +106,7 @@
         if self.timer.deadline() != until {
             self.timer.as_mut().reset(until);
         }
-        match (self.timer.as_mut().poll(cx), self.activity.0.get()) {
+        match (self.timer.as_mut().poll(cx), self.activity.activity.get()) {
             (Poll::Pending, _) => Poll::Pending,
             // An end of input makes the library close an idle connection gracefully.
             (Poll::Ready(()), Activity::Idle(_)) => Poll::Ready(Ok(())),
@@ -98,16 +121,22 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        let is_serving = this.activity.activity.get() == Activity::Serving;
         let before = buffer.filled().len();
-        match Pin::new(&mut self.stream).poll_read(cx, buffer) {
-            Poll::Pending => self.poll_timeout(cx),
-            ready => {
-                let came = buffer.filled().len() > before;
-                if came && matches!(self.activity.0.get(), Activity::Idle(_)) {
-                    self.activity.0.set(Activity::Head(Instant::now()));
-                }
-                ready
-            }
+        let result = this
+            .ahead
+            .poll_read(&mut this.stream, is_serving, cx, buffer);
+        let came = buffer.filled().len() > before || this.ahead.has_bytes();
+        if came && matches!(this.activity.activity.get(), Activity::Idle(_)) {
+            this.activity.activity.set(Activity::Head(Instant::now()));
+        }
+        if is_serving && this.ahead.has_bytes() {
+            this.activity.wake_when_idle(cx);
+        }
+        match result {
+            Poll::Pending => this.poll_timeout(cx),
+            ready => ready,
         }
     }
 }
