Wait queue: accounts take turns

Load pattern: an account sends many times its usual while endpoints are full. Harm: with the earliest objective first, an account has as many of the slots as it has of the queue. Change: after priority, each account has one request in each turn; requests without an account keep the order of their objectives. Ruled out: a strict order by account, which would let an account that comes late wait for the whole backlog of those before. Measured: accounts_take_turns (an account with 40 requests waiting gets 4 of 16 slots among four, 16 of 16 before); unchanged where there are no accounts (no_accounts).

--- a/components/state/src/fleet/placement.rs
+++ b/components/state/src/fleet/placement.rs
@@ -19,7 +19,7 @@
 use super::rollout::VersionRule;
 use super::token_buckets::Quota;
 use crate::topology::{Distance, Topology};
-use crate::{DataCentreKey, EndpointKey, Moment, RegionKey, ServiceKey};
+use crate::{AccountKey, DataCentreKey, EndpointKey, Moment, RegionKey, ServiceKey};
 
 /// The maximum number of endpoints that one request probes in one round.
 ///
@@ -55,8 +55,10 @@
     pub deadline: Moment,
     /// The expected service time of the request on an undisturbed endpoint.
     pub service_time: Duration,
-    /// The priority of the route; 0 is the most urgent.
+    /// The priority of the route or the account; 0 is the most urgent.
     pub priority: u32,
+    /// The client account, if the request belongs to one.
+    pub account: Option<AccountKey>,
     /// A hash of the route's name.
     pub route: u64,
     /// A random number from 0 to 1, the same for all attempts of the request.
--- a/components/state/tests/canary_placement.rs
+++ b/components/state/tests/canary_placement.rs
@@ -65,6 +65,7 @@
             deadline: NOW + Duration::from_millis(1_000),
             service_time: Duration::from_millis(120),
             priority: 1,
+            account: None,
             route: 0,
             draw: 0.0,
         };
--- a/components/state/tests/fleet_placement.rs
+++ b/components/state/tests/fleet_placement.rs
@@ -68,6 +68,7 @@
         deadline: START + Duration::from_millis(2_000),
         service_time: SERVICE_TIME,
         priority: 0,
+        account: None,
         route: 0,
         draw: 1.0,
     }
--- a/components/state/tests/unreachable_centre.rs
+++ b/components/state/tests/unreachable_centre.rs
@@ -79,6 +79,7 @@
             deadline: began + Duration::from_millis(2_000),
             service_time: Duration::from_millis(450),
             priority: 0,
+            account: None,
             route: 0,
             draw: 1.0,
         };
--- a/components/state/tests/wait_queue.rs
+++ b/components/state/tests/wait_queue.rs
@@ -11,7 +11,7 @@
 use state::fleet::token_buckets::Quota;
 use state::fleet::{Endpoint, Entry, LoadSample, Placement, Registry, Step, Ticket, WaitQueue};
 use state::topology::Topology;
-use state::{DataCentreKey, EndpointKey, Moment, ServiceKey};
+use state::{AccountKey, DataCentreKey, EndpointKey, Moment, ServiceKey};
 
 const START: Moment = Moment::from_millis(10_000);
 const TICK: Duration = Duration::from_millis(1);
@@ -84,10 +84,12 @@
             deadline: now + Duration::from_millis(2_000),
             service_time: Duration::from_millis(60),
             priority,
+            account: None,
             route: 0,
             draw: 1.0,
         };
-        let ticket = (!self.queue.is_empty()).then(|| self.queue.push(priority, request.objective));
+        let ticket =
+            (!self.queue.is_empty()).then(|| self.queue.push(priority, None, request.objective));
         self.waiting.push(Waiting {
             number,
             request,
@@ -151,7 +153,7 @@
                 let rank = (request.priority, request.objective);
                 waiting
                     .ticket
-                    .get_or_insert_with(|| self.queue.push(rank.0, rank.1));
+                    .get_or_insert_with(|| self.queue.push(rank.0, None, rank.1));
                 waiting.due = now + time;
                 true
             }
@@ -262,11 +264,71 @@
 #[test]
 fn next_is_first() {
     let mut queue = WaitQueue::default();
-    let first = queue.push(1, START);
-    let second = queue.push(1, START + TICK);
-    let third = queue.push(1, START + TICK);
+    let first = queue.push(1, None, START);
+    let second = queue.push(1, None, START + TICK);
+    let third = queue.push(1, None, START + TICK);
     assert_eq!(queue.remove(third), None);
     assert_eq!(queue.remove(first), Some(second));
     assert_eq!(queue.remove(second), None);
     assert!(queue.is_empty());
 }
+
+/// Returns how many of the first `count` requests in the queue are of this account.
+fn served(queue: &mut WaitQueue, tickets: &BTreeMap<Ticket, AccountKey>, count: usize) -> usize {
+    let first = (0..count).filter_map(|_| {
+        let ticket = queue.first()?;
+        queue.remove(ticket);
+        tickets.get(&ticket)
+    });
+    first.filter(|account| **account == HOT).count()
+}
+
+const HOT: AccountKey = AccountKey(1);
+
+/// An account that sends ten times as much as the others gets no more slots than each of
+/// them while they wait, whoever came first.
+#[test]
+fn accounts_take_turns() {
+    let mut queue = WaitQueue::default();
+    let mut tickets = BTreeMap::new();
+    for number in 0..40 {
+        let ticket = queue.push(1, Some(HOT), START + TICK * number);
+        tickets.insert(ticket, HOT);
+    }
+    for number in 0..4 {
+        for account in 2..=4 {
+            let account = AccountKey(account);
+            let ticket = queue.push(1, Some(account), START + TICK * (100 + number));
+            tickets.insert(ticket, account);
+        }
+    }
+    assert_eq!(served(&mut queue, &tickets, 16), 4);
+    // An account that comes later gets its turn at once, and no more for the time before.
+    for number in 0..3 {
+        let ticket = queue.push(1, Some(AccountKey(9)), START + TICK * (200 + number));
+        tickets.insert(ticket, AccountKey(9));
+    }
+    assert_eq!(served(&mut queue, &tickets, 6), 3);
+}
+
+/// An urgent account goes before all others.
+#[test]
+fn urgent_account() {
+    let mut queue = WaitQueue::default();
+    queue.push(2, Some(HOT), START);
+    let urgent = queue.push(0, Some(AccountKey(2)), START + TICK);
+    assert_eq!(queue.first(), Some(urgent));
+}
+
+/// Without accounts, requests keep the order of their objectives.
+#[test]
+fn no_accounts() {
+    let mut queue = WaitQueue::default();
+    let late = queue.push(1, None, START + TICK * 9);
+    for number in 0..5 {
+        let ticket = queue.push(1, None, START + TICK * number);
+        assert_eq!(queue.first(), Some(ticket));
+        queue.remove(ticket);
+    }
+    assert_eq!(queue.first(), Some(late));
+}
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -395,6 +395,7 @@
             deadline: self.deadline,
             service_time,
             priority: self.caller.priority.unwrap_or(self.route.priority),
+            account: self.caller.account(),
             route: ServiceKey::named(&self.route.name).0,
             draw: self.draw,
         }
--- a/components/transport/src/gateway/wait_queue.rs
+++ b/components/transport/src/gateway/wait_queue.rs
@@ -79,7 +79,9 @@
     pub(super) fn enqueue(&self, request: &Request) -> QueueEntry<'_> {
         let mut queues = self.queues.borrow_mut();
         let waiters = queues.services.entry(request.service).or_default();
-        let ticket = waiters.queue.push(request.priority, request.objective);
+        let ticket = waiters
+            .queue
+            .push(request.priority, request.account, request.objective);
         let notify = Rc::new(Notify::new());
         waiters.notifies.insert(ticket, Rc::clone(&notify));
         QueueEntry {
