--- a/components/coordination/src/quota/home.rs
+++ b/components/coordination/src/quota/home.rs
@@ -150,10 +150,7 @@
         account.used = now;
         let limit = account.limit(claim, centres, slack, now);
         match is_new {
-            // An earlier home may have granted the whole burst a moment ago.
-            true => {
-                account.bucket = QuotaBucket::new(limit, first_level(limit, slack, centres), now)
-            }
+            true => account.bucket = QuotaBucket::new(limit, limit.burst * FIRST_FRACTION, now),
             false => account.bucket.set_limit(limit, now),
         }
         let tokens = account.bucket.take(1, claim.wanted, now);
@@ -234,8 +231,7 @@
 /// A lower demand counts as none, in requests per second.
 const MIN_DEMAND: f64 = 0.01;
 
-/// Returns the tokens in a new home's bucket: the data centre's part of the slack.
-fn first_level(limit: QuotaLimit, slack: f64, centres: &Centres) -> f64 {
-    let slack = slack * USED_SLACK / (centres.others.len() + 1) as f64;
-    slack.max(1.0).min(limit.burst)
-}
+/// The part of the burst in a new home's bucket.
+///
+/// An earlier home may have granted the burst a moment ago, or not at all.
+const FIRST_FRACTION: f64 = 0.25;
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -3,6 +3,7 @@
 // Each test file compiles this module and uses only some of its items.
 #![allow(dead_code, unused_imports)]
 
+pub mod accounts;
 pub mod endpoint;
 pub mod raw;
 pub mod store;
