quotas: an account's first request finds its burst; use is logged

Cause: the bucket began with a slack of three tokens, or empty where another data centre's demand had been heard of before the first request here. Change: a bucket begins as if it had filled up since its host is a member; a host that has just started has a quarter of the burst. E0146 names accounts with refused requests.

--- a/components/coordination/src/quota/home.rs
+++ b/components/coordination/src/quota/home.rs
@@ -70,34 +70,46 @@
 /// One account at its home.
 #[derive(Clone, Debug)]
 struct HomeAccount {
-    bucket: QuotaBucket,
+    /// None until the first request for tokens.
+    bucket: Option<QuotaBucket>,
     demand: Demand,
     /// The demand of this data centre that the others were last told.
     reported: Option<f64>,
     remote: BTreeMap<DataCentreKey, RemoteDemand>,
     refused: Demand,
     used: Moment,
+    usage: QuotaUsage,
+}
+
+/// What one home granted and refused of an account's quota since it was last asked.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct QuotaUsage {
+    /// Tokens granted.
+    pub granted: u32,
+    /// Requests refused.
+    pub refused: u32,
+    /// This data centre's part of the quota, 0 to 1.
+    pub part: f64,
 }
 
 /// The accounts whose home this host is, or has been.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct QuotaHomes {
     accounts: BTreeMap<AccountKey, HomeAccount>,
+    /// Since when this host hears of most of its neighbours.
+    member_since: Moment,
 }
 
 impl HomeAccount {
     fn new(now: Moment) -> HomeAccount {
-        let nothing = QuotaLimit {
-            rate: 0.0,
-            burst: 0.0,
-        };
         HomeAccount {
-            bucket: QuotaBucket::new(nothing, 0.0, now),
+            bucket: None,
             demand: Demand::new(now),
             reported: None,
             remote: BTreeMap::new(),
             refused: Demand::new(now),
             used: now,
+            usage: QuotaUsage::default(),
         }
     }
 
@@ -138,32 +150,48 @@
 }
 
 impl QuotaHomes {
+    /// Returns the state of a host that starts at `now`.
+    pub fn new(now: Moment) -> QuotaHomes {
+        QuotaHomes {
+            accounts: BTreeMap::new(),
+            member_since: now,
+        }
+    }
+
+    /// Notes that this host doesn't hear of most of its neighbours.
+    pub fn cut_off(&mut self, now: Moment) {
+        self.member_since = now;
+    }
+
     /// Grants tokens of an account's quota.
     ///
     /// `slack` is the number of requests by which all hosts together may exceed a quota.
     pub fn grant(&mut self, claim: &Claim, centres: &Centres, slack: f64, now: Moment) -> Grant {
-        let is_new = !self.accounts.contains_key(&claim.account);
         let account = self
             .accounts
             .entry(claim.account)
             .or_insert_with(|| HomeAccount::new(now));
         account.used = now;
         let limit = account.limit(claim, centres, slack, now);
-        match is_new {
-            true => account.bucket = QuotaBucket::new(limit, limit.burst * FIRST_FRACTION, now),
-            false => account.bucket.set_limit(limit, now),
-        }
-        let tokens = account.bucket.take(1, claim.wanted, now);
+        let since = self.member_since;
+        let bucket = account
+            .bucket
+            .get_or_insert_with(|| first_bucket(limit, since, now));
+        bucket.set_limit(limit, now);
+        let tokens = bucket.take(1, claim.wanted, now);
+        let before = account.refused.rate(now) * REFUSAL_WINDOW.as_secs_f64();
+        let wait = bucket.wait(before);
         account.demand.count(tokens.max(1), now);
+        account.usage.granted += tokens;
+        account.usage.refused += u32::from(tokens == 0);
+        account.usage.part = account.part(claim.limit, centres, now);
         if tokens > 0 {
             return Grant {
                 tokens,
                 retry_after: Duration::ZERO,
             };
         }
-        let before = account.refused.rate(now) * REFUSAL_WINDOW.as_secs_f64();
         account.refused.count(1, now);
-        let wait = account.bucket.wait(before);
         Grant {
             tokens: 0,
             retry_after: wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY),
@@ -205,7 +233,7 @@
         let mut entries = Vec::with_capacity(self.accounts.len());
         for (key, account) in &mut self.accounts {
             if !is_first(*key) {
-                account.bucket.drain(now);
+                account.bucket.iter_mut().for_each(|b| b.drain(now));
                 account.reported = None;
                 continue;
             }
@@ -222,6 +250,17 @@
         entries
     }
 
+    /// Returns the accounts that had requests refused since the last call, the most refused
+    /// first, and starts counting anew.
+    pub fn take_usage(&mut self) -> Vec<(AccountKey, QuotaUsage)> {
+        let all = self.accounts.iter_mut();
+        let all = all.map(|(key, account)| (*key, std::mem::take(&mut account.usage)));
+        let mut refused: Vec<(AccountKey, QuotaUsage)> =
+            all.filter(|(_, usage)| usage.refused > 0).collect();
+        refused.sort_by_key(|(_, usage)| std::cmp::Reverse(usage.refused));
+        refused
+    }
+
     /// Returns whether this host is home of any account.
     pub fn is_empty(&self) -> bool {
         self.accounts.is_empty()
@@ -231,7 +270,16 @@
 /// A lower demand counts as none, in requests per second.
 const MIN_DEMAND: f64 = 0.01;
 
-/// The part of the burst in a new home's bucket.
-///
-/// An earlier home may have granted the burst a moment ago, or not at all.
+/// The part of the burst that a host has at its start.
 const FIRST_FRACTION: f64 = 0.25;
+
+/// Returns the bucket of an account whose first request has come.
+///
+/// It has filled up since this host is a member, whichever account comes first. A host that
+/// has just started has a part of the burst: an earlier home may have granted it a moment
+/// ago.
+fn first_bucket(limit: QuotaLimit, since: Moment, now: Moment) -> QuotaBucket {
+    let mut bucket = QuotaBucket::new(limit, limit.burst * FIRST_FRACTION, since);
+    bucket.set_limit(limit, now);
+    bucket
+}
--- a/components/coordination/tests/quota_site/mod.rs
+++ b/components/coordination/tests/quota_site/mod.rs
@@ -18,6 +18,10 @@
 
 pub const STEP: Duration = Duration::from_millis(10);
 const REPORT_STEPS: u64 = 50;
+const START: Moment = Moment::from_millis(10_000);
+
+/// The time from the start of all hosts to the first request.
+const LEAD_TIME: Duration = Duration::from_secs(10);
 
 /// How long a host that has gone still counts as running.
 const LIVE_TIME: Duration = Duration::from_millis(2_500);
@@ -52,11 +56,11 @@
 }
 
 impl Host {
-    fn new(address: SocketAddr) -> Host {
+    fn new(address: SocketAddr, now: Moment) -> Host {
         Host {
             address,
             held: HeldTokens::default(),
-            homes: QuotaHomes::default(),
+            homes: QuotaHomes::new(now),
             gone: None,
             is_cut: false,
             demands: BTreeMap::new(),
@@ -102,12 +106,14 @@
         let centre = |c: usize| {
             let address =
                 move |h: usize| SocketAddr::from(([10, c as u8, (h >> 8) as u8, h as u8], 1));
-            (0..hosts).map(move |h| Host::new(address(h))).collect()
+            (0..hosts)
+                .map(move |h| Host::new(address(h), START))
+                .collect()
         };
         Site {
             policy,
             centres: (0..centres).map(centre).collect(),
-            now: Moment::from_millis(10_000),
+            now: START + LEAD_TIME,
             steps: 0,
             random: SmallRng::seed_from_u64(seed),
             loss: 0.0,
@@ -145,7 +151,7 @@
     pub fn restore(&mut self) {
         for host in self.centres.iter_mut().flatten() {
             if host.gone.take().is_some() && !host.is_cut {
-                *host = Host::new(host.address);
+                *host = Host::new(host.address, self.now);
             }
             host.is_cut = false;
         }
@@ -176,10 +182,13 @@
         let now = self.now;
         for from in 0..self.centres.len() {
             for host in 0..self.centres[from].len() {
-                if self.centres[from][host].gone.is_some() {
+                if self.centres[from][host].gone.is_some() && !self.centres[from][host].is_cut {
                     continue;
                 }
                 let heard = self.heard(from, host);
+                if heard.is_none() {
+                    self.centres[from][host].homes.cut_off(now);
+                }
                 let own = self.centres[from][host].address;
                 let is_first = |account| {
                     let hosts = heard.clone().unwrap_or_default();
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -228,7 +228,7 @@
             retry_budgets: RefCell::default(),
             service_times: RefCell::default(),
             probe_budget: RefCell::new(probe_budget),
-            quotas: Quotas::default(),
+            quotas: Quotas::new(clock::now()),
             queues: RefCell::default(),
             share: Cell::new(0.0),
             random: RefCell::new(random),
--- a/components/transport/src/gateway/quota.rs
+++ b/components/transport/src/gateway/quota.rs
@@ -12,7 +12,7 @@
 use protocol::neighbour::NeighbourMessage;
 use protocol::quota_message::{QuotaClaim, QuotaGrant, QuotaMessage};
 use state::accounts::QuotaLimit;
-use state::{AccountKey, DataCentreKey};
+use state::{AccountKey, DataCentreKey, Moment};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
@@ -37,11 +37,16 @@
 /// The interval at which such a request looks again.
 const MAJORITY_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Reports from one log line about the use of quotas to the next.
+const USAGE_TICKS: usize = 4;
+
+/// Accounts in one round of log lines about the use of quotas.
+const USAGE_LINES: usize = 16;
+
 /// Accounts in one datagram about the demand.
 const REPORT_ENTRIES: usize = 500;
 
 /// This host's part in the quotas of all accounts.
-#[derive(Default)]
 pub(super) struct Quotas {
     held: RefCell<HeldTokens>,
     homes: RefCell<QuotaHomes>,
@@ -50,6 +55,18 @@
     waiting: RefCell<BTreeMap<u32, oneshot::Sender<Grant>>>,
 }
 
+impl Quotas {
+    /// Returns the state of a host that starts at `now`.
+    pub fn new(now: Moment) -> Quotas {
+        Quotas {
+            held: RefCell::default(),
+            homes: RefCell::new(QuotaHomes::new(now)),
+            last_id: Cell::new(0),
+            waiting: RefCell::default(),
+        }
+    }
+}
+
 /// Removes a waiting request when dropped.
 struct ClaimGuard<'a> {
     quotas: &'a Quotas,
@@ -131,17 +148,23 @@
     }
 
     fn homes(&self, account: AccountKey) -> Option<HomeRanks> {
-        let neighbours = self.neighbours.borrow();
-        let heard = neighbours.heard_lately(clock::now());
-        let known = neighbours.len().max(self.expected_neighbours());
-        let is_member = self.share.get() > 0.0 || !heard.is_empty();
-        if !is_member || !quota::has_majority(heard.len(), known) {
+        if !self.has_majority() {
             return None;
         }
+        let heard = self.neighbours.borrow().heard_lately(clock::now());
         let hosts = heard.into_iter().chain([self.settings.peers]);
         quota::homes(account, hosts)
     }
 
+    /// Returns whether this host hears of most of its neighbours.
+    fn has_majority(&self) -> bool {
+        let neighbours = self.neighbours.borrow();
+        let heard = neighbours.heard_lately(clock::now()).len();
+        let known = neighbours.len().max(self.expected_neighbours());
+        let is_member = self.share.get() > 0.0 || heard > 0;
+        is_member && quota::has_majority(heard, known)
+    }
+
     /// Claims tokens from the account's home, or from the second choice if that fails.
     async fn claim(
         &self,
@@ -277,10 +300,16 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         for tick in 0usize.. {
             ticks.tick().await;
+            let now = clock::now();
+            if !self.has_majority() {
+                self.quotas.homes.borrow_mut().cut_off(now);
+            }
             if self.quotas.homes.borrow().is_empty() {
                 continue;
             }
-            let now = clock::now();
+            if tick.is_multiple_of(USAGE_TICKS) {
+                self.log_usage();
+            }
             let is_first = |account| {
                 self.homes(account)
                     .is_some_and(|h| h.first == self.settings.peers)
@@ -303,6 +332,26 @@
         }
     }
 
+    /// Logs which accounts had requests refused here.
+    fn log_usage(&self) {
+        let refused = self.quotas.homes.borrow_mut().take_usage();
+        let config = self.config.borrow();
+        let accounts = config.catalogue.as_ref().and_then(|c| c.accounts.as_ref());
+        for (key, usage) in refused.iter().take(USAGE_LINES) {
+            let account = accounts.and_then(|a| a.get(*key));
+            let limit = account.and_then(|a| a.quota);
+            log::info!(
+                "E0146 quota-used account={} granted={} refused={} rate={} burst={} part={:.3}",
+                account.map_or("-", |a| a.name.as_str()),
+                usage.granted,
+                usage.refused,
+                limit.map_or(0.0, |l| l.rate),
+                limit.map_or(0.0, |l| l.burst),
+                usage.part
+            );
+        }
+    }
+
     /// Drops the tokens of accounts that are no longer configured.
     pub(super) fn forget_accounts(&self) {
         let config = self.config.borrow();
