--- a/components/transport/src/gateway/quota.rs
+++ b/components/transport/src/gateway/quota.rs
@@ -38,7 +38,7 @@
 const MAJORITY_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Reports from one log line about the use of quotas to the next.
-const USAGE_TICKS: usize = 4;
+const USAGE_TICKS: usize = 20;
 
 /// Accounts in one round of log lines about the use of quotas.
 const USAGE_LINES: usize = 16;
