Shares: every host of a large site has one

What was seen: the store's group has 480 partitions, so 504 of 984 hosts held none: no retry, no token for cold or limited endpoints, and probes only from what they started with. Ruled out: several groups (an even split is needed for the sum, and hash splits aren't even), lending of shares (messages a host and second for as long as the site is large). Change: hosts tell other data centres how many they are; where the estimate of all hosts is above the partitions, each member's share is one over it. Below, nothing changes. Bounds: the shares add up to one where estimates are right, to 1.1 where half of them are a tenth too low (shares_of_large_sites at 13 to 2,000 hosts, which fails before it); hosts that have gone count for 20 s, so the sum is too low then. While all hosts start it may reach 1.5 for some seconds.

--- a/components/coordination/src/group_joins.rs
+++ b/components/coordination/src/group_joins.rs
@@ -12,9 +12,21 @@
 /// The store assigns partitions evenly, so a host's fraction of all partitions is its
 /// share of the hosts. The store ignores topics beyond this number: if those counted too,
 /// all shares would add up to less than the whole. A dozen partitions a topic are enough
-/// for 240 hosts; a host without a partition has no share, which errs on the safe side.
+/// for 240 hosts; larger sites divide by the number of hosts, see [`share`].
 pub const GROUP_TOPICS: usize = 20;
 
+/// Returns a member's share of all hosts, 0 to 1.
+///
+/// The member holds `held` of `partitions`, and estimates that there are `hosts`. Where
+/// there are more hosts than partitions, some hold none, and each takes the same share.
+/// Estimates that are too low by a tenth make the shares add up to a tenth too much.
+pub fn share(held: usize, partitions: usize, hosts: usize) -> f64 {
+    match hosts > partitions {
+        true => 1.0 / hosts as f64,
+        false => held as f64 / partitions.max(1) as f64,
+    }
+}
+
 /// The pause before the next join after the group has changed.
 const JOIN_PAUSE: Duration = Duration::from_secs(5);
 
--- a/components/coordination/src/neighbours.rs
+++ b/components/coordination/src/neighbours.rs
@@ -16,6 +16,9 @@
 /// How long a host is kept after it was last seen.
 const HOST_TTL: Duration = Duration::from_secs(20);
 
+/// How long the size of another data centre counts after it was last heard of.
+const SIZE_TTL: Duration = Duration::from_secs(30);
+
 /// How long a host counts as running after it was last seen. Hosts greet each other every
 /// second.
 const LIVE_TIME: Duration = Duration::from_millis(2_500);
@@ -58,6 +61,13 @@
     direct: bool,
 }
 
+/// The number of hosts of another data centre, as one of them estimates it.
+#[derive(Clone, Copy, Debug)]
+struct CentreSize {
+    hosts: usize,
+    at: Moment,
+}
+
 /// What a greeting changed.
 #[tag]
 pub enum GreetingEffect {
@@ -98,6 +108,7 @@
     centre: String,
     last_seen: BTreeMap<SocketAddr, Moment>,
     remotes: BTreeMap<String, BTreeMap<SocketAddr, LastSeen>>,
+    remote_sizes: BTreeMap<String, CentreSize>,
     greetings: u32,
     /// Which updates of the operators' topic were already forwarded.
     pub operators: Forwarded,
@@ -113,6 +124,7 @@
             centre: centre.to_owned(),
             last_seen: BTreeMap::new(),
             remotes: BTreeMap::new(),
+            remote_sizes: BTreeMap::new(),
             greetings: 0,
             operators: Forwarded::default(),
             endpoints: Forwarded::default(),
@@ -276,6 +288,35 @@
             .and_then(|at| all.get(at).copied())
     }
 
+    /// Records how many hosts a host of another data centre knows there, itself included.
+    pub fn size_received(&mut self, centre: &str, hosts: usize, now: Moment) {
+        if centre != self.centre && hosts > 0 {
+            let size = CentreSize { hosts, at: now };
+            self.remote_sizes.insert(centre.to_owned(), size);
+        }
+    }
+
+    /// Returns the number of hosts of this data centre, this one included.
+    pub fn centre_size(&self) -> usize {
+        self.last_seen.len() + 1
+    }
+
+    /// Estimates the number of hosts of all `centres` data centres.
+    ///
+    /// One that wasn't heard of lately counts as if it were as large as this one. Hosts that
+    /// have gone count until they are forgotten, so the estimate errs on the high side while
+    /// hosts leave, and on the low side for seconds while many start.
+    pub fn site_size(&self, centres: usize, now: Moment) -> usize {
+        let sizes = self.remote_sizes.values();
+        let heard: Vec<usize> = sizes
+            .filter(|size| now.since(size.at) < SIZE_TTL)
+            .map(|size| size.hosts)
+            .collect();
+        let unheard = (centres - 1).saturating_sub(heard.len());
+        let own = self.centre_size();
+        own * (unheard + 1) + heard.iter().sum::<usize>()
+    }
+
     /// Returns the number of known neighbours.
     pub fn len(&self) -> usize {
         self.last_seen.len()
--- a/components/coordination/tests/group_joins.rs
+++ b/components/coordination/tests/group_joins.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use coordination::group_joins::{GROUP_TOPICS, GroupJoins};
+use coordination::group_joins::{GROUP_TOPICS, GroupJoins, share};
 use state::Moment;
 
 /// Number of partitions of all topics, 24 each.
@@ -110,3 +110,28 @@
     let (assigned, _) = simulate_from(start_times, 75);
     assert!(assigned.iter().all(|n| (1..=2).contains(n)), "{assigned:?}");
 }
+
+/// With more hosts than partitions half of the hosts would have no share, and send no retry
+/// and nothing to a cold or limited endpoint. The shares add up to one at any size, and to
+/// little more while hosts estimate the number of hosts differently.
+#[test]
+fn shares_of_large_sites() {
+    for hosts in [13, 60, 250, 472, 490, 1_000, 2_000] {
+        for error in [0.0, 0.05, 0.1] {
+            let shares: Vec<f64> = (0..hosts)
+                .map(|host| {
+                    let held = PARTITIONS / hosts + usize::from(host < PARTITIONS % hosts);
+                    let estimate = hosts as f64 * (1.0 - error * f64::from(host % 2 == 0));
+                    share(held, PARTITIONS, estimate as usize)
+                })
+                .collect();
+            let sum: f64 = shares.iter().sum();
+            assert!((0.95..=1.12).contains(&sum), "{hosts} hosts: {sum}");
+            let without = shares.iter().filter(|s| **s == 0.0).count();
+            assert!(
+                without * 50 <= hosts,
+                "{without} of {hosts} hosts have no share"
+            );
+        }
+    }
+}
--- a/components/coordination/tests/neighbour_discovery.rs
+++ b/components/coordination/tests/neighbour_discovery.rs
@@ -142,3 +142,20 @@
     host.greeting_received(address(7), "c", at(20));
     assert_eq!(host.remote_targets(at(30)), [vec![address(7)]]);
 }
+
+/// A host estimates the number of all hosts from its own data centre and from greetings of
+/// hosts of others; one that has not been heard of counts like its own.
+#[test]
+fn site_size() {
+    let address = |n: u16| SocketAddr::from(([10, 0, 0, 1], n));
+    let now = Moment::from_millis(1_000);
+    let mut known = Neighbours::new(address(1), "here");
+    (2..=50).for_each(|n| drop(known.add(address(n), now)));
+    assert_eq!(known.site_size(3, now), 150);
+    known.size_received("there", 20, now);
+    known.size_received("here", 7, now);
+    assert_eq!(known.site_size(3, now), 120);
+    known.size_received("far", 30, now + Duration::from_secs(20));
+    assert_eq!(known.site_size(3, now + Duration::from_secs(20)), 100);
+    assert_eq!(known.site_size(3, now + Duration::from_secs(40)), 130);
+}
--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -92,6 +92,8 @@
 pub struct Hello {
     /// The sender's data centre.
     pub centre: String,
+    /// The number of hosts of the sender's data centre, itself included; 0 if unknown.
+    pub size: u32,
     /// Whether the sender requests the hosts that the receiver knows.
     pub wants_hosts: bool,
     /// The hosts of the sender's data centre that the sender knows; only in an answer.
@@ -230,6 +232,9 @@
     /// any, all are records.
     #[prost(uint32, repeated, tag = "26")]
     runs: Vec<u32>,
+    /// In a hello, the number of hosts of the sender's data centre.
+    #[prost(uint32, tag = "27")]
+    size: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -358,6 +363,7 @@
         let wire = match self {
             NeighbourMessage::Hello(hello) => WireMessage {
                 centre: hello.centre.clone(),
+                size: hello.size,
                 wants_hosts: hello.wants_hosts,
                 neighbours: hello.neighbours.iter().map(SocketAddr::to_string).collect(),
                 contacts: hello.contacts.iter().map(WireContact::from).collect(),
@@ -474,6 +480,7 @@
                     neighbours: addresses(&wire.neighbours)?,
                     contacts: contacts(wire.contacts)?,
                     wants_hosts: wire.wants_hosts,
+                    size: wire.size,
                     centre: wire.centre,
                 }));
             }
--- a/components/protocol/tests/neighbour_messages.rs
+++ b/components/protocol/tests/neighbour_messages.rs
@@ -69,6 +69,7 @@
         NeighbourMessage::CrashReport(crashes()),
         NeighbourMessage::LimitReport(limits()),
         NeighbourMessage::Hello(Hello {
+            size: 197,
             centre: "trent".to_owned(),
             wants_hosts: true,
             neighbours: vec!["10.1.2.3:7540".parse().expect("an address")],
--- a/components/transport/src/gateway/group.rs
+++ b/components/transport/src/gateway/group.rs
@@ -32,6 +32,9 @@
 /// they were lost.
 const MAX_SEARCH_INTERVAL: Duration = Duration::from_secs(60);
 
+/// Changes of the share by a smaller fraction are not logged.
+const LOGGED_CHANGE: f64 = 0.1;
+
 /// The schedule of searches for neighbours in the store's group.
 struct NeighbourSearch {
     due: Moment,
@@ -105,7 +108,8 @@
         let body = platform::store::join_body(GROUP, member, topics, timeout, generation);
         match store.join(body).await {
             Ok(membership) => {
-                self.set_share(membership.partitions);
+                self.partitions.set(Some(membership.partitions));
+                self.update_share();
                 joins.join_succeeded(membership.generation, membership.partitions)
             }
             Err(error) => {
@@ -126,11 +130,20 @@
                 .mul_f64(self.random_fraction())
     }
 
-    fn set_share(&self, partitions: usize) {
-        let total = (group_joins::GROUP_TOPICS * self.settings.partitions).max(1);
-        let share = partitions as f64 / total as f64;
-        if (share - self.share.get()).abs() > f64::EPSILON {
-            log::info!("E0314 share-changed share={share:.3}");
+    /// Updates this host's share of all hosts, once it is a member of the group.
+    ///
+    /// Called at each join, and each second: on a large site the share depends on the number
+    /// of hosts that are heard of.
+    pub(super) fn update_share(&self) {
+        let Some(held) = self.partitions.get() else {
+            return;
+        };
+        let total = group_joins::GROUP_TOPICS * self.settings.partitions;
+        let centres = self.settings.topology.count();
+        let hosts = self.neighbours.borrow().site_size(centres, clock::now());
+        let share = group_joins::share(held, total, hosts);
+        if (share - self.share.get()).abs() > self.share.get() * LOGGED_CHANGE {
+            log::info!("E0314 share-changed share={share:.5} hosts={hosts}");
         }
         self.share.set(share);
     }
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -137,6 +137,8 @@
     probe_budget: RefCell<HostProbeBudget>,
     quotas: Quotas,
     queues: RefCell<WaitQueues>,
+    /// The partitions of the store's group that this host holds; none before the first join.
+    partitions: Cell<Option<usize>>,
     /// This host's fraction of all hosts, from 0 to 1; 0 until known.
     share: Cell<f64>,
     random: RefCell<SmallRng>,
@@ -230,6 +232,7 @@
             probe_budget: RefCell::new(probe_budget),
             quotas: Quotas::new(clock::now()),
             queues: RefCell::default(),
+            partitions: Cell::new(None),
             share: Cell::new(0.0),
             random: RefCell::new(random),
             stage: watch::Sender::new(Stage::Serving),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -68,6 +68,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         for tick in 0u32.. {
             ticks.tick().await;
+            self.update_share();
             self.broadcast(&self.hello(false));
             if tick.is_multiple_of(REMOTE_HELLO_TICKS) {
                 self.greet_remote_host();
@@ -137,6 +138,7 @@
         drop(known);
         self.broadcast(&NeighbourMessage::Hello(Hello {
             centre: self.settings.data_centre.clone(),
+            size: self.centre_size(),
             wants_hosts: false,
             neighbours: hosts,
             contacts: neighbours::sample_by_centre(others, draw),
@@ -255,10 +257,11 @@
 
     fn handle_hello(&self, from: SocketAddr, hello: Hello) {
         let now = clock::now();
-        let effect = self
-            .neighbours
-            .borrow_mut()
-            .greeting_received(from, &hello.centre, now);
+        let mut known = self.neighbours.borrow_mut();
+        let effect = known.greeting_received(from, &hello.centre, now);
+        let size = usize::try_from(hello.size).unwrap_or_default();
+        known.size_received(&hello.centre, size, now);
+        drop(known);
         match effect {
             _ if hello.wants_hosts => {
                 self.send(from, &self.host_list(&hello.centre));
@@ -281,10 +284,16 @@
         }
     }
 
+    fn centre_size(&self) -> u32 {
+        let size = self.neighbours.borrow().centre_size();
+        u32::try_from(size).unwrap_or(u32::MAX)
+    }
+
     /// Returns a greeting; `wants_hosts` asks the receiver for the hosts that it knows.
     fn hello(&self, wants_hosts: bool) -> NeighbourMessage {
         NeighbourMessage::Hello(Hello {
             centre: self.settings.data_centre.clone(),
+            size: self.centre_size(),
             wants_hosts,
             neighbours: Vec::new(),
             contacts: Vec::new(),
@@ -297,9 +306,11 @@
     /// number of hosts: 250 KB/s per host in a data centre of a hundred hosts.
     fn host_list(&self, centre: &str) -> NeighbourMessage {
         let now = clock::now();
+        let size = self.centre_size();
         let mut known = self.neighbours.borrow_mut();
         NeighbourMessage::Hello(Hello {
             centre: self.settings.data_centre.clone(),
+            size,
             wants_hosts: false,
             neighbours: known.hosts_of(centre, now),
             contacts: known.remote_sample(now),
