Renewals of a warming endpoint say nothing new

What was seen: at the start of the fleet all 10,000 endpoints were passed on twice; hosts' queues were full until callers came. Cause: an entry names the time until its endpoint is warm, which is shorter in each renewal, so each counted as a change. Change: an entry is a renewal if it prolongs no cold phase. Measured: cold_renewals (fails before it).

--- a/components/state/src/fleet/endpoint.rs
+++ b/components/state/src/fleet/endpoint.rs
@@ -58,6 +58,9 @@
 /// Longer than any cold phase, so that the endpoint is still preferred once it is warm.
 const NEW_PERIOD: Duration = Duration::from_secs(15);
 
+/// Renewals that differ by less about the end of a cold phase say the same.
+const COLD_TOLERANCE: Duration = Duration::from_millis(250);
+
 impl Endpoint {
     /// Returns the key of this instance; a restarted server is another endpoint.
     pub fn key(&self) -> EndpointKey {
@@ -93,6 +96,14 @@
         self.cold_until = (!left.is_zero()).then(|| now + left);
     }
 
+    /// Returns whether an endpoint that is cold for this long is so for longer than known.
+    pub(super) fn would_prolong_cold(&self, left: Duration, now: Moment) -> bool {
+        let known = self
+            .cold_until
+            .map_or(Duration::ZERO, |until| now.until(until));
+        left > known + COLD_TOLERANCE
+    }
+
     /// Returns whether the endpoint is cold.
     pub fn is_cold(&self, now: Moment) -> bool {
         self.cold_until.is_some_and(|until| now < until)
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -50,14 +50,22 @@
         }
     }
 
-    /// Returns whether the entry for `name` is the one that is known already.
-    pub fn is_renewal(&self, name: &str, entry: Option<&Entry>) -> bool {
+    /// Returns whether the entry for `name` says nothing new.
+    ///
+    /// The remaining cold phase that an entry names becomes shorter with each renewal, as it
+    /// does here.
+    pub fn is_renewal(&self, name: &str, entry: Option<&Entry>, now: Moment) -> bool {
         let known = self.keys.get(name).and_then(|key| self.endpoints.get(key));
-        match (entry, known) {
-            _ if self.lapsed.contains_key(name) => false,
-            (Some(Entry::Endpoint(endpoint)), Some(state)) => state.endpoint == *endpoint,
-            _ => false,
-        }
+        let (Some(Entry::Endpoint(endpoint)), Some(state)) = (entry, known) else {
+            return false;
+        };
+        let same_cold = Endpoint {
+            cold: state.endpoint.cold,
+            ..endpoint.clone()
+        };
+        same_cold == state.endpoint
+            && !state.would_prolong_cold(endpoint.cold, now)
+            && !self.lapsed.contains_key(name)
     }
 
     /// Replaces the contents by a full snapshot of the store; entries missing from it are
--- a/components/state/tests/fleet_registry.rs
+++ b/components/state/tests/fleet_registry.rs
@@ -130,9 +130,9 @@
     let now = Moment::from_millis(1_000);
     let ready = endpoint("i-1", 1);
     let entry = |e: &Endpoint| Some(Entry::Endpoint(e.clone()));
-    assert!(!registry.is_renewal("i-1", entry(&ready).as_ref()));
+    assert!(!registry.is_renewal("i-1", entry(&ready).as_ref(), now));
     registry.apply("i-1", entry(&ready), now);
-    assert!(registry.is_renewal("i-1", entry(&ready).as_ref()));
+    assert!(registry.is_renewal("i-1", entry(&ready).as_ref(), now));
     let draining = Endpoint {
         draining: true,
         ..ready.clone()
@@ -142,11 +142,36 @@
         ..ready.clone()
     };
     for changed in [&draining, &restarted] {
-        assert!(!registry.is_renewal("i-1", entry(changed).as_ref()));
+        assert!(!registry.is_renewal("i-1", entry(changed).as_ref(), now));
     }
-    assert!(!registry.is_renewal("i-1", Some(&Entry::Unusable)));
-    assert!(!registry.is_renewal("i-1", None));
+    assert!(!registry.is_renewal("i-1", Some(&Entry::Unusable), now));
+    assert!(!registry.is_renewal("i-1", None, now));
     registry.start_lapse_grace(now);
     registry.apply("i-1", None, now);
-    assert!(!registry.is_renewal("i-1", entry(&ready).as_ref()));
+    assert!(!registry.is_renewal("i-1", entry(&ready).as_ref(), now));
+}
+
+/// While an endpoint warms up its renewals name ever less time. If they counted as changes,
+/// all endpoints of a site that starts would be sent to all hosts twice.
+#[test]
+fn cold_renewals() {
+    let mut registry = Registry::default();
+    let now = Moment::from_millis(1_000);
+    let cold = |millis| {
+        let entry = Endpoint {
+            cold: Duration::from_millis(millis),
+            ..endpoint("i-1", 1)
+        };
+        Some(Entry::Endpoint(entry))
+    };
+    registry.apply("i-1", cold(3_000), now);
+    let later = now + Duration::from_millis(1_500);
+    for left in [0, 1_400, 1_600] {
+        assert!(
+            registry.is_renewal("i-1", cold(left).as_ref(), later),
+            "{left}"
+        );
+    }
+    // The endpoint has become cold again.
+    assert!(!registry.is_renewal("i-1", cold(3_000).as_ref(), later));
 }
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -189,13 +189,14 @@
     /// one changed.
     fn blank_renewals(&self, records: Vec<Bytes>, known: usize) -> Vec<Bytes> {
         let registry = self.registry.borrow();
+        let now = clock::now();
         let mut changed = BTreeSet::new();
         let blank = |(at, bytes): (usize, Bytes)| {
             let Some(record) = platform::store::decode_record(bytes.clone()) else {
                 return bytes;
             };
             let is_first = at >= known && !changed.contains(&record.key);
-            if is_first && registry.is_renewal(&record.key, decode_entry(&record).as_ref()) {
+            if is_first && registry.is_renewal(&record.key, decode_entry(&record).as_ref(), now) {
                 return Bytes::new();
             }
             changed.insert(record.key);
