Other data centres request what doesn't fit into a datagram

Cause: a change above 16 KB was read from the store by one host of each data centre. If the store turned that host away, its neighbours waited for it, one after the other. Change: the host that lacks records requests them from the reader, which sends its last records in fragments; it reads the store only if none come in 250 ms. The second host is told later, when the first has mostly spread them. Ruled out: sending large changes to all data centres unasked, twice over links whose bytes are dear.

--- a/components/coordination/src/neighbours.rs
+++ b/components/coordination/src/neighbours.rs
@@ -190,6 +190,11 @@
         self.last_seen.keys().nth(at).copied()
     }
 
+    /// Returns whether a host is a known neighbour.
+    pub fn is_neighbour(&self, address: SocketAddr) -> bool {
+        self.last_seen.contains_key(&address)
+    }
+
     /// Returns whether no neighbour is known.
     pub fn is_empty(&self) -> bool {
         self.last_seen.is_empty()
--- a/components/coordination/src/read_schedule.rs
+++ b/components/coordination/src/read_schedule.rs
@@ -43,6 +43,12 @@
 /// Allows for one datagram in each direction over busy links of 10 Mbit/s.
 const RESEND_WAIT: Duration = Duration::from_millis(100);
 
+/// The same for records that a host of another data centre has to send.
+///
+/// Longer, as the first of them come in fragments. The store may refuse this host, and
+/// then its data centre would get the records seconds later.
+const CENTRE_RESEND_WAIT: Duration = Duration::from_millis(250);
+
 /// How long a host waits for the remaining fragments of a message.
 ///
 /// In this time it requests lost fragments three times.
@@ -371,10 +377,10 @@
 
     /// Records that the store has records of which this data centre gets no copy.
     ///
-    /// Large changes aren't sent between data centres. This host reads them at once and
-    /// sends them to its neighbours.
+    /// Large changes aren't sent between data centres unless a host there requests them. If
+    /// none come, this host reads them soon and sends them to its neighbours.
     pub fn mark_lagging(&mut self, now: Moment) {
-        self.due = self.due.min(now);
+        self.due = self.due.min(now + CENTRE_RESEND_WAIT);
         self.has_gap = !self.reader;
         self.lagging = true;
     }
--- a/components/coordination/tests/neighbour_discovery.rs
+++ b/components/coordination/tests/neighbour_discovery.rs
@@ -150,7 +150,9 @@
     let address = |n: u16| SocketAddr::from(([10, 0, 0, 1], n));
     let now = Moment::from_millis(1_000);
     let mut known = Neighbours::new(address(1), "here");
-    (2..=50).for_each(|n| drop(known.add(address(n), now)));
+    for n in 2..=50 {
+        known.add(address(n), now);
+    }
     assert_eq!(known.site_size(3, now), 150);
     known.size_received("there", 20, now);
     known.size_received("here", 7, now);
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -111,6 +111,7 @@
             if self.is_receiving(topic) {
                 return;
             }
+            self.send(sender, &NeighbourMessage::RecordsRequest(topic, next));
             self.with_schedule(topic, |schedule| schedule.mark_lagging(clock::now()));
             self.schedule_changed.notify_waiters();
             return;
--- a/components/transport/src/gateway/fragments.rs
+++ b/components/transport/src/gateway/fragments.rs
@@ -251,7 +251,11 @@
                     relay_root: origin,
                     ..update
                 };
-                self.handle_update(&update, origin);
+                if update.cross_centre {
+                    self.handle_cross_centre(update, origin);
+                } else {
+                    self.handle_update(&update, origin);
+                }
             }
             Ok(NeighbourMessage::Snapshot(snapshot)) => self.handle_snapshot(snapshot),
             Ok(_) => log::warn!(
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -39,6 +39,9 @@
 /// by then.
 const SECOND_CONTACT_DELAY: Duration = Duration::from_millis(50);
 
+/// The delay for records that the first host has to request.
+const LARGE_UPDATE_DELAY: Duration = Duration::from_millis(300);
+
 /// A host of another data centre is greeted once per this many rounds of greetings.
 const REMOTE_HELLO_TICKS: u32 = 2;
 
@@ -105,9 +108,13 @@
         if second_hosts.is_empty() {
             return;
         }
+        let delay = match update.size() <= DATAGRAM_LIMIT {
+            true => SECOND_CONTACT_DELAY,
+            false => LARGE_UPDATE_DELAY,
+        };
         let gateway = Rc::clone(self);
         spawn_local(async move {
-            sleep(SECOND_CONTACT_DELAY).await;
+            sleep(delay).await;
             for second in second_hosts {
                 gateway.send(second, &message);
             }
--- a/components/transport/src/gateway/topic_cache.rs
+++ b/components/transport/src/gateway/topic_cache.rs
@@ -179,17 +179,23 @@
 
     /// Resends records that a neighbour missed, or a snapshot if they are no longer kept.
     ///
-    /// A neighbour that receives neither reads from the store.
+    /// A neighbour that receives neither reads from the store. So does a host of another data
+    /// centre that missed more than the last records: a snapshot is too large to be sent
+    /// there.
     pub(super) fn resend_records(self: &Rc<Self>, to: SocketAddr, topic: Topic, from: u64) {
-        let Some(records) = self.caches.borrow_mut().of(topic).recent.records_from(from) else {
-            self.send_snapshot(to, topic);
+        let is_neighbour = self.neighbours.borrow().is_neighbour(to);
+        let records = self.caches.borrow_mut().of(topic).recent.records_from(from);
+        let Some(records) = records else {
+            if is_neighbour {
+                self.send_snapshot(to, topic);
+            }
             return;
         };
         let update = RecordUpdate {
             topic,
             reader: self.settings.peers,
             relay_root: self.settings.peers,
-            cross_centre: false,
+            cross_centre: !is_neighbour,
             from,
             records,
         };
