--- a/components/transport/src/gateway/quota.rs
+++ b/components/transport/src/gateway/quota.rs
@@ -293,12 +293,27 @@
         }
     }
 
+    /// Waits until a configuration has accounts.
+    async fn await_accounts(&self) {
+        let has_accounts = || {
+            let config = self.config.borrow();
+            config
+                .catalogue
+                .as_ref()
+                .is_some_and(|c| c.accounts.is_some())
+        };
+        while !has_accounts() {
+            self.config_loaded.notified().await;
+        }
+    }
+
     /// Tells other data centres the demand for the accounts whose home this host is; never
     /// returns.
     pub(super) async fn report_demand(self: Rc<Self>) {
         let mut ticks = interval(REPORT_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         for tick in 0usize.. {
+            self.await_accounts().await;
             ticks.tick().await;
             let now = clock::now();
             if !self.has_majority() {
