Reading ahead: no copy of what the library reads at once

Cause: each poll of a connection prepared 200 header fields to parse nothing, and each request was copied twice. Change: bytes go straight into the library's buffer while nothing is unread; only what lies behind the current request is taken back. Header fields aren't initialised, and nothing is parsed where nothing has come.

--- a/components/protocol/src/request_splitter.rs
+++ b/components/protocol/src/request_splitter.rs
@@ -5,6 +5,8 @@
 //! is still unanswered. Only requests without a body are looked at; whatever is in doubt
 //! is left to the HTTP library.
 
+use std::mem::MaybeUninit;
+
 use bytes::Bytes;
 use derives::tag;
 use http::request::Parts;
@@ -32,9 +34,9 @@
 
 /// Splits the first request off `bytes`.
 pub fn split(bytes: &[u8]) -> Split {
-    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
-    let mut head = httparse::Request::new(&mut fields);
-    let length = match head.parse(bytes) {
+    let mut fields = [const { MaybeUninit::uninit() }; MAX_HEADER_FIELDS];
+    let mut head = httparse::Request::new(&mut []);
+    let length = match head.parse_with_uninit_headers(bytes, &mut fields) {
         Ok(httparse::Status::Complete(length)) => length,
         Ok(httparse::Status::Partial) => return Split::Incomplete,
         Err(_) => return Split::Unknown,
@@ -53,9 +55,9 @@
 ///
 /// Returns `None` for a head that the HTTP library would reject.
 pub fn read_head(bytes: &[u8]) -> Option<Parts> {
-    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
-    let mut head = httparse::Request::new(&mut fields);
-    head.parse(bytes).ok()?;
+    let mut fields = [const { MaybeUninit::uninit() }; MAX_HEADER_FIELDS];
+    let mut head = httparse::Request::new(&mut []);
+    head.parse_with_uninit_headers(bytes, &mut fields).ok()?;
     let mut request = Request::new(());
     *request.method_mut() = Method::from_bytes(head.method?.as_bytes()).ok()?;
     let path = Bytes::copy_from_slice(head.path?.as_bytes());
--- a/components/transport/src/gateway/read_ahead.rs
+++ b/components/transport/src/gateway/read_ahead.rs
@@ -67,6 +67,9 @@
             if self.is_direct {
                 return Pin::new(stream).poll_read(cx, buffer);
             }
+            if self.may_read_directly(is_serving, buffer.remaining()) {
+                return self.poll_read_directly(stream, cx, buffer);
+            }
             if self.current > 0 {
                 if !ready!(self.poll_fill(stream, cx))? {
                     return Poll::Ready(Ok(()));
@@ -105,6 +108,51 @@
         }
     }
 
+    /// Returns whether the HTTP library may get what is read next without a copy of it.
+    fn may_read_directly(&self, is_serving: bool, room: usize) -> bool {
+        let is_within = self.current >= room as u64;
+        let is_next = self.current == 0 && !is_serving;
+        self.unread.is_empty() && !self.is_end && (is_within || is_next)
+    }
+
+    /// Reads into the HTTP library's buffer, and takes back what is not of the current
+    /// request.
+    fn poll_read_directly(
+        &mut self,
+        stream: &mut TcpStream,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut *stream).poll_read(cx, buffer))?;
+        let count = buffer.filled().len() - before;
+        if self.current > 0 || count == 0 {
+            self.current = self.current.saturating_sub(count as u64);
+            return Poll::Ready(Ok(()));
+        }
+        self.pipeline.reading(false);
+        let length = match split(&buffer.filled()[before..]) {
+            Split::Bodyless(length) => length as u64,
+            Split::Sized(length) => length,
+            Split::Incomplete if count < self.max_bytes => {
+                // The HTTP library would not say where the rest of the head ends.
+                self.unread.extend_from_slice(&buffer.filled()[before..]);
+                buffer.set_filled(before);
+                return self.poll_read(stream, false, cx, buffer);
+            }
+            Split::Incomplete | Split::Unknown => {
+                self.is_direct = true;
+                return Poll::Ready(Ok(()));
+            }
+        };
+        let own = usize::try_from(length).map_or(count, |l| l.min(count));
+        self.current = length - own as u64;
+        self.unread
+            .extend_from_slice(&buffer.filled()[before + own..]);
+        buffer.set_filled(before + own);
+        Poll::Ready(Ok(()))
+    }
+
     /// Gives the HTTP library unread bytes of the current request; returns whether there
     /// were any.
     fn hand_over(&mut self, buffer: &mut ReadBuf<'_>) -> bool {
@@ -145,7 +193,7 @@
 
     /// Starts the unread requests that may run beside the current one.
     fn start_requests(&mut self) {
-        while self.pipeline.has_room() {
+        while self.started < self.unread.len() && self.pipeline.has_room() {
             let Split::Bodyless(length) = split(&self.unread[self.started..]) else {
                 return;
             };
