Hosts keep enough records for neighbours that fell behind

What was seen: at the fleet's start hosts that had missed fragments got the whole topic, 1 MB each, from neighbours whose queues were full of such answers (58 to 160 fragments dropped at a time). Cause: the last 64 KB of records were kept, a thirtieth of the topic.

--- a/components/coordination/src/recent_records.rs
+++ b/components/coordination/src/recent_records.rs
@@ -9,9 +9,9 @@
 
 use bytes::Bytes;
 
-/// Bytes of records kept: enough for three hundred endpoints that change at once, or for
-/// the renewals of ten thousand in a second.
-const MAX_BYTES: usize = 64 * 1024;
+/// Bytes of records that are always kept: enough for three hundred endpoints that change at
+/// once.
+const MIN_BYTES: usize = 64 * 1024;
 
 /// The least number of bytes that a record counts: a renewal is empty.
 const MIN_RECORD_BYTES: usize = 32;
@@ -29,7 +29,10 @@
     ///
     /// If the record doesn't follow the last one, all earlier records are dropped: those
     /// between are unknown.
-    pub fn push(&mut self, offset: u64, record: Bytes) {
+    ///
+    /// `topic_bytes` is the size of all records of the topic. As long as the last ones take
+    /// less than half of it they are sent rather than a snapshot.
+    pub fn push(&mut self, offset: u64, record: Bytes, topic_bytes: usize) {
         if offset != self.end() {
             *self = RecentRecords {
                 from: offset,
@@ -38,7 +41,7 @@
         }
         self.size += counted_bytes(&record);
         self.records.push_back(record);
-        while self.size > MAX_BYTES {
+        while self.size > (topic_bytes / 2).max(MIN_BYTES) {
             let Some(oldest) = self.records.pop_front() else {
                 return;
             };
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -261,7 +261,7 @@
     ) {
         for (offset, bytes) in (from..).zip(records) {
             let mut caches = self.caches.borrow_mut();
-            caches.of(topic).recent.push(offset, bytes.clone());
+            caches.of(topic).push_recent(offset, bytes.clone());
             drop(caches);
             if bytes.is_empty() {
                 continue;
--- a/components/transport/src/gateway/topic_cache.rs
+++ b/components/transport/src/gateway/topic_cache.rs
@@ -42,15 +42,27 @@
     /// Neighbours that requested a snapshot before this host had one.
     waiting: BTreeSet<SocketAddr>,
     records: BTreeMap<String, Bytes>,
+    /// The size of `records` in bytes.
+    size: usize,
 }
 
 impl TopicCache {
     /// Stores a record; a record without a value deletes its key.
     pub fn put(&mut self, record: &Record, bytes: Bytes) {
-        match record.value {
-            Some(_) => self.records.insert(record.key.clone(), bytes),
+        let size = bytes.len();
+        let before = match record.value {
+            Some(_) => {
+                self.size += size;
+                self.records.insert(record.key.clone(), bytes)
+            }
             None => self.records.remove(&record.key),
         };
+        self.size -= before.map_or(0, |b| b.len());
+    }
+
+    /// Appends a record to the last ones.
+    pub fn push_recent(&mut self, offset: u64, bytes: Bytes) {
+        self.recent.push(offset, bytes, self.size);
     }
 
     /// Replaces all records.
@@ -60,6 +72,7 @@
             Some((r.key.clone(), bytes))
         });
         self.records = encoded.collect();
+        self.size = self.records.values().map(Bytes::len).sum();
     }
 }
 
