Messages between hosts are compressed, and encoded once

What was seen: 10,000 entries of 190 bytes took 10 s and more to reach hosts with a tenth of a core and 20 Mbit/s; a change of the configuration of 18.9 KB went in 19 fragments. Cause: the entries name the same fields and services; a message to 200 neighbours was encoded 200 times. Change: messages from 512 bytes on are compressed by lz4_flex (fragments aren't, their message is). What fits into a datagram is decided by its encoded size, so most changes of the configuration do. A datagram that announces more than 32 MB is refused. Ruled out: a binary form of entries (a codec of our own).

--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -23,7 +23,19 @@
 /// Datagrams of any other version are refused.
 const VERSION: u8 = 4;
 
-/// Maximum size in bytes of a message, or of the records of an update, sent in one datagram.
+/// The first byte of a datagram whose message is compressed.
+const COMPRESSED: u8 = 0x80 | VERSION;
+
+/// Messages from this size on, in bytes, are compressed.
+///
+/// Smaller ones are greetings and the like, which compression makes no smaller.
+const COMPRESSED_FROM: usize = 512;
+
+/// The largest message in bytes before compression: a snapshot of a hundred thousand
+/// endpoints.
+const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
+
+/// Maximum size in bytes of a message sent in one datagram.
 ///
 /// The limit is well below the maximum payload of a datagram.
 pub const DATAGRAM_LIMIT: usize = 16 * 1024;
@@ -148,6 +160,12 @@
     /// The datagram is truncated or damaged.
     #[error("the datagram can't be decoded: {0}")]
     Damaged(#[from] prost::DecodeError),
+    /// The datagram can't be decompressed.
+    #[error("the datagram can't be decompressed: {0}")]
+    Uncompressable(#[from] lz4_flex::block::DecompressError),
+    /// The datagram announces a larger message than any that is sent.
+    #[error("the datagram announces a message of more than {MAX_MESSAGE_BYTES} bytes")]
+    TooLarge,
     /// The datagram refers to an unknown topic.
     #[error("the datagram refers to an unknown topic")]
     UnknownTopic,
@@ -297,21 +315,22 @@
         }
     }
 
-    /// Returns the message for a host of another data centre.
+    /// Returns the update for a host of another data centre.
     ///
-    /// Records that don't fit into one datagram are left out: the receiver reads
-    /// them from the store.
+    /// Records that don't fit into one datagram are left out: the receiver requests them, or
+    /// reads them from the store.
     pub fn for_other_centres(&self) -> RecordUpdate {
-        let fits = self.size() <= DATAGRAM_LIMIT;
-        RecordUpdate {
+        let whole = RecordUpdate {
             cross_centre: true,
-            from: if fits { self.from } else { self.next() },
-            records: if fits {
-                self.records.clone()
-            } else {
-                Vec::new()
-            },
-            ..*self
+            ..self.clone()
+        };
+        if NeighbourMessage::Update(whole.clone()).fits_datagram() {
+            return whole;
+        }
+        RecordUpdate {
+            from: self.next(),
+            records: Vec::new(),
+            ..whole
         }
     }
 
@@ -358,6 +377,11 @@
         }
     }
 
+    /// Returns whether the message can be sent in one datagram.
+    pub fn fits_datagram(&self) -> bool {
+        self.encode().len() <= DATAGRAM_LIMIT
+    }
+
     /// Encodes the message as a datagram.
     pub fn encode(&self) -> Vec<u8> {
         let wire = match self {
@@ -458,9 +482,14 @@
                 ..WireMessage::default()
             },
         };
-        let mut datagram = vec![VERSION];
-        datagram.extend(wire.encode_to_vec());
-        datagram
+        let message = wire.encode_to_vec();
+        let is_fragment = matches!(self, NeighbourMessage::Fragment(..));
+        if message.len() < COMPRESSED_FROM || is_fragment {
+            return [&[VERSION], message.as_slice()].concat();
+        }
+        // Records are text with the same names in each; a fifth of it remains.
+        let compressed = lz4_flex::compress_prepend_size(&message);
+        [&[COMPRESSED], compressed.as_slice()].concat()
     }
 
     /// Decodes a datagram.
@@ -469,11 +498,11 @@
     ///
     /// Returns an error if the datagram is not a valid message of this version.
     pub fn decode(datagram: &[u8]) -> Result<NeighbourMessage, DatagramError> {
-        let body = match datagram.split_first() {
-            Some((&VERSION, body)) => body,
+        let wire = match datagram.split_first() {
+            Some((&VERSION, body)) => WireMessage::decode(body)?,
+            Some((&COMPRESSED, body)) => WireMessage::decode(Bytes::from(decompress(body)?))?,
             _ => return Err(DatagramError::OtherVersion),
         };
-        let wire = WireMessage::decode(body)?;
         let topic = match wire.topic {
             HELLO => {
                 return Ok(NeighbourMessage::Hello(Hello {
@@ -554,6 +583,14 @@
     }
 }
 
+fn decompress(body: &[u8]) -> Result<Vec<u8>, DatagramError> {
+    let (size, block) = lz4_flex::block::uncompressed_size(body)?;
+    if size > MAX_MESSAGE_BYTES {
+        return Err(DatagramError::TooLarge);
+    }
+    Ok(lz4_flex::block::decompress(block, size)?)
+}
+
 /// The most records and renewals in an update; far more than are written between two reads.
 const MAX_RECORDS: usize = 1_000_000;
 
--- a/components/protocol/tests/neighbour_messages.rs
+++ b/components/protocol/tests/neighbour_messages.rs
@@ -209,3 +209,36 @@
         prop_assert_eq!(decoded, message);
     }
 }
+
+/// Entries of endpoints take a third of their size or less: their names and services are the
+/// same in each. Uncompressed, those of a large site that starts fill the links for seconds.
+#[test]
+fn entries_are_compressed() {
+    let entry = |n: usize| {
+        let text = format!(
+            r#"i-{:010x}{{"service":"zigo69a","address":"10.4.{}.{}:8788","zone":"dove","version":"v1","slots":6,"state":"ready","warmupRemainingS":0,"sequence":4,"born":{}}}"#,
+            n * 7_919_777,
+            n / 250,
+            n % 250,
+            1_770_000_000_000_u64 + n as u64 * 37
+        );
+        text.into_bytes()
+    };
+    let records: Vec<Vec<u8>> = (0..1_000).map(entry).collect();
+    let size: usize = records.iter().map(Vec::len).sum();
+    let message = NeighbourMessage::Update(update(records));
+    let encoded = message.encode();
+    assert!(encoded.len() * 3 < size, "{} of {size}", encoded.len());
+    assert_eq!(NeighbourMessage::decode(&encoded).expect("valid"), message);
+}
+
+/// A damaged or hostile datagram that announces a huge message must not take memory for it.
+#[test]
+fn invalid_compression() {
+    let encoded = NeighbourMessage::Update(update(vec![vec![7; 5_000]])).encode();
+    let mut huge = encoded.clone();
+    huge[1..5].copy_from_slice(&u32::MAX.to_le_bytes());
+    for bytes in [&huge[..], &encoded[..encoded.len() / 2], &encoded[..3]] {
+        assert!(NeighbourMessage::decode(bytes).is_err());
+    }
+}
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -96,7 +96,12 @@
     /// Sends records that this host has read to other data centres.
     pub(super) fn send_cross_centre(self: &Rc<Self>, update: &RecordUpdate) {
         let contacts = self.neighbours.borrow_mut().remote_targets(clock::now());
-        let message = NeighbourMessage::Update(update.for_other_centres());
+        let sent = update.for_other_centres();
+        let delay = match sent.records.len() == update.records.len() {
+            true => SECOND_CONTACT_DELAY,
+            false => LARGE_UPDATE_DELAY,
+        };
+        let message = NeighbourMessage::Update(sent);
         let mut second_hosts = Vec::new();
         for hosts in contacts {
             let mut hosts = hosts.into_iter();
@@ -108,10 +113,6 @@
         if second_hosts.is_empty() {
             return;
         }
-        let delay = match update.size() <= DATAGRAM_LIMIT {
-            true => SECOND_CONTACT_DELAY,
-            false => LARGE_UPDATE_DELAY,
-        };
         let gateway = Rc::clone(self);
         spawn_local(async move {
             sleep(delay).await;
@@ -167,16 +168,15 @@
     /// `may_distribute` set sends the update, and only if the host isn't receiving it:
     /// otherwise the links would carry the update twice.
     pub(super) fn send_update(self: &Rc<Self>, update: RecordUpdate, may_distribute: bool) {
-        match update.size() {
-            n if n <= DIRECT_SEND_LIMIT => self.broadcast(&NeighbourMessage::Update(update)),
-            n if n <= DATAGRAM_LIMIT => self.forward(&update),
-            _ if may_distribute && !self.is_receiving(update.topic) => {
-                self.distribute(
-                    update.topic,
-                    &NeighbourMessage::Update(update.without_addresses()),
-                );
-            }
-            _ => {}
+        if update.size() <= DIRECT_SEND_LIMIT {
+            self.broadcast(&NeighbourMessage::Update(update));
+        } else if NeighbourMessage::Update(update.clone()).fits_datagram() {
+            self.forward(&update);
+        } else if may_distribute && !self.is_receiving(update.topic) {
+            self.distribute(
+                update.topic,
+                &NeighbourMessage::Update(update.without_addresses()),
+            );
         }
     }
 
@@ -184,9 +184,8 @@
     fn forward(&self, update: &RecordUpdate) {
         let known = self.neighbours.borrow_mut().current(clock::now());
         let message = NeighbourMessage::Update(update.clone());
-        for hop in relay::next_hops(self.settings.peers, update.relay_root, &known) {
-            self.send(hop, &message);
-        }
+        let hops = relay::next_hops(self.settings.peers, update.relay_root, &known);
+        self.send_to_all(&hops, &message);
     }
 
     /// Receives and handles datagrams; never returns.
@@ -327,8 +326,16 @@
     /// Sends a message to all neighbours.
     pub(super) fn broadcast(&self, message: &NeighbourMessage) {
         let addresses = self.neighbours.borrow_mut().current(clock::now());
+        self.send_to_all(&addresses, message);
+    }
+
+    /// Sends a message to several hosts, encoded once.
+    fn send_to_all(&self, addresses: &[SocketAddr], message: &NeighbourMessage) {
+        let datagram = message.encode();
+        let mut traffic = self.traffic.borrow_mut();
         for address in addresses {
-            self.send(address, message);
+            traffic.sent(message, datagram.len());
+            send_datagram(&self.socket, *address, &datagram);
         }
     }
 
@@ -348,9 +355,7 @@
 
     /// Sends a message to one host.
     pub(super) fn send(&self, address: SocketAddr, message: &NeighbourMessage) {
-        let datagram = message.encode();
-        self.traffic.borrow_mut().sent(message, datagram.len());
-        send_datagram(&self.socket, address, &datagram);
+        self.send_to_all(&[address], message);
     }
 }
 
