Renewals within one read are left out too

Cause: a host that had fallen behind read the store and took all later records of an endpoint that it didn't know for changes; as it then read for its neighbours it sent them all. Change: each record is compared with the one before it of the same endpoint in that read.

--- a/components/state/src/fleet/endpoint.rs
+++ b/components/state/src/fleet/endpoint.rs
@@ -68,8 +68,17 @@
             format!("{}/{}", self.instance, self.started_ms).as_bytes(),
         ))
     }
-}
 
+    /// Returns whether `later` is a renewal of this entry: it says the same, but for a cold
+    /// phase that has become shorter.
+    pub fn is_renewed_by(&self, later: &Endpoint) -> bool {
+        let same_cold = Endpoint {
+            cold: self.cold,
+            ..later.clone()
+        };
+        same_cold == *self && later.cold <= self.cold
+    }
+}
 impl EndpointState {
     /// Returns the state of an endpoint that has just become known.
     pub fn new(endpoint: Endpoint, now: Moment) -> EndpointState {
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -59,11 +59,11 @@
         let (Some(Entry::Endpoint(endpoint)), Some(state)) = (entry, known) else {
             return false;
         };
-        let same_cold = Endpoint {
-            cold: state.endpoint.cold,
+        let warm = Endpoint {
+            cold: Duration::ZERO,
             ..endpoint.clone()
         };
-        same_cold == state.endpoint
+        state.endpoint.is_renewed_by(&warm)
             && !state.would_prolong_cold(endpoint.cold, now)
             && !self.lapsed.contains_key(name)
     }
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -185,22 +185,31 @@
 
     /// Replaces records that only renew an endpoint's entry by empty ones.
     ///
-    /// The first `known` records were applied before. They stay: what they changed is known
-    /// here, but not to hosts that lack them. So does a record of an endpoint that an earlier
-    /// one changed.
+    /// The first `known` records were applied before: what they changed is known here, but not
+    /// to hosts that lack them. They, and the first record of an endpoint behind them that says
+    /// something new, are what later ones are compared with.
     fn blank_renewals(&self, records: Vec<Bytes>, known: usize) -> Vec<Bytes> {
-        let registry = self.registry.borrow();
         let now = clock::now();
-        let mut changed = BTreeSet::new();
+        let registry = self.registry.borrow();
+        let mut earlier: BTreeMap<String, Option<Entry>> = BTreeMap::new();
         let blank = |(at, bytes): (usize, Bytes)| {
             let Some(record) = platform::store::decode_record(bytes.clone()) else {
                 return bytes;
             };
-            let is_first = at >= known && !changed.contains(&record.key);
-            if is_first && registry.is_renewal(&record.key, decode_entry(&record).as_ref(), now) {
+            let entry = decode_entry(&record);
+            let is_renewal = match (earlier.get(&record.key), &entry) {
+                (Some(Some(Entry::Endpoint(old))), Some(Entry::Endpoint(new))) => {
+                    old.is_renewed_by(new)
+                }
+                (Some(_), _) => false,
+                (None, entry) => {
+                    at >= known && registry.is_renewal(&record.key, entry.as_ref(), now)
+                }
+            };
+            if is_renewal {
                 return Bytes::new();
             }
-            changed.insert(record.key);
+            earlier.insert(record.key, entry);
             bytes
         };
         records.into_iter().enumerate().map(blank).collect()
