--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod claim;
 pub mod config_record;
 pub mod crash_report;
+pub mod envelope;
 pub mod limit_report;
 pub mod member;
 pub mod neighbour;
 pub mod peer;
 pub mod quota_message;
+pub mod record_runs;
 pub mod request_splitter;
 pub mod rollout_message;
 pub mod slots;
--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -14,27 +14,12 @@
 use thiserror::Error;
 
 use crate::crash_report::{CrashReport, WireCrashReport};
+use crate::envelope::{self, EnvelopeError};
 use crate::limit_report::{LimitReport, WireLimitReport};
 use crate::quota_message::{QuotaMessage, WireQuota};
+use crate::record_runs::{self, RunsError};
 use crate::rollout_message::{RolloutMessage, WireRollout};
 
-/// The protocol version, sent as the first byte of each datagram.
-///
-/// Datagrams of any other version are refused.
-const VERSION: u8 = 4;
-
-/// The first byte of a datagram whose message is compressed.
-const COMPRESSED: u8 = 0x80 | VERSION;
-
-/// Messages from this size on, in bytes, are compressed.
-///
-/// Smaller ones are greetings and the like, which compression makes no smaller.
-const COMPRESSED_FROM: usize = 512;
-
-/// The largest message in bytes before compression: a snapshot of a hundred thousand
-/// endpoints.
-const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
-
 /// Maximum size in bytes of a message sent in one datagram.
 ///
 /// The limit is well below the maximum payload of a datagram.
@@ -154,18 +139,12 @@
 /// Why a datagram can't be decoded.
 #[derive(Debug, Error)]
 pub enum DatagramError {
-    /// The datagram is empty or has another protocol version.
-    #[error("the datagram has another protocol version")]
-    OtherVersion,
+    /// The datagram's envelope is invalid.
+    #[error(transparent)]
+    Envelope(#[from] EnvelopeError),
     /// The datagram is truncated or damaged.
     #[error("the datagram can't be decoded: {0}")]
     Damaged(#[from] prost::DecodeError),
-    /// The datagram can't be decompressed.
-    #[error("the datagram can't be decompressed: {0}")]
-    Uncompressable(#[from] lz4_flex::block::DecompressError),
-    /// The datagram announces a larger message than any that is sent.
-    #[error("the datagram announces a message of more than {MAX_MESSAGE_BYTES} bytes")]
-    TooLarge,
     /// The datagram refers to an unknown topic.
     #[error("the datagram refers to an unknown topic")]
     UnknownTopic,
@@ -175,9 +154,9 @@
     /// The datagram is about a quota, in a form that this release doesn't know.
     #[error("the datagram about a quota is of an unknown form")]
     UnknownQuota,
-    /// The numbers of records and renewals don't fit the records.
-    #[error("the datagram has {0} records, and names another number")]
-    OtherCount(usize),
+    /// The numbers of records and renewals are wrong.
+    #[error(transparent)]
+    Runs(#[from] RunsError),
     /// The datagram contains an invalid address of a host.
     #[error("the datagram contains {0:?}, which is not an IP address and port")]
     NoAddress(String),
@@ -400,7 +379,7 @@
                 cross_centre: update.cross_centre,
                 from: update.from,
                 records: update.changed().cloned().collect(),
-                runs: runs(&update.records),
+                runs: record_runs::lengths(&update.records),
                 ..WireMessage::default()
             },
             NeighbourMessage::SnapshotRequest(topic) => WireMessage {
@@ -484,12 +463,11 @@
         };
         let message = wire.encode_to_vec();
         let is_fragment = matches!(self, NeighbourMessage::Fragment(..));
-        if message.len() < COMPRESSED_FROM || is_fragment {
-            return [&[VERSION], message.as_slice()].concat();
+        match is_fragment {
+            // The message that it is a part of is compressed already.
+            true => envelope::wrap_plain(&message),
+            false => envelope::wrap(&message),
         }
-        // Records are text with the same names in each; a fifth of it remains.
-        let compressed = lz4_flex::compress_prepend_size(&message);
-        [&[COMPRESSED], compressed.as_slice()].concat()
     }
 
     /// Decodes a datagram.
@@ -498,11 +476,7 @@
     ///
     /// Returns an error if the datagram is not a valid message of this version.
     pub fn decode(datagram: &[u8]) -> Result<NeighbourMessage, DatagramError> {
-        let wire = match datagram.split_first() {
-            Some((&VERSION, body)) => WireMessage::decode(body)?,
-            Some((&COMPRESSED, body)) => WireMessage::decode(Bytes::from(decompress(body)?))?,
-            _ => return Err(DatagramError::OtherVersion),
-        };
+        let wire = WireMessage::decode(envelope::unwrap(datagram)?)?;
         let topic = match wire.topic {
             HELLO => {
                 return Ok(NeighbourMessage::Hello(Hello {
@@ -578,68 +552,11 @@
             relay_root: address(&wire.relay_root)?,
             cross_centre: wire.cross_centre,
             from: wire.from,
-            records: expand(wire.records, &wire.runs)?,
+            records: record_runs::expand(wire.records, &wire.runs)?,
         }))
     }
 }
 
-fn decompress(body: &[u8]) -> Result<Vec<u8>, DatagramError> {
-    let (size, block) = lz4_flex::block::uncompressed_size(body)?;
-    if size > MAX_MESSAGE_BYTES {
-        return Err(DatagramError::TooLarge);
-    }
-    Ok(lz4_flex::block::decompress(block, size)?)
-}
-
-/// The most records and renewals in an update; far more than are written between two reads.
-const MAX_RECORDS: usize = 1_000_000;
-
-/// Returns the lengths of the runs of records and renewals, by turns, or nothing if there
-/// are no renewals.
-fn runs(records: &[Bytes]) -> Vec<u32> {
-    if !records.iter().any(Bytes::is_empty) {
-        return Vec::new();
-    }
-    let mut runs = Vec::new();
-    let mut renews = false;
-    let mut length = 0;
-    for record in records {
-        if record.is_empty() != renews {
-            runs.push(length);
-            renews = !renews;
-            length = 0;
-        }
-        length += 1;
-    }
-    runs.push(length);
-    runs
-}
-
-/// Returns the records with their renewals, which are empty.
-fn expand(records: Vec<Bytes>, runs: &[u32]) -> Result<Vec<Bytes>, DatagramError> {
-    if runs.is_empty() {
-        return Ok(records);
-    }
-    let count = records.len();
-    let mut all = Vec::new();
-    let mut changed = records.into_iter();
-    for (number, run) in runs.iter().enumerate() {
-        let length = usize::try_from(*run).unwrap_or(usize::MAX);
-        if length > MAX_RECORDS - all.len() {
-            return Err(DatagramError::OtherCount(count));
-        }
-        match number % 2 {
-            0 => all.extend(changed.by_ref().take(length)),
-            _ => all.resize(all.len() + length, Bytes::new()),
-        }
-    }
-    let named: u64 = runs.iter().step_by(2).map(|run| u64::from(*run)).sum();
-    match named == count as u64 {
-        true => Ok(all),
-        false => Err(DatagramError::OtherCount(count)),
-    }
-}
-
 impl From<&Contact> for WireContact {
     fn from(contact: &Contact) -> WireContact {
         WireContact {
