--- a/components/transport/src/gateway/quota.rs
+++ b/components/transport/src/gateway/quota.rs
@@ -89,14 +89,9 @@
         let Some(limit) = self.quota_limit(account) else {
             return Ok(());
         };
-        let now = clock::now();
-        let mut held = self.quotas.held.borrow_mut();
-        held.count(account, now);
-        if held.take(account, now) {
+        let Some(wanted) = self.take_held(account) else {
             return Ok(());
-        }
-        let wanted = held.wanted(account, now);
-        drop(held);
+        };
         let grant = match self.await_homes(account).await {
             Some(homes) => self.claim(&homes, account, limit, wanted).await,
             None => None,
@@ -118,6 +113,17 @@
         }
     }
 
+    /// Takes a token that this host holds, or returns how many it wants if it holds none.
+    fn take_held(&self, account: AccountKey) -> Option<u32> {
+        let now = clock::now();
+        let mut held = self.quotas.held.borrow_mut();
+        held.count(account, now);
+        match held.take(account, now) {
+            true => None,
+            false => Some(held.wanted(account, now)),
+        }
+    }
+
     /// Gives back tokens that were taken for runs that didn't take place.
     pub(super) fn return_quota(&self, account: AccountKey, tokens: u32) {
         if tokens > 0 && self.quota_limit(account).is_some() {
