A dropped history is read by one host, not by all

Cause: the reader's next records were gone; it read the whole topic and went on behind them. All others lacked what lay between, asked for it, and read the whole topic too, 20 pages each. Change: the host that finds its offset trimmed compares the topic with what it knew and sends an update from that offset to the end: the changes, and renewals for the rest. Each change took a record, so they fit. Found beside it, by reading: a host that has taken in a whole topic knows records behind its offset, from the later pages; as reader it would have left them out as renewals, and others would never have got them. It sends all records for two seconds after (is_exact).

--- a/components/coordination/src/read_schedule.rs
+++ b/components/coordination/src/read_schedule.rs
@@ -49,6 +49,11 @@
 /// then its data centre would get the records seconds later.
 const CENTRE_RESEND_WAIT: Duration = Duration::from_millis(250);
 
+/// How long records behind a host's offset may be known to it after it took in a whole topic.
+///
+/// The pages take a few hundred milliseconds, and the reader reads every half second.
+const INEXACT_TIME: Duration = Duration::from_secs(2);
+
 /// How long a host waits for the remaining fragments of a message.
 ///
 /// In this time it requests lost fragments three times.
@@ -122,6 +127,10 @@
 #[derive(Clone, Debug)]
 pub struct ReadSchedule {
     next: Option<u64>,
+    /// The offset to read from when the store no longer had its record.
+    trimmed_at: Option<u64>,
+    /// When this host last took in the whole topic.
+    replaced_at: Option<Moment>,
     reader: bool,
     reading: bool,
     has_gap: bool,
@@ -158,6 +167,8 @@
     pub fn new(now: Moment) -> ReadSchedule {
         ReadSchedule {
             next: None,
+            trimmed_at: None,
+            replaced_at: None,
             reader: false,
             reading: false,
             has_gap: false,
@@ -247,6 +258,7 @@
     pub fn full_read_finished(&mut self, next: u64, draw: f64, now: Moment) -> bool {
         self.note_update(now);
         self.next = Some(next);
+        self.replaced_at = Some(now);
         self.reader = false;
         self.reading = false;
         self.has_gap = false;
@@ -263,6 +275,8 @@
         self.note_update(now);
         self.has_gap = false;
         self.next = Some(next);
+        self.replaced_at = Some(now);
+        self.trimmed_at = None;
         if self.failures == 0 {
             self.due = now + takeover_delay(draw);
         }
@@ -399,10 +413,24 @@
 
     /// Records that the store no longer has the record at this host's offset.
     pub fn offset_trimmed(&mut self, now: Moment) {
-        self.next = None;
+        self.trimmed_at = self.next.take();
         self.due = now;
     }
 
+    /// Returns the offset that was trimmed, once.
+    pub fn take_trimmed(&mut self) -> Option<u64> {
+        self.trimmed_at.take()
+    }
+
+    /// Returns whether this host knows exactly the records before its offset.
+    ///
+    /// The pages of a whole topic are read one after the other, and the later ones hold
+    /// records behind the offset to continue from. Other hosts lack those until they are read.
+    pub fn is_exact(&self, now: Moment) -> bool {
+        let replaced = self.replaced_at;
+        replaced.is_none_or(|at| now.since(at) > INEXACT_TIME)
+    }
+
     /// Records that a neighbour read the records from `from` to `next`, and returns what to
     /// do with them.
     ///
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -21,6 +21,11 @@
 use crate::clock;
 use crate::store::{StoreClient, StoreError};
 
+/// The most records over which a host leads others from one offset to another.
+///
+/// Hosts that follow the topic are seconds behind its end at most.
+const MAX_BRIDGE: usize = 200_000;
+
 impl Gateway {
     /// Follows one topic; never returns.
     pub(super) async fn follow(self: Rc<Self>, topic: Topic) {
@@ -190,6 +195,9 @@
     /// something new, are what later ones are compared with.
     fn blank_renewals(&self, records: Vec<Bytes>, known: usize) -> Vec<Bytes> {
         let now = clock::now();
+        if !self.with_schedule(Topic::Endpoints, |schedule| schedule.is_exact(now)) {
+            return records;
+        }
         let registry = self.registry.borrow();
         let mut earlier: BTreeMap<String, Option<Entry>> = BTreeMap::new();
         let blank = |(at, bytes): (usize, Bytes)| {
@@ -313,6 +321,8 @@
         topic: Topic,
     ) -> Result<(), StoreError> {
         let (records, end) = read_newest(store, topic_name(topic)).await?;
+        let trimmed = self.with_schedule(topic, |schedule| schedule.take_trimmed());
+        let bridge = trimmed.and_then(|from| self.bridge(topic, &records, from, end));
         let draw = self.random_fraction();
         let recovered = self.with_schedule(topic, |schedule| {
             schedule.full_read_finished(end, draw, clock::now())
@@ -320,10 +330,58 @@
         self.note_readable(topic, recovered);
         let first = !self.has_topic(topic);
         self.apply_snapshot(topic, &records);
-        self.distribute_snapshot(topic, first);
+        match bridge {
+            Some(update) => {
+                self.caches.borrow_mut().of(topic).push_update(&update);
+                self.send_cross_centre(&update);
+                self.send_update(update, true);
+            }
+            None => self.distribute_snapshot(topic, first),
+        }
         Ok(())
     }
 
+    /// Returns an update that leads from what this host knew at offset `from` to the whole
+    /// topic as read now, up to `end`.
+    ///
+    /// Guards against a read of the whole topic by every host, after the store has dropped
+    /// records that no host had read: none of them could read on from its offset. Each
+    /// change took a record at least, so the changes fit between the two offsets.
+    fn bridge(
+        &self,
+        topic: Topic,
+        records: &[Record],
+        from: u64,
+        end: u64,
+    ) -> Option<RecordUpdate> {
+        let gap = usize::try_from(end.checked_sub(from)?).ok()?;
+        let now = clock::now();
+        let registry = self.registry.borrow();
+        let is_known = |record: &Record| match topic {
+            Topic::Operators => false,
+            Topic::Endpoints => {
+                registry.is_renewal(&record.key, decode_entry(record).as_ref(), now)
+            }
+        };
+        let mut changed = self
+            .caches
+            .borrow_mut()
+            .of(topic)
+            .changes(records, is_known);
+        if gap == 0 || gap > MAX_BRIDGE || changed.len() > gap {
+            return None;
+        }
+        changed.resize(gap, Bytes::new());
+        Some(RecordUpdate {
+            topic,
+            reader: self.settings.peers,
+            relay_root: self.settings.peers,
+            cross_centre: false,
+            from,
+            records: changed,
+        })
+    }
+
     /// Applies the newest records of all keys of a topic.
     pub(super) fn apply_snapshot(self: &Rc<Self>, topic: Topic, records: &[Record]) {
         self.caches.borrow_mut().of(topic).replace(records);
--- a/components/transport/src/gateway/topic_cache.rs
+++ b/components/transport/src/gateway/topic_cache.rs
@@ -65,6 +65,34 @@
         self.recent.push(offset, bytes, self.size);
     }
 
+    /// Appends the records of an update to the last ones.
+    pub fn push_update(&mut self, update: &RecordUpdate) {
+        for (offset, bytes) in (update.from..).zip(&update.records) {
+            self.push_recent(offset, bytes.clone());
+        }
+    }
+
+    /// Returns the records by which `newest`, the newest record of each key, differs from what
+    /// is known; a removed key has a record without a value.
+    ///
+    /// `is_known` tells whether a record says nothing new.
+    pub fn changes(&self, newest: &[Record], is_known: impl Fn(&Record) -> bool) -> Vec<Bytes> {
+        let names: BTreeSet<&str> = newest.iter().map(|r| r.key.as_str()).collect();
+        let removed = self
+            .records
+            .keys()
+            .filter(|key| !names.contains(key.as_str()));
+        let removed = removed.filter_map(|key| {
+            platform::store::encode_record(&Record {
+                key: key.clone(),
+                value: None,
+            })
+        });
+        let changed = newest.iter().filter(|record| !is_known(record));
+        let changed = changed.filter_map(platform::store::encode_record);
+        removed.chain(changed).collect()
+    }
+
     /// Replaces all records.
     pub fn replace(&mut self, records: &[Record]) {
         let encoded = records.iter().filter_map(|r| {
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -2,6 +2,8 @@
 
 mod site;
 
+use std::time::Duration;
+
 use site::store::Mode;
 use site::{Endpoint, Host, ROUTES, Store, config, until};
 
@@ -161,3 +163,32 @@
     })
     .await;
 }
+
+/// The store drops records that no host has read yet. One host reads the whole topic and leads
+/// the others from where they were to its end: if each read it, a large site would send the
+/// store thousands of calls at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn compacted_once() {
+    let (store, endpoints) = site::store_and_endpoints(4).await;
+    let hosts = site::start_hosts(&store, 6).await;
+    // Only hosts that have just taken in the whole topic read it again by themselves.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = store.listings();
+    store.set_mode(Mode::Refusing);
+    store.put("keyed.servers", "i-1", None);
+    endpoints[1].register(&store, "ready");
+    store.compact("keyed.servers");
+    store.set_mode(Mode::Up);
+    for host in &hosts {
+        until("the removed endpoint gets nothing", async || {
+            let runs = endpoints[0].runs().len();
+            for _ in 0..12 {
+                host.request("GET", "/read/x", "r").await;
+            }
+            endpoints[0].runs().len() == runs
+        })
+        .await;
+    }
+    let listings = store.listings() - before;
+    assert!((1..=2).contains(&listings), "{listings} reads of the topic");
+}
