--- a/components/transport/src/gateway/accounts.rs
+++ b/components/transport/src/gateway/accounts.rs
@@ -1,6 +1,7 @@
 //! Tells which client account a request belongs to.
 
 use hyper::HeaderMap;
+use protocol::neighbour::Topic;
 use state::AccountKey;
 use state::accounts::ApiKeyDigest;
 use state::routing::Route;
@@ -8,7 +9,6 @@
 use super::Gateway;
 use super::denial::Denial;
 use crate::clock;
-use protocol::neighbour::Topic;
 
 /// The account that a request belongs to, as known when the request arrived.
 #[derive(Debug, Default)]
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -355,20 +355,21 @@
         end: u64,
     ) -> Option<RecordUpdate> {
         let gap = usize::try_from(end.checked_sub(from)?).ok()?;
+        // An operators' record in an update counts as written just now, which an old order of a
+        // roll-out is not.
+        if topic == Topic::Operators || gap == 0 || gap > MAX_BRIDGE {
+            return None;
+        }
         let now = clock::now();
         let registry = self.registry.borrow();
-        let is_known = |record: &Record| match topic {
-            Topic::Operators => false,
-            Topic::Endpoints => {
-                registry.is_renewal(&record.key, decode_entry(record).as_ref(), now)
-            }
-        };
+        let is_known =
+            |record: &Record| registry.is_renewal(&record.key, decode_entry(record).as_ref(), now);
         let mut changed = self
             .caches
             .borrow_mut()
             .of(topic)
             .changes(records, is_known);
-        if gap == 0 || gap > MAX_BRIDGE || changed.len() > gap {
+        if changed.len() > gap {
             return None;
         }
         changed.resize(gap, Bytes::new());
