gateway: log services none of whose endpoints answer a host

Callers of hosts cut off from all endpoints were rejected (RECOVER). The logs could not tell how endpoints had failed, nor when a host reached none of a service's endpoints: E0122 said Broken for a refused connection, a reset and for silence alike.

Change: E0122 says how a failure was seen; E0160 and E0161 tell when none of a service's endpoints answers a host, and when one does again. A host counts as isolated after three different endpoints have failed with no answer between them. Nothing is decided by it yet.

Tested: state/tests/isolation.rs.

--- /dev/null
+++ b/components/state/src/fleet/isolation.rs
@@ -0,0 +1,65 @@
+//! Detects services none of whose endpoints answer this host.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::outcome::Outcome;
+use crate::{EndpointKey, Moment};
+
+/// The number of endpoints of a service that must fail in a row for the host to count as
+/// isolated from the service.
+///
+/// One or two endpoints are down at any time, while the others answer in between.
+const FAILED_ENDPOINTS: usize = 3;
+
+/// The outcomes of this host's requests and probes at the endpoints of one service.
+///
+/// A host that has lost its links to the endpoints can't tell from any single failure that
+/// the next endpoint won't answer either. Every request would try one endpoint after the
+/// other until its time is used up, though other hosts still reach all of them.
+#[derive(Clone, Debug, Default)]
+pub struct Isolation {
+    /// The endpoints that failed since any endpoint of the service answered.
+    failed: BTreeSet<EndpointKey>,
+    since: Option<Moment>,
+}
+
+impl Isolation {
+    /// Records an outcome at one of the service's `endpoints` usable endpoints.
+    pub fn note(&mut self, key: EndpointKey, outcome: Outcome, endpoints: usize, now: Moment) {
+        match outcome {
+            Outcome::Answered | Outcome::Slow | Outcome::Failed | Outcome::Shed => {
+                self.note_answer();
+            }
+            Outcome::Silent => {}
+            Outcome::Broken => self.note_failure(key, endpoints, now),
+        }
+    }
+
+    /// Notes that an endpoint answered, whatever the answer was.
+    pub fn note_answer(&mut self) {
+        *self = Isolation::default();
+    }
+
+    /// Returns whether none of the service's endpoints seems to answer this host.
+    pub fn is_isolated(&self) -> bool {
+        self.since.is_some()
+    }
+
+    /// Returns how long the host has been isolated from the service, `None` if it isn't.
+    pub fn lasted(&self, now: Moment) -> Option<Duration> {
+        self.since.map(|since| now.since(since))
+    }
+
+    /// Returns the number of endpoints that failed since any of them answered.
+    pub fn failures(&self) -> usize {
+        self.failed.len()
+    }
+
+    fn note_failure(&mut self, key: EndpointKey, endpoints: usize, now: Moment) {
+        self.failed.insert(key);
+        if self.failed.len() >= FAILED_ENDPOINTS.min(endpoints) {
+            self.since.get_or_insert(now);
+        }
+    }
+}
--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod endpoint;
 pub mod fingerprint;
+pub mod isolation;
 pub mod load_sample;
 pub mod outcome;
 pub mod placement;
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::endpoint::{Endpoint, EndpointState};
+use super::isolation::Isolation;
 use super::outcome::{Outcome, ShedRate};
 use super::rate_limit::{RateLimitUpdate, RateLimits, Source};
 use super::reachability::Reachability;
@@ -38,6 +39,7 @@
     limits: RateLimits,
     shed_rates: BTreeMap<ServiceKey, ShedRate>,
     reachability: BTreeMap<DataCentreKey, Reachability>,
+    isolations: BTreeMap<ServiceKey, Isolation>,
 }
 
 impl Registry {
@@ -144,6 +146,10 @@
     /// Records the outcome of a request; returns whether its endpoint is newly avoided.
     pub fn note_outcome(&mut self, key: EndpointKey, outcome: Outcome, now: Moment) -> bool {
         // The endpoint may have left in the meantime.
+        let Some(service) = self.endpoints.get(&key).map(|s| s.endpoint.service) else {
+            return false;
+        };
+        self.note_isolation(service, key, outcome, now);
         let Some(state) = self.endpoints.get_mut(&key) else {
             return false;
         };
@@ -158,10 +164,54 @@
 
     /// Notes that an endpoint answered a probe.
     pub fn note_answer(&mut self, key: EndpointKey) {
-        let centre = self.endpoints.get(&key).map(|s| s.endpoint.centre);
-        if let Some(reachability) = centre.and_then(|c| self.reachability.get_mut(&c)) {
+        let Some(state) = self.endpoints.get(&key) else {
+            return;
+        };
+        if let Some(reachability) = self.reachability.get_mut(&state.endpoint.centre) {
             reachability.note_answer();
         }
+        if let Some(isolation) = self.isolations.get_mut(&state.endpoint.service) {
+            isolation.note_answer();
+        }
+    }
+
+    /// Returns what is known about whether this host reaches a service's endpoints, `None`
+    /// if none of them has failed.
+    pub fn isolation(&self, service: ServiceKey) -> Option<&Isolation> {
+        self.isolations.get(&service)
+    }
+
+    /// Returns whether none of a service's endpoints seems to answer this host.
+    pub fn is_isolated(&self, service: ServiceKey) -> bool {
+        self.isolation(service).is_some_and(Isolation::is_isolated)
+    }
+
+    /// Returns the services that this host is isolated from.
+    pub fn isolated_services(&self) -> Vec<ServiceKey> {
+        let isolated = self.isolations.iter().filter(|(_, i)| i.is_isolated());
+        isolated.map(|(service, _)| *service).collect()
+    }
+
+    fn note_isolation(
+        &mut self,
+        service: ServiceKey,
+        key: EndpointKey,
+        outcome: Outcome,
+        now: Moment,
+    ) {
+        let usable = match outcome {
+            Outcome::Broken => self.usable_count(service),
+            _ => 0,
+        };
+        let isolation = self.isolations.entry(service).or_default();
+        isolation.note(key, outcome, usable, now);
+    }
+
+    fn usable_count(&self, service: ServiceKey) -> usize {
+        let usable = self
+            .endpoints_of(service)
+            .filter(|(_, s)| !s.endpoint.draining);
+        usable.count()
     }
 
     /// Returns whether a data centre's endpoints are avoided as long as there are others.
--- /dev/null
+++ b/components/state/tests/isolation.rs
@@ -0,0 +1,69 @@
+//! A host that none of a service's endpoints answers.
+
+use std::time::Duration;
+
+use state::fleet::isolation::Isolation;
+use state::fleet::outcome::Outcome;
+use state::{EndpointKey, Moment};
+
+const START: Moment = Moment::from_millis(10_000);
+
+const ENDPOINTS: usize = 11;
+
+fn fail(isolation: &mut Isolation, keys: impl IntoIterator<Item = u64>, endpoints: usize) {
+    for key in keys {
+        isolation.note(EndpointKey(key), Outcome::Broken, endpoints, START);
+    }
+}
+
+/// A cut between a host and all endpoints must not look like single failures for long.
+#[test]
+fn three_fail() {
+    let mut isolation = Isolation::default();
+    fail(&mut isolation, [1, 2], ENDPOINTS);
+    assert!(!isolation.is_isolated());
+    fail(&mut isolation, [3], ENDPOINTS);
+    assert!(isolation.is_isolated());
+    let later = START + Duration::from_secs(2);
+    assert_eq!(isolation.lasted(later), Some(Duration::from_secs(2)));
+}
+
+/// An endpoint that crashed and is tried again and again must not isolate the host.
+#[test]
+fn same_endpoint() {
+    let mut isolation = Isolation::default();
+    fail(&mut isolation, [1, 1, 1, 1], ENDPOINTS);
+    assert!(!isolation.is_isolated());
+}
+
+/// Endpoints that fail now and then, while others answer, must not isolate the host.
+#[test]
+fn answers_between() {
+    let mut isolation = Isolation::default();
+    for key in 0..20 {
+        fail(&mut isolation, [key, key + 1], ENDPOINTS);
+        isolation.note(EndpointKey(50), Outcome::Answered, ENDPOINTS, START);
+    }
+    assert!(!isolation.is_isolated());
+}
+
+/// A service with fewer endpoints than usually have to fail can be unreachable too.
+#[test]
+fn few_endpoints() {
+    let mut isolation = Isolation::default();
+    fail(&mut isolation, [1], 2);
+    assert!(!isolation.is_isolated());
+    fail(&mut isolation, [2], 2);
+    assert!(isolation.is_isolated());
+}
+
+/// Any answer shows that the link works, a rejection as well as a failure.
+#[test]
+fn answer_ends() {
+    for outcome in [Outcome::Answered, Outcome::Shed, Outcome::Failed] {
+        let mut isolation = Isolation::default();
+        fail(&mut isolation, [1, 2, 3], ENDPOINTS);
+        isolation.note(EndpointKey(4), outcome, ENDPOINTS, START);
+        assert!(!isolation.is_isolated());
+    }
+}
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod follow;
 mod fragments;
 mod group;
+mod isolation;
 mod limits;
 mod neighbours;
 mod pipeline;
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -31,6 +31,28 @@
 /// Largest body of a probe's answer, in bytes; a larger one is no health report.
 const MAX_PROBE_BYTES: usize = 16 * 1024;
 
+/// How an endpoint failed to answer a probe.
+#[derive(Clone, Copy)]
+enum Unanswered {
+    /// No connection could be opened.
+    Unconnected,
+    /// The connection ended, or the answer was no valid one.
+    Closed,
+    /// Nothing came in time.
+    Silent,
+}
+
+impl Unanswered {
+    /// Returns the name under which the failure is logged.
+    fn name(self) -> &'static str {
+        match self {
+            Unanswered::Unconnected => "unconnected",
+            Unanswered::Closed => "closed",
+            Unanswered::Silent => "silent",
+        }
+    }
+}
+
 /// Connections that carried a probe and haven't been used for a request.
 struct ProbedConnections<'a> {
     gateway: &'a Gateway,
@@ -189,7 +211,7 @@
             Ok(connection) => Some(connection),
             Err(error) => {
                 log::debug!("E0120 endpoint-unreachable address={address} error={error:?}");
-                self.record_outcome(key, Outcome::Broken);
+                self.record_unanswered(key, Unanswered::Unconnected);
                 None
             }
         }
@@ -199,24 +221,27 @@
     /// `None` if there is no valid answer.
     async fn probe(&self, key: EndpointKey) -> Option<(Connection, HeaderMap)> {
         let kept = self.pool.borrow_mut().take(key, clock::now());
-        let reused = kept.is_some();
-        if let Ok(Some(answered)) = timeout(PROBE_TIMEOUT, self.probe_on(key, kept)).await {
-            return Some(answered);
-        }
-        if !reused {
-            self.record_outcome(key, Outcome::Broken);
-            return None;
-        }
-        // The other end may have dropped the idle connection; then it has most
-        // likely dropped the endpoint's other idle connections too.
-        self.pool.borrow_mut().drop_all(key);
-        match timeout(PROBE_TIMEOUT, self.probe_on(key, None)).await {
-            Ok(Some(answered)) => Some(answered),
-            _ => {
-                self.record_outcome(key, Outcome::Broken);
-                None
+        if kept.is_some() {
+            if let Ok(Some(answered)) = timeout(PROBE_TIMEOUT, self.probe_on(key, kept)).await {
+                return Some(answered);
             }
+            // The other end may have dropped the idle connection; then it has most
+            // likely dropped the endpoint's other idle connections too.
+            self.pool.borrow_mut().drop_all(key);
         }
+        self.probe_anew(key).await
+    }
+
+    /// Probes an endpoint on a new connection; returns the connection and the answer's
+    /// headers, or `None` if there is no valid answer.
+    async fn probe_anew(&self, key: EndpointKey) -> Option<(Connection, HeaderMap)> {
+        let how = match timeout(PROBE_TIMEOUT, self.probe_on(key, None)).await {
+            Ok(Some(answered)) => return Some(answered),
+            Ok(None) => Unanswered::Closed,
+            Err(_) => Unanswered::Silent,
+        };
+        self.record_unanswered(key, how);
+        None
     }
 
     async fn probe_on(
@@ -280,8 +305,11 @@
             .set_sample(reported.unwrap_or_else(|| {
                 assumed_load(state.running, state.endpoint.slots, healthy, now)
             }));
+        let service = state.endpoint.service;
+        let was_isolated = registry.is_isolated(service);
         registry.note_answer(key);
         drop(registry);
+        self.log_isolation(service, was_isolated, "probe");
         self.record_limit(key, headers, Source::Probe);
         true
     }
@@ -309,17 +337,33 @@
 
     /// Records the outcome of a request at an endpoint.
     pub(super) fn record_outcome(&self, key: EndpointKey, outcome: Outcome) {
+        self.record(key, outcome, "request");
+    }
+
+    /// Records that an endpoint didn't answer a probe.
+    fn record_unanswered(&self, key: EndpointKey, how: Unanswered) {
+        self.record(key, Outcome::Broken, how.name());
+    }
+
+    /// Records an outcome; `seen` names in the log how it was seen.
+    fn record(&self, key: EndpointKey, outcome: Outcome, seen: &str) {
         let now = clock::now();
         let mut registry = self.registry.borrow_mut();
+        let service = registry.get(key).map(|s| s.endpoint.service);
+        let was_isolated = service.is_some_and(|s| registry.is_isolated(s));
         if registry.note_outcome(key, outcome, now) {
             let endpoint = registry.get(key).map(|s| &s.endpoint);
             let instance = endpoint.map(|e| e.instance.as_str());
             log::info!(
-                "E0122 endpoint-avoided instance={} address={:?} outcome={outcome:?}",
+                "E0122 endpoint-avoided instance={} address={:?} outcome={outcome:?} seen={seen}",
                 instance.unwrap_or_default(),
                 endpoint.map(|e| e.address)
             );
         }
+        drop(registry);
+        if let Some(service) = service {
+            self.log_isolation(service, was_isolated, seen);
+        }
     }
 }
 
