settings: source_address, and a network that tests can cut

A host with several addresses opens connections to endpoints from the one that the system picks, though endpoints may accept another only. source_address names it; without it nothing changes.

Tests tell hosts apart by it: tests/site/network.rs cuts single hosts off from all endpoints, with connections that hang, that are reset, or that live on while new ones are refused.

--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -207,7 +207,7 @@
             return Some(connection);
         }
         let address = self.registry.borrow().get(key)?.endpoint.address;
-        match Connection::open(key, address).await {
+        match Connection::open_from(self.settings.source, key, address).await {
             Ok(connection) => Some(connection),
             Err(error) => {
                 log::debug!("E0120 endpoint-unreachable address={address} error={error:?}");
--- a/components/transport/src/gateway/quarantine.rs
+++ b/components/transport/src/gateway/quarantine.rs
@@ -135,7 +135,7 @@
         address: SocketAddr,
         runs: Vec<Crash>,
     ) {
-        match Connection::open(endpoint, address).await {
+        match Connection::open_from(self.settings.source, endpoint, address).await {
             Ok(connection) => self.keep_connection(connection, &HeaderMap::new()),
             Err(ConnectError::Refused(_, error))
                 if error.kind() == ErrorKind::ConnectionRefused =>
--- a/components/transport/src/gateway/settings.rs
+++ b/components/transport/src/gateway/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of an entry host on the platform.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -35,6 +35,9 @@
     pub peers: SocketAddr,
     /// The UDP addresses of a few hosts, each of which may be down.
     pub seeds: Vec<SocketAddr>,
+    /// The local address from which connections to endpoints are opened; `None` leaves it to
+    /// the system.
+    pub source: Option<IpAddr>,
     /// The TCP address of the platform's store.
     pub log: SocketAddr,
     /// Whether the whole site starts for the first time, so that there are no callers yet.
--- a/components/transport/src/upstream/connection.rs
+++ b/components/transport/src/upstream/connection.rs
@@ -2,7 +2,7 @@
 
 use std::future::poll_fn;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,7 +17,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use state::{EndpointKey, Moment};
 use thiserror::Error;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use super::body::RequestBody;
 use super::counting_stream::CountingStream;
@@ -96,7 +96,21 @@
         endpoint: EndpointKey,
         address: SocketAddr,
     ) -> Result<Connection, ConnectError> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        Connection::open_from(None, endpoint, address).await
+    }
+
+    /// Opens a connection to `address` from the local address `source`, or from the one that
+    /// the system chooses.
+    ///
+    /// # Errors
+    ///
+    /// Returns why connecting failed; no request bytes have been sent then.
+    pub async fn open_from(
+        source: Option<IpAddr>,
+        endpoint: EndpointKey,
+        address: SocketAddr,
+    ) -> Result<Connection, ConnectError> {
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect(source, address))
             .await
             .map_err(|_| ConnectError::TooSlow(address))?
             .and_then(|stream| configure_socket(&stream).map(|()| stream))
@@ -187,6 +201,18 @@
     }
 }
 
+async fn connect(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/src/settings_file.rs
+++ b/src/settings_file.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -34,6 +34,11 @@
     /// Only their IP addresses are used, since all hosts have the same peer port.
     #[serde(default)]
     seeds: Vec<String>,
+    /// The local IP address from which the host opens connections to endpoints.
+    ///
+    /// Without it the system chooses, which is right unless the host has several addresses
+    /// and endpoints accept only one of them.
+    source_address: Option<IpAddr>,
     /// The address of the platform's store.
     log_address: String,
     /// Whether the whole deployment starts for the first time.
@@ -203,6 +208,7 @@
                     .map(|seed| SocketAddr::new(seed.ip(), peers.port()))
                     .collect(),
                 peers,
+                source: file.source_address,
                 log,
                 first_start: file.first_start,
                 partitions: file.partitions,
--- a/tests/site/endpoint.rs
+++ b/tests/site/endpoint.rs
@@ -10,15 +10,14 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use super::network::Network;
 use super::store::Store;
 
 /// How an endpoint handles requests.
@@ -62,6 +61,7 @@
 
 struct Inner {
     id: String,
+    network: Network,
     /// The version of the endpoint's software.
     version: String,
     /// How often the endpoint has crashed; names the present instance.
@@ -93,12 +93,18 @@
 
     /// Starts an endpoint that runs this version of its software.
     pub async fn start_version(id: &str, version: &str) -> Endpoint {
+        Endpoint::start_on(&Network::default(), id, version).await
+    }
+
+    /// Starts an endpoint that hosts reach through this network.
+    pub async fn start_on(network: &Network, id: &str, version: &str) -> Endpoint {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
         let inner = Arc::new(Inner {
             id: id.to_owned(),
+            network: network.clone(),
             version: version.to_owned(),
             restarts: Mutex::default(),
             crash: Mutex::default(),
@@ -250,9 +256,7 @@
         let inner = Arc::clone(inner);
         connections.spawn(async move {
             let service = service_fn(|request| serve(request, Arc::clone(&inner)));
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            inner.network.serve(stream, service).await;
         });
     }
 }
@@ -379,7 +383,7 @@
 }
 
 /// A body that fails with a connection reset if `cut` is set.
-struct AnswerBody {
+pub struct AnswerBody {
     text: Bytes,
     cut: bool,
 }
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod accounts;
 pub mod endpoint;
+pub mod network;
 pub mod raw;
 pub mod store;
 
@@ -21,6 +22,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 pub use endpoint::Endpoint;
+pub use network::{CutMode, Network};
 pub use store::Store;
 
 /// The longest wait for a condition or an answer before a test fails.
@@ -67,6 +69,9 @@
     peers: SocketAddr,
 }
 
+/// The data centre of the endpoints, and of hosts unless a test says otherwise.
+const CENTRE: &str = "here";
+
 /// A loopback address with any free port, which the process reports once it has bound it.
 ///
 /// A port that was only found free may be bound by another process meanwhile.
@@ -75,21 +80,27 @@
 impl Host {
     /// Starts an entry host and waits until its readiness port answers.
     pub async fn start(name: &str, store: &Store) -> Host {
-        Host::start_at(name, store, ANY_PORT, None).await
+        Host::start_at((name, CENTRE), store, ANY_PORT, None).await
     }
 
     /// Starts a further entry host, which joins the others through this one.
     ///
     /// All hosts of a site use the same peer port, each at a loopback address of its own.
     pub async fn join(&self, name: &str, store: &Store) -> Host {
+        self.join_in(CENTRE, name, store).await
+    }
+
+    /// Starts a further entry host in this data centre, which joins the others through this
+    /// one.
+    pub async fn join_in(&self, centre: &str, name: &str, store: &Store) -> Host {
         let joined = self.joined.fetch_add(1, Ordering::Relaxed);
         let ip = Ipv4Addr::new(127, 0, 0, 2 + joined);
         let address = SocketAddr::from((ip, self.peers.port()));
-        Host::start_at(name, store, address, Some(self.peers)).await
+        Host::start_at((name, centre), store, address, Some(self.peers)).await
     }
 
     async fn start_at(
-        name: &str,
+        (name, centre): (&str, &str),
         store: &Store,
         peer_address: SocketAddr,
         seed: Option<SocketAddr>,
@@ -99,7 +110,8 @@
         let settings = std::env::temp_dir().join(file);
         let seeds = seed.map_or(String::new(), |s| format!("\"{s}\""));
         let text = format!(
-            "name = \"{name}\"\ndata_centre = \"here\"\ncaller_address = \"{ANY_PORT}\"\nreadiness_address = \"{ANY_PORT}\"\npeer_address = \"{peer_address}\"\nseeds = [{seeds}]\nlog_address = \"{}\"\ngrace_seconds = 6\nrepeat_slack = 50\nexposure_ratio = 0.1\nexposure_slack = 20\n",
+            "name = \"{name}\"\ndata_centre = \"{centre}\"\ncaller_address = \"{ANY_PORT}\"\nreadiness_address = \"{ANY_PORT}\"\npeer_address = \"{peer_address}\"\nseeds = [{seeds}]\nsource_address = \"{}\"\nlog_address = \"{}\"\ngrace_seconds = 6\nrepeat_slack = 50\nexposure_ratio = 0.1\nexposure_slack = 20\n",
+            peer_address.ip(),
             store.address
         );
         std::fs::write(&settings, text).expect("the settings file is written");
@@ -175,11 +187,21 @@
         exchange(self.callers, &head).await
     }
 
+    /// Returns the address from which the host's connections to endpoints come.
+    pub fn source(&self) -> IpAddr {
+        self.peers.ip()
+    }
+
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
         self.signal(nix::sys::signal::Signal::SIGTERM);
     }
 
+    /// Sends SIGKILL to the process.
+    pub fn kill(&self) {
+        self.signal(nix::sys::signal::Signal::SIGKILL);
+    }
+
     fn signal(&self, signal: nix::sys::signal::Signal) {
         let id = nix::unistd::Pid::from_raw(
             i32::try_from(self.process.id()).expect("the process ID fits"),
@@ -206,11 +228,17 @@
 
 /// Starts a store that holds `ROUTES`, and `count` endpoints registered as ready.
 pub async fn store_and_endpoints(count: usize) -> (Store, Vec<Endpoint>) {
+    store_and_endpoints_on(&Network::default(), count).await
+}
+
+/// Starts a store that holds `ROUTES`, and `count` endpoints that hosts reach through this
+/// network, registered as ready.
+pub async fn store_and_endpoints_on(network: &Network, count: usize) -> (Store, Vec<Endpoint>) {
     let store = Store::start().await;
     store.put("keyed.op", "config", Some(&config(1, ROUTES)));
     let mut endpoints = Vec::new();
     for number in 1..=count {
-        let endpoint = Endpoint::start(&format!("i-{number}")).await;
+        let endpoint = Endpoint::start_on(network, &format!("i-{number}"), "v1").await;
         endpoint.register(&store, "ready");
         endpoints.push(endpoint);
     }
