gateway: hosts that reach no endpoint have other hosts serve their callers

Cause: what a failure says was kept for single endpoints and data centres. A host had no notion that it was itself the one cut off, each request found that out anew, one endpoint after the other, and there was no way but the host's own. Ruled out: failing endpoints (no other host avoided one in that time), a lost view of the site (all eight hosts applied configurations meanwhile).

Change: three different endpoints of a service that fail with no answer between them isolate the host from the service. Checks probe several endpoints at once as soon as one fails, and every 250 ms while isolated. Meanwhile requests, also those that wait in line, go to another host over TCP, on the port that takes datagrams already; that host serves them with its own endpoints, limits and retries, but never forwards them again. A request that may run only once is forwarded only if it was sent nowhere before, on a new connection. A host isolated from all services isn't ready while others serve its requests.

Why it holds: other hosts reach the endpoints, and their place, limits and at-most-once rules apply unchanged; the forwarding host counts what may have run as for an endpoint, and an answer by which the other host says that it could not try sends the request on to the next.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fragment_queue;
 pub mod fragments;
 pub mod group_joins;
+pub mod helpers;
 pub mod members;
 pub mod neighbours;
 pub mod quota;
--- a/components/coordination/src/neighbours.rs
+++ b/components/coordination/src/neighbours.rs
@@ -216,6 +216,19 @@
         lately.map(|(address, _)| *address).collect()
     }
 
+    /// Returns the known hosts of other data centres.
+    pub fn remote_hosts(&mut self, now: Moment) -> Vec<Contact> {
+        self.expire_remotes(now);
+        let centres = self.remotes.iter();
+        let hosts = centres.flat_map(|(centre, hosts)| {
+            hosts.keys().map(|address| Contact {
+                centre: centre.clone(),
+                address: *address,
+            })
+        });
+        hosts.collect()
+    }
+
     /// Returns the names of the other data centres that hosts are known of.
     pub fn remote_centres(&mut self, now: Moment) -> Vec<String> {
         self.expire_remotes(now);
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config_record;
 pub mod crash_report;
 pub mod envelope;
+pub mod forwarded_request;
 pub mod limit_report;
 pub mod member;
 pub mod neighbour;
--- a/components/state/src/fleet/placement.rs
+++ b/components/state/src/fleet/placement.rs
@@ -97,6 +97,8 @@
     /// All endpoints that could take the request advertise a rate limit, and this host's
     /// quota of it is used up.
     Limited,
+    /// None of the service's endpoints answers this host, and no other host can help.
+    Unreachable,
 }
 
 /// The placement state of one request: which endpoints it has probed and tried.
@@ -164,6 +166,11 @@
         self.unreachable.insert(key);
     }
 
+    /// Returns the number of endpoints that did not answer this request's probes.
+    pub fn unanswered(&self) -> usize {
+        self.unreachable.len()
+    }
+
     /// Decides the next step; `draw` returns random numbers from 0 to 1.
     ///
     /// Every request sent to an endpoint that advertises a rate limit counts against the
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -5,7 +5,7 @@
 
 use super::endpoint::{Endpoint, EndpointState};
 use super::isolation::Isolation;
-use super::outcome::{Outcome, ShedRate};
+use super::outcome::{Outcome, PassiveHealth, ShedRate};
 use super::rate_limit::{RateLimitUpdate, RateLimits, Source};
 use super::reachability::Reachability;
 use super::token_buckets::TokenBuckets;
@@ -163,16 +163,14 @@
     }
 
     /// Notes that an endpoint answered a probe.
-    pub fn note_answer(&mut self, key: EndpointKey) {
+    pub fn note_answer(&mut self, key: EndpointKey, now: Moment) {
         let Some(state) = self.endpoints.get(&key) else {
             return;
         };
         if let Some(reachability) = self.reachability.get_mut(&state.endpoint.centre) {
             reachability.note_answer();
         }
-        if let Some(isolation) = self.isolations.get_mut(&state.endpoint.service) {
-            isolation.note_answer();
-        }
+        self.note_isolation(state.endpoint.service, key, Outcome::Answered, now);
     }
 
     /// Returns what is known about whether this host reaches a service's endpoints, `None`
@@ -204,7 +202,22 @@
             _ => 0,
         };
         let isolation = self.isolations.entry(service).or_default();
+        let was_isolated = isolation.is_isolated();
         isolation.note(key, outcome, usable, now);
+        if was_isolated && !isolation.is_isolated() {
+            self.forgive_failures(service);
+        }
+    }
+
+    /// Forgets the failures of a service's endpoints, after this host was isolated from all
+    /// of them: the fault was the link's.
+    fn forgive_failures(&mut self, service: ServiceKey) {
+        self.reachability.clear();
+        for state in self.endpoints.values_mut() {
+            if state.endpoint.service == service {
+                state.health = PassiveHealth::default();
+            }
+        }
     }
 
     fn usable_count(&self, service: ServiceKey) -> usize {
--- a/components/state/tests/isolation.rs
+++ b/components/state/tests/isolation.rs
@@ -1,10 +1,12 @@
 //! A host that none of a service's endpoints answers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use state::fleet::isolation::Isolation;
 use state::fleet::outcome::Outcome;
-use state::{EndpointKey, Moment};
+use state::fleet::{Endpoint, Entry, Registry};
+use state::{DataCentreKey, EndpointKey, Moment, ServiceKey};
 
 const START: Moment = Moment::from_millis(10_000);
 
@@ -67,3 +69,52 @@
         assert!(!isolation.is_isolated());
     }
 }
+
+fn registry() -> (Registry, Vec<EndpointKey>) {
+    let mut registry = Registry::default();
+    let mut keys = Vec::new();
+    for number in 0..ENDPOINTS {
+        let endpoint = Endpoint {
+            instance: format!("i-{number}"),
+            started_ms: 1,
+            service: ServiceKey::named("svc"),
+            address: SocketAddr::from(([127, 0, 0, 1], 80)),
+            centre: DataCentreKey::named("here"),
+            version: None,
+            slots: 6,
+            draining: false,
+            cold: Duration::ZERO,
+        };
+        keys.push(endpoint.key());
+        let name = endpoint.instance.clone();
+        registry.apply(&name, Some(Entry::Endpoint(endpoint)), START);
+    }
+    (registry, keys)
+}
+
+/// When a cut ends, the few endpoints that happened not to be tried during it must not get all
+/// requests, with the others avoided for seconds.
+#[test]
+fn failures_forgiven() {
+    let (mut registry, keys) = registry();
+    for key in &keys[..8] {
+        registry.note_outcome(*key, Outcome::Broken, START);
+    }
+    assert!(registry.is_isolated(ServiceKey::named("svc")));
+    registry.note_answer(keys[9], START);
+    assert!(registry.isolated_services().is_empty());
+    for key in &keys {
+        let state = registry.get(*key).expect("the endpoint is known");
+        assert!(!state.health.is_avoided(START));
+    }
+}
+
+/// Endpoints that fail while others answer must go on being avoided.
+#[test]
+fn crashed_avoided() {
+    let (mut registry, keys) = registry();
+    registry.note_outcome(keys[0], Outcome::Broken, START);
+    registry.note_answer(keys[1], START);
+    let state = registry.get(keys[0]).expect("the endpoint is known");
+    assert!(state.health.is_avoided(START));
+}
--- a/components/state/tests/unreachable_centre.rs
+++ b/components/state/tests/unreachable_centre.rs
@@ -128,7 +128,7 @@
             healthy: true,
             reported: true,
         });
-        self.registry.note_answer(key);
+        self.registry.note_answer(key, self.now);
     }
 }
 
--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -1,6 +1,8 @@
 //! One attempt of a request at one endpoint.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -17,6 +19,7 @@
 
 use super::Gateway;
 use super::accounts::Caller;
+use super::call::Origin;
 use crate::clock;
 use crate::edge::headers::remove_hop_by_hop;
 use crate::upstream::connection::RequestError;
@@ -52,10 +55,14 @@
     pub route: &'a state::routing::Route,
     /// The account that the request belongs to.
     pub caller: &'a Caller,
+    /// Where the request came from.
+    pub origin: Origin,
     /// The request's fingerprints, equal for each repetition of the request.
     pub fingerprints: Fingerprints,
     /// The endpoint selection, with the endpoints already tried.
     pub placement: &'a RefCell<Placement>,
+    /// The other hosts that the request was forwarded to.
+    pub helpers: &'a RefCell<BTreeSet<SocketAddr>>,
     /// The number of attempts that may have run.
     pub may_have_run: &'a Cell<u32>,
 }
@@ -66,6 +73,8 @@
     Answered(Box<Answer>),
     /// The endpoint's own 5xx answer, which may be forwarded unchanged.
     Failed(Box<Answer>),
+    /// Another host's own answer, which promises that the request didn't run.
+    Denied(Box<Answer>),
     /// An endpoint received the request and says that it didn't run it.
     Rejected(&'static str),
     /// The request reached no endpoint.
@@ -99,6 +108,37 @@
     pub incoming: Incoming,
 }
 
+/// The body of an answer, buffered up to [`ANSWER_BUFFER_LIMIT`].
+pub(super) enum BufferedBody {
+    /// The complete body, and the connection that may be used again.
+    Complete(Bytes, Connection),
+    /// The beginning of a longer body, and its rest.
+    Partial(Bytes, RemainingBody),
+}
+
+/// Reads the beginning of an answer's body.
+///
+/// # Errors
+///
+/// Fails if the body breaks off.
+pub(super) async fn buffer_body(
+    mut connection: Connection,
+    mut incoming: Incoming,
+) -> Result<BufferedBody, hyper::Error> {
+    let mut start = BytesMut::new();
+    while let Some(chunk) = connection.next_chunk(&mut incoming).await {
+        start.extend_from_slice(&chunk?);
+        if start.len() > ANSWER_BUFFER_LIMIT {
+            let rest = RemainingBody {
+                connection,
+                incoming,
+            };
+            return Ok(BufferedBody::Partial(start.freeze(), rest));
+        }
+    }
+    Ok(BufferedBody::Complete(start.freeze(), connection))
+}
+
 /// Counts a request as running at its endpoint until dropped.
 struct RunningGuard<'a> {
     gateway: &'a Gateway,
@@ -158,7 +198,8 @@
             AttemptEnd::Answered(_) if self.is_late() => Answered::Bad,
             AttemptEnd::Answered(_) => Answered::Good,
             AttemptEnd::Failed(_) | AttemptEnd::Lost(_) | AttemptEnd::Rejected(_) => Answered::Bad,
-            AttemptEnd::Unsent(_)
+            AttemptEnd::Denied(_)
+            | AttemptEnd::Unsent(_)
             | AttemptEnd::Refused(_)
             | AttemptEnd::Quarantined(_)
             | AttemptEnd::Revoked => return,
@@ -199,12 +240,11 @@
     /// the endpoint stops and a late answer can't be taken for the answer to another
     /// request.
     pub async fn run(&self, body: RequestBody) -> AttemptEnd {
-        let found = self
-            .gateway
-            .select_endpoint(self.placement, &self.request, &self.route.regions)
-            .await;
-        let (key, mut connection) = match found {
+        let (key, mut connection) = match self.gateway.select_endpoint(self).await {
             Ok(found) => found,
+            Err(Refusal::Unreachable) if !self.origin.is_forwarded => {
+                return self.forward(body).await;
+            }
             Err(refusal) => return AttemptEnd::Refused(refusal),
         };
         if let Err(left) = self.gateway.admit(self.fingerprints) {
@@ -261,7 +301,7 @@
     }
 
     /// Records that this attempt didn't run.
-    fn mark_not_run(&self) {
+    pub(super) fn mark_not_run(&self) {
         self.may_have_run.set(self.may_have_run.get() - 1);
     }
 
@@ -276,6 +316,16 @@
     fn build_request(&self, key: EndpointKey, body: RequestBody) -> Option<Request<RequestBody>> {
         let registry = self.gateway.registry.borrow();
         let endpoint = &registry.get(key)?.endpoint;
+        let mut request = self.request_with(body)?;
+        let headers = request.headers_mut();
+        let left = clock::now().until(self.request.deadline);
+        platform::headers::set_request_headers(headers, &endpoint.instance, left);
+        platform::headers::set_account(headers, self.caller.name.as_deref());
+        Some(request)
+    }
+
+    /// Returns the caller's request with this body, without what concerns its connection.
+    pub(super) fn request_with(&self, body: RequestBody) -> Option<Request<RequestBody>> {
         let mut request = Request::new(body);
         *request.method_mut() = self.parts.method.clone();
         *request.version_mut() = Version::HTTP_11;
@@ -284,9 +334,6 @@
         remove_hop_by_hop(&mut headers);
         // This host has already met `Expect: 100-continue` by reading the body.
         headers.remove(EXPECT);
-        let left = clock::now().until(self.request.deadline);
-        platform::headers::set_request_headers(&mut headers, &endpoint.instance, left);
-        platform::headers::set_account(&mut headers, self.caller.name.as_deref());
         *request.headers_mut() = headers;
         Some(request)
     }
@@ -294,38 +341,29 @@
     async fn read(
         &self,
         key: EndpointKey,
-        mut connection: Connection,
+        connection: Connection,
         parts: AnswerParts,
-        mut incoming: Incoming,
+        incoming: Incoming,
         (sent, slowdown): (Moment, f64),
     ) -> AttemptEnd {
         if !platform::headers::matches_request(&self.parts.headers, &parts.headers) {
             return AttemptEnd::Lost("the answer belongs to another request");
         }
-        let mut start = BytesMut::new();
-        let rest = loop {
-            match connection.next_chunk(&mut incoming).await {
-                None => {
-                    self.gateway.keep_connection(connection, &parts.headers);
-                    break None;
-                }
-                Some(Err(_)) => {
-                    self.gateway.note_broken(self.fingerprints, key, sent);
-                    return AttemptEnd::Lost("the answer broke off");
-                }
-                Some(Ok(chunk)) => start.extend_from_slice(&chunk),
+        let (start, rest) = match buffer_body(connection, incoming).await {
+            Ok(BufferedBody::Complete(start, connection)) => {
+                self.gateway.keep_connection(connection, &parts.headers);
+                (start, None)
             }
-            if start.len() > ANSWER_BUFFER_LIMIT {
-                break Some(RemainingBody {
-                    connection,
-                    incoming,
-                });
+            Ok(BufferedBody::Partial(start, rest)) => (start, Some(rest)),
+            Err(_) => {
+                self.gateway.note_broken(self.fingerprints, key, sent);
+                return AttemptEnd::Lost("the answer broke off");
             }
         };
         self.gateway.record_load(key, &parts.headers);
         let answer = Answer {
             parts,
-            start: start.freeze(),
+            start,
             rest,
             sent,
             slowdown,
@@ -334,7 +372,7 @@
     }
 
     /// Classifies an answer.
-    fn classify(&self, answer: Box<Answer>) -> AttemptEnd {
+    pub(super) fn classify(&self, answer: Box<Answer>) -> AttemptEnd {
         let headers = &answer.parts.headers;
         match answer.parts.status {
             status if platform::headers::is_not_run(headers) => {
@@ -391,7 +429,8 @@
             AttemptEnd::Failed(_) => Outcome::Failed,
             AttemptEnd::Rejected(_) => Outcome::Shed,
             AttemptEnd::Lost(_) => Outcome::Broken,
-            AttemptEnd::Unsent(_)
+            AttemptEnd::Denied(_)
+            | AttemptEnd::Unsent(_)
             | AttemptEnd::Refused(_)
             | AttemptEnd::Quarantined(_)
             | AttemptEnd::Revoked => return,
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -1,6 +1,7 @@
 //! Handles one request: finds its route, runs its attempts and returns one final answer.
 
 use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeSet;
 use std::future::{Future, poll_fn};
 use std::net::IpAddr;
 use std::pin::Pin;
@@ -8,10 +9,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::Response;
 use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
+use hyper::{HeaderMap, Response};
+use protocol::forwarded_request;
 use state::fleet::Placement;
 use state::fleet::fingerprint::{Content, Fingerprints};
 use state::fleet::placement::{self, Refusal};
@@ -24,6 +26,7 @@
 use super::answer_body::AnswerBody;
 use super::attempt::{Answer, Attempt, AttemptEnd};
 use super::denial::Denial;
+use super::forward::increment;
 use super::{Gateway, Stage};
 use crate::clock;
 use crate::edge::body::{BodyPrefix, CallerBody, MAX_REPLAY_BODY, SharedBody};
@@ -42,6 +45,47 @@
 /// became slow after the probe or lost the answer.
 const HEDGE_FACTOR: f64 = 1.6;
 
+/// Who sends the requests of a connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Source {
+    /// A caller at this address.
+    Caller(IpAddr),
+    /// Another host, which forwards requests of callers.
+    Host,
+}
+
+impl Source {
+    /// Returns where a request came from, and removes the mark of a forwarded one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a request from another host doesn't name the caller.
+    fn origin(self, headers: &mut HeaderMap) -> Result<Origin, Denial> {
+        match self {
+            Source::Caller(caller) => Ok(Origin {
+                caller,
+                is_forwarded: false,
+            }),
+            Source::Host => {
+                let caller = forwarded_request::take_caller(headers);
+                Ok(Origin {
+                    caller: caller.map_err(Denial::NotForwarded)?,
+                    is_forwarded: true,
+                })
+            }
+        }
+    }
+}
+
+/// Where a request came from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Origin {
+    /// The caller's address.
+    pub caller: IpAddr,
+    /// Whether another host has forwarded the request to this one.
+    pub is_forwarded: bool,
+}
+
 /// A request with its route and deadline.
 struct Call<'a> {
     gateway: &'a Gateway,
@@ -49,6 +93,7 @@
     route: &'a Route,
     service: ServiceKey,
     caller: &'a Caller,
+    origin: Origin,
     fingerprints: Fingerprints,
     arrived: Moment,
     deadline: Moment,
@@ -105,7 +150,8 @@
 
 impl Drop for QuotaTokens<'_> {
     fn drop(&mut self) {
-        if let Some(account) = self.call.caller.account() {
+        let account = self.call.caller.account();
+        if let Some(account) = account.filter(|_| !self.call.origin.is_forwarded) {
             let unused = self.taken.get().saturating_sub(self.may_have_run.get());
             self.call.gateway.return_quota(account, unused);
         }
@@ -126,17 +172,25 @@
 /// A request without `incoming` has no body.
 pub(super) async fn handle(
     gateway: &Gateway,
-    parts: Parts,
+    mut parts: Parts,
     incoming: Option<Incoming>,
-    caller: IpAddr,
+    source: Source,
 ) -> Response<AnswerBody> {
     let arrived = clock::now();
     let rest = OnceCell::new();
-    let mut response = match run(gateway, &parts, incoming, (arrived, caller), &rest).await {
+    let result = match source.origin(&mut parts.headers) {
+        Ok(origin) => run(gateway, &parts, incoming, (arrived, origin), &rest).await,
+        Err(denial) => Err(denial),
+    };
+    let mut response = match result {
         Ok(answer) => forward_answer(answer),
         Err(denial) => {
             gateway.log_denial(&parts.headers, &denial, arrived);
-            denial.response(&parts.headers)
+            let mut response = denial.response(&parts.headers);
+            if denial.is_unavailable() && matches!(source, Source::Host) {
+                forwarded_request::set_unavailable(response.headers_mut());
+            }
+            response
         }
     };
     if let Some(rest) = rest.into_inner() {
@@ -150,13 +204,15 @@
     gateway: &Gateway,
     parts: &Parts,
     incoming: Option<Incoming>,
-    (arrived, caller): (Moment, IpAddr),
+    (arrived, origin): (Moment, Origin),
     rest: &OnceCell<SharedBody>,
 ) -> Result<Box<Answer>, Denial> {
     if *gateway.stage.borrow() >= Stage::Closing {
         return Err(Denial::Stopping);
     }
-    gateway.await_config(parts).await;
+    if !origin.is_forwarded {
+        gateway.await_config(parts).await;
+    }
     let (route, limit) = route(gateway, parts)?;
     let identity = gateway.identify(&parts.headers, &route)?;
     let announced = incoming.as_ref().map_or(Some(0), |b| b.size_hint().exact());
@@ -165,7 +221,7 @@
         None => u64::try_from(body.start.len()).ok(),
         Some(_) => announced,
     };
-    let fingerprints = Fingerprints::new(content(parts, &body.start, length), caller);
+    let fingerprints = Fingerprints::new(content(parts, &body.start, length), origin.caller);
     let body = match body.rest {
         None => RequestBody::Buffered(body.start),
         Some(more) => {
@@ -186,13 +242,13 @@
         route: &route,
         service,
         caller: &identity,
+        origin,
         fingerprints,
         arrived,
         deadline: arrived + timeout.min(route.timeout),
         draw: gateway.random_fraction(),
     };
-    gateway.note_rollout_request(&call.placement_request());
-    gateway.with_retry_budget(service, |budget| budget.count(arrived));
+    call.count();
     let result = call.serve(body).await;
     if let Ok(answer) = &result {
         gateway.log_late(&parts.headers, answer, arrived, route.objective);
@@ -287,6 +343,7 @@
         }
         self.take_quota().await?;
         let placement = RefCell::new(Placement::default());
+        let helpers = RefCell::new(BTreeSet::new());
         let may_have_run = Cell::new(0);
         let tokens = QuotaTokens {
             call: self,
@@ -299,8 +356,10 @@
             request: self.placement_request(),
             route: self.route,
             caller: self.caller,
+            origin: self.origin,
             fingerprints: self.fingerprints,
             placement: &placement,
+            helpers: &helpers,
             may_have_run: &may_have_run,
         };
         let replay = match &body {
@@ -310,11 +369,24 @@
         self.run_attempts(&attempt, body, replay, &tokens).await
     }
 
+    /// Counts the request, unless the host that forwarded it has done so.
+    fn count(&self) {
+        if self.origin.is_forwarded {
+            increment(&self.gateway.forwarded.received);
+            return;
+        }
+        self.gateway.note_rollout_request(&self.placement_request());
+        self.gateway
+            .with_retry_budget(self.service, |budget| budget.count(self.arrived));
+    }
+
     /// Takes a token of the account's quota, for one run of the request at an endpoint.
+    ///
+    /// For a forwarded request the other host has taken it.
     async fn take_quota(&self) -> Result<(), Denial> {
         match self.caller.account() {
-            Some(account) => self.gateway.take_quota(account).await,
-            None => Ok(()),
+            Some(account) if !self.origin.is_forwarded => self.gateway.take_quota(account).await,
+            _ => Ok(()),
         }
     }
 
@@ -337,7 +409,9 @@
         let mut hedge = self.hedge_at(replay.is_some());
         loop {
             match self.next(&mut pending, hedge).await {
-                Event::Ended(AttemptEnd::Answered(answer)) => return Ok(answer),
+                Event::Ended(AttemptEnd::Answered(answer) | AttemptEnd::Denied(answer)) => {
+                    return Ok(answer);
+                }
                 Event::Ended(ending) => {
                     progress.record(ending);
                     let may_have_run = attempt.may_have_run.get();
@@ -407,7 +481,7 @@
     /// answer can still arrive within the route's objective: a late answer
     /// hardly justifies the additional load.
     fn hedge_at(&self, replay: bool) -> Option<Moment> {
-        if !self.route.idempotent || !replay || self.route.attempts < 2 {
+        if !self.may_run_again() || !replay || self.route.attempts < 2 {
             return None;
         }
         let service_time = self
@@ -445,7 +519,7 @@
     /// have run is retried only if its route is idempotent.
     fn may_retry(&self, progress: &mut Progress, may_have_run: u32) -> bool {
         match progress.last {
-            _ if may_have_run > 0 && !self.route.idempotent => return false,
+            _ if may_have_run > 0 && !self.may_run_again() => return false,
             Some(LastFailure::Refused(_) | LastFailure::Quarantined(_) | LastFailure::Revoked) => {
                 return false;
             }
@@ -456,6 +530,13 @@
         self.may_send(progress)
     }
 
+    /// Returns whether this host may send the request once more after it may have run.
+    ///
+    /// The host that forwarded it counts what may have run, and sends it again itself.
+    fn may_run_again(&self) -> bool {
+        self.route.idempotent && !self.origin.is_forwarded
+    }
+
     /// Decides whether one more attempt is allowed, and charges the retry budget.
     fn may_send(&self, progress: &mut Progress) -> bool {
         let share = self.gateway.share.get();
@@ -473,7 +554,9 @@
     /// Records the result of an attempt without an answer to forward at once.
     fn record(&mut self, ending: AttemptEnd) {
         self.last = Some(match ending {
-            AttemptEnd::Answered(answer) | AttemptEnd::Failed(answer) => {
+            AttemptEnd::Answered(answer)
+            | AttemptEnd::Denied(answer)
+            | AttemptEnd::Failed(answer) => {
                 self.failure = Some(answer);
                 LastFailure::Failed
             }
@@ -540,6 +623,7 @@
         Refusal::Full => Denial::NotRun("all endpoints are full", delay),
         Refusal::TooLate => Denial::NotRun("no endpoint was free in time", delay),
         Refusal::Limited => Denial::NotRun("the endpoints' rate limits are used up", delay),
+        Refusal::Unreachable => Denial::Unreachable(delay),
     }
 }
 
--- a/components/transport/src/gateway/denial.rs
+++ b/components/transport/src/gateway/denial.rs
@@ -6,6 +6,7 @@
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
 use platform::headers::{ATTEMPT_ID, ApiKeyError};
+use protocol::forwarded_request::NotForwarded;
 use thiserror::Error;
 
 use super::answer_body::AnswerBody;
@@ -47,6 +48,13 @@
     /// it; with a retry delay.
     #[error("the request was not run: {0}")]
     NotRun(&'static str, Duration),
+    /// None of the service's endpoints answers this host, and no other host could help; with
+    /// a retry delay.
+    #[error("the request was not run: no endpoint answers this host")]
+    Unreachable(Duration),
+    /// A request on the port for hosts that no host has forwarded.
+    #[error("{0}")]
+    NotForwarded(NotForwarded),
     /// The request crashed endpoints before, and is quarantined for this time.
     #[error("the request was not run: it crashed endpoints before")]
     Quarantined(Duration),
@@ -69,11 +77,14 @@
             | Denial::Stopping
             | Denial::KeysOutdated
             | Denial::NotRun(..)
+            | Denial::Unreachable(_)
             | Denial::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             Denial::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Denial::ApiKey(_) | Denial::UnknownKey => StatusCode::UNAUTHORIZED,
             Denial::NoRoute => StatusCode::NOT_FOUND,
-            Denial::NoHost | Denial::Body(BodyError::Broken(_)) => StatusCode::BAD_REQUEST,
+            Denial::NoHost | Denial::NotForwarded(_) | Denial::Body(BodyError::Broken(_)) => {
+                StatusCode::BAD_REQUEST
+            }
             Denial::Body(BodyError::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
             Denial::Body(BodyError::TooSlow) => StatusCode::REQUEST_TIMEOUT,
             Denial::Unknown(_) => StatusCode::BAD_GATEWAY,
@@ -101,13 +112,22 @@
         response
     }
 
+    /// Returns whether another host may still serve the request: this one could not try.
+    pub fn is_unavailable(&self) -> bool {
+        matches!(
+            self,
+            Denial::NoCatalogue | Denial::Stopping | Denial::Unreachable(_)
+        )
+    }
+
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Denial::NoCatalogue | Denial::KeysOutdated => Some(START_RETRY_DELAY),
             Denial::Stopping => Some(Duration::ZERO),
-            Denial::NotRun(_, time) | Denial::Quarantined(time) | Denial::OverQuota(time) => {
-                Some(*time)
-            }
+            Denial::NotRun(_, time)
+            | Denial::Unreachable(time)
+            | Denial::Quarantined(time)
+            | Denial::OverQuota(time) => Some(*time),
             _ => None,
         }
     }
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod denial;
 mod drain;
 mod follow;
+mod forward;
 mod fragments;
 mod group;
 mod isolation;
@@ -40,6 +41,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use coordination::helpers::Helpers;
 use coordination::neighbours::Neighbours;
 use coordination::read_schedule::ReadSchedule;
 use coordination::rollouts::Rollouts;
@@ -57,12 +59,15 @@
 use tokio::task::spawn_local;
 
 use crate::clock;
+use forward::ForwardedCounts;
 use fragments::Transfers;
+use isolation::IsolationChecks;
 use pool::Pool;
 use quarantine::CrashTracker;
 use quota::Quotas;
 use report_limiter::ReportLimiter;
 use request_log::RequestLog;
+use server::Listener;
 pub use settings::{Bounds, Live, Ports, Settings};
 use topic_cache::TopicCaches;
 use traffic::Traffic;
@@ -132,6 +137,13 @@
     /// Wakes the task that sends fragments.
     fragments_notify: Notify,
     pool: RefCell<Pool>,
+    /// Idle connections to other hosts.
+    host_pool: RefCell<Pool>,
+    helpers: RefCell<Helpers>,
+    forwarded: ForwardedCounts,
+    isolation_checks: RefCell<IsolationChecks>,
+    /// Wakes the task that checks whether endpoints answer.
+    checks_due: Notify,
     retry_budgets: RefCell<BTreeMap<ServiceKey, WindowedRetryBudget>>,
     /// Service time estimates by route name.
     service_times: RefCell<BTreeMap<String, ServiceTime>>,
@@ -169,8 +181,11 @@
         let callers = listen(&mut settings.callers).await?;
         let readiness = listen(&mut settings.readiness).await?;
         let socket = bind(&mut settings.peers).await?;
+        let hosts = listen(&mut settings.peers.clone()).await?;
         let gateway = Rc::new(Gateway::new(settings, socket));
-        spawn_local(Rc::clone(&gateway).accept(callers));
+        spawn_local(Rc::clone(&gateway).accept(callers, Listener::Callers));
+        spawn_local(Rc::clone(&gateway).accept(hosts, Listener::Hosts));
+        spawn_local(Rc::clone(&gateway).check_isolation());
         spawn_local(Rc::clone(&gateway).answer_readiness(readiness));
         spawn_local(Rc::clone(&gateway).receive_datagrams());
         spawn_local(Rc::clone(&gateway).send_greetings());
@@ -228,6 +243,11 @@
             traffic: RefCell::default(),
             fragments_notify: Notify::new(),
             pool: RefCell::default(),
+            host_pool: RefCell::default(),
+            helpers: RefCell::default(),
+            forwarded: ForwardedCounts::default(),
+            isolation_checks: RefCell::default(),
+            checks_due: Notify::new(),
             retry_budgets: RefCell::default(),
             service_times: RefCell::default(),
             probe_budget: RefCell::new(probe_budget),
@@ -262,9 +282,12 @@
         self.live.replace(live);
     }
 
-    /// Returns whether this host has routes and endpoints and isn't shutting down.
+    /// Returns whether this host has routes and endpoints, isn't shutting down, and serves
+    /// callers as well as other hosts do.
     pub fn is_ready(&self) -> bool {
-        self.knows_endpoints() && *self.stage.borrow() == Stage::Serving
+        self.knows_endpoints()
+            && *self.stage.borrow() == Stage::Serving
+            && !self.depends_on_helpers()
     }
 
     /// Returns whether this host knows which endpoints a request may be sent to.
--- a/components/transport/src/gateway/pipeline.rs
+++ b/components/transport/src/gateway/pipeline.rs
@@ -9,7 +9,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::net::IpAddr;
 use std::rc::Rc;
 
 use hyper::Response;
@@ -19,6 +18,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::answer_body::AnswerBody;
+use super::call::Source;
 use super::denial::Denial;
 use super::{Gateway, Stage, call};
 
@@ -62,7 +62,7 @@
 /// Dropping it, when the caller hangs up, cancels them.
 pub(super) struct Pipeline {
     gateway: Rc<Gateway>,
-    caller: IpAddr,
+    source: Source,
     started: RefCell<VecDeque<EarlyCall>>,
     /// Whether the HTTP library has come to the first of them.
     is_due: Cell<bool>,
@@ -70,10 +70,10 @@
 }
 
 impl Pipeline {
-    pub fn new(gateway: Rc<Gateway>, caller: IpAddr) -> Pipeline {
+    pub fn new(gateway: Rc<Gateway>, source: Source) -> Pipeline {
         Pipeline {
             gateway,
-            caller,
+            source,
             started: RefCell::default(),
             is_due: Cell::new(false),
             taken: Notify::new(),
@@ -93,8 +93,8 @@
             return false;
         }
         let gateway = Rc::clone(&self.gateway);
-        let caller = self.caller;
-        let answer = spawn_local(async move { call::handle(&gateway, parts, None, caller).await });
+        let source = self.source;
+        let answer = spawn_local(async move { call::handle(&gateway, parts, None, source).await });
         self.gateway.ahead.set(self.gateway.ahead.get() + 1);
         self.started.borrow_mut().push_back(EarlyCall {
             answer: AbortOnDropHandle::new(answer),
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -1,6 +1,5 @@
 //! Probes the health and load of endpoints, and selects an endpoint for a request.
 
-use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +17,7 @@
 use tokio::time::timeout;
 
 use super::Gateway;
+use super::attempt::Attempt;
 use super::wait_queue::QueueEntry;
 use crate::clock;
 use crate::upstream::{Connection, RequestBody};
@@ -79,12 +79,19 @@
     ///
     /// The request uses the connection that carried the probe, because that
     /// connection is known to work, whereas an idle one may be closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is rejected, or [`Refusal::Unreachable`] if another host
+    /// should serve it.
     pub(super) async fn select_endpoint(
         &self,
-        placement: &RefCell<Placement>,
-        request: &placement::Request,
-        regions: &BTreeSet<RegionKey>,
+        attempt: &Attempt<'_>,
     ) -> Result<(EndpointKey, Connection), Refusal> {
+        let Attempt {
+            placement, request, ..
+        } = attempt;
+        let regions = &attempt.route.regions;
         let mut probed = ProbedConnections {
             gateway: self,
             connections: BTreeMap::new(),
@@ -93,6 +100,9 @@
             .has_waiting(request.service)
             .then(|| self.enqueue(request));
         loop {
+            if self.is_out_of_reach(attempt) {
+                return Err(Refusal::Unreachable);
+            }
             let is_first = entry.as_ref().is_none_or(QueueEntry::is_first);
             let step = self.step(&mut placement.borrow_mut(), request, regions, is_first);
             match step {
@@ -119,6 +129,19 @@
         }
     }
 
+    /// Returns whether a request has to be served by another host, or rejected at once.
+    ///
+    /// Without another host this one goes on trying, until it is sure that none of the
+    /// endpoints answers.
+    fn is_out_of_reach(&self, attempt: &Attempt<'_>) -> bool {
+        let service = attempt.request.service;
+        let unanswered = attempt.placement.borrow().unanswered();
+        self.needs_helper(service, unanswered)
+            && (attempt.origin.is_forwarded
+                || self.has_helper(attempt)
+                || self.is_surely_isolated(service))
+    }
+
     /// Returns whether the probe rate limit allows one more probe.
     fn may_probe(&self) -> bool {
         let rate = self.live.borrow().bounds.ask_rate;
@@ -234,7 +257,7 @@
 
     /// Probes an endpoint on a new connection; returns the connection and the answer's
     /// headers, or `None` if there is no valid answer.
-    async fn probe_anew(&self, key: EndpointKey) -> Option<(Connection, HeaderMap)> {
+    pub(super) async fn probe_anew(&self, key: EndpointKey) -> Option<(Connection, HeaderMap)> {
         let how = match timeout(PROBE_TIMEOUT, self.probe_on(key, None)).await {
             Ok(Some(answered)) => return Some(answered),
             Ok(None) => Unanswered::Closed,
@@ -307,9 +330,9 @@
             }));
         let service = state.endpoint.service;
         let was_isolated = registry.is_isolated(service);
-        registry.note_answer(key);
+        registry.note_answer(key, now);
         drop(registry);
-        self.log_isolation(service, was_isolated, "probe");
+        self.isolation_noted(service, was_isolated, "probe");
         self.record_limit(key, headers, Source::Probe);
         true
     }
@@ -361,8 +384,12 @@
             );
         }
         drop(registry);
-        if let Some(service) = service {
-            self.log_isolation(service, was_isolated, seen);
+        let Some(service) = service else {
+            return;
+        };
+        self.isolation_noted(service, was_isolated, seen);
+        if outcome == Outcome::Broken {
+            self.check_after_failure(service);
         }
     }
 }
--- a/components/transport/src/gateway/server.rs
+++ b/components/transport/src/gateway/server.rs
@@ -1,7 +1,6 @@
 //! Accepts callers' connections and serves their HTTP requests.
 
 use std::convert::Infallible;
-use std::net::IpAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::call::Source;
 use super::pipeline::Pipeline;
 use super::read_ahead::ReadAhead;
 use super::stream::{CallerStream, CallerTimeouts, ConnectionActivity};
@@ -37,6 +37,15 @@
 /// The size limit of a request head, in bytes, until the operators' configuration is known.
 const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
 
+/// Who opens the connections that a listener accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Listener {
+    /// Callers.
+    Callers,
+    /// Other hosts, which forward requests.
+    Hosts,
+}
+
 /// Counts a caller's connection as open until dropped.
 struct ConnectionGuard(Rc<Gateway>);
 
@@ -47,10 +56,10 @@
 }
 
 impl Gateway {
-    /// Accepts callers' connections; never returns.
-    pub(super) async fn accept(self: Rc<Self>, listener: TcpListener) {
+    /// Accepts connections of callers or hosts; never returns.
+    pub(super) async fn accept(self: Rc<Self>, sockets: TcpListener, listener: Listener) {
         loop {
-            match listener.accept().await {
+            match sockets.accept().await {
                 // Close at once: no request has been read, so the caller can retry
                 // at another host.
                 Ok(_) if self.callers.get() >= self.live.borrow().callers_limit => {
@@ -59,7 +68,11 @@
                 Ok((stream, address)) => {
                     self.callers.set(self.callers.get() + 1);
                     let guard = ConnectionGuard(Rc::clone(&self));
-                    spawn_local(serve(guard, stream, address.ip()));
+                    let source = match listener {
+                        Listener::Callers => Source::Caller(address.ip()),
+                        Listener::Hosts => Source::Host,
+                    };
+                    spawn_local(serve(guard, stream, source));
                 }
                 Err(error) => {
                     log::warn!("E0101 accept-failed error={error:?}");
@@ -85,7 +98,7 @@
 }
 
 /// Serves the requests of one connection in sequence.
-async fn serve(guard: ConnectionGuard, stream: TcpStream, caller: IpAddr) {
+async fn serve(guard: ConnectionGuard, stream: TcpStream, source: Source) {
     let gateway = &guard.0;
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("E0125 caller-lost error={error:?}");
@@ -93,7 +106,7 @@
     }
     let activity = Rc::new(ConnectionActivity::new());
     let (timeouts, head) = gateway.timeouts();
-    let pipeline = Rc::new(Pipeline::new(Rc::clone(gateway), caller));
+    let pipeline = Rc::new(Pipeline::new(Rc::clone(gateway), source));
     let service = service_fn(|request: Request<Incoming>| {
         let gateway = Rc::clone(gateway);
         let activity = Rc::clone(&activity);
@@ -105,7 +118,7 @@
                 Some(early) => early.answer().await,
                 None => {
                     let (parts, incoming) = request.into_parts();
-                    call::handle(&gateway, parts, Some(incoming), caller).await
+                    call::handle(&gateway, parts, Some(incoming), source).await
                 }
             };
             // Requests that were started are answered before the connection ends.
--- a/components/transport/src/gateway/settings.rs
+++ b/components/transport/src/gateway/settings.rs
@@ -14,7 +14,7 @@
     pub callers: SocketAddr,
     /// The TCP address for the readiness checks of the platform's balancer.
     pub readiness: SocketAddr,
-    /// The UDP address for datagrams from other hosts.
+    /// The address for datagrams and forwarded requests from other hosts, UDP and TCP.
     pub peers: SocketAddr,
 }
 
@@ -31,7 +31,7 @@
     pub callers: SocketAddr,
     /// The TCP address for the readiness checks of the platform's balancer.
     pub readiness: SocketAddr,
-    /// The UDP address for datagrams from other hosts.
+    /// The address for datagrams and forwarded requests from other hosts, UDP and TCP.
     pub peers: SocketAddr,
     /// The UDP addresses of a few hosts, each of which may be down.
     pub seeds: Vec<SocketAddr>,
--- a/components/transport/src/gateway/traffic.rs
+++ b/components/transport/src/gateway/traffic.rs
@@ -71,6 +71,9 @@
             let traffic = std::mem::take(&mut *self.traffic.borrow_mut());
             let seconds = REPORT_INTERVAL.as_secs();
             log::info!("E0424 datagrams seconds={seconds}{traffic}");
+            if let Some(counts) = self.forwarded.take() {
+                log::info!("E0164 requests-forwarded seconds={seconds} {counts}");
+            }
         }
     }
 }
--- a/components/transport/src/gateway/wait_queue.rs
+++ b/components/transport/src/gateway/wait_queue.rs
@@ -92,6 +92,14 @@
         }
     }
 
+    /// Wakes all requests in the service's queue, when no endpoint answers this host.
+    pub(super) fn wake_all(&self, service: ServiceKey) {
+        let queues = self.queues.borrow();
+        if let Some(waiters) = queues.services.get(&service) {
+            waiters.notifies.values().for_each(|n| n.notify_one());
+        }
+    }
+
     /// Wakes the first request in the service's queue, when an endpoint has room.
     pub(super) fn wake_first(&self, service: ServiceKey) {
         let queues = self.queues.borrow();
--- a/tests/isolated_hosts.rs
+++ b/tests/isolated_hosts.rs
@@ -40,7 +40,7 @@
 
 struct Site {
     network: Network,
-    store: Store,
+    _store: Store,
     endpoints: Vec<Endpoint>,
     hosts: Vec<Arc<Host>>,
 }
@@ -62,7 +62,7 @@
         }
         let site = Site {
             network,
-            store,
+            _store: store,
             endpoints,
             hosts,
         };
@@ -201,3 +201,56 @@
         }
     }
 }
+
+/// A host that serves callers only through others must leave the balancer's rotation until it
+/// reaches endpoints again.
+#[tokio::test(flavor = "multi_thread")]
+async fn not_ready() {
+    let site = Site::start(&["here"; 3]).await;
+    let host = &site.hosts[0];
+    site.cut(1, CutMode::Reset);
+    site.load("cut", "GET", Duration::from_secs(1)).await;
+    assert_eq!(host.readiness().await, 503);
+    site.network.heal();
+    until("the host is ready again", async || {
+        host.readiness().await == 200
+    })
+    .await;
+}
+
+/// No host reaches any endpoint. Requests must be rejected as not run, without going round among
+/// the hosts, and the hosts must stay in the balancer's rotation.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_cut() {
+    let site = Site::start(&["here"; 3]).await;
+    site.cut(3, CutMode::Reset);
+    site.load("first", "GET", Duration::from_secs(1)).await;
+    let statuses = site.statuses("second", "POST", COUNTED_TIME).await;
+    let rejected = statuses.iter().filter(|(_, _, status)| *status == 503);
+    assert_eq!(rejected.count(), statuses.len(), "{statuses:?}");
+    for host in &site.hosts {
+        assert_eq!(host.readiness().await, 200);
+    }
+    site.network.heal();
+    until("requests are served again", async || {
+        let tallies = site.load("third", "GET", Duration::from_millis(100)).await;
+        tallies.iter().all(|t| t.served == t.sent)
+    })
+    .await;
+}
+
+/// The host that serves another one's requests is killed. Its own share may be lost; none may run
+/// twice, and the requests after it must be served by the hosts that are left.
+#[tokio::test(flavor = "multi_thread")]
+async fn helper_killed() {
+    let site = Site::start(&["here"; 4]).await;
+    site.cut(2, CutMode::Hang);
+    site.load("during", "GET", STABILITY_WINDOW).await;
+    site.hosts[3].kill();
+    let lost = site.load("killed", "POST", COUNTED_TIME).await;
+    let after = site.load("after", "POST", COUNTED_TIME).await;
+    for tally in &after[..2] {
+        assert_eq!(tally.served, tally.sent, "{after:?}, before {lost:?}");
+    }
+    assert!(!site.runs().1, "a request ran twice");
+}
