gateway: what is known of helping hosts is kept by service

A host that reaches one service may not reach another. Marked as unavailable for both, it was asked for neither for a second, and requests were rejected though it would have served them. Rechecks that a cut still held up when the first one was answered counted as failures afterwards, and isolated the host once more.

--- a/components/transport/src/gateway/forward.rs
+++ b/components/transport/src/gateway/forward.rs
@@ -7,7 +7,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use coordination::helpers::{Candidate, Failure, MAX_TRIES};
+use coordination::helpers::{Candidate, Failure, Helpers, MAX_TRIES};
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::http::response::Parts as AnswerParts;
@@ -120,8 +120,7 @@
                     );
                 }
             }
-            self.gateway
-                .note_helper_failure(helper, Failure::Unreachable);
+            self.note_failure(helper, Failure::Unreachable);
         }
         None
     }
@@ -146,8 +145,7 @@
             }
             Err(RequestError::Sent(error)) => {
                 log::info!("E0163 helper-lost address={} error={error}", helper.address);
-                self.gateway
-                    .note_helper_failure(helper, Failure::Unreachable);
+                self.note_failure(helper, Failure::Unreachable);
                 return Forwarded::Ended(AttemptEnd::Lost(
                     "the connection to the other host broke",
                 ));
@@ -155,12 +153,10 @@
         };
         if forwarded_request::is_unavailable(&parts.headers) {
             self.mark_not_run();
-            self.gateway
-                .note_helper_failure(helper, Failure::Unavailable);
+            self.note_failure(helper, Failure::Unavailable);
             return Forwarded::Unavailable;
         }
-        let now = clock::now();
-        self.gateway.helpers.borrow_mut().note_answer(helper, now);
+        self.with_helpers(|helpers| helpers.note_answer(helper, clock::now()));
         let ending = self
             .read_forwarded(connection, parts, incoming, began)
             .await;
@@ -214,6 +210,16 @@
         }
     }
 
+    fn note_failure(&self, helper: Candidate, failure: Failure) {
+        self.with_helpers(|helpers| helpers.note_failure(helper, failure, clock::now()));
+    }
+
+    /// Runs `act` on what is known about other hosts for the request's service.
+    fn with_helpers(&self, act: impl FnOnce(&mut Helpers)) {
+        let mut helpers = self.gateway.helpers.borrow_mut();
+        act(helpers.entry(self.request.service).or_default());
+    }
+
     fn forwarded_request(&self, body: RequestBody) -> Option<Request<RequestBody>> {
         let mut request = self.request_with(body)?;
         let headers = request.headers_mut();
@@ -250,13 +256,9 @@
             })
             .collect();
         let tried = attempt.helpers.borrow();
-        let helpers = self.helpers.borrow();
-        helpers.choose(&candidates, &tried, now, draw)
-    }
-
-    fn note_helper_failure(&self, helper: Candidate, failure: Failure) {
         let mut helpers = self.helpers.borrow_mut();
-        helpers.note_failure(helper, failure, clock::now());
+        let helpers = helpers.entry(attempt.request.service).or_default();
+        helpers.choose(&candidates, &tried, now, draw)
     }
 
     fn keep_host_connection(&self, connection: Connection) {
--- a/components/transport/src/gateway/isolation.rs
+++ b/components/transport/src/gateway/isolation.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use state::{EndpointKey, Moment, ServiceKey};
-use tokio::task::spawn_local;
+use tokio::task::{JoinSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
 use super::Gateway;
@@ -114,9 +114,11 @@
         let registry = self.registry.borrow();
         let isolated = registry.isolated_services().len();
         let helpers = self.helpers.borrow();
-        isolated > 0
-            && isolated == registry.services().len()
-            && helpers.answered_within(ANSWER_TIME, clock::now())
+        let now = clock::now();
+        let is_helped = helpers
+            .values()
+            .any(|h| h.answered_within(ANSWER_TIME, now));
+        isolated > 0 && isolated == registry.services().len() && is_helped
     }
 
     /// Schedules a check after an endpoint of the service has failed.
@@ -141,7 +143,7 @@
             // Services may have become isolated meanwhile, or may be so no more.
             let _notified = timeout(limit, self.checks_due.notified()).await;
             for service in self.services_to_check() {
-                self.check(service);
+                spawn_local(Rc::clone(&self).check(service));
             }
             // Endpoints that fail one after the other must not keep this loop busy.
             sleep(CHECK_PAUSE).await;
@@ -158,15 +160,24 @@
         services
     }
 
-    /// Probes some endpoints of a service on new connections, at once.
-    fn check(self: &Rc<Self>, service: ServiceKey) {
+    /// Probes some endpoints of a service on new connections at once, until one answers.
+    ///
+    /// When a cut ends, the probes that it still delays say nothing any more.
+    async fn check(self: Rc<Self>, service: ServiceKey) {
+        let mut probes = JoinSet::new();
         for key in self.endpoints_to_check(service) {
-            let gateway = Rc::clone(self);
-            spawn_local(async move {
-                if let Some((connection, headers)) = gateway.probe_anew(key).await {
-                    gateway.keep_connection(connection, &headers);
+            let gateway = Rc::clone(&self);
+            probes.spawn_local(async move { gateway.probe_anew(key).await });
+        }
+        while let Some(result) = probes.join_next().await {
+            match result {
+                Ok(Some((connection, headers))) => {
+                    self.keep_connection(connection, &headers);
+                    return;
                 }
-            });
+                Ok(None) => {}
+                Err(error) => log::error!("E0165 check-failed error={error:?}"),
+            }
         }
     }
 
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -139,7 +139,8 @@
     pool: RefCell<Pool>,
     /// Idle connections to other hosts.
     host_pool: RefCell<Pool>,
-    helpers: RefCell<Helpers>,
+    /// The hosts that serve requests for this one, by service.
+    helpers: RefCell<BTreeMap<ServiceKey, Helpers>>,
     forwarded: ForwardedCounts,
     isolation_checks: RefCell<IsolationChecks>,
     /// Wakes the task that checks whether endpoints answer.
