--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -184,14 +184,16 @@
     };
     let mut response = match result {
         Ok(answer) => forward_answer(answer),
-        Err(denial) => {
-            gateway.log_denial(&parts.headers, &denial, arrived);
+        Err(denial) if denial.is_unavailable() && matches!(source, Source::Host) => {
+            // The host that forwarded the request tries another one, and logs its end.
             let mut response = denial.response(&parts.headers);
-            if denial.is_unavailable() && matches!(source, Source::Host) {
-                forwarded_request::set_unavailable(response.headers_mut());
-            }
+            forwarded_request::set_unavailable(response.headers_mut());
             response
         }
+        Err(denial) => {
+            gateway.log_denial(&parts.headers, &denial, arrived);
+            denial.response(&parts.headers)
+        }
     };
     if let Some(rest) = rest.into_inner() {
         response.body_mut().drain_afterwards(rest);
