gateway: a host that reaches few endpoints forwards what would wait

Open connections to some endpoints may live on while new ones are refused. Their answers kept the host from counting as isolated, and the few endpoints that it still reached were soon full: requests were rejected after 0.3 s with "all endpoints are full", while other hosts had all endpoints to choose from.

Change: an endpoint counts as silent from its last failure to its next answer, for five seconds. While half of a service's endpoints, three at least, are silent to a host, requests that would wait or be rejected there go to another host.

--- a/components/state/src/fleet/isolation.rs
+++ b/components/state/src/fleet/isolation.rs
@@ -1,6 +1,6 @@
 //! Detects services none of whose endpoints answer this host.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::outcome::Outcome;
@@ -12,6 +12,11 @@
 /// One or two endpoints are down at any time, while the others answer in between.
 const FAILED_ENDPOINTS: usize = 3;
 
+/// How long an endpoint that didn't answer counts as out of this host's reach.
+///
+/// Endpoints that are avoided are tried again within this time.
+const SILENCE_TTL: Duration = Duration::from_secs(5);
+
 /// The outcomes of this host's requests and probes at the endpoints of one service.
 ///
 /// A host that has lost its links to the endpoints can't tell from any single failure that
@@ -22,6 +27,8 @@
     /// The endpoints that failed since any endpoint of the service answered.
     failed: BTreeSet<EndpointKey>,
     since: Option<Moment>,
+    /// When each endpoint failed that hasn't answered since.
+    silent: BTreeMap<EndpointKey, Moment>,
 }
 
 impl Isolation {
@@ -29,16 +36,17 @@
     pub fn note(&mut self, key: EndpointKey, outcome: Outcome, endpoints: usize, now: Moment) {
         match outcome {
             Outcome::Answered | Outcome::Slow | Outcome::Failed | Outcome::Shed => {
-                self.note_answer();
+                self.note_answer(key);
             }
             Outcome::Silent => {}
             Outcome::Broken => self.note_failure(key, endpoints, now),
         }
     }
 
-    /// Notes that an endpoint answered, whatever the answer was.
-    pub fn note_answer(&mut self) {
-        *self = Isolation::default();
+    fn note_answer(&mut self, key: EndpointKey) {
+        self.failed.clear();
+        self.since = None;
+        self.silent.remove(&key);
     }
 
     /// Returns whether none of the service's endpoints seems to answer this host.
@@ -56,8 +64,21 @@
         self.failed.len()
     }
 
+    /// Returns whether at least half of the service's `endpoints` usable endpoints don't
+    /// answer this host, though some may.
+    ///
+    /// Open connections may live on while new ones are refused. The few endpoints that they
+    /// lead to are soon full, though the others have room for requests of other hosts.
+    pub fn reaches_few(&self, endpoints: usize, now: Moment) -> bool {
+        let silent = self.silent.values();
+        let count = silent.filter(|at| now.since(**at) < SILENCE_TTL).count();
+        count >= FAILED_ENDPOINTS && count * 2 >= endpoints
+    }
+
     fn note_failure(&mut self, key: EndpointKey, endpoints: usize, now: Moment) {
         self.failed.insert(key);
+        self.silent.retain(|_, at| now.since(*at) < SILENCE_TTL);
+        self.silent.insert(key, now);
         if self.failed.len() >= FAILED_ENDPOINTS.min(endpoints) {
             self.since.get_or_insert(now);
         }
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -184,6 +184,12 @@
         self.isolation(service).is_some_and(Isolation::is_isolated)
     }
 
+    /// Returns whether at least half of a service's endpoints don't answer this host.
+    pub fn reaches_few(&self, service: ServiceKey, now: Moment) -> bool {
+        self.isolation(service)
+            .is_some_and(|i| i.reaches_few(self.usable_count(service), now))
+    }
+
     /// Returns the services that this host is isolated from.
     pub fn isolated_services(&self) -> Vec<ServiceKey> {
         let isolated = self.isolations.iter().filter(|(_, i)| i.is_isolated());
--- a/components/state/tests/isolation.rs
+++ b/components/state/tests/isolation.rs
@@ -70,6 +70,31 @@
     }
 }
 
+/// A few endpoints still answer over open connections, and all others refuse new ones. The host
+/// must know that others have more to choose from.
+#[test]
+fn half_silent() {
+    let mut isolation = Isolation::default();
+    for key in 0..6 {
+        isolation.note(EndpointKey(50), Outcome::Answered, ENDPOINTS, START);
+        assert!(!isolation.reaches_few(ENDPOINTS, START));
+        fail(&mut isolation, [key], ENDPOINTS);
+    }
+    assert!(!isolation.is_isolated());
+    assert!(isolation.reaches_few(ENDPOINTS, START));
+    isolation.note(EndpointKey(1), Outcome::Answered, ENDPOINTS, START);
+    assert!(!isolation.reaches_few(ENDPOINTS, START));
+}
+
+/// Endpoints that failed long ago must not count as out of reach.
+#[test]
+fn silence_expires() {
+    let mut isolation = Isolation::default();
+    fail(&mut isolation, 0..8, ENDPOINTS);
+    assert!(isolation.reaches_few(ENDPOINTS, START + Duration::from_secs(4)));
+    assert!(!isolation.reaches_few(ENDPOINTS, START + Duration::from_secs(6)));
+}
+
 fn registry() -> (Registry, Vec<EndpointKey>) {
     let mut registry = Registry::default();
     let mut keys = Vec::new();
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -119,6 +119,9 @@
                         None => placement.borrow_mut().note_unanswered(key),
                     }
                 }
+                Step::Wait(_) | Step::Refuse(_) if self.reaches_few(attempt) => {
+                    return Err(Refusal::Unreachable);
+                }
                 Step::Wait(time) => {
                     probed.return_to_pool();
                     let entry = entry.get_or_insert_with(|| self.enqueue(request));
@@ -142,6 +145,15 @@
                 || self.is_surely_isolated(service))
     }
 
+    /// Returns whether another host, which reaches more of the service's endpoints, should
+    /// serve a request rather than let it wait here.
+    fn reaches_few(&self, attempt: &Attempt<'_>) -> bool {
+        let registry = self.registry.borrow();
+        let few = registry.reaches_few(attempt.request.service, clock::now());
+        drop(registry);
+        few && !attempt.origin.is_forwarded && self.has_helper(attempt)
+    }
+
     /// Returns whether the probe rate limit allows one more probe.
     fn may_probe(&self) -> bool {
         let rate = self.live.borrow().bounds.ask_rate;
