--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -181,8 +181,7 @@
     pub async fn start(mut settings: Settings) -> Result<Rc<Gateway>, StartError> {
         let callers = listen(&mut settings.callers).await?;
         let readiness = listen(&mut settings.readiness).await?;
-        let socket = bind(&mut settings.peers).await?;
-        let hosts = listen(&mut settings.peers.clone()).await?;
+        let (socket, hosts) = bind_peers(&mut settings.peers).await?;
         let gateway = Rc::new(Gateway::new(settings, socket));
         spawn_local(Rc::clone(&gateway).accept(callers, Listener::Callers));
         spawn_local(Rc::clone(&gateway).accept(hosts, Listener::Hosts));
@@ -357,6 +356,26 @@
     Ok(listener)
 }
 
+/// The number of free UDP ports that are tried until one is free for TCP too.
+const MAX_PORT_TRIES: usize = 16;
+
+/// Binds a UDP socket and listens on the same port, and sets the port of `address` if it
+/// was 0.
+async fn bind_peers(address: &mut SocketAddr) -> Result<(UdpSocket, TcpListener), StartError> {
+    let wanted = *address;
+    let mut tries = 0;
+    loop {
+        *address = wanted;
+        tries += 1;
+        let socket = bind(address).await?;
+        match listen(address).await {
+            Ok(listener) => return Ok((socket, listener)),
+            Err(_) if wanted.port() == 0 && tries < MAX_PORT_TRIES => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// Binds a UDP socket to `address`, and sets its port if it was 0.
 async fn bind(address: &mut SocketAddr) -> Result<UdpSocket, StartError> {
     let failed = |e| StartError::Listen(*address, e);
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -31,6 +31,9 @@
 /// The number of hosts started by this test process, which names their settings files.
 static STARTED: AtomicU64 = AtomicU64::new(0);
 
+/// The number of sites started by this test process, which determines their addresses.
+static SITES: AtomicU8 = AtomicU8::new(0);
+
 /// The routes of most tests: one idempotent (`safe`), one not (`unsafe`).
 pub const ROUTES: &str = r#"["read","a.example","/read/","safe",2.0,0.5,2,null,2,"svc"],["write","a.example","/write/","unsafe",2.0,0.5,1,null,2,"svc"]"#;
 
@@ -77,10 +80,21 @@
 /// A port that was only found free may be bound by another process meanwhile.
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// Returns the loopback address of a site's first host, which no other site uses.
+///
+/// The hosts of a site use the same port, each at an address of its own. Connections that
+/// come from such an address may occupy that port there.
+fn site_ip() -> IpAddr {
+    let process = u8::try_from(std::process::id() % 250).expect("below 250");
+    let number = SITES.fetch_add(1, Ordering::Relaxed);
+    IpAddr::from([127, 1 + process, number, 1])
+}
+
 impl Host {
     /// Starts an entry host and waits until its readiness port answers.
     pub async fn start(name: &str, store: &Store) -> Host {
-        Host::start_at((name, CENTRE), store, ANY_PORT, None).await
+        let address = SocketAddr::from((site_ip(), 0));
+        Host::start_at((name, CENTRE), store, address, None).await
     }
 
     /// Starts a further entry host, which joins the others through this one.
@@ -94,8 +108,12 @@
     /// one.
     pub async fn join_in(&self, centre: &str, name: &str, store: &Store) -> Host {
         let joined = self.joined.fetch_add(1, Ordering::Relaxed);
-        let ip = Ipv4Addr::new(127, 0, 0, 2 + joined);
-        let address = SocketAddr::from((ip, self.peers.port()));
+        let mut ip = self.source();
+        if let IpAddr::V4(first) = ip {
+            let [a, b, c, d] = first.octets();
+            ip = IpAddr::from([a, b, c, d + 1 + joined]);
+        }
+        let address = SocketAddr::new(ip, self.peers.port());
         Host::start_at((name, centre), store, address, Some(self.peers)).await
     }
 
@@ -202,6 +220,11 @@
         self.signal(nix::sys::signal::Signal::SIGKILL);
     }
 
+    /// Sends SIGSTOP to the process.
+    pub fn freeze(&self) {
+        self.signal(nix::sys::signal::Signal::SIGSTOP);
+    }
+
     fn signal(&self, signal: nix::sys::signal::Signal) {
         let id = nix::unistd::Pid::from_raw(
             i32::try_from(self.process.id()).expect("the process ID fits"),
