gateway: another host is probed before a request is forwarded to it

A frozen host's kernel goes on accepting connections.

Change: a probe of at most 150 ms goes ahead on the same connection, idle or new; only the answer of an endpoint counts as a sign that another host reaches endpoints (all_cut found a site without endpoints whose hosts weren't ready).

--- a/components/coordination/src/helpers.rs
+++ b/components/coordination/src/helpers.rs
@@ -91,7 +91,7 @@
         equal.get(at).map(|c| **c)
     }
 
-    /// Notes that a host answered a request that was forwarded to it.
+    /// Notes that a host returned an endpoint's answer to a request that was forwarded to it.
     pub fn note_answer(&mut self, host: Candidate, now: Moment) {
         self.last_answer = Some(now);
         self.excluded.remove(&host.address);
@@ -114,7 +114,7 @@
         streak.last = now;
     }
 
-    /// Returns whether a host has answered a forwarded request in the last `time`.
+    /// Returns whether a host has returned an endpoint's answer in the last `time`.
     pub fn answered_within(&self, time: Duration, now: Moment) -> bool {
         self.last_answer.is_some_and(|at| now.since(at) <= time)
     }
--- a/components/protocol/src/forwarded_request.rs
+++ b/components/protocol/src/forwarded_request.rs
@@ -8,12 +8,15 @@
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use thiserror::Error;
 
-/// In a request the caller's IP address; in an answer [`UNAVAILABLE`].
+/// In a request the caller's IP address or [`PROBE`]; in an answer [`UNAVAILABLE`].
 const FORWARDED: HeaderName = HeaderName::from_static("cardamomvale-forwarded");
 
 /// Marks an answer of a host that can't reach an endpoint either and ran nothing.
 const UNAVAILABLE: HeaderValue = HeaderValue::from_static("unavailable");
 
+/// Marks a request that only asks whether the host is there and can serve requests.
+const PROBE: HeaderValue = HeaderValue::from_static("probe");
+
 /// A request on the port for hosts that no host has forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the request does not name the caller that it was forwarded for")]
@@ -37,6 +40,16 @@
     text.parse().map_err(|_| NotForwarded)
 }
 
+/// Marks a request as a probe.
+pub fn set_probe(headers: &mut HeaderMap) {
+    headers.insert(FORWARDED, PROBE);
+}
+
+/// Returns whether a request is a probe.
+pub fn is_probe(headers: &HeaderMap) -> bool {
+    headers.get(FORWARDED) == Some(&PROBE)
+}
+
 /// Marks an answer: this host could not try the request, another one may.
 pub fn set_unavailable(headers: &mut HeaderMap) {
     headers.insert(FORWARDED, UNAVAILABLE);
--- a/components/protocol/tests/forwarded_requests.rs
+++ b/components/protocol/tests/forwarded_requests.rs
@@ -5,7 +5,7 @@
 use http::HeaderMap;
 use http::header::{HeaderName, HeaderValue};
 use protocol::forwarded_request::{
-    NotForwarded, is_unavailable, set_caller, set_unavailable, take_caller,
+    NotForwarded, is_probe, is_unavailable, set_caller, set_probe, set_unavailable, take_caller,
 };
 
 const FIELD: HeaderName = HeaderName::from_static("cardamomvale-forwarded");
@@ -37,3 +37,12 @@
     set_unavailable(&mut headers);
     assert!(is_unavailable(&headers));
 }
+
+#[test]
+fn probe_told() {
+    let mut headers = HeaderMap::new();
+    assert!(!is_probe(&headers));
+    set_probe(&mut headers);
+    assert!(is_probe(&headers));
+    assert_eq!(take_caller(&mut headers), Err(NotForwarded));
+}
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -176,6 +176,9 @@
     incoming: Option<Incoming>,
     source: Source,
 ) -> Response<AnswerBody> {
+    if matches!(source, Source::Host) && forwarded_request::is_probe(&parts.headers) {
+        return gateway.answer_probe();
+    }
     let arrived = clock::now();
     let rest = OnceCell::new();
     let result = match source.origin(&mut parts.headers) {
--- a/components/transport/src/gateway/forward.rs
+++ b/components/transport/src/gateway/forward.rs
@@ -5,28 +5,36 @@
 //! which the first host has done, nor sends it to a second endpoint once it may have run.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use coordination::helpers::{Candidate, Failure, Helpers, MAX_TRIES};
-use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderValue};
 use hyper::http::response::Parts as AnswerParts;
+use hyper::{Request, Response, StatusCode};
 use protocol::forwarded_request;
 use state::fleet::placement::Refusal;
 use state::{DataCentreKey, EndpointKey, Moment};
 use tokio::time::timeout;
 
-use super::Gateway;
+use super::answer_body::AnswerBody;
 use super::attempt::{Answer, Attempt, AttemptEnd, BufferedBody, buffer_body};
+use super::{Gateway, Stage};
 use crate::clock;
 use crate::upstream::connection::RequestError;
 use crate::upstream::{Connection, RequestBody};
 
-/// Time limit for opening a connection to another host.
+/// Time limit for connecting to another host and for its answer to a probe.
 ///
-/// Hosts of one region are a few milliseconds apart. One that takes longer is overloaded or
-/// cut off.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Hosts of one region are a few milliseconds apart. One that takes longer is overloaded,
+/// frozen or cut off, though its kernel may still accept connections. A request that may
+/// run only once would be lost there.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// The `Host` field of probes; HTTP requires one.
+const PROBED_HOST: HeaderValue = HeaderValue::from_static("entry-host");
 
 /// Maximum number of idle connections to one host.
 ///
@@ -93,34 +101,22 @@
         AttemptEnd::Refused(Refusal::Unreachable)
     }
 
-    /// Returns a connection to a host that may serve the request.
+    /// Returns a connection to a host that may serve the request and has just said so.
     async fn connect_helper(&self) -> Option<(Candidate, Connection)> {
         for _ in 0..MAX_TRIES {
             let helper = self.gateway.choose_helper(self)?;
             self.helpers.borrow_mut().insert(helper.address);
-            let key = EndpointKey::of(HOSTS, helper.address);
-            // A host that takes a new connection is alive. On an open one that has gone
-            // silent, a request that may run only once would be lost.
-            let idle = match self.route.idempotent {
-                true => self.gateway.host_pool.borrow_mut().take(key, clock::now()),
-                false => None,
-            };
-            if let Some(connection) = idle {
-                return Some((helper, connection));
-            }
-            match timeout(CONNECT_TIMEOUT, Connection::open(key, helper.address)).await {
-                Ok(Ok(connection)) => return Some((helper, connection)),
-                Ok(Err(error)) => {
-                    log::debug!("E0162 helper-unreachable error={error}");
-                }
-                Err(_) => {
-                    log::debug!(
-                        "E0162 helper-unreachable address={} error=timeout",
-                        helper.address
-                    );
-                }
-            }
-            self.note_failure(helper, Failure::Unreachable);
+            let failure =
+                match timeout(PROBE_TIMEOUT, self.gateway.probe_host(helper.address)).await {
+                    Ok(Ok(connection)) => return Some((helper, connection)),
+                    Ok(Err(failure)) => failure,
+                    Err(_) => Failure::Unreachable,
+                };
+            log::debug!(
+                "E0162 helper-unreachable address={} failure={failure:?}",
+                helper.address
+            );
+            self.note_failure(helper, failure);
         }
         None
     }
@@ -261,8 +257,47 @@
         helpers.choose(&candidates, &tried, now, draw)
     }
 
+    /// Probes another host on an idle connection or on a new one; returns the connection.
+    async fn probe_host(&self, address: SocketAddr) -> Result<Connection, Failure> {
+        let key = EndpointKey::of(HOSTS, address);
+        let idle = self.host_pool.borrow_mut().take(key, clock::now());
+        if let Some(connection) = idle
+            && let Ok(connection) = probe_on(connection).await
+        {
+            return Ok(connection);
+        }
+        let opened = Connection::open(key, address).await;
+        probe_on(opened.map_err(|_| Failure::Unreachable)?).await
+    }
+
+    /// Returns this host's answer to a probe of another host.
+    pub(super) fn answer_probe(&self) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+        *response.status_mut() = StatusCode::NO_CONTENT;
+        if !self.knows_endpoints() || *self.stage.borrow() >= Stage::Closing {
+            forwarded_request::set_unavailable(response.headers_mut());
+        }
+        response
+    }
+
     fn keep_host_connection(&self, connection: Connection) {
         let mut pool = self.host_pool.borrow_mut();
         pool.put(connection, None, MAX_IDLE, clock::now());
     }
 }
+
+/// Probes the host at the other end of a connection; returns the connection.
+async fn probe_on(mut connection: Connection) -> Result<Connection, Failure> {
+    let mut request = Request::new(RequestBody::Buffered(Bytes::new()));
+    request.headers_mut().insert(HOST, PROBED_HOST);
+    forwarded_request::set_probe(request.headers_mut());
+    let answer = connection.send(request).await;
+    let (parts, incoming) = answer.map_err(|_| Failure::Unreachable)?.into_parts();
+    if forwarded_request::is_unavailable(&parts.headers) {
+        return Err(Failure::Unavailable);
+    }
+    match buffer_body(connection, incoming).await {
+        Ok(BufferedBody::Complete(_, connection)) => Ok(connection),
+        Ok(BufferedBody::Partial(..)) | Err(_) => Err(Failure::Unreachable),
+    }
+}
--- a/tests/isolated_hosts.rs
+++ b/tests/isolated_hosts.rs
@@ -254,3 +254,20 @@
     }
     assert!(!site.runs().1, "a request ran twice");
 }
+
+/// The host that serves another one's requests stands still, and its connections stay open. No
+/// request may wait there until its caller gives up.
+#[tokio::test(flavor = "multi_thread")]
+async fn helper_frozen() {
+    let mut site = Site::start(&["here"; 4]).await;
+    site.cut(2, CutMode::Hang);
+    site.load("during", "GET", STABILITY_WINDOW).await;
+    let frozen = site.hosts.pop().expect("four hosts");
+    frozen.freeze();
+    let tallies = site.load("frozen", "POST", COUNTED_TIME).await;
+    for tally in &tallies[..2] {
+        let failed = tally.sent - tally.served;
+        // What was on its way when the host stopped may be lost.
+        assert!(failed <= tally.sent / FAILED_DIVISOR, "{tallies:?}");
+    }
+}
