gateway: log endpoints that ask for rest, and those that leave by their answers

Endpoints got requests in the time of rest that they had asked a host for (BUDGET). No line said that one had asked, or for how long.

Change: E0147 and E0148 tell what an endpoint says with an answer to a request or a probe. Nothing is decided by it yet.

--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -270,6 +270,7 @@
         match connection.send(request).await {
             Ok(answer) => {
                 let (parts, incoming) = answer.into_parts();
+                self.gateway.note_signals(key, parts.status, &parts.headers);
                 let ending = self
                     .read(key, connection, parts, incoming, (began, slowdown))
                     .await;
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod rollouts;
 mod server;
 mod settings;
+mod signals;
 mod stream;
 mod topic_cache;
 mod traffic;
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -299,6 +299,7 @@
                 return None;
             }
         }
+        self.note_signals(key, parts.status, &parts.headers);
         let healthy = parts.status == StatusCode::OK;
         self.record_probe(key, healthy, &parts.headers)
             .then_some((connection, parts.headers))
