tests: endpoints that ask for rest or leave by their answers, failing

An endpoint whose answers say that it leaves, while its record in the store doesn't, goes on getting requests.

--- a/tests/site/endpoint.rs
+++ b/tests/site/endpoint.rs
@@ -29,6 +29,8 @@
     Delay(u64),
     /// Answers 503 with `Not-Executed: 1`, without running the request.
     Reject,
+    /// Does so with `Retry-After`, in seconds.
+    Rest(u32),
     /// Runs requests and answers 500.
     Fail,
     /// Runs requests and answers 503 without `Not-Executed`.
@@ -75,6 +77,12 @@
     /// The rate limit, in requests a second, that answers to requests advertise.
     rate_limit: Mutex<Option<f64>>,
     runs: Mutex<Vec<(String, Instant)>>,
+    /// When each request was rejected.
+    rejections: Mutex<Vec<Instant>>,
+    /// When each health check arrived.
+    probes: Mutex<Vec<Instant>>,
+    /// Whether all answers say that the endpoint leaves.
+    is_leaving: Mutex<bool>,
     /// How many requests were cancelled while they ran.
     cancel_count: Mutex<u32>,
 }
@@ -113,6 +121,9 @@
             latency_percent: Mutex::new(100),
             rate_limit: Mutex::default(),
             runs: Mutex::default(),
+            rejections: Mutex::default(),
+            probes: Mutex::default(),
+            is_leaving: Mutex::default(),
             cancel_count: Mutex::default(),
         });
         let shared = Arc::clone(&inner);
@@ -173,6 +184,33 @@
             .clone()
     }
 
+    /// Returns when each request was rejected.
+    pub fn rejections(&self) -> Vec<Instant> {
+        self.inner
+            .rejections
+            .lock()
+            .expect("no test panics with the lock held")
+            .clone()
+    }
+
+    /// Returns when each health check arrived.
+    pub fn probes(&self) -> Vec<Instant> {
+        self.inner
+            .probes
+            .lock()
+            .expect("no test panics with the lock held")
+            .clone()
+    }
+
+    /// Makes all answers say that the endpoint leaves.
+    pub fn leave(&self) {
+        *self
+            .inner
+            .is_leaving
+            .lock()
+            .expect("no test panics with the lock held") = true;
+    }
+
     /// Sets the advertised rate limit in requests a second, or none.
     pub fn set_rate_limit(&self, rate: Option<f64>) {
         *self
@@ -280,6 +318,18 @@
 }
 
 async fn serve(request: Request<Incoming>, inner: Arc<Inner>) -> io::Result<Response<AnswerBody>> {
+    let mut response = answer(request, &inner).await?;
+    let is_leaving = *inner
+        .is_leaving
+        .lock()
+        .expect("no test panics with the lock held");
+    if is_leaving {
+        set_header(&mut response, "server-leaving", "1");
+    }
+    Ok(response)
+}
+
+async fn answer(request: Request<Incoming>, inner: &Inner) -> io::Result<Response<AnswerBody>> {
     let header = |name: &str| {
         let value = request.headers().get(name);
         value
@@ -292,6 +342,11 @@
         .lock()
         .expect("no test panics with the lock held");
     if request.uri().path() == "/health" {
+        inner
+            .probes
+            .lock()
+            .expect("no test panics with the lock held")
+            .push(Instant::now());
         let mut response = respond(StatusCode::OK, "", "");
         set_header(&mut response, "instance-id", &inner.instance());
         set_header(
@@ -309,9 +364,17 @@
         .behaviour
         .lock()
         .expect("no test panics with the lock held");
-    if behaviour == Behaviour::Reject {
+    if let Behaviour::Reject | Behaviour::Rest(_) = behaviour {
+        inner
+            .rejections
+            .lock()
+            .expect("no test panics with the lock held")
+            .push(Instant::now());
         let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, "", &id);
         set_header(&mut response, "not-executed", "1");
+        if let Behaviour::Rest(seconds) = behaviour {
+            set_header(&mut response, "retry-after", &seconds.to_string());
+        }
         return Ok(response);
     }
     inner
@@ -320,7 +383,7 @@
         .expect("no test panics with the lock held")
         .push((id.clone(), Instant::now()));
     let mut guard = CancelGuard {
-        inner: &inner,
+        inner,
         completed: false,
     };
     if inner.crashes_on(request.uri().path()) {
