forwarding: a host learns of leaving endpoints whose answers it passes on

A host passes on the answers that it gets through another host. If such an answer says that its endpoint leaves, this host, too, must send that endpoint nothing later on, and knew nothing of it: in leaving_forwarded it sent one more request after the cut.

Change: the other host names the endpoint in the field that hosts use among themselves, which is taken off again before the answer goes to the caller. leaving_forwarded: one arrival after the cut before, none now.

--- a/components/protocol/src/forwarded_request.rs
+++ b/components/protocol/src/forwarded_request.rs
@@ -6,9 +6,11 @@
 use std::net::IpAddr;
 
 use http::header::{HeaderMap, HeaderName, HeaderValue};
+use state::EndpointKey;
 use thiserror::Error;
 
-/// In a request the caller's IP address or [`PROBE`]; in an answer [`UNAVAILABLE`].
+/// In a request the caller's IP address or [`PROBE`]; in an answer [`UNAVAILABLE`] or the key
+/// of an endpoint that leaves.
 const FORWARDED: HeaderName = HeaderName::from_static("cardamomvale-forwarded");
 
 /// Marks an answer of a host that can't reach an endpoint either and ran nothing.
@@ -59,3 +61,15 @@
 pub fn is_unavailable(headers: &HeaderMap) -> bool {
     headers.get(FORWARDED) == Some(&UNAVAILABLE)
 }
+
+/// Names in an answer its endpoint, which leaves.
+pub fn set_leaving(headers: &mut HeaderMap, endpoint: EndpointKey) {
+    headers.insert(FORWARDED, HeaderValue::from(endpoint.0));
+}
+
+/// Removes this module's field from an answer, and returns the endpoint that leaves, if any.
+pub fn take_leaving(headers: &mut HeaderMap) -> Option<EndpointKey> {
+    let value = headers.remove(FORWARDED)?;
+    let key = value.to_str().ok()?.parse().ok()?;
+    Some(EndpointKey(key))
+}
--- a/components/protocol/tests/forwarded_requests.rs
+++ b/components/protocol/tests/forwarded_requests.rs
@@ -5,8 +5,10 @@
 use http::HeaderMap;
 use http::header::{HeaderName, HeaderValue};
 use protocol::forwarded_request::{
-    NotForwarded, is_probe, is_unavailable, set_caller, set_probe, set_unavailable, take_caller,
+    NotForwarded, is_probe, is_unavailable, set_caller, set_leaving, set_probe, set_unavailable,
+    take_caller, take_leaving,
 };
+use state::EndpointKey;
 
 const FIELD: HeaderName = HeaderName::from_static("cardamomvale-forwarded");
 
@@ -46,3 +48,14 @@
     assert!(is_probe(&headers));
     assert_eq!(take_caller(&mut headers), Err(NotForwarded));
 }
+
+#[test]
+fn leaving_told() {
+    let mut headers = HeaderMap::new();
+    assert_eq!(take_leaving(&mut headers), None);
+    set_leaving(&mut headers, EndpointKey(u64::MAX));
+    assert_eq!(take_leaving(&mut headers), Some(EndpointKey(u64::MAX)));
+    assert!(headers.is_empty(), "callers must not get the field");
+    set_unavailable(&mut headers);
+    assert_eq!(take_leaving(&mut headers), None);
+}
--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -92,6 +92,8 @@
 /// An endpoint's answer.
 pub(super) struct Answer {
     pub parts: AnswerParts,
+    /// The endpoint; none if the answer came through another host.
+    pub endpoint: Option<EndpointKey>,
     /// The buffered part of the body.
     pub start: Bytes,
     /// The rest of the body, `None` if `start` is the complete body.
@@ -368,6 +370,7 @@
         self.gateway.record_load(key, &parts.headers);
         let answer = Answer {
             parts,
+            endpoint: Some(key),
             start,
             rest,
             sent,
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -26,7 +26,7 @@
 use super::answer_body::AnswerBody;
 use super::attempt::{Answer, Attempt, AttemptEnd};
 use super::denial::Denial;
-use super::forward::increment;
+use super::forward::{increment, tell_leaving};
 use super::{Gateway, Stage};
 use crate::clock;
 use crate::edge::body::{BodyPrefix, CallerBody, MAX_REPLAY_BODY, SharedBody};
@@ -186,7 +186,7 @@
         Err(denial) => Err(denial),
     };
     let mut response = match result {
-        Ok(answer) => forward_answer(answer),
+        Ok(answer) => forward_answer(answer, source),
         Err(denial) if denial.is_unavailable() && matches!(source, Source::Host) => {
             // The host that forwarded the request tries another one, and logs its end.
             let mut response = denial.response(&parts.headers);
@@ -633,8 +633,11 @@
     }
 }
 
-fn forward_answer(answer: Box<Answer>) -> Response<AnswerBody> {
-    let headers = answer.headers();
+fn forward_answer(answer: Box<Answer>, source: Source) -> Response<AnswerBody> {
+    let mut headers = answer.headers();
+    if let Source::Host = source {
+        tell_leaving(&answer, &mut headers);
+    }
     let mut response = Response::new(AnswerBody::relay(answer.start, answer.rest));
     *response.status_mut() = answer.parts.status;
     *response.headers_mut() = headers;
--- a/components/transport/src/gateway/forward.rs
+++ b/components/transport/src/gateway/forward.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
 use hyper::http::response::Parts as AnswerParts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use protocol::forwarded_request;
 use state::fleet::placement::Refusal;
 use state::{DataCentreKey, EndpointKey, Moment};
@@ -165,10 +165,13 @@
     async fn read_forwarded(
         &self,
         connection: Connection,
-        parts: AnswerParts,
+        mut parts: AnswerParts,
         incoming: Incoming,
         sent: Moment,
     ) -> AttemptEnd {
+        if let Some(key) = forwarded_request::take_leaving(&mut parts.headers) {
+            self.gateway.note_leaving(key);
+        }
         if !platform::headers::matches_request(&self.parts.headers, &parts.headers) {
             return AttemptEnd::Lost("the answer belongs to another request");
         }
@@ -182,6 +185,7 @@
         };
         let answer = Box::new(Answer {
             parts,
+            endpoint: None,
             start,
             rest,
             sent,
@@ -286,6 +290,17 @@
     }
 }
 
+/// Names the endpoint to the host that forwarded the request, if its answer says that it leaves.
+///
+/// That host passes the answer on, and must not send the endpoint anything later either.
+pub(super) fn tell_leaving(answer: &Answer, headers: &mut HeaderMap) {
+    if let Some(key) = answer.endpoint
+        && platform::headers::is_leaving(&answer.parts.headers)
+    {
+        forwarded_request::set_leaving(headers, key);
+    }
+}
+
 /// Probes the host at the other end of a connection; returns the connection.
 async fn probe_on(mut connection: Connection) -> Result<Connection, Failure> {
     let mut request = Request::new(RequestBody::Buffered(Bytes::new()));
--- a/components/transport/src/gateway/signals.rs
+++ b/components/transport/src/gateway/signals.rs
@@ -26,8 +26,18 @@
             }
             Err(error) => log::debug!("E0149 rest-unreadable instance={instance} error={error}"),
         }
-        if platform::headers::is_leaving(headers) && !state.leaving {
+        drop(registry);
+        if platform::headers::is_leaving(headers) {
+            self.note_leaving(key);
+        }
+    }
+
+    /// Notes that an endpoint has said that it leaves.
+    pub(super) fn note_leaving(&self, key: EndpointKey) {
+        let mut registry = self.registry.borrow_mut();
+        if let Some(state) = registry.get_mut(key).filter(|s| !s.leaving) {
             state.leaving = true;
+            let instance = &state.endpoint.instance;
             log::info!("E0148 endpoint-leaving instance={instance}");
         }
     }
--- a/tests/isolated_hosts.rs
+++ b/tests/isolated_hosts.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use site::endpoint::Behaviour;
+use site::endpoint::{Behaviour, Leaving};
 use site::{CutMode, Endpoint, Host, Network, Store, until};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -19,6 +19,9 @@
 /// How long an endpoint runs a long request, in milliseconds.
 const LONG_WORK_MS: u64 = 300;
 
+/// The latency factor, in percent, that makes an endpoint a second choice.
+const SLOW_PERCENT: u32 = 200;
+
 /// The time between two requests of the load, to all hosts in turn.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(8);
 
@@ -271,3 +274,31 @@
         assert!(failed <= tally.sent / FAILED_DIVISOR, "{tallies:?}");
     }
 }
+
+/// A host passes on an answer that it got through another host, and the answer says that its
+/// endpoint leaves. The host must not send that endpoint anything once the cut has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_forwarded() {
+    let site = Site::start(&["here"; 2]).await;
+    let host = &site.hosts[0];
+    site.cut(1, CutMode::Reset);
+    site.load("during", "GET", Duration::from_secs(1)).await;
+    let leaving = &site.endpoints[0];
+    leaving.set_leaving(Leaving::Requests);
+    for other in &site.endpoints[1..] {
+        other.set_latency(SLOW_PERCENT);
+    }
+    until(
+        "an answer of the leaving endpoint is passed on",
+        async || {
+            let answer = host.request("GET", "/read/x", "forwarded").await;
+            answer.has_header("server-leaving")
+        },
+    )
+    .await;
+    site.network.heal();
+    until("the host is ready", async || host.readiness().await == 200).await;
+    let before = leaving.arrivals().len();
+    site.load("after", "GET", COUNTED_TIME).await;
+    assert_eq!(leaving.arrivals().len(), before);
+}
--- a/tests/resting_endpoints.rs
+++ b/tests/resting_endpoints.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use site::endpoint::Behaviour;
+use site::endpoint::{Behaviour, Leaving};
 use site::{Endpoint, Host, Store};
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -148,7 +148,7 @@
 async fn leaving_told() {
     let site = Site::start(4).await;
     let leaving = &site.endpoints[0];
-    leaving.leave();
+    leaving.set_leaving(Leaving::All);
     assert_eq!(site.request_first().await, 200);
     let first = Instant::now();
     let statuses = site.load(LOAD_TIME).await;
--- a/tests/site/endpoint.rs
+++ b/tests/site/endpoint.rs
@@ -49,6 +49,18 @@
     Reset,
 }
 
+/// Which answers of an endpoint say that it leaves.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+pub enum Leaving {
+    /// None.
+    #[default]
+    Never,
+    /// Those to requests; health checks lag behind.
+    Requests,
+    /// All.
+    All,
+}
+
 /// A path whose requests crash the endpoint while it runs them.
 struct Crash {
     path: &'static str,
@@ -81,8 +93,8 @@
     rejections: Mutex<Vec<Instant>>,
     /// When each health check arrived.
     probes: Mutex<Vec<Instant>>,
-    /// Whether all answers say that the endpoint leaves.
-    is_leaving: Mutex<bool>,
+    /// Which answers say that the endpoint leaves.
+    leaving: Mutex<Leaving>,
     /// How many requests were cancelled while they ran.
     cancel_count: Mutex<u32>,
 }
@@ -123,7 +135,7 @@
             runs: Mutex::default(),
             rejections: Mutex::default(),
             probes: Mutex::default(),
-            is_leaving: Mutex::default(),
+            leaving: Mutex::default(),
             cancel_count: Mutex::default(),
         });
         let shared = Arc::clone(&inner);
@@ -202,13 +214,13 @@
             .clone()
     }
 
-    /// Makes all answers say that the endpoint leaves.
-    pub fn leave(&self) {
+    /// Sets which answers say that the endpoint leaves.
+    pub fn set_leaving(&self, leaving: Leaving) {
         *self
             .inner
-            .is_leaving
+            .leaving
             .lock()
-            .expect("no test panics with the lock held") = true;
+            .expect("no test panics with the lock held") = leaving;
     }
 
     /// Sets the advertised rate limit in requests a second, or none.
@@ -318,12 +330,18 @@
 }
 
 async fn serve(request: Request<Incoming>, inner: Arc<Inner>) -> io::Result<Response<AnswerBody>> {
+    let is_probe = request.uri().path() == "/health";
     let mut response = answer(request, &inner).await?;
-    let is_leaving = *inner
-        .is_leaving
+    let leaving = *inner
+        .leaving
         .lock()
         .expect("no test panics with the lock held");
-    if is_leaving {
+    let is_told = match leaving {
+        Leaving::Never => false,
+        Leaving::Requests => !is_probe,
+        Leaving::All => true,
+    };
+    if is_told {
         set_header(&mut response, "server-leaving", "1");
     }
     Ok(response)
