--- a/tests/isolated_hosts.rs
+++ b/tests/isolated_hosts.rs
@@ -116,9 +116,12 @@
     /// Sends requests to all hosts in turn, and returns how many were served by host.
     async fn load(&self, name: &str, method: &str, time: Duration) -> Vec<Tally> {
         let mut tallies = vec![Tally::default(); self.hosts.len()];
-        for (at, _, status) in self.statuses(name, method, time).await {
+        for (at, id, status) in self.statuses(name, method, time).await {
             tallies[at].sent += 1;
             tallies[at].served += usize::from(status == 200);
+            if status != 200 {
+                println!("host {at} answered {id} with {status}");
+            }
         }
         tallies
     }
