forwarding: only an endpoint's answer shows that another host reaches endpoints

Any answer of another host, also its own 502 or 503, counted as a sign that it reaches endpoints, so that a site without endpoints could take all its hosts out of the rotation.

Change: the answer counts once it is known to be an endpoint's.

--- a/components/transport/src/gateway/forward.rs
+++ b/components/transport/src/gateway/forward.rs
@@ -152,11 +152,11 @@
             self.note_failure(helper, Failure::Unavailable);
             return Forwarded::Unavailable;
         }
-        self.with_helpers(|helpers| helpers.note_answer(helper, clock::now()));
         let ending = self
             .read_forwarded(connection, parts, incoming, began)
             .await;
         if let AttemptEnd::Answered(_) | AttemptEnd::Failed(_) = ending {
+            self.with_helpers(|helpers| helpers.note_answer(helper, clock::now()));
             increment(&self.gateway.forwarded.answered);
         }
         Forwarded::Ended(ending)
