--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -7,7 +7,10 @@
 use std::time::Duration;
 
 use site::endpoint::Behaviour;
-use site::{Endpoint, Host, ROUTES, Store, config, store_and_endpoint, until};
+use site::{
+    CutMode, Endpoint, Host, Network, ROUTES, Store, config, start_hosts, store_and_endpoint,
+    store_and_endpoints_on, until,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -199,3 +202,19 @@
     assert_eq!(caller.answers(9).await, names(1..=3));
     assert_eq!(ran(&endpoint).len(), 3);
 }
+
+/// A host that reaches no endpoint must have pipelined requests served too, in their order.
+#[tokio::test(flavor = "multi_thread")]
+async fn isolated_host() {
+    let network = Network::default();
+    let (store, _endpoints) = store_and_endpoints_on(&network, 4).await;
+    let hosts = start_hosts(&store, 2).await;
+    network.cut(&[&hosts[0]], CutMode::Reset);
+    until("requests are forwarded", async || {
+        hosts[0].request("GET", "/read/x", "first").await.status == 200
+    })
+    .await;
+    let mut caller = Caller::connect(hosts[0].callers).await;
+    caller.send(&[1, 2, 3, 4].map(get)).await;
+    assert_eq!(caller.answers(4).await, names(1..=4));
+}
--- a/tests/quotas.rs
+++ b/tests/quotas.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use site::accounts::config;
-use site::{Answer, Endpoint, Host, Store, exchange, start_hosts, until};
+use site::{Answer, CutMode, Endpoint, Host, Network, Store, exchange, start_hosts, until};
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -20,9 +20,14 @@
 /// between a token and the arrival.
 const MAX_ARRIVALS: usize = 35;
 
+/// The fewest requests of the first account that must be served in three seconds: four fifths
+/// of its rate.
+const MIN_SERVED: usize = 48;
+
 const HOST_COUNT: usize = 3;
 
 struct Site {
+    network: Network,
     store: Store,
     endpoints: Vec<Endpoint>,
     hosts: Vec<Arc<Host>>,
@@ -30,11 +35,12 @@
 
 impl Site {
     async fn start() -> Site {
+        let network = Network::default();
         let store = Store::start().await;
         store.put("keyed.op", "config", Some(&config(1, &[ALICE, BOB])));
         let mut endpoints = Vec::new();
         for number in 0..4 {
-            let endpoint = Endpoint::start(&format!("i-{number}")).await;
+            let endpoint = Endpoint::start_on(&network, &format!("i-{number}"), "v1").await;
             endpoint.register(&store, "ready");
             endpoints.push(endpoint);
         }
@@ -47,6 +53,7 @@
             .await;
         }
         Site {
+            network,
             store,
             endpoints,
             hosts,
@@ -160,3 +167,21 @@
     // Two seconds at one a second, the burst, and tokens that hosts held before.
     assert!(count(&answers, 200) <= 6, "{}", count(&answers, 200));
 }
+
+/// A host that reaches no endpoint has other hosts run an account's requests. Each must take one
+/// token: two would halve the quota, and none would exceed it.
+#[tokio::test(flavor = "multi_thread")]
+async fn isolated_host() {
+    let site = Site::start().await;
+    site.network.cut(&[&*site.hosts[0]], CutMode::Reset);
+    let answers = site
+        .load("key-a", 300, Duration::from_millis(10), |_| 0)
+        .await;
+    let served = answers.iter().filter(|a| a.status == 200).count();
+    assert!(served >= MIN_SERVED, "{served} requests");
+    let arrivals = site.max_arrivals("key-a");
+    assert!(
+        arrivals <= MAX_ARRIVALS,
+        "{arrivals} requests in {WINDOW:?}"
+    );
+}
