isolation: endpoints are counted only while some are silent; signals of taken-over addresses

Each wait of a request counted the usable endpoints of its service, a walk over all endpoints, also where none was silent. And an answer to a probe was taken as a sign of an endpoint whose address another instance had taken over. Found by reading; neither was seen to do harm.

--- a/components/state/src/fleet/isolation.rs
+++ b/components/state/src/fleet/isolation.rs
@@ -64,15 +64,15 @@
         self.failed.len()
     }
 
-    /// Returns whether at least half of the service's `endpoints` usable endpoints don't
-    /// answer this host, though some may.
+    /// Returns whether at least half of the service's usable endpoints don't answer this host,
+    /// though some may; `endpoints` counts the usable ones.
     ///
     /// Open connections may live on while new ones are refused. The few endpoints that they
     /// lead to are soon full, though the others have room for requests of other hosts.
-    pub fn reaches_few(&self, endpoints: usize, now: Moment) -> bool {
+    pub fn reaches_few(&self, endpoints: impl FnOnce() -> usize, now: Moment) -> bool {
         let silent = self.silent.values();
         let count = silent.filter(|at| now.since(**at) < SILENCE_TTL).count();
-        count >= FAILED_ENDPOINTS && count * 2 >= endpoints
+        count >= FAILED_ENDPOINTS && count * 2 >= endpoints()
     }
 
     /// Returns whether any endpoint of the service has lately failed and not answered since.
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -187,7 +187,7 @@
     /// Returns whether at least half of a service's endpoints don't answer this host.
     pub fn reaches_few(&self, service: ServiceKey, now: Moment) -> bool {
         self.isolation(service)
-            .is_some_and(|i| i.reaches_few(self.usable_count(service), now))
+            .is_some_and(|i| i.reaches_few(|| self.usable_count(service), now))
     }
 
     /// Returns the services that this host is isolated from.
--- a/components/state/tests/isolation.rs
+++ b/components/state/tests/isolation.rs
@@ -77,13 +77,13 @@
     let mut isolation = Isolation::default();
     for key in 0..6 {
         isolation.note(EndpointKey(50), Outcome::Answered, ENDPOINTS, START);
-        assert!(!isolation.reaches_few(ENDPOINTS, START));
+        assert!(!isolation.reaches_few(|| ENDPOINTS, START));
         fail(&mut isolation, [key], ENDPOINTS);
     }
     assert!(!isolation.is_isolated());
-    assert!(isolation.reaches_few(ENDPOINTS, START));
+    assert!(isolation.reaches_few(|| ENDPOINTS, START));
     isolation.note(EndpointKey(1), Outcome::Answered, ENDPOINTS, START);
-    assert!(!isolation.reaches_few(ENDPOINTS, START));
+    assert!(!isolation.reaches_few(|| ENDPOINTS, START));
 }
 
 /// Endpoints that failed long ago must not count as out of reach.
@@ -91,8 +91,8 @@
 fn silence_expires() {
     let mut isolation = Isolation::default();
     fail(&mut isolation, 0..8, ENDPOINTS);
-    assert!(isolation.reaches_few(ENDPOINTS, START + Duration::from_secs(4)));
-    assert!(!isolation.reaches_few(ENDPOINTS, START + Duration::from_secs(6)));
+    assert!(isolation.reaches_few(|| ENDPOINTS, START + Duration::from_secs(4)));
+    assert!(!isolation.reaches_few(|| ENDPOINTS, START + Duration::from_secs(6)));
 }
 
 fn registry() -> (Registry, Vec<EndpointKey>) {
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -318,10 +318,12 @@
                 return None;
             }
         }
-        self.note_signals(key, parts.status, &parts.headers);
         let healthy = parts.status == StatusCode::OK;
-        self.record_probe(key, healthy, &parts.headers)
-            .then_some((connection, parts.headers))
+        if !self.record_probe(key, healthy, &parts.headers) {
+            return None;
+        }
+        self.note_signals(key, parts.status, &parts.headers);
+        Some((connection, parts.headers))
     }
 
     fn probe_request(&self, key: EndpointKey) -> Option<Request<RequestBody>> {
