--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -19,7 +19,7 @@
 
 use super::Gateway;
 use super::accounts::Caller;
-use super::call::Origin;
+use super::origin::Origin;
 use crate::clock;
 use crate::edge::headers::remove_hop_by_hop;
 use crate::upstream::connection::RequestError;
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -3,16 +3,15 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeSet;
 use std::future::{Future, poll_fn};
-use std::net::IpAddr;
 use std::pin::Pin;
 use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::Response;
 use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Response};
 use protocol::forwarded_request;
 use state::fleet::Placement;
 use state::fleet::fingerprint::{Content, Fingerprints};
@@ -27,6 +26,7 @@
 use super::attempt::{Answer, Attempt, AttemptEnd};
 use super::denial::Denial;
 use super::forward::{increment, tell_leaving};
+use super::origin::{Origin, Source};
 use super::{Gateway, Stage};
 use crate::clock;
 use crate::edge::body::{BodyPrefix, CallerBody, MAX_REPLAY_BODY, SharedBody};
@@ -45,47 +45,6 @@
 /// became slow after the probe or lost the answer.
 const HEDGE_FACTOR: f64 = 1.6;
 
-/// Who sends the requests of a connection.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum Source {
-    /// A caller at this address.
-    Caller(IpAddr),
-    /// Another host, which forwards requests of callers.
-    Host,
-}
-
-impl Source {
-    /// Returns where a request came from, and removes the mark of a forwarded one.
-    ///
-    /// # Errors
-    ///
-    /// Fails if a request from another host doesn't name the caller.
-    fn origin(self, headers: &mut HeaderMap) -> Result<Origin, Denial> {
-        match self {
-            Source::Caller(caller) => Ok(Origin {
-                caller,
-                is_forwarded: false,
-            }),
-            Source::Host => {
-                let caller = forwarded_request::take_caller(headers);
-                Ok(Origin {
-                    caller: caller.map_err(Denial::NotForwarded)?,
-                    is_forwarded: true,
-                })
-            }
-        }
-    }
-}
-
-/// Where a request came from.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Origin {
-    /// The caller's address.
-    pub caller: IpAddr,
-    /// Whether another host has forwarded the request to this one.
-    pub is_forwarded: bool,
-}
-
 /// A request with its route and deadline.
 struct Call<'a> {
     gateway: &'a Gateway,
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod isolation;
 mod limits;
 mod neighbours;
+mod origin;
 mod pipeline;
 mod pool;
 mod probe;
--- a/components/transport/src/gateway/pipeline.rs
+++ b/components/transport/src/gateway/pipeline.rs
@@ -18,8 +18,8 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::answer_body::AnswerBody;
-use super::call::Source;
 use super::denial::Denial;
+use super::origin::Source;
 use super::{Gateway, Stage, call};
 
 /// Maximum number of requests of one connection that are started early.
--- a/components/transport/src/gateway/server.rs
+++ b/components/transport/src/gateway/server.rs
@@ -16,7 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::call::Source;
+use super::origin::Source;
 use super::pipeline::Pipeline;
 use super::read_ahead::ReadAhead;
 use super::stream::{CallerStream, CallerTimeouts, ConnectionActivity};
