isolation: failures are forgiven only after a second of it

With that answer all failures were forgiven, and the next requests tried the endpoints beyond the cut again, each at the price of a timeout.

--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -19,6 +19,13 @@
 /// that was cut off would keep using endpoints that have left.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 
+/// How long a host must have been isolated from a service for the failures of its endpoints
+/// to be the link's.
+///
+/// Several endpoints in a row also fail when the link to one data centre is cut, until one
+/// elsewhere answers. Those must go on being avoided.
+const FORGIVEN_ISOLATION: Duration = Duration::from_secs(1);
+
 /// The content of one record in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Entry {
@@ -208,9 +215,10 @@
             _ => 0,
         };
         let isolation = self.isolations.entry(service).or_default();
-        let was_isolated = isolation.is_isolated();
+        let lasted = isolation.lasted(now);
         isolation.note(key, outcome, usable, now);
-        if was_isolated && !isolation.is_isolated() {
+        let has_ended = !isolation.is_isolated();
+        if has_ended && lasted.is_some_and(|time| time >= FORGIVEN_ISOLATION) {
             self.forgive_failures(service);
         }
     }
