gateway: share observations about endpoints within a data centre

Each host judged endpoints by its own requests alone. With many hosts and few requests at each, a failed endpoint cost every host a request.

Hosts now tell their neighbours in one datagram (kind 10, tag 29) which endpoints they begin to avoid and which answer again. A random delay of at most 20 ms and the suppression of what others have told bound the number of hosts that tell; a token bucket of 8 KB/s bounds the bytes. A report makes an endpoint avoided for 750 ms, for at most a quarter of a service's endpoints in a data centre; reports of a host that is cut off are ignored. Active from six hosts in a data centre on, below one request per second, host and endpoint.

--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod limit_report;
 pub mod member;
 pub mod neighbour;
+pub mod observation_report;
 pub mod peer;
 pub mod quota_message;
 pub mod record_runs;
--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -16,6 +16,7 @@
 use crate::crash_report::{CrashReport, WireCrashReport};
 use crate::envelope::{self, EnvelopeError};
 use crate::limit_report::{LimitReport, WireLimitReport};
+use crate::observation_report::{ObservationReport, WireObservationReport};
 use crate::quota_message::{QuotaMessage, WireQuota};
 use crate::record_runs::{self, RunsError};
 use crate::rollout_message::{RolloutMessage, WireRollout};
@@ -70,6 +71,8 @@
     Rollout(RolloutMessage, bool),
     /// Divides the quotas of client accounts.
     Quota(QuotaMessage),
+    /// Reports what the sender observes about endpoints.
+    Observations(ObservationReport),
 }
 
 /// Probes lent to a neighbour, in answer to its request.
@@ -154,6 +157,9 @@
     /// The datagram is about a quota, in a form that this release doesn't know.
     #[error("the datagram about a quota is of an unknown form")]
     UnknownQuota,
+    /// The datagram reports observations in a form that this release doesn't know.
+    #[error("the datagram about observations is of an unknown form")]
+    UnknownObservations,
     /// The numbers of records and renewals are wrong.
     #[error(transparent)]
     Runs(#[from] RunsError),
@@ -232,6 +238,8 @@
     /// In a hello, the number of hosts of the sender's data centre.
     #[prost(uint32, tag = "27")]
     size: u32,
+    #[prost(message, optional, tag = "29")]
+    observations: Option<WireObservationReport>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -279,6 +287,7 @@
 const LIMIT_REPORT: u32 = 6;
 const ROLLOUT: u32 = 7;
 const QUOTA: u32 = 8;
+const OBSERVATIONS: u32 = 10;
 
 impl RecordUpdate {
     /// Returns the same records without the addresses of hosts.
@@ -350,6 +359,7 @@
             NeighbourMessage::LimitReport(_) => "limits",
             NeighbourMessage::Quota(QuotaMessage::Demand(..)) => "quota_demand",
             NeighbourMessage::Quota(_) => "quota",
+            NeighbourMessage::Observations(_) => "observations",
             NeighbourMessage::Rollout(RolloutMessage::State(_), _) => "rollout_state",
             NeighbourMessage::Rollout(RolloutMessage::Report(_), _) => "rollout_report",
             NeighbourMessage::Rollout(RolloutMessage::Summary(_), _) => "rollout_summary",
@@ -450,6 +460,11 @@
                 quota: Some(WireQuota::new(message)),
                 ..WireMessage::default()
             },
+            NeighbourMessage::Observations(report) => WireMessage {
+                topic: OBSERVATIONS,
+                observations: Some(WireObservationReport::from(report)),
+                ..WireMessage::default()
+            },
             NeighbourMessage::ReadStarted(topic) => WireMessage {
                 topic: topic_number(*topic),
                 read_started: true,
@@ -518,6 +533,12 @@
                 let message = message.ok_or(DatagramError::UnknownQuota)?;
                 return Ok(NeighbourMessage::Quota(message));
             }
+            OBSERVATIONS => {
+                let report = wire.observations;
+                let report = report.and_then(WireObservationReport::into_report);
+                let report = report.ok_or(DatagramError::UnknownObservations)?;
+                return Ok(NeighbourMessage::Observations(report));
+            }
             OPERATORS => Topic::Operators,
             ENDPOINTS => Topic::Endpoints,
             _ => return Err(DatagramError::UnknownTopic),
--- a/components/protocol/tests/neighbour_messages.rs
+++ b/components/protocol/tests/neighbour_messages.rs
@@ -9,10 +9,11 @@
 use protocol::crash_report::{CrashReport, CrashedRun};
 use protocol::limit_report::LimitReport;
 use protocol::neighbour::{Hello, NeighbourMessage, ProbeLoan, RecordUpdate, Topic, TopicSnapshot};
+use protocol::observation_report::ObservationReport;
 use state::EndpointKey;
 use state::fleet::quarantine::QuarantineUpdate;
 use state::fleet::rate_limit::RateLimitUpdate;
-use state::fleet::{Fingerprint, Fingerprints};
+use state::fleet::{Fingerprint, Fingerprints, Observation, ObservationKind};
 
 fn update(records: Vec<Vec<u8>>) -> RecordUpdate {
     RecordUpdate {
@@ -63,11 +64,34 @@
     }
 }
 
+/// Observations of all kinds, of two endpoints each.
+fn observations() -> ObservationReport {
+    let kinds = [
+        ObservationKind::Unconnected,
+        ObservationKind::Broken,
+        ObservationKind::Failing,
+        ObservationKind::Slow,
+        ObservationKind::Shedding,
+        ObservationKind::Recovered,
+    ];
+    let observations = kinds.into_iter().flat_map(|kind| {
+        [1, u64::MAX].map(|endpoint| Observation {
+            endpoint: EndpointKey(endpoint),
+            kind,
+            age: Duration::from_millis(17),
+        })
+    });
+    ObservationReport::Observations(observations.collect())
+}
+
 #[test]
 fn round_trip() {
     let messages = [
         NeighbourMessage::CrashReport(crashes()),
         NeighbourMessage::LimitReport(limits()),
+        NeighbourMessage::Observations(observations()),
+        NeighbourMessage::Observations(ObservationReport::LivenessQuery),
+        NeighbourMessage::Observations(ObservationReport::LivenessReply),
         NeighbourMessage::Hello(Hello {
             size: 197,
             centre: "trent".to_owned(),
--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -6,8 +6,11 @@
 
 pub mod endpoint;
 pub mod fingerprint;
+pub mod hints;
 pub mod isolation;
 pub mod load_sample;
+pub mod observation;
+pub mod observation_outbox;
 pub mod outcome;
 pub mod placement;
 pub mod probe_budget;
@@ -25,7 +28,10 @@
 
 pub use endpoint::{Endpoint, EndpointState};
 pub use fingerprint::{Fingerprint, Fingerprints};
+pub use hints::Hints;
 pub use load_sample::LoadSample;
+pub use observation::{Observation, ObservationKind};
+pub use observation_outbox::ObservationOutbox;
 pub use placement::{Placement, Step};
 pub use probe_budget::HostProbeBudget;
 pub use quarantine::Quarantine;
--- a/components/state/src/fleet/outcome.rs
+++ b/components/state/src/fleet/outcome.rs
@@ -35,6 +35,9 @@
     failure_score: f64,
     avoid_until: Option<Moment>,
     avoidances: u32,
+    /// Until when the endpoint is avoided because other hosts reported it.
+    hinted_until: Option<Moment>,
+    answered_at: Option<Moment>,
 }
 
 /// The score from which an endpoint is avoided.
@@ -71,8 +74,9 @@
     /// shed, 0 to 1. Shedding as much as the others doesn't count against an endpoint.
     pub fn note(&mut self, outcome: Outcome, shed_rate: f64, now: Moment) {
         if outcome == Outcome::Answered {
+            self.note_answer(now);
             self.failure_score /= 2.0;
-            if !self.is_avoided(now) && self.failure_score < 0.2 {
+            if !self.is_failing(now) && self.failure_score < 0.2 {
                 self.avoidances = 0;
             }
             return;
@@ -93,8 +97,39 @@
 
     /// Returns whether the endpoint is avoided as long as there are others.
     pub fn is_avoided(&self, now: Moment) -> bool {
+        self.is_failing(now) || self.is_hinted(now)
+    }
+
+    /// Returns whether the endpoint is avoided for what this host has seen itself.
+    pub fn is_failing(&self, now: Moment) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
     }
+
+    /// Returns whether the endpoint is avoided because other hosts reported it.
+    pub fn is_hinted(&self, now: Moment) -> bool {
+        self.hinted_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns when the endpoint last gave this host a good answer.
+    pub fn answered_at(&self) -> Option<Moment> {
+        self.answered_at
+    }
+
+    /// Notes a good answer to a request or a probe, which outweighs other hosts' reports.
+    pub(super) fn note_answer(&mut self, now: Moment) {
+        self.answered_at = Some(now);
+        self.hinted_until = None;
+    }
+
+    /// Avoids the endpoint until then because other hosts reported it.
+    pub(super) fn hint(&mut self, until: Moment) {
+        self.hinted_until = Some(until);
+    }
+
+    /// Ends an avoidance because of other hosts' reports.
+    pub(super) fn release_hint(&mut self) {
+        self.hinted_until = None;
+    }
 }
 
 /// The fraction of a service's requests that its endpoints shed, as seen by one host.
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -164,20 +164,49 @@
         reachability.note(key, outcome, now);
         let shed_rate = self.shed_rates.entry(state.endpoint.service).or_default();
         shed_rate.note(outcome);
-        let before = state.health.is_avoided(now);
+        let before = state.health.is_failing(now);
         state.health.note(outcome, shed_rate.rate(), now);
-        !before && state.health.is_avoided(now)
+        !before && state.health.is_failing(now)
+    }
+
+    /// Avoids an endpoint until then because other hosts reported it; returns whether it
+    /// wasn't avoided so already.
+    pub(super) fn hint(&mut self, key: EndpointKey, until: Moment, now: Moment) -> bool {
+        let Some(state) = self.endpoints.get_mut(&key) else {
+            return false;
+        };
+        let is_new = !state.health.is_hinted(now);
+        state.health.hint(until);
+        is_new
+    }
+
+    /// Ends the avoidance of an endpoint that other hosts reported; returns whether there
+    /// was one.
+    pub(super) fn release_hint(&mut self, key: EndpointKey, now: Moment) -> bool {
+        let state = self.endpoints.get_mut(&key);
+        let Some(state) = state.filter(|s| s.health.is_hinted(now)) else {
+            return false;
+        };
+        state.health.release_hint();
+        true
+    }
+
+    /// Returns all endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &EndpointState)> {
+        self.endpoints.iter().map(|(key, state)| (*key, state))
     }
 
     /// Notes that an endpoint answered a probe.
     pub fn note_answer(&mut self, key: EndpointKey, now: Moment) {
-        let Some(state) = self.endpoints.get(&key) else {
+        let Some(state) = self.endpoints.get_mut(&key) else {
             return;
         };
+        state.health.note_answer(now);
         if let Some(reachability) = self.reachability.get_mut(&state.endpoint.centre) {
             reachability.note_answer();
         }
-        self.note_isolation(state.endpoint.service, key, Outcome::Answered, now);
+        let service = state.endpoint.service;
+        self.note_isolation(service, key, Outcome::Answered, now);
     }
 
     /// Returns what is known about whether this host reaches a service's endpoints, `None`
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod isolation;
 mod limits;
 mod neighbours;
+mod observations;
 mod origin;
 mod pipeline;
 mod pool;
@@ -64,6 +65,7 @@
 use forward::ForwardedCounts;
 use fragments::Transfers;
 use isolation::IsolationChecks;
+use observations::Observations;
 use pool::Pool;
 use quarantine::CrashTracker;
 use quota::Quotas;
@@ -169,6 +171,9 @@
     limit_reports: RefCell<ReportLimiter>,
     /// Wakes the task that checks whether an endpoint crashed.
     broken_notify: Notify,
+    observations: RefCell<Observations>,
+    /// Wakes the task that tells observations.
+    observations_due: Notify,
     rollouts: RefCell<Rollouts>,
     /// Wakes the task that steps the roll-outs.
     rollouts_changed: Notify,
@@ -201,6 +206,7 @@
         spawn_local(Rc::clone(&gateway).confirm_crashes());
         spawn_local(Rc::clone(&gateway).send_reminders());
         spawn_local(Rc::clone(&gateway).report_demand());
+        spawn_local(Rc::clone(&gateway).tell_observations());
         if gateway.rollouts.borrow().is_enabled() {
             spawn_local(Rc::clone(&gateway).run_rollouts());
         }
@@ -265,6 +271,8 @@
             crash_tracker: RefCell::default(),
             limit_reports: RefCell::default(),
             broken_notify: Notify::new(),
+            observations: RefCell::default(),
+            observations_due: Notify::new(),
             rollouts: RefCell::new(rollouts),
             rollouts_changed: Notify::new(),
         }
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -243,6 +243,7 @@
                 self.handle_rollout(from, message, cross_centre);
             }
             NeighbourMessage::Quota(message) => self.handle_quota(from, message),
+            NeighbourMessage::Observations(report) => self.handle_observations(from, &report),
             NeighbourMessage::Borrow(number) => self.lend_probes(from, number),
             NeighbourMessage::Lend(loan) => {
                 let mut budget = self.probe_budget.borrow_mut();
@@ -330,7 +331,7 @@
     }
 
     /// Sends a message to several hosts, encoded once.
-    fn send_to_all(&self, addresses: &[SocketAddr], message: &NeighbourMessage) {
+    pub(super) fn send_to_all(&self, addresses: &[SocketAddr], message: &NeighbourMessage) {
         let datagram = message.encode();
         let mut traffic = self.traffic.borrow_mut();
         for address in addresses {
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -367,6 +367,7 @@
         registry.note_answer(key, now);
         drop(registry);
         self.isolation_noted(service, was_isolated, "probe");
+        self.observe_probe(key);
         self.record_limit(key, headers, Source::Probe);
         true
     }
@@ -408,7 +409,8 @@
         let mut registry = self.registry.borrow_mut();
         let service = registry.get(key).map(|s| s.endpoint.service);
         let was_isolated = service.is_some_and(|s| registry.is_isolated(s));
-        if registry.note_outcome(key, outcome, now) {
+        let is_avoided = registry.note_outcome(key, outcome, now);
+        if is_avoided {
             let endpoint = registry.get(key).map(|s| &s.endpoint);
             let instance = endpoint.map(|e| e.instance.as_str());
             log::info!(
@@ -418,6 +420,8 @@
             );
         }
         drop(registry);
+        let connected = seen != Unanswered::Unconnected.name();
+        self.observe_outcome(key, outcome, is_avoided, connected);
         let Some(service) = service else {
             return;
         };
