gateway: detect the loss of a whole data centre

A host avoided a data centre only after four of its endpoints had failed here, and requests at endpoints whose connections hang waited there until their deadlines.

Failures of endpoints, seen here and told by other hosts, raise a suspicion. The host then queries hosts of that data centre; if none answers for 150 ms, and an endpoint has failed here too, the data centre is lost. Its endpoints are avoided together, and requests there that may run again get a second attempt elsewhere, within attempts and retry budget. Other requests keep to the existing limits. Active where observations are shared.

--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! are four times as slow, and which ones are changes every few hundred milliseconds, so
 //! knowledge about an endpoint is outdated quickly: see [`load_sample`].
 
+pub mod centre_loss;
 pub mod endpoint;
 pub mod fingerprint;
 pub mod hints;
--- a/components/state/src/fleet/reachability.rs
+++ b/components/state/src/fleet/reachability.rs
@@ -29,19 +29,43 @@
     failed: BTreeSet<EndpointKey>,
     avoid_until: Option<Moment>,
     avoidances: u32,
+    answered_at: Option<Moment>,
+    /// Whether the data centre was found to be lost; then one more failure is enough.
+    is_lost: bool,
 }
 
 impl Reachability {
     /// Notes that an endpoint answered, whatever the answer was.
-    pub fn note_answer(&mut self) {
-        *self = Reachability::default();
+    pub fn note_answer(&mut self, now: Moment) {
+        *self = Reachability {
+            answered_at: Some(now),
+            ..Reachability::default()
+        };
+    }
+
+    /// Returns when an endpoint last answered.
+    pub fn answered_at(&self) -> Option<Moment> {
+        self.answered_at
+    }
+
+    /// Returns the endpoints that failed since one last answered.
+    pub fn failed(&self) -> &BTreeSet<EndpointKey> {
+        &self.failed
+    }
+
+    /// Notes that the data centre has stopped responding.
+    pub fn note_loss(&mut self, now: Moment) {
+        self.is_lost = true;
+        if !self.is_avoided(now) {
+            self.avoid(now);
+        }
     }
 
     /// Records the outcome of a request.
     pub fn note(&mut self, key: EndpointKey, outcome: Outcome, now: Moment) {
         match outcome {
             Outcome::Answered | Outcome::Slow | Outcome::Failed | Outcome::Shed => {
-                self.note_answer();
+                self.note_answer(now);
             }
             Outcome::Silent => {}
             Outcome::Broken => self.note_failure(key, now),
@@ -56,9 +80,13 @@
 
     fn note_failure(&mut self, key: EndpointKey, now: Moment) {
         self.failed.insert(key);
-        if self.failed.len() < FAILED_ENDPOINTS || self.is_avoided(now) {
-            return;
+        let enough = self.is_lost || self.failed.len() >= FAILED_ENDPOINTS;
+        if enough && !self.is_avoided(now) {
+            self.avoid(now);
         }
+    }
+
+    fn avoid(&mut self, now: Moment) {
         self.avoid_until =
             Some(now + FIRST_AVOIDANCE * 2u32.pow(self.avoidances.min(MAX_DOUBLINGS)));
         self.avoidances += 1;
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -202,9 +202,8 @@
             return;
         };
         state.health.note_answer(now);
-        if let Some(reachability) = self.reachability.get_mut(&state.endpoint.centre) {
-            reachability.note_answer();
-        }
+        let reachability = self.reachability.entry(state.endpoint.centre).or_default();
+        reachability.note_answer(now);
         let service = state.endpoint.service;
         self.note_isolation(service, key, Outcome::Answered, now);
     }
@@ -275,6 +274,16 @@
             .is_some_and(|r| r.is_avoided(now))
     }
 
+    /// Returns what is known about whether this host reaches a data centre's endpoints.
+    pub fn reachability(&self, centre: DataCentreKey) -> Option<&Reachability> {
+        self.reachability.get(&centre)
+    }
+
+    /// Avoids a data centre's endpoints, since it has stopped responding.
+    pub fn note_centre_loss(&mut self, centre: DataCentreKey, now: Moment) {
+        self.reachability.entry(centre).or_default().note_loss(now);
+    }
+
     /// Returns the token buckets for cold endpoints.
     pub fn cold_buckets_mut(&mut self) -> &mut TokenBuckets {
         &mut self.cold_buckets
--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use state::fleet::rollout::evidence::Answer as Answered;
 use state::fleet::{Fingerprints, Placement};
 use state::{EndpointKey, Moment, VersionKey};
+use tokio::sync::Notify;
 
 use super::Gateway;
 use super::accounts::Caller;
@@ -65,6 +66,9 @@
     pub helpers: &'a RefCell<BTreeSet<SocketAddr>>,
     /// The number of attempts that may have run.
     pub may_have_run: &'a Cell<u32>,
+    /// Notified when the data centre of an attempt is lost; none if the request can't be
+    /// sent again.
+    pub loss: Option<&'a Notify>,
 }
 
 /// The result of one attempt.
@@ -273,7 +277,8 @@
         let _running = RunningGuard::start(self.gateway, key);
         let mut witness = Witness::new(self, key, slowdown, began);
         self.may_have_run.set(self.may_have_run.get() + 1);
-        match connection.send(request).await {
+        let exchange = connection.send(request);
+        match self.gateway.watch_loss(key, self.loss, exchange).await {
             Ok(answer) => {
                 let (parts, incoming) = answer.into_parts();
                 self.gateway.note_signals(key, parts.status, &parts.headers);
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -19,11 +19,13 @@
 use state::fleet::retry_after;
 use state::routing::Route;
 use state::{Moment, ServiceKey};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::accounts::Caller;
 use super::answer_body::AnswerBody;
 use super::attempt::{Answer, Attempt, AttemptEnd};
+use super::centre_loss::notified;
 use super::denial::Denial;
 use super::forward::{increment, tell_leaving};
 use super::origin::{Origin, Source};
@@ -314,6 +316,11 @@
             may_have_run: &may_have_run,
             taken: Cell::new(1),
         };
+        let replay = match &body {
+            RequestBody::Buffered(bytes) => Some(bytes.clone()),
+            RequestBody::Streamed(..) => None,
+        };
+        let loss = Notify::new();
         let attempt = Attempt {
             gateway: self.gateway,
             parts: self.parts,
@@ -325,10 +332,7 @@
             placement: &placement,
             helpers: &helpers,
             may_have_run: &may_have_run,
-        };
-        let replay = match &body {
-            RequestBody::Buffered(bytes) => Some(bytes.clone()),
-            RequestBody::Streamed(..) => None,
+            loss: (replay.is_some() && self.may_run_again()).then_some(&loss),
         };
         self.run_attempts(&attempt, body, replay, &tokens).await
     }
@@ -372,7 +376,7 @@
         };
         let mut hedge = self.hedge_at(replay.is_some());
         loop {
-            match self.next(&mut pending, hedge).await {
+            match self.next(&mut pending, hedge, attempt.loss).await {
                 Event::Ended(AttemptEnd::Answered(answer) | AttemptEnd::Denied(answer)) => {
                     return Ok(answer);
                 }
@@ -455,8 +459,14 @@
         (at + service_time <= self.route.objective).then(|| self.arrived + at)
     }
 
-    /// Waits for an attempt to end, for the hedge time or for the deadline.
-    async fn next(&self, pending: &mut Vec<PendingAttempt<'_>>, hedge: Option<Moment>) -> Event {
+    /// Waits for an attempt to end, for the hedge time, the loss of an attempt's data centre or
+    /// the deadline.
+    async fn next(
+        &self,
+        pending: &mut Vec<PendingAttempt<'_>>,
+        hedge: Option<Moment>,
+        loss: Option<&Notify>,
+    ) -> Event {
         let ended = poll_fn(|cx| {
             for at in 0..pending.len() {
                 if let Poll::Ready(ending) = pending[at].as_mut().poll(cx) {
@@ -473,6 +483,7 @@
             biased;
             ending = ended => Event::Ended(ending),
             () = sleep_until(deadline) => Event::Expired,
+            () = notified(loss) => Event::HedgeDue,
             () = sleep_until(hedge_at.unwrap_or(deadline)), if hedge_at.is_some() => Event::HedgeDue,
         }
     }
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod answer_body;
 mod attempt;
 mod call;
+mod centre_loss;
 mod denial;
 mod drain;
 mod follow;
@@ -62,6 +63,7 @@
 use tokio::task::spawn_local;
 
 use crate::clock;
+use centre_loss::LossWatch;
 use forward::ForwardedCounts;
 use fragments::Transfers;
 use isolation::IsolationChecks;
@@ -172,6 +174,9 @@
     /// Wakes the task that checks whether an endpoint crashed.
     broken_notify: Notify,
     observations: RefCell<Observations>,
+    loss_watch: RefCell<LossWatch>,
+    /// Wakes the task that checks data centres in which endpoints fail.
+    centres_failing: Notify,
     /// Wakes the task that tells observations.
     observations_due: Notify,
     rollouts: RefCell<Rollouts>,
@@ -207,6 +212,7 @@
         spawn_local(Rc::clone(&gateway).send_reminders());
         spawn_local(Rc::clone(&gateway).report_demand());
         spawn_local(Rc::clone(&gateway).tell_observations());
+        spawn_local(Rc::clone(&gateway).watch_centres());
         if gateway.rollouts.borrow().is_enabled() {
             spawn_local(Rc::clone(&gateway).run_rollouts());
         }
@@ -272,6 +278,8 @@
             limit_reports: RefCell::default(),
             broken_notify: Notify::new(),
             observations: RefCell::default(),
+            loss_watch: RefCell::default(),
+            centres_failing: Notify::new(),
             observations_due: Notify::new(),
             rollouts: RefCell::new(rollouts),
             rollouts_changed: Notify::new(),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -214,6 +214,7 @@
         };
         self.traffic.borrow_mut().received(&message, datagram.len());
         self.rollouts.borrow_mut().note_contact(clock::now());
+        self.note_host_contact(from);
         match message {
             NeighbourMessage::Update(u) if u.cross_centre => self.handle_cross_centre(u, from),
             NeighbourMessage::Update(update) => {
--- a/components/transport/src/gateway/observations.rs
+++ b/components/transport/src/gateway/observations.rs
@@ -80,6 +80,9 @@
         let mut observations = self.observations.borrow_mut();
         observations.rate.count(now);
         drop(observations);
+        if outcome == Outcome::Broken {
+            self.note_unanswered(key);
+        }
         match ObservationKind::of_outcome(outcome, connected) {
             Some(kind) if is_avoided => self.tell_failure(key, kind, now),
             None if outcome == Outcome::Answered => self.tell_recovery(key),
@@ -132,7 +135,7 @@
     }
 
     /// Returns whether the hosts of this data centre share observations.
-    fn shares_observations(&self) -> bool {
+    pub(super) fn shares_observations(&self) -> bool {
         let hosts = self.neighbours.borrow().centre_size();
         let rate = self.observations.borrow().rate.last;
         is_sharing(hosts, rate, self.registry.borrow().len())
@@ -170,7 +173,12 @@
     pub(super) fn handle_observations(&self, from: SocketAddr, report: &ObservationReport) {
         match report {
             ObservationReport::Observations(told) => self.take_in_observations(from, told),
-            ObservationReport::LivenessQuery | ObservationReport::LivenessReply => {}
+            ObservationReport::LivenessQuery => {
+                let reply = NeighbourMessage::Observations(ObservationReport::LivenessReply);
+                self.send(from, &reply);
+            }
+            // Any message shows that its sender runs.
+            ObservationReport::LivenessReply => {}
         }
     }
 
@@ -189,6 +197,9 @@
         if effect.is_cut_off && observations.cut_off_lines.grant(1, now) == 1 {
             log::info!("E0187 reporter-cut-off from={from}");
         }
+        drop(observations);
+        let unanswered = told.iter().filter(|o| o.kind.is_unanswered());
+        unanswered.for_each(|o| self.note_unanswered(o.endpoint));
         for (key, kind) in &effect.avoided {
             log::debug!(
                 "E0186 endpoint-hinted endpoint={:016x} kind={kind:?}",
--- a/tests/site/endpoint.rs
+++ b/tests/site/endpoint.rs
@@ -154,6 +154,11 @@
         self.inner.register(self.address, store, state);
     }
 
+    /// Writes the record of an endpoint in this data centre, which is ready, into the store.
+    pub fn register_in(&self, centre: &str, store: &Store) {
+        self.inner.register_in(centre, self.address, store, "ready");
+    }
+
     /// Sets a path whose requests crash the endpoint; it restarts as a new instance.
     pub fn crash_on(&self, path: &'static str, store: &Store) {
         let store = store.clone();
@@ -256,8 +261,12 @@
     }
 
     fn register(&self, address: SocketAddr, store: &Store, state: &str) {
+        self.register_in("here", address, store, state);
+    }
+
+    fn register_in(&self, centre: &str, address: SocketAddr, store: &Store, state: &str) {
         let entry = format!(
-            r#"{{"service":"svc","address":"{address}","zone":"here","version":"{}","slots":6,"state":"{state}","warmupRemainingS":0,"sequence":1,"born":1}}"#,
+            r#"{{"service":"svc","address":"{address}","zone":"{centre}","version":"{}","slots":6,"state":"{state}","warmupRemainingS":0,"sequence":1,"born":1}}"#,
             self.version
         );
         store.put("keyed.servers", &self.instance(), Some(&entry));
