--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -4,10 +4,14 @@
 //! are four times as slow, and which ones are changes every few hundred milliseconds, so
 //! knowledge about an endpoint is outdated quickly: see [`load_sample`].
 
+pub mod centre_loss;
 pub mod endpoint;
 pub mod fingerprint;
+pub mod hints;
 pub mod isolation;
 pub mod load_sample;
+pub mod observation;
+pub mod observation_outbox;
 pub mod outcome;
 pub mod placement;
 pub mod probe_budget;
@@ -25,7 +29,10 @@
 
 pub use endpoint::{Endpoint, EndpointState};
 pub use fingerprint::{Fingerprint, Fingerprints};
+pub use hints::Hints;
 pub use load_sample::LoadSample;
+pub use observation::{Observation, ObservationKind};
+pub use observation_outbox::ObservationOutbox;
 pub use placement::{Placement, Step};
 pub use probe_budget::HostProbeBudget;
 pub use quarantine::Quarantine;
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -164,20 +164,48 @@
         reachability.note(key, outcome, now);
         let shed_rate = self.shed_rates.entry(state.endpoint.service).or_default();
         shed_rate.note(outcome);
-        let before = state.health.is_avoided(now);
+        let before = state.health.is_failing(now);
         state.health.note(outcome, shed_rate.rate(), now);
-        !before && state.health.is_avoided(now)
+        !before && state.health.is_failing(now)
+    }
+
+    /// Avoids an endpoint until then because other hosts reported it; returns whether it
+    /// wasn't avoided so already.
+    pub(super) fn hint(&mut self, key: EndpointKey, until: Moment, now: Moment) -> bool {
+        let Some(state) = self.endpoints.get_mut(&key) else {
+            return false;
+        };
+        let is_new = !state.health.is_hinted(now);
+        state.health.hint(until);
+        is_new
+    }
+
+    /// Ends the avoidance of an endpoint that other hosts reported; returns whether there
+    /// was one.
+    pub(super) fn release_hint(&mut self, key: EndpointKey, now: Moment) -> bool {
+        let state = self.endpoints.get_mut(&key);
+        let Some(state) = state.filter(|s| s.health.is_hinted(now)) else {
+            return false;
+        };
+        state.health.release_hint();
+        true
+    }
+
+    /// Returns all endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &EndpointState)> {
+        self.endpoints.iter().map(|(key, state)| (*key, state))
     }
 
     /// Notes that an endpoint answered a probe.
     pub fn note_answer(&mut self, key: EndpointKey, now: Moment) {
-        let Some(state) = self.endpoints.get(&key) else {
+        let Some(state) = self.endpoints.get_mut(&key) else {
             return;
         };
-        if let Some(reachability) = self.reachability.get_mut(&state.endpoint.centre) {
-            reachability.note_answer();
-        }
-        self.note_isolation(state.endpoint.service, key, Outcome::Answered, now);
+        state.health.note_answer(now);
+        let reachability = self.reachability.entry(state.endpoint.centre).or_default();
+        reachability.note_answer(now);
+        let service = state.endpoint.service;
+        self.note_isolation(service, key, Outcome::Answered, now);
     }
 
     /// Returns what is known about whether this host reaches a service's endpoints, `None`
@@ -246,6 +274,16 @@
             .is_some_and(|r| r.is_avoided(now))
     }
 
+    /// Returns what is known about whether this host reaches a data centre's endpoints.
+    pub fn reachability(&self, centre: DataCentreKey) -> Option<&Reachability> {
+        self.reachability.get(&centre)
+    }
+
+    /// Avoids a data centre's endpoints, since it has stopped responding.
+    pub fn note_centre_loss(&mut self, centre: DataCentreKey, now: Moment) {
+        self.reachability.entry(centre).or_default().note_loss(now);
+    }
+
     /// Returns the token buckets for cold endpoints.
     pub fn cold_buckets_mut(&mut self) -> &mut TokenBuckets {
         &mut self.cold_buckets
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod answer_body;
 mod attempt;
 mod call;
+mod centre_loss;
 mod denial;
 mod drain;
 mod follow;
@@ -18,6 +19,7 @@
 mod isolation;
 mod limits;
 mod neighbours;
+mod observations;
 mod origin;
 mod pipeline;
 mod pool;
@@ -61,9 +63,11 @@
 use tokio::task::spawn_local;
 
 use crate::clock;
+use centre_loss::LossWatch;
 use forward::ForwardedCounts;
 use fragments::Transfers;
 use isolation::IsolationChecks;
+use observations::Observations;
 use pool::Pool;
 use quarantine::CrashTracker;
 use quota::Quotas;
@@ -169,6 +173,12 @@
     limit_reports: RefCell<ReportLimiter>,
     /// Wakes the task that checks whether an endpoint crashed.
     broken_notify: Notify,
+    observations: RefCell<Observations>,
+    loss_watch: RefCell<LossWatch>,
+    /// Wakes the task that checks data centres in which endpoints fail.
+    centres_failing: Notify,
+    /// Wakes the task that tells observations.
+    observations_due: Notify,
     rollouts: RefCell<Rollouts>,
     /// Wakes the task that steps the roll-outs.
     rollouts_changed: Notify,
@@ -201,6 +211,8 @@
         spawn_local(Rc::clone(&gateway).confirm_crashes());
         spawn_local(Rc::clone(&gateway).send_reminders());
         spawn_local(Rc::clone(&gateway).report_demand());
+        spawn_local(Rc::clone(&gateway).tell_observations());
+        spawn_local(Rc::clone(&gateway).watch_centres());
         if gateway.rollouts.borrow().is_enabled() {
             spawn_local(Rc::clone(&gateway).run_rollouts());
         }
@@ -265,6 +277,10 @@
             crash_tracker: RefCell::default(),
             limit_reports: RefCell::default(),
             broken_notify: Notify::new(),
+            observations: RefCell::default(),
+            loss_watch: RefCell::default(),
+            centres_failing: Notify::new(),
+            observations_due: Notify::new(),
             rollouts: RefCell::new(rollouts),
             rollouts_changed: Notify::new(),
         }
