gateway: requests in time go before late ones where accounts compete

A host counted the objective from a request's arrival, so requests that come back after a refusal went in turn with fresh ones and took slots that those could have used in time.

Where the configuration has client accounts, requests that wait for a service are kept in a queue of their own: priority, then those that can still be in time, then the turn of the account (of the route for requests without one), then the objective. The objective counts from the caller's first attempt; the time used before is taken from one function, which returns zero until an estimate exists. A late request yields for at most a quarter of its remaining time while others wait in time. One that can't complete in its remaining time is asked back after its deadline. Without accounts the queue is as before.

--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! knowledge about an endpoint is outdated quickly: see [`load_sample`].
 
 pub mod endpoint;
+pub mod fair_queue;
 pub mod fingerprint;
 pub mod isolation;
 pub mod load_sample;
@@ -24,6 +25,7 @@
 pub mod wait_queue;
 
 pub use endpoint::{Endpoint, EndpointState};
+pub use fair_queue::{FairQueue, FairTicket};
 pub use fingerprint::{Fingerprint, Fingerprints};
 pub use load_sample::LoadSample;
 pub use placement::{Placement, Step};
--- a/components/state/src/fleet/placement.rs
+++ b/components/state/src/fleet/placement.rs
@@ -19,7 +19,7 @@
 use super::rollout::VersionRule;
 use super::token_buckets::Quota;
 use crate::topology::{Distance, Topology};
-use crate::{AccountKey, DataCentreKey, EndpointKey, Moment, RegionKey, ServiceKey};
+use crate::{AccountKey, DataCentreKey, EndpointKey, FlowKey, Moment, RegionKey, ServiceKey};
 
 /// The maximum number of endpoints that one request probes in one round.
 ///
@@ -66,6 +66,11 @@
 }
 
 impl Request {
+    /// Returns the flow that shares capacity with others: the account, else the route.
+    pub fn flow(&self) -> FlowKey {
+        self.account.map_or(FlowKey(self.route), FlowKey::from)
+    }
+
     /// Returns whether the request can still complete before its deadline.
     pub(super) fn has_time(&self, now: Moment) -> bool {
         now.until(self.deadline) >= self.service_time.mul_f64(MIN_TIME_FRACTION)
--- a/components/state/src/fleet/retry_after.rs
+++ b/components/state/src/fleet/retry_after.rs
@@ -52,3 +52,11 @@
     };
     span.mul_f64(0.4 + 0.6 * draw).max(MIN_DELAY)
 }
+
+/// Returns the delay before a retry of a request that can't complete before its deadline.
+///
+/// Any earlier retry of the same request would be refused too, and cost hosts that are
+/// overloaded another answer.
+pub fn after_deadline(request: &Request, now: Moment) -> Duration {
+    now.until(request.deadline).max(MIN_DELAY)
+}
--- a/components/state/src/keys.rs
+++ b/components/state/src/keys.rs
@@ -39,6 +39,17 @@
 #[key]
 pub struct AccountKey(pub u64);
 
+/// Identifies a flow of requests that gets a fair share of a service: an account, or a route
+/// whose requests belong to none.
+#[key]
+pub struct FlowKey(pub u64);
+
+impl From<AccountKey> for FlowKey {
+    fn from(account: AccountKey) -> FlowKey {
+        FlowKey(account.0)
+    }
+}
+
 impl AccountKey {
     /// Returns the key of the client account with this name.
     pub fn named(name: &str) -> AccountKey {
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use config::Config;
 pub use keys::{
-    AccountKey, DataCentreKey, EndpointKey, HostKey, RegionKey, ServiceKey, VersionKey,
+    AccountKey, DataCentreKey, EndpointKey, FlowKey, HostKey, RegionKey, ServiceKey, VersionKey,
 };
 pub use moment::Moment;
 pub use preset::Preset;
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -414,7 +414,13 @@
         if let Some(LastFailure::Rejected(_) | LastFailure::Unsent(_)) = last {
             return retry_after::short_delay(draw);
         }
-        retry_after::retry_after(&self.placement_request(), draw, clock::now())
+        let request = self.placement_request();
+        match last {
+            Some(LastFailure::Refused(Refusal::TooLate)) if self.gateway.has_accounts() => {
+                retry_after::after_deadline(&request, clock::now())
+            }
+            _ => retry_after::retry_after(&request, draw, clock::now()),
+        }
     }
 
     fn log_retry(&self, reason: &str) {
@@ -429,7 +435,9 @@
         placement::Request {
             service: self.service,
             centre: self.gateway.home,
-            objective: self.arrived + self.route.objective,
+            objective: self
+                .gateway
+                .objective(self.route, &self.parts.headers, self.arrived),
             deadline: self.deadline,
             service_time,
             priority: self.caller.priority.unwrap_or(self.route.priority),
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod stream;
 mod topic_cache;
 mod traffic;
+mod used_time;
 mod wait_queue;
 
 use std::cell::{Cell, RefCell};
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -104,7 +104,11 @@
                 return Err(Refusal::Unreachable);
             }
             let is_first = entry.as_ref().is_none_or(QueueEntry::is_first);
-            let step = self.step(&mut placement.borrow_mut(), request, regions, is_first);
+            let yields_for = entry.as_ref().and_then(QueueEntry::yields_for);
+            let step = yields_for.map_or_else(
+                || self.step(&mut placement.borrow_mut(), request, regions, is_first),
+                Step::Wait,
+            );
             match step {
                 Step::Probe(key) => match self.probe(key).await {
                     Some(answered) => {
--- a/components/transport/src/gateway/quota.rs
+++ b/components/transport/src/gateway/quota.rs
@@ -301,14 +301,7 @@
 
     /// Waits until a configuration has accounts.
     async fn await_accounts(&self) {
-        let has_accounts = || {
-            let config = self.config.borrow();
-            config
-                .catalogue
-                .as_ref()
-                .is_some_and(|c| c.accounts.is_some())
-        };
-        while !has_accounts() {
+        while !self.has_accounts() {
             self.config_loaded.notified().await;
         }
     }
--- a/components/transport/src/gateway/wait_queue.rs
+++ b/components/transport/src/gateway/wait_queue.rs
@@ -4,13 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use state::ServiceKey;
+use derives::key;
 use state::fleet::placement::Request;
-use state::fleet::{Ticket, WaitQueue};
+use state::fleet::{FairQueue, FairTicket, Ticket, WaitQueue};
+use state::{FlowKey, Moment, ServiceKey};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use super::Gateway;
+use crate::clock;
 
 /// The wait queues of all services.
 #[derive(Default)]
@@ -18,35 +20,87 @@
     services: BTreeMap<ServiceKey, Waiters>,
 }
 
-/// The wait queue of one service, and the notification for each waiting request.
+/// A request's entry in one of a service's two queues.
+#[key]
+enum Position {
+    /// In the queue of a configuration without client accounts.
+    Turn(Ticket),
+    /// In the queue of a configuration with client accounts.
+    Fair(FairTicket),
+}
+
+/// The wait queues of one service, and the notification for each waiting request.
 #[derive(Default)]
 struct Waiters {
     queue: WaitQueue,
-    notifies: BTreeMap<Ticket, Rc<Notify>>,
+    fair: FairQueue,
+    /// The request that was last found to be first in the fair queue.
+    fair_first: Option<FairTicket>,
+    notifies: BTreeMap<Position, Rc<Notify>>,
 }
 
 impl Waiters {
-    fn wake(&self, ticket: Option<Ticket>) {
-        if let Some(notify) = ticket.and_then(|t| self.notifies.get(&t)) {
+    fn wake(&self, position: Option<Position>) {
+        if let Some(notify) = position.and_then(|p| self.notifies.get(&p)) {
             notify.notify_one();
         }
     }
+
+    /// Updates the order of the fair queue, and wakes its first request if it is a new one.
+    fn refresh(&mut self, now: Moment, is_held: &dyn Fn(FlowKey) -> bool) {
+        self.fair.advance(now);
+        let first = self.fair.first(is_held);
+        if first != self.fair_first {
+            self.fair_first = first;
+            self.wake(first.map(Position::Fair));
+        }
+    }
+
+    fn remove(&mut self, position: Position) {
+        self.notifies.remove(&position);
+        match position {
+            Position::Turn(ticket) => {
+                let next = self.queue.remove(ticket);
+                self.wake(next.map(Position::Turn));
+            }
+            Position::Fair(ticket) => {
+                self.fair.remove(ticket, self.fair_first == Some(ticket));
+            }
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.queue.is_empty() && self.fair.is_empty()
+    }
 }
 
 /// A request's entry in its service's wait queue; dropping the entry removes it.
 pub(super) struct QueueEntry<'a> {
     gateway: &'a Gateway,
     service: ServiceKey,
-    ticket: Ticket,
+    position: Position,
     notify: Rc<Notify>,
 }
 
 impl QueueEntry<'_> {
     /// Returns whether this request is first in the queue and may probe endpoints.
     pub fn is_first(&self) -> bool {
-        let queues = self.gateway.queues.borrow();
-        let waiters = queues.services.get(&self.service);
-        waiters.and_then(|w| w.queue.first()) == Some(self.ticket)
+        self.gateway
+            .with_waiters(self.service, |waiters| match self.position {
+                Position::Turn(ticket) => waiters.queue.first() == Some(ticket),
+                Position::Fair(ticket) => waiters.fair_first == Some(ticket),
+            })
+    }
+
+    /// Returns how long this request yields to others, `None` if it may be placed now.
+    pub fn yields_for(&self) -> Option<Duration> {
+        let Position::Fair(ticket) = self.position else {
+            return None;
+        };
+        let now = clock::now();
+        self.gateway.with_waiters(self.service, |waiters| {
+            waiters.fair.yields_for(ticket, false, now)
+        })
     }
 
     /// Waits until this request is woken, for at most `limit`.
@@ -58,36 +112,48 @@
 
 impl Drop for QueueEntry<'_> {
     fn drop(&mut self) {
-        let mut queues = self.gateway.queues.borrow_mut();
-        if let Some(waiters) = queues.services.get_mut(&self.service) {
-            waiters.notifies.remove(&self.ticket);
-            let next = waiters.queue.remove(self.ticket);
-            waiters.wake(next);
-        }
+        let gateway = self.gateway;
+        gateway.with_waiters(self.service, |waiters| waiters.remove(self.position));
+        gateway.with_waiters(self.service, |_| ());
     }
 }
 
 impl Gateway {
+    /// Runs `act` on the wait queues of a service, in their present order.
+    fn with_waiters<R>(&self, service: ServiceKey, act: impl FnOnce(&mut Waiters) -> R) -> R {
+        let mut queues = self.queues.borrow_mut();
+        let waiters = queues.services.entry(service).or_default();
+        waiters.refresh(clock::now(), &|_| false);
+        act(waiters)
+    }
+
     /// Returns whether any request waits for an endpoint of the service.
     pub(super) fn has_waiting(&self, service: ServiceKey) -> bool {
         let queues = self.queues.borrow();
         let waiters = queues.services.get(&service);
-        waiters.is_some_and(|w| !w.queue.is_empty())
+        waiters.is_some_and(|w| !w.is_empty())
     }
 
     /// Adds a request to its service's wait queue.
     pub(super) fn enqueue(&self, request: &Request) -> QueueEntry<'_> {
-        let mut queues = self.queues.borrow_mut();
-        let waiters = queues.services.entry(request.service).or_default();
-        let ticket = waiters
-            .queue
-            .push(request.priority, request.account, request.objective);
+        let is_fair = self.has_accounts();
         let notify = Rc::new(Notify::new());
-        waiters.notifies.insert(ticket, Rc::clone(&notify));
+        let position = self.with_waiters(request.service, |waiters| {
+            let position = match is_fair {
+                true => Position::Fair(waiters.fair.push(request, clock::now())),
+                false => Position::Turn(waiters.queue.push(
+                    request.priority,
+                    request.account,
+                    request.objective,
+                )),
+            };
+            waiters.notifies.insert(position, Rc::clone(&notify));
+            position
+        });
         QueueEntry {
             gateway: self,
             service: request.service,
-            ticket,
+            position,
             notify,
         }
     }
@@ -102,9 +168,9 @@
 
     /// Wakes the first request in the service's queue, when an endpoint has room.
     pub(super) fn wake_first(&self, service: ServiceKey) {
-        let queues = self.queues.borrow();
-        if let Some(waiters) = queues.services.get(&service) {
-            waiters.wake(waiters.queue.first());
-        }
+        self.with_waiters(service, |waiters| {
+            waiters.wake(waiters.queue.first().map(Position::Turn));
+            waiters.wake(waiters.fair_first.map(Position::Fair));
+        });
     }
 }
