shares: accounts share a service over all hosts of a data centre

Turns are given at each host, so an account whose callers come to many hosts got several times what others got while requests waited.

While requests wait for a service, hosts report the rates wanted and placed by flow to the service's home in their data centre (rendezvous hash), which answers with the max-min shares of the flows that want more. Hosts hold those back beyond their part.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod recent_records;
 pub mod relay;
 pub mod rollouts;
+pub mod shares;
 pub mod slots;
--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod record_runs;
 pub mod request_splitter;
 pub mod rollout_message;
+pub mod share_message;
 pub mod slots;
 
 pub use peer::{PeerMessage, ProtocolError};
--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -19,6 +19,7 @@
 use crate::quota_message::{QuotaMessage, WireQuota};
 use crate::record_runs::{self, RunsError};
 use crate::rollout_message::{RolloutMessage, WireRollout};
+use crate::share_message::{ShareMessage, WireShares};
 
 /// Maximum size in bytes of a message sent in one datagram.
 ///
@@ -70,6 +71,8 @@
     Rollout(RolloutMessage, bool),
     /// Divides the quotas of client accounts.
     Quota(QuotaMessage),
+    /// Divides a service's capacity among client accounts.
+    Shares(ShareMessage),
 }
 
 /// Probes lent to a neighbour, in answer to its request.
@@ -154,6 +157,9 @@
     /// The datagram is about a quota, in a form that this release doesn't know.
     #[error("the datagram about a quota is of an unknown form")]
     UnknownQuota,
+    /// The datagram is about shares of a service, with rows that are no valid rates.
+    #[error("the datagram about shares of a service is invalid")]
+    InvalidShares,
     /// The numbers of records and renewals are wrong.
     #[error(transparent)]
     Runs(#[from] RunsError),
@@ -232,6 +238,8 @@
     /// In a hello, the number of hosts of the sender's data centre.
     #[prost(uint32, tag = "27")]
     size: u32,
+    #[prost(message, optional, tag = "28")]
+    shares: Option<WireShares>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -279,6 +287,7 @@
 const LIMIT_REPORT: u32 = 6;
 const ROLLOUT: u32 = 7;
 const QUOTA: u32 = 8;
+const SHARES: u32 = 9;
 
 impl RecordUpdate {
     /// Returns the same records without the addresses of hosts.
@@ -350,6 +359,7 @@
             NeighbourMessage::LimitReport(_) => "limits",
             NeighbourMessage::Quota(QuotaMessage::Demand(..)) => "quota_demand",
             NeighbourMessage::Quota(_) => "quota",
+            NeighbourMessage::Shares(_) => "shares",
             NeighbourMessage::Rollout(RolloutMessage::State(_), _) => "rollout_state",
             NeighbourMessage::Rollout(RolloutMessage::Report(_), _) => "rollout_report",
             NeighbourMessage::Rollout(RolloutMessage::Summary(_), _) => "rollout_summary",
@@ -450,6 +460,11 @@
                 quota: Some(WireQuota::new(message)),
                 ..WireMessage::default()
             },
+            NeighbourMessage::Shares(message) => WireMessage {
+                topic: SHARES,
+                shares: Some(WireShares::new(message)),
+                ..WireMessage::default()
+            },
             NeighbourMessage::ReadStarted(topic) => WireMessage {
                 topic: topic_number(*topic),
                 read_started: true,
@@ -518,6 +533,11 @@
                 let message = message.ok_or(DatagramError::UnknownQuota)?;
                 return Ok(NeighbourMessage::Quota(message));
             }
+            SHARES => {
+                let message = wire.shares.and_then(WireShares::into_message);
+                let message = message.ok_or(DatagramError::InvalidShares)?;
+                return Ok(NeighbourMessage::Shares(message));
+            }
             OPERATORS => Topic::Operators,
             ENDPOINTS => Topic::Endpoints,
             _ => return Err(DatagramError::UnknownTopic),
--- a/components/state/src/fleet/fair_queue.rs
+++ b/components/state/src/fleet/fair_queue.rs
@@ -23,6 +23,12 @@
 /// after a quarter of it leaves its caller time for another attempt.
 const YIELD_FRACTION: f64 = 0.25;
 
+/// The time before its latest start at which a held request is decided.
+///
+/// Equals the delay after which placement probes again: a request that waits longer is
+/// refused.
+const DECISION_TIME: Duration = Duration::from_millis(40);
+
 /// Identifies a request in a [`FairQueue`].
 #[key]
 pub struct FairTicket(u64);
@@ -84,7 +90,7 @@
         let latest_start = latest_start(request);
         let class = Class {
             priority: request.priority,
-            is_late: latest_start < now,
+            is_late: !is_timely(request, now),
         };
         let flow = request.flow();
         let rank = Rank {
@@ -164,9 +170,28 @@
     }
 
     /// Returns the first request, which may probe; those of flows that are held are left out.
-    pub fn first(&self, is_held: &dyn Fn(FlowKey) -> bool) -> Option<FairTicket> {
-        let mut order = self.order.iter().map(|rank| rank.ticket);
-        order.find(|t| self.waiting.get(t).is_some_and(|w| !is_held(w.flow)))
+    ///
+    /// `is_held` tells whether a flow is held at a priority.
+    pub fn first(&self, is_held: &dyn Fn(u32, FlowKey) -> bool) -> Option<FairTicket> {
+        let may_go = |rank: &&Rank| {
+            let waiting = self.waiting.get(&rank.ticket);
+            waiting.is_some_and(|w| !is_held(rank.class.priority, w.flow))
+        };
+        self.order.iter().find(may_go).map(|rank| rank.ticket)
+    }
+
+    /// Returns how long a request of a held flow waits until its credit at `credit_in`,
+    /// `None` if it can't wait any longer and be in time.
+    pub fn holds_for(
+        &self,
+        ticket: FairTicket,
+        credit_in: Duration,
+        now: Moment,
+    ) -> Option<Duration> {
+        let waiting = self.waiting.get(&ticket)?;
+        let left = now.until(waiting.latest_start);
+        let left = left.saturating_sub(DECISION_TIME);
+        (left > Duration::ZERO).then(|| left.min(credit_in))
     }
 
     /// Returns how long a late request yields, `None` if it may be placed now.
@@ -190,12 +215,22 @@
         !self.timely.is_empty()
     }
 
+    /// Returns the number of waiting requests that can still be in time.
+    pub fn timely(&self) -> usize {
+        self.timely.len()
+    }
+
     /// Returns whether no request is waiting.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
 }
 
+/// Returns whether a request that starts now can be in time.
+pub fn is_timely(request: &Request, now: Moment) -> bool {
+    now <= latest_start(request)
+}
+
 /// Returns the last moment at which a request can start and still be in time.
 fn latest_start(request: &Request) -> Moment {
     request.objective - request.service_time.mul_f64(SERVICE_TIME_MARGIN)
--- a/components/state/tests/fair_queue.rs
+++ b/components/state/tests/fair_queue.rs
@@ -30,7 +30,7 @@
 }
 
 fn first(queue: &FairQueue) -> Option<FairTicket> {
-    queue.first(&|_| false)
+    queue.first(&|_, _| false)
 }
 
 /// Removes requests in order, and returns them.
@@ -141,11 +141,15 @@
     let mut queue = FairQueue::default();
     let hot = queue.push(&request(HOT, 0), START);
     let light = queue.push(&request(LIGHT, 0), START);
-    let is_held = |flow| flow == FlowKey::from(HOT);
+    let is_held = |_, flow| flow == FlowKey::from(HOT);
     assert_eq!(first(&queue), Some(hot));
     assert_eq!(queue.first(&is_held), Some(light));
     queue.remove(light, true);
     assert_eq!(queue.first(&is_held), None);
+    // It waits for its credit, but no longer than it can be in time.
+    assert_eq!(queue.holds_for(hot, millis(20), START), Some(millis(20)));
+    assert_eq!(queue.holds_for(hot, millis(900), START), Some(millis(110)));
+    assert_eq!(queue.holds_for(hot, millis(20), START + millis(120)), None);
 }
 
 /// Requests without an account share by route; all of them as one flow would starve routes.
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod rollouts;
 mod server;
 mod settings;
+mod shares;
 mod signals;
 mod stream;
 mod topic_cache;
@@ -72,6 +73,7 @@
 use request_log::RequestLog;
 use server::Listener;
 pub use settings::{Bounds, Live, Ports, Settings};
+use shares::Shares;
 use topic_cache::TopicCaches;
 use traffic::Traffic;
 use wait_queue::WaitQueues;
@@ -153,6 +155,7 @@
     service_times: RefCell<BTreeMap<String, ServiceTime>>,
     probe_budget: RefCell<HostProbeBudget>,
     quotas: Quotas,
+    shares: Shares,
     queues: RefCell<WaitQueues>,
     /// The partitions of the store's group that this host holds; none before the first join.
     partitions: Cell<Option<usize>>,
@@ -202,6 +205,7 @@
         spawn_local(Rc::clone(&gateway).confirm_crashes());
         spawn_local(Rc::clone(&gateway).send_reminders());
         spawn_local(Rc::clone(&gateway).report_demand());
+        spawn_local(Rc::clone(&gateway).exchange_shares());
         if gateway.rollouts.borrow().is_enabled() {
             spawn_local(Rc::clone(&gateway).run_rollouts());
         }
@@ -255,6 +259,7 @@
             service_times: RefCell::default(),
             probe_budget: RefCell::new(probe_budget),
             quotas: Quotas::new(clock::now()),
+            shares: Shares::default(),
             queues: RefCell::default(),
             partitions: Cell::new(None),
             share: Cell::new(0.0),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -243,6 +243,7 @@
                 self.handle_rollout(from, message, cross_centre);
             }
             NeighbourMessage::Quota(message) => self.handle_quota(from, message),
+            NeighbourMessage::Shares(message) => self.handle_shares(from, message),
             NeighbourMessage::Borrow(number) => self.lend_probes(from, number),
             NeighbourMessage::Lend(loan) => {
                 let mut budget = self.probe_budget.borrow_mut();
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -96,9 +96,7 @@
             gateway: self,
             connections: BTreeMap::new(),
         };
-        let mut entry = self
-            .has_waiting(request.service)
-            .then(|| self.enqueue(request));
+        let mut entry = self.join_queue(request);
         loop {
             if self.is_out_of_reach(attempt) {
                 return Err(Refusal::Unreachable);
@@ -119,7 +117,10 @@
                 Step::Place(key) => {
                     let given = probed.connections.remove(&key).map(|(c, _)| c);
                     match self.connect(key, given).await {
-                        Some(connection) => return Ok((key, connection)),
+                        Some(connection) => {
+                            self.note_placed(request);
+                            return Ok((key, connection));
+                        }
                         None => placement.borrow_mut().note_unanswered(key),
                     }
                 }
@@ -131,7 +132,10 @@
                     let entry = entry.get_or_insert_with(|| self.enqueue(request));
                     entry.wait(time).await;
                 }
-                Step::Refuse(refusal) => return Err(refusal),
+                Step::Refuse(refusal) => {
+                    self.note_refused(request);
+                    return Err(refusal);
+                }
             }
         }
     }
--- a/components/transport/src/gateway/quota.rs
+++ b/components/transport/src/gateway/quota.rs
@@ -300,7 +300,7 @@
     }
 
     /// Waits until a configuration has accounts.
-    async fn await_accounts(&self) {
+    pub(super) async fn await_accounts(&self) {
         while !self.has_accounts() {
             self.config_loaded.notified().await;
         }
--- a/components/transport/src/gateway/wait_queue.rs
+++ b/components/transport/src/gateway/wait_queue.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use coordination::shares::ShareKey;
 use derives::key;
+use state::fleet::fair_queue::is_timely;
 use state::fleet::placement::Request;
 use state::fleet::{FairQueue, FairTicket, Ticket, WaitQueue};
 use state::{FlowKey, Moment, ServiceKey};
@@ -12,6 +14,7 @@
 use tokio::time::timeout;
 
 use super::Gateway;
+use super::shares::share_key;
 use crate::clock;
 
 /// The wait queues of all services.
@@ -47,7 +50,7 @@
     }
 
     /// Updates the order of the fair queue, and wakes its first request if it is a new one.
-    fn refresh(&mut self, now: Moment, is_held: &dyn Fn(FlowKey) -> bool) {
+    fn refresh(&mut self, now: Moment, is_held: &dyn Fn(u32, FlowKey) -> bool) {
         self.fair.advance(now);
         let first = self.fair.first(is_held);
         if first != self.fair_first {
@@ -79,6 +82,7 @@
     gateway: &'a Gateway,
     service: ServiceKey,
     position: Position,
+    key: ShareKey,
     notify: Rc<Notify>,
 }
 
@@ -98,8 +102,12 @@
             return None;
         };
         let now = clock::now();
+        let is_contended = self.gateway.is_contended(self.service);
+        let credit_in = self.gateway.held_for(self.service, self.key);
         self.gateway.with_waiters(self.service, |waiters| {
-            waiters.fair.yields_for(ticket, false, now)
+            let yields = waiters.fair.yields_for(ticket, is_contended, now);
+            let held = credit_in.and_then(|time| waiters.fair.holds_for(ticket, time, now));
+            yields.max(held)
         })
     }
 
@@ -123,12 +131,34 @@
     fn with_waiters<R>(&self, service: ServiceKey, act: impl FnOnce(&mut Waiters) -> R) -> R {
         let mut queues = self.queues.borrow_mut();
         let waiters = queues.services.entry(service).or_default();
-        waiters.refresh(clock::now(), &|_| false);
+        waiters.refresh(clock::now(), &|priority, flow| {
+            let key = ShareKey { priority, flow };
+            self.held_for(service, key).is_some()
+        });
         act(waiters)
     }
 
+    /// Enters a new request into its service's wait queue if others wait for the service, or
+    /// if it has to yield to requests at other hosts.
+    pub(super) fn join_queue(&self, request: &Request) -> Option<QueueEntry<'_>> {
+        let service = request.service;
+        let is_timely = is_timely(request, clock::now());
+        self.note_wanted(request, is_timely);
+        let yields = match is_timely {
+            true => self.held_for(service, share_key(request)).is_some(),
+            false => self.is_contended(service),
+        };
+        (self.has_waiting(service) || yields).then(|| self.enqueue(request))
+    }
+
+    /// Returns the number of requests that wait for the service and can be in time.
+    pub(super) fn timely_waiting(&self, service: ServiceKey) -> u32 {
+        let timely = self.with_waiters(service, |waiters| waiters.fair.timely());
+        u32::try_from(timely).unwrap_or(u32::MAX)
+    }
+
     /// Returns whether any request waits for an endpoint of the service.
-    pub(super) fn has_waiting(&self, service: ServiceKey) -> bool {
+    fn has_waiting(&self, service: ServiceKey) -> bool {
         let queues = self.queues.borrow();
         let waiters = queues.services.get(&service);
         waiters.is_some_and(|w| !w.is_empty())
@@ -137,6 +167,10 @@
     /// Adds a request to its service's wait queue.
     pub(super) fn enqueue(&self, request: &Request) -> QueueEntry<'_> {
         let is_fair = self.has_accounts();
+        let key = share_key(request);
+        if is_fair {
+            self.note_waiting(request);
+        }
         let notify = Rc::new(Notify::new());
         let position = self.with_waiters(request.service, |waiters| {
             let position = match is_fair {
@@ -154,6 +188,7 @@
             gateway: self,
             service: request.service,
             position,
+            key,
             notify,
         }
     }
