--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -20,6 +20,7 @@
 use crate::quota_message::{QuotaMessage, WireQuota};
 use crate::record_runs::{self, RunsError};
 use crate::rollout_message::{RolloutMessage, WireRollout};
+use crate::share_message::{ShareMessage, WireShares};
 
 /// Maximum size in bytes of a message sent in one datagram.
 ///
@@ -73,6 +74,8 @@
     Quota(QuotaMessage),
     /// Reports what the sender observes about endpoints.
     Observations(ObservationReport),
+    /// Divides a service's capacity among client accounts.
+    Shares(ShareMessage),
 }
 
 /// Probes lent to a neighbour, in answer to its request.
@@ -160,6 +163,9 @@
     /// The datagram reports observations in a form that this release doesn't know.
     #[error("the datagram about observations is of an unknown form")]
     UnknownObservations,
+    /// The datagram is about shares of a service, with rows that are no valid rates.
+    #[error("the datagram about shares of a service is invalid")]
+    InvalidShares,
     /// The numbers of records and renewals are wrong.
     #[error(transparent)]
     Runs(#[from] RunsError),
@@ -240,6 +246,8 @@
     size: u32,
     #[prost(message, optional, tag = "29")]
     observations: Option<WireObservationReport>,
+    #[prost(message, optional, tag = "28")]
+    shares: Option<WireShares>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -288,6 +296,7 @@
 const ROLLOUT: u32 = 7;
 const QUOTA: u32 = 8;
 const OBSERVATIONS: u32 = 10;
+const SHARES: u32 = 9;
 
 impl RecordUpdate {
     /// Returns the same records without the addresses of hosts.
@@ -360,6 +369,7 @@
             NeighbourMessage::Quota(QuotaMessage::Demand(..)) => "quota_demand",
             NeighbourMessage::Quota(_) => "quota",
             NeighbourMessage::Observations(_) => "observations",
+            NeighbourMessage::Shares(_) => "shares",
             NeighbourMessage::Rollout(RolloutMessage::State(_), _) => "rollout_state",
             NeighbourMessage::Rollout(RolloutMessage::Report(_), _) => "rollout_report",
             NeighbourMessage::Rollout(RolloutMessage::Summary(_), _) => "rollout_summary",
@@ -465,6 +475,11 @@
                 observations: Some(WireObservationReport::from(report)),
                 ..WireMessage::default()
             },
+            NeighbourMessage::Shares(message) => WireMessage {
+                topic: SHARES,
+                shares: Some(WireShares::new(message)),
+                ..WireMessage::default()
+            },
             NeighbourMessage::ReadStarted(topic) => WireMessage {
                 topic: topic_number(*topic),
                 read_started: true,
@@ -539,6 +554,11 @@
                 let report = report.ok_or(DatagramError::UnknownObservations)?;
                 return Ok(NeighbourMessage::Observations(report));
             }
+            SHARES => {
+                let message = wire.shares.and_then(WireShares::into_message);
+                let message = message.ok_or(DatagramError::InvalidShares)?;
+                return Ok(NeighbourMessage::Shares(message));
+            }
             OPERATORS => Topic::Operators,
             ENDPOINTS => Topic::Endpoints,
             _ => return Err(DatagramError::UnknownTopic),
--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod centre_loss;
 pub mod endpoint;
+pub mod fair_queue;
 pub mod fingerprint;
 pub mod hints;
 pub mod isolation;
@@ -28,6 +29,7 @@
 pub mod wait_queue;
 
 pub use endpoint::{Endpoint, EndpointState};
+pub use fair_queue::{FairQueue, FairTicket};
 pub use fingerprint::{Fingerprint, Fingerprints};
 pub use hints::Hints;
 pub use load_sample::LoadSample;
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -33,10 +33,12 @@
 mod rollouts;
 mod server;
 mod settings;
+mod shares;
 mod signals;
 mod stream;
 mod topic_cache;
 mod traffic;
+mod used_time;
 mod wait_queue;
 
 use std::cell::{Cell, RefCell};
@@ -75,6 +77,7 @@
 use request_log::RequestLog;
 use server::Listener;
 pub use settings::{Bounds, Live, Ports, Settings};
+use shares::Shares;
 use topic_cache::TopicCaches;
 use traffic::Traffic;
 use wait_queue::WaitQueues;
@@ -156,6 +159,7 @@
     service_times: RefCell<BTreeMap<String, ServiceTime>>,
     probe_budget: RefCell<HostProbeBudget>,
     quotas: Quotas,
+    shares: Shares,
     queues: RefCell<WaitQueues>,
     /// The partitions of the store's group that this host holds; none before the first join.
     partitions: Cell<Option<usize>>,
@@ -213,6 +217,7 @@
         spawn_local(Rc::clone(&gateway).report_demand());
         spawn_local(Rc::clone(&gateway).tell_observations());
         spawn_local(Rc::clone(&gateway).watch_centres());
+        spawn_local(Rc::clone(&gateway).exchange_shares());
         if gateway.rollouts.borrow().is_enabled() {
             spawn_local(Rc::clone(&gateway).run_rollouts());
         }
@@ -266,6 +271,7 @@
             service_times: RefCell::default(),
             probe_budget: RefCell::new(probe_budget),
             quotas: Quotas::new(clock::now()),
+            shares: Shares::default(),
             queues: RefCell::default(),
             partitions: Cell::new(None),
             share: Cell::new(0.0),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -245,6 +245,7 @@
             }
             NeighbourMessage::Quota(message) => self.handle_quota(from, message),
             NeighbourMessage::Observations(report) => self.handle_observations(from, &report),
+            NeighbourMessage::Shares(message) => self.handle_shares(from, message),
             NeighbourMessage::Borrow(number) => self.lend_probes(from, number),
             NeighbourMessage::Lend(loan) => {
                 let mut budget = self.probe_budget.borrow_mut();
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -96,15 +96,17 @@
             gateway: self,
             connections: BTreeMap::new(),
         };
-        let mut entry = self
-            .has_waiting(request.service)
-            .then(|| self.enqueue(request));
+        let mut entry = self.join_queue(request);
         loop {
             if self.is_out_of_reach(attempt) {
                 return Err(Refusal::Unreachable);
             }
             let is_first = entry.as_ref().is_none_or(QueueEntry::is_first);
-            let step = self.step(&mut placement.borrow_mut(), request, regions, is_first);
+            let yields_for = entry.as_ref().and_then(QueueEntry::yields_for);
+            let step = yields_for.map_or_else(
+                || self.step(&mut placement.borrow_mut(), request, regions, is_first),
+                Step::Wait,
+            );
             match step {
                 Step::Probe(key) => match self.probe(key).await {
                     Some(answered) => {
@@ -115,7 +117,10 @@
                 Step::Place(key) => {
                     let given = probed.connections.remove(&key).map(|(c, _)| c);
                     match self.connect(key, given).await {
-                        Some(connection) => return Ok((key, connection)),
+                        Some(connection) => {
+                            self.note_placed(request);
+                            return Ok((key, connection));
+                        }
                         None => placement.borrow_mut().note_unanswered(key),
                     }
                 }
@@ -127,7 +132,10 @@
                     let entry = entry.get_or_insert_with(|| self.enqueue(request));
                     entry.wait(time).await;
                 }
-                Step::Refuse(refusal) => return Err(refusal),
+                Step::Refuse(refusal) => {
+                    self.note_refused(request);
+                    return Err(refusal);
+                }
             }
         }
     }
