state: usual announced time of a route

Callers that retry announce less than first attempts do, so the time that they have used can be inferred from a high quantile of recent values. Without it an entry host counts a request's objective from each attempt.

--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! are four times as slow, and which ones are changes every few hundred milliseconds, so
 //! knowledge about an endpoint is outdated quickly: see [`load_sample`].
 
+pub mod announced_time;
 pub mod endpoint;
 pub mod fingerprint;
 pub mod isolation;
@@ -23,6 +24,7 @@
 pub mod token_buckets;
 pub mod wait_queue;
 
+pub use announced_time::AnnouncedTime;
 pub use endpoint::{Endpoint, EndpointState};
 pub use fingerprint::{Fingerprint, Fingerprints};
 pub use load_sample::LoadSample;
--- a/components/state/src/fleet/quota_bucket.rs
+++ b/components/state/src/fleet/quota_bucket.rs
@@ -45,6 +45,12 @@
         self.level = self.level.min(0.0);
     }
 
+    /// Returns the number of tokens in the bucket.
+    pub fn level(&mut self, now: Moment) -> f64 {
+        self.fill(now);
+        self.level
+    }
+
     /// Takes `needed` tokens, and as many of `wanted` as leave half of the burst in place.
     ///
     /// Tokens that one host takes in advance are lost to all others, so none are given in
