quota: one Retry-After time per urgency at a host

Cause: a host kept one time from its home's last answer and used it for all requests it refused by itself. After a late request's answer, those that could be in time got its longer Retry-After, and the reverse.

A host keeps the time of each urgency. The time of late requests is never before that of requests that can be in time, which get tokens first.

--- a/components/coordination/src/quota/held.rs
+++ b/components/coordination/src/quota/held.rs
@@ -58,8 +58,11 @@
     none_until: Moment,
     /// Until when the home has nothing for requests that can't be in time.
     none_for_late_until: Moment,
-    /// When a refused caller may return, by what the home said last.
+    /// When a refused caller whose request can be in time may return, by the home's last answer
+    /// to such a request.
     room_at: Moment,
+    /// The same for a request that can't be in time.
+    room_for_late_at: Moment,
     /// Requests refused since the home was last asked.
     refused: Refused,
 }
@@ -76,6 +79,7 @@
             none_until: now,
             none_for_late_until: now,
             room_at: now,
+            room_for_late_at: now,
             refused: Refused::default(),
         }
     }
@@ -118,9 +122,13 @@
         self.count(account, now);
         self.drop_expired(account, now);
         let held = self.of(account, now);
-        let none_until = match urgency {
-            Urgency::InTime => held.none_until,
-            Urgency::Late => held.none_for_late_until,
+        let (none_until, room_at) = match urgency {
+            Urgency::InTime => (held.none_until, held.room_at),
+            // Requests that can be in time get tokens first.
+            Urgency::Late => {
+                let room_at = held.room_for_late_at.max(held.room_at);
+                (held.none_for_late_until, room_at)
+            }
         };
         let is_yielding =
             urgency == Urgency::Late && now < none_until && now.until(held.expires) > LAST_USE;
@@ -132,7 +140,7 @@
             return Decision::Ask;
         }
         held.refused.count(urgency);
-        let until = held.room_at.max(none_until);
+        let until = room_at.max(none_until);
         Decision::Refuse(now.until(until).max(MIN_RETRY_DELAY))
     }
 
@@ -156,10 +164,14 @@
         let held = self.of(account, now);
         let until = now + grant.none_for.min(MAX_NONE_FOR);
         held.none_for_late_until = held.none_for_late_until.max(until);
-        if urgency == Urgency::InTime {
-            held.none_until = until;
+        let room_at = now + grant.retry_after;
+        match urgency {
+            Urgency::InTime => {
+                held.none_until = until;
+                held.room_at = room_at;
+            }
+            Urgency::Late => held.room_for_late_at = room_at,
         }
-        held.room_at = now + grant.retry_after;
         match grant.tokens {
             0 => Err(grant.retry_after),
             n => {
