--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! knowledge about an endpoint is outdated quickly: see [`load_sample`].
 
 pub mod centre_loss;
+pub mod announced_time;
 pub mod endpoint;
 pub mod fair_queue;
 pub mod fingerprint;
@@ -28,6 +29,7 @@
 pub mod token_buckets;
 pub mod wait_queue;
 
+pub use announced_time::AnnouncedTime;
 pub use endpoint::{Endpoint, EndpointState};
 pub use fair_queue::{FairQueue, FairTicket};
 pub use fingerprint::{Fingerprint, Fingerprints};
