state: a subset of a service's endpoints for each host

Placement looked at all endpoints of all services for each request, and hosts with rare requests spread them over so many endpoints that most connections had closed before the next probe.

Endpoints are indexed by service and data centre. With a subset set in the registry, a request looks at up to 16 members, then at a few near and far endpoints, and at all only before it is refused or takes an endpoint that isn't good, within a budget. Among members with an open connection the one idle for longest is probed first. Without a subset, decisions are as before.

--- a/components/state/src/fleet/endpoint.rs
+++ b/components/state/src/fleet/endpoint.rs
@@ -60,7 +60,7 @@
 /// How long an endpoint counts as new.
 ///
 /// Longer than any cold phase, so that the endpoint is still preferred once it is warm.
-const NEW_PERIOD: Duration = Duration::from_secs(15);
+pub(super) const NEW_PERIOD: Duration = Duration::from_secs(15);
 
 /// Renewals that differ by less about the end of a cold phase say the same.
 const COLD_TOLERANCE: Duration = Duration::from_millis(250);
--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! knowledge about an endpoint is outdated quickly: see [`load_sample`].
 
 pub mod endpoint;
+mod endpoint_index;
 pub mod fingerprint;
 pub mod isolation;
 pub mod load_sample;
@@ -19,7 +20,11 @@
 pub mod retry_after;
 pub mod retry_budget;
 pub mod rollout;
+mod scan_budget;
 pub mod service_time;
+pub mod subset;
+mod subset_placement;
+pub mod subset_size;
 pub mod token_buckets;
 pub mod wait_queue;
 
@@ -33,5 +38,7 @@
 pub use rate_limit::RateLimit;
 pub use registry::{Entry, Registry};
 pub use retry_budget::WindowedRetryBudget;
+pub use subset::Subset;
+pub use subset_size::SubsetSize;
 pub use token_buckets::TokenBuckets;
 pub use wait_queue::{Ticket, WaitQueue};
--- a/components/state/src/fleet/placement.rs
+++ b/components/state/src/fleet/placement.rs
@@ -109,11 +109,13 @@
     probed: BTreeSet<EndpointKey>,
     tried: BTreeSet<EndpointKey>,
     unreachable: BTreeSet<EndpointKey>,
+    /// How often the request has waited.
+    pub(super) rounds: u32,
 }
 
 /// How a request may find an endpoint.
 #[tag]
-enum ProbeMode {
+pub(super) enum ProbeMode {
     /// By probing endpoints.
     Probe,
     /// By taking an endpoint without a probe, since this host's probe budget is used up.
@@ -122,14 +124,42 @@
     KnownOnly,
 }
 
+impl ProbeMode {
+    /// Returns how a request may find an endpoint.
+    pub(super) fn of(context: &Context<'_>) -> ProbeMode {
+        match (context.is_first, context.may_probe) {
+            (false, _) => ProbeMode::KnownOnly,
+            (true, true) => ProbeMode::Probe,
+            (true, false) => ProbeMode::Unprobed,
+        }
+    }
+}
+
+/// Returns whether no cold endpoint can improve on a step chosen among these warm ones.
+pub(super) fn is_final(
+    step: &Step,
+    chosen: &[&Candidate<'_>],
+    mode: ProbeMode,
+    now: Moment,
+) -> bool {
+    match *step {
+        _ if mode != ProbeMode::Probe => true,
+        Step::Probe(_) => true,
+        Step::Place(key) => chosen.iter().any(|c| c.key == key && c.state.is_good(now)),
+        Step::Wait(_) | Step::Refuse(_) => false,
+    }
+}
+
 /// An endpoint that the request may be sent to.
-struct Candidate<'a> {
-    key: EndpointKey,
-    state: &'a EndpointState,
-    distance: Distance,
-    connected: bool,
+pub(super) struct Candidate<'a> {
+    pub key: EndpointKey,
+    pub state: &'a EndpointState,
+    pub distance: Distance,
+    pub connected: bool,
     /// Whether the endpoint advertises a rate limit for which this host has a token now.
-    limited: bool,
+    pub limited: bool,
+    /// How much the expected slowdown is lowered if the endpoint is preferred.
+    pub preference: f64,
 }
 
 /// The state of one host that a placement decision is based on.
@@ -185,8 +215,13 @@
         draw: &mut dyn FnMut() -> f64,
     ) -> Step {
         let share = context.cold.share();
-        let exhausted = context.registry.limits_mut().exhausted(share, now, draw);
-        let step = self.decide(context, &exhausted, request, now, draw);
+        let step = match self.next_in_subset(context, request, now, draw) {
+            Some(step) => step,
+            None => {
+                let exhausted = context.registry.limits_mut().exhausted(share, now, draw);
+                self.decide(context, &exhausted, request, now, draw)
+            }
+        };
         if let Step::Place(key) = step {
             context.registry.limits_mut().count(key, share, now);
         }
@@ -221,6 +256,7 @@
                     .distance(request.centre, state.endpoint.centre),
                 connected: (context.is_connected)(key),
                 limited: registry.limits().contains(key),
+                preference: PREFERENCE,
             })
             .collect();
         if usable.is_empty() {
@@ -246,19 +282,9 @@
             .filter(|c| !registry.is_unreachable(c.state.endpoint.centre, now))
             .collect();
         let chosen = if healthy.is_empty() { warm } else { healthy };
-        let mode = match (context.is_first, context.may_probe) {
-            (false, _) => ProbeMode::KnownOnly,
-            (true, true) => ProbeMode::Probe,
-            (true, false) => ProbeMode::Unprobed,
-        };
+        let mode = ProbeMode::of(context);
         let step = self.choose(&chosen, request, mode, now, draw);
-        let is_final = match step {
-            _ if mode != ProbeMode::Probe => true,
-            Step::Probe(_) => true,
-            Step::Place(key) => chosen.iter().any(|c| c.key == key && c.state.is_good(now)),
-            Step::Wait(_) | Step::Refuse(_) => false,
-        };
-        if is_final {
+        if is_final(&step, &chosen, mode, now) {
             return step;
         }
         let cold: Vec<EndpointKey> = usable
@@ -274,7 +300,7 @@
     /// Applies when no warm endpoint is good. After a data centre has returned, its cold
     /// endpoints are the only spare capacity and take a third of a service's requests. A
     /// request takes twice as long there, which is still in time.
-    fn try_cold(
+    pub(super) fn try_cold(
         &mut self,
         context: &mut Context<'_>,
         keys: &[EndpointKey],
@@ -307,6 +333,11 @@
         self.tried.is_empty()
     }
 
+    /// Returns whether the request has probed an endpoint in this round.
+    pub(super) fn has_probed(&self, key: EndpointKey) -> bool {
+        self.probed.contains(&key)
+    }
+
     /// Notes that `key` is about to be probed; returns whether it wasn't before.
     pub(super) fn note_probed(&mut self, key: EndpointKey) -> bool {
         self.probed.insert(key)
@@ -325,7 +356,7 @@
 
     /// Returns whether the request may be sent to an endpoint now or after its rest, whatever
     /// its version.
-    fn may_use_later(
+    pub(super) fn may_use_later(
         &self,
         key: EndpointKey,
         state: &EndpointState,
@@ -347,7 +378,7 @@
     /// endpoint doesn't recover as fast. If even one of the local endpoints is nearly
     /// full, the other waiting requests need the disturbed one too, so the request leaves
     /// the data centre at once, to another region last.
-    fn choose(
+    pub(super) fn choose(
         &mut self,
         candidates: &[&Candidate<'_>],
         request: &Request,
@@ -387,11 +418,12 @@
 
     fn wait(&mut self, time: Duration) -> Step {
         self.probed.clear();
+        self.rounds += 1;
         Step::Wait(time)
     }
 
     /// Returns a good endpoint to place the request on, or the next endpoint to probe.
-    fn good_or_probe(
+    pub(super) fn good_or_probe(
         &mut self,
         candidates: &[&Candidate<'_>],
         mode: ProbeMode,
@@ -490,7 +522,7 @@
 fn expected_slowdown(candidate: &Candidate<'_>, now: Moment) -> f64 {
     let state = candidate.state;
     let preferred = candidate.connected || candidate.limited || state.is_new(now);
-    let preference = if preferred { PREFERENCE } else { 0.0 };
+    let preference = if preferred { candidate.preference } else { 0.0 };
     let busy = f64::from(state.running) / f64::from(state.endpoint.slots.max(1));
     let outdated = match state.sample {
         Some(sample) if now.since(sample.at) < OLD_SAMPLE_TTL => {
@@ -511,7 +543,7 @@
 }
 
 /// Returns whether a fresh load sample shows an endpoint that is nearly full.
-fn is_loaded(state: &EndpointState, now: Moment) -> bool {
+pub(super) fn is_loaded(state: &EndpointState, now: Moment) -> bool {
     state
         .sample
         .is_some_and(|l| l.is_fresh(now) && l.is_loaded(state.sent))
--- a/components/state/src/fleet/rate_limit.rs
+++ b/components/state/src/fleet/rate_limit.rs
@@ -183,6 +183,19 @@
         exhausted
     }
 
+    /// Returns whether this host may send a request to an endpoint now: it has a token, or
+    /// the endpoint advertises no limit.
+    pub fn has_token(
+        &mut self,
+        key: EndpointKey,
+        share: f64,
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
+    ) -> bool {
+        let quota = self.limits.get(&key).map(|known| known.limit.quota(share));
+        quota.is_none_or(|quota| self.buckets.has(key, quota, draw(), now))
+    }
+
     /// Counts a request that is sent to an endpoint.
     pub fn count(&mut self, key: EndpointKey, share: f64, now: Moment) {
         if let Some(known) = self.limits.get(&key) {
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use super::endpoint::{Endpoint, EndpointState};
+use super::endpoint_index::EndpointIndex;
 use super::isolation::Isolation;
 use super::outcome::{Outcome, PassiveHealth, ShedRate};
 use super::rate_limit::{RateLimitUpdate, RateLimits, Source};
 use super::reachability::Reachability;
+use super::scan_budget::ScanBudget;
+use super::subset::Subset;
 use super::token_buckets::TokenBuckets;
 use crate::{DataCentreKey, EndpointKey, Moment, ServiceKey};
 
@@ -39,6 +42,7 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     endpoints: BTreeMap<EndpointKey, EndpointState>,
+    index: EndpointIndex,
     keys: BTreeMap<String, EndpointKey>,
     lapsed: BTreeMap<String, Moment>,
     grace_until: Option<Moment>,
@@ -47,6 +51,8 @@
     shed_rates: BTreeMap<ServiceKey, ShedRate>,
     reachability: BTreeMap<DataCentreKey, Reachability>,
     isolations: BTreeMap<ServiceKey, Isolation>,
+    subsets: BTreeMap<ServiceKey, Subset>,
+    scans: ScanBudget,
 }
 
 impl Registry {
@@ -96,6 +102,7 @@
         if first {
             // The endpoints are not new to the site; only this host is.
             self.endpoints.values_mut().for_each(|s| s.joined = None);
+            self.index.forget_recent();
         }
     }
 
@@ -227,8 +234,8 @@
     /// of them: the fault was the link's.
     fn forgive_failures(&mut self, service: ServiceKey) {
         self.reachability.clear();
-        for state in self.endpoints.values_mut() {
-            if state.endpoint.service == service {
+        for key in self.index.all(service) {
+            if let Some(state) = self.endpoints.get_mut(&key) {
                 state.health = PassiveHealth::default();
             }
         }
@@ -289,18 +296,68 @@
         &self,
         service: ServiceKey,
     ) -> impl Iterator<Item = (EndpointKey, &EndpointState)> {
-        self.endpoints
-            .iter()
-            .filter(move |(_, s)| s.endpoint.service == service)
-            .map(|(key, state)| (*key, state))
+        // Looking up each endpoint takes several times as long as passing over another one.
+        let is_large = 4 * self.index.len(service) >= self.endpoints.len();
+        let all = is_large.then_some(&self.endpoints).into_iter().flatten();
+        let passed = all.filter(move |(_, s)| s.endpoint.service == service);
+        let keys = (!is_large).then(|| self.index.all(service));
+        let keys = keys.into_iter().flatten();
+        let looked_up = keys.filter_map(|key| Some((key, self.endpoints.get(&key)?)));
+        passed.map(|(key, state)| (*key, state)).chain(looked_up)
+    }
+
+    /// Returns the number of endpoints of a service.
+    pub fn count_of(&self, service: ServiceKey) -> usize {
+        self.index.len(service)
+    }
+
+    /// Returns the index of endpoints by service and data centre.
+    pub(super) fn index(&self) -> &EndpointIndex {
+        &self.index
+    }
+
+    /// Returns the endpoints of a service in one data centre, in the order of their keys.
+    pub fn near(
+        &self,
+        service: ServiceKey,
+        centre: DataCentreKey,
+    ) -> Option<&BTreeSet<EndpointKey>> {
+        self.index.near(service, centre)
+    }
+
+    /// Returns a number that differs after each change of a service's endpoints.
+    pub fn version_of(&self, service: ServiceKey) -> u64 {
+        self.index.version(service)
+    }
+
+    /// Sets the subset of a service's near endpoints that this host uses; `None` if it uses
+    /// all of them.
+    pub fn set_subset(&mut self, service: ServiceKey, subset: Option<Subset>) {
+        match subset {
+            Some(subset) => self.subsets.insert(service, subset),
+            None => self.subsets.remove(&service),
+        };
+    }
+
+    /// Returns the subset of a service's near endpoints that this host uses, if it doesn't
+    /// use all of them.
+    pub fn subset(&self, service: ServiceKey) -> Option<&Subset> {
+        self.subsets.get(&service)
+    }
+
+    /// Returns a service's subset, for changes.
+    pub fn subset_mut(&mut self, service: ServiceKey) -> Option<&mut Subset> {
+        self.subsets.get_mut(&service)
+    }
+
+    /// Returns whether all endpoints of a service may be looked at now for one request.
+    pub(super) fn may_scan(&mut self, service: ServiceKey, now: Moment) -> bool {
+        self.scans.take(self.index.len(service), now)
     }
 
     /// Returns the services that have endpoints.
     pub fn services(&self) -> BTreeSet<ServiceKey> {
-        self.endpoints
-            .values()
-            .map(|s| s.endpoint.service)
-            .collect()
+        self.index.services().collect()
     }
 
     /// Returns an endpoint's state.
@@ -337,9 +394,11 @@
                 if !endpoint.cold.is_zero() {
                     state.note_cold(endpoint.cold, now);
                 }
+                self.index.update(key, &state.endpoint, &endpoint, now);
                 state.endpoint = endpoint;
             }
             None => {
+                self.index.insert(key, &endpoint, now);
                 self.endpoints
                     .insert(key, EndpointState::new(endpoint, now));
             }
@@ -357,7 +416,9 @@
 
     fn remove(&mut self, name: &str) {
         if let Some(key) = self.keys.remove(name) {
-            self.endpoints.remove(&key);
+            if let Some(state) = self.endpoints.remove(&key) {
+                self.index.remove(key, &state.endpoint);
+            }
             self.limits.forget(key);
         }
     }
--- /dev/null
+++ b/components/state/src/fleet/subset_placement.rs
@@ -0,0 +1,305 @@
+//! Places a request on the host's subset of a service's endpoints.
+//!
+//! The choice looks at a bounded number of endpoints: members of the subset, a few that have
+//! just joined, then the next ones on the ring, then a few of each other data centre. Only
+//! before a request is refused, or takes an endpoint that isn't good, all endpoints are
+//! looked at as without a subset.
+
+use crate::keys::rendezvous;
+use crate::topology::Distance;
+use crate::{EndpointKey, Moment};
+
+use super::endpoint::{EndpointState, NEW_PERIOD};
+use super::placement::{Candidate, Context, Placement, ProbeMode, Request, Step};
+use super::placement::{is_final, is_loaded};
+
+/// The largest number of members that one request looks at.
+///
+/// A host with more members looks at another part of them for each request.
+const MAX_MEMBERS: usize = 16;
+
+/// The number of near endpoints beyond the members that a request looks at.
+const SPILL: usize = 8;
+
+/// The number of endpoints of each other data centre that a request looks at.
+const FAR: usize = 6;
+
+/// The number of endpoints that have just joined that a request looks at.
+const NEW: usize = 2;
+
+/// The largest number of endpoints on the ring that are skipped, because they can't be used.
+const MAX_SKIPPED: usize = 96;
+
+/// How much the expected slowdown of a preferred endpoint is lowered in the order of probes.
+///
+/// More than a load sample that is still remembered can raise it. A probe on an open
+/// connection takes about a millisecond; a new connection takes a slot of the endpoint for as
+/// long, and costs its host more than the probe.
+const SUBSET_PREFERENCE: f64 = 2.0;
+
+/// How much the expected slowdown is lowered further for each second since the last load
+/// sample.
+///
+/// Of the endpoints with an open connection the one that has been idle for longest is probed
+/// first, because its connection would be closed next.
+const IDLE_WEIGHT: f64 = 0.5;
+
+/// The longest time since the last load sample that counts, in seconds.
+const MAX_IDLE_TIME: f64 = 10.0;
+
+/// Endpoints that a request may be sent to.
+#[derive(Default)]
+struct Found {
+    warm: Vec<EndpointKey>,
+    cold: Vec<EndpointKey>,
+}
+
+/// Which of the endpoints on a ring are looked at next.
+struct Walk {
+    at: usize,
+    left: usize,
+}
+
+impl Placement {
+    /// Decides the next step of a request by the host's subset of endpoints.
+    ///
+    /// Returns `None` if all endpoints have to be looked at.
+    pub(super) fn next_in_subset(
+        &mut self,
+        context: &mut Context<'_>,
+        request: &Request,
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
+    ) -> Option<Step> {
+        let subset = context.registry.subset(request.service)?;
+        let (members, ring_length) = (subset.size(), subset.ring().len());
+        if !request.has_time(now) {
+            return None;
+        }
+        let mode = ProbeMode::of(context);
+        let mut walk = Walk {
+            at: self.window(request, members),
+            left: ring_length,
+        };
+        let mut found = Found::default();
+        self.find_new(context, request, now, draw, &mut found);
+        let looked_at = members.min(MAX_MEMBERS);
+        self.walk(
+            context, request, &mut walk, looked_at, now, draw, &mut found,
+        );
+        if self.rounds == 0 {
+            let near = candidates(&found.warm, context, request, now);
+            let near: Vec<&Candidate<'_>> = near.iter().collect();
+            if let Some(step) = self.good_or_probe(&near, mode, now, draw) {
+                self.note_decision(context, request, false);
+                return Some(step);
+            }
+        }
+        let registry = &*context.registry;
+        let is_crowded = |key| registry.get(key).is_some_and(|s| is_loaded(s, now));
+        let crowded = found.warm.iter().any(|key| is_crowded(*key));
+        self.note_decision(context, request, crowded);
+        self.walk(context, request, &mut walk, SPILL, now, draw, &mut found);
+        self.find_far(context, request, now, draw, &mut found);
+        if found.warm.is_empty() {
+            return None;
+        }
+        let step = self.choose_found(context, request, &found, mode, now, draw);
+        let must_scan = match step {
+            Step::Refuse(_) => true,
+            Step::Place(key) => !is_good(context, key, now) && mode != ProbeMode::Unprobed,
+            Step::Probe(_) | Step::Wait(_) => false,
+        };
+        let scans = must_scan && context.registry.may_scan(request.service, now);
+        (!scans).then_some(step)
+    }
+
+    /// Returns where on the ring a request begins: at the first member, or with many members
+    /// at another one for each request and round.
+    fn window(&self, request: &Request, members: usize) -> usize {
+        if members <= MAX_MEMBERS {
+            return 0;
+        }
+        let hash = rendezvous(request.draw.to_bits(), u64::from(self.rounds));
+        usize::try_from(hash % members as u64).unwrap_or_default()
+    }
+
+    /// Adds the next `count` endpoints of the ring that can be used.
+    #[expect(clippy::too_many_arguments, reason = "the parts of one decision")]
+    fn walk(
+        &self,
+        context: &mut Context<'_>,
+        request: &Request,
+        walk: &mut Walk,
+        count: usize,
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
+        found: &mut Found,
+    ) {
+        let enough = found.warm.len() + count;
+        let mut skipped = 0;
+        while walk.left > 0 && found.warm.len() < enough && skipped < MAX_SKIPPED {
+            let subset = context.registry.subset(request.service);
+            let Some(key) = subset.and_then(|s| s.ring().get(walk.at % s.ring().len()).copied())
+            else {
+                return;
+            };
+            walk.at += 1;
+            walk.left -= 1;
+            let before = found.warm.len();
+            self.add(context, key, now, draw, found);
+            skipped += usize::from(found.warm.len() == before);
+        }
+    }
+
+    /// Adds near endpoints that have just joined and haven't been probed by this host.
+    ///
+    /// They may be in the subsets of only a few hosts, and those may have no request for
+    /// some time.
+    fn find_new(
+        &self,
+        context: &mut Context<'_>,
+        request: &Request,
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
+        found: &mut Found,
+    ) {
+        let registry = &*context.registry;
+        let new_period = u64::try_from(NEW_PERIOD.as_micros()).unwrap_or(u64::MAX);
+        let since = Moment(now.0.saturating_sub(new_period));
+        let recent = registry.index().recent(request.service, since);
+        let subset = registry.subset(request.service);
+        let is_new = |key: &EndpointKey| {
+            // One that this request has just probed is no longer new, but may be taken.
+            (self.has_probed(*key) || registry.get(*key).is_some_and(|s| s.is_new(now)))
+                && subset.is_some_and(|s| s.reaches_new(*key))
+        };
+        let new: Vec<EndpointKey> = recent.filter(is_new).take(NEW).collect();
+        for key in new {
+            self.add(context, key, now, draw, found);
+        }
+    }
+
+    /// Adds a few endpoints of each other data centre.
+    fn find_far(
+        &self,
+        context: &mut Context<'_>,
+        request: &Request,
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
+        found: &mut Found,
+    ) {
+        let Some(subset) = context.registry.subset(request.service) else {
+            return;
+        };
+        let centres = context.registry.index().centres(request.service);
+        let others = centres.filter(|(centre, _)| {
+            *centre != request.centre
+                && !context.leaving_centres.contains(centre)
+                && context.topology.is_allowed(context.regions, *centre)
+        });
+        let windows = others.map(|(_, keys)| subset.far_window(keys, self.rounds, FAR));
+        let keys: Vec<EndpointKey> = windows.flatten().collect();
+        for key in keys {
+            self.add(context, key, now, draw, found);
+        }
+    }
+
+    /// Adds an endpoint if the request may be sent there now.
+    fn add(
+        &self,
+        context: &mut Context<'_>,
+        key: EndpointKey,
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
+        found: &mut Found,
+    ) {
+        let registry = &*context.registry;
+        let Some(state) = registry.get(key) else {
+            return;
+        };
+        let is_usable = context.versions.allows(&state.endpoint)
+            && self.may_use(key, state, context, now)
+            && !state.health.is_avoided(now)
+            && !registry.is_unreachable(state.endpoint.centre, now);
+        let is_cold = state.is_cold(now);
+        let share = context.cold.share();
+        if !is_usable || found.warm.contains(&key) || found.cold.contains(&key) {
+            return;
+        }
+        if !context
+            .registry
+            .limits_mut()
+            .has_token(key, share, now, draw)
+        {
+            return;
+        }
+        match is_cold {
+            true => found.cold.push(key),
+            false => found.warm.push(key),
+        }
+    }
+
+    /// Chooses among the endpoints found, cold ones if no warm one is good.
+    fn choose_found(
+        &mut self,
+        context: &mut Context<'_>,
+        request: &Request,
+        found: &Found,
+        mode: ProbeMode,
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
+    ) -> Step {
+        let warm = candidates(&found.warm, context, request, now);
+        let warm: Vec<&Candidate<'_>> = warm.iter().collect();
+        let step = self.choose(&warm, request, mode, now, draw);
+        if is_final(&step, &warm, mode, now) {
+            return step;
+        }
+        self.try_cold(context, &found.cold, now, draw)
+            .unwrap_or(step)
+    }
+
+    fn note_decision(&self, context: &mut Context<'_>, request: &Request, crowded: bool) {
+        if let Some(subset) = context.registry.subset_mut(request.service) {
+            subset.note_decision(crowded);
+        }
+    }
+}
+
+fn is_good(context: &Context<'_>, key: EndpointKey, now: Moment) -> bool {
+    context.registry.get(key).is_some_and(|s| s.is_good(now))
+}
+
+/// Returns how long ago this host received the last load sample, in seconds.
+fn idle_time(state: &EndpointState, now: Moment) -> f64 {
+    let since = state.sample.map(|sample| now.since(sample.at));
+    since.map_or(0.0, |time| time.as_secs_f64().min(MAX_IDLE_TIME))
+}
+
+/// Returns what placement needs to know of these endpoints.
+fn candidates<'a>(
+    keys: &[EndpointKey],
+    context: &'a Context<'_>,
+    request: &Request,
+    now: Moment,
+) -> Vec<Candidate<'a>> {
+    let registry = &*context.registry;
+    let known = keys.iter().filter_map(|key| {
+        let state = registry.get(*key)?;
+        let centre = state.endpoint.centre;
+        let distance = match centre == request.centre {
+            true => Distance::SameCentre,
+            false => context.topology.distance(request.centre, centre),
+        };
+        Some(Candidate {
+            key: *key,
+            state,
+            distance,
+            connected: (context.is_connected)(*key),
+            limited: registry.limits().contains(*key),
+            preference: SUBSET_PREFERENCE + idle_time(state, now) * IDLE_WEIGHT,
+        })
+    });
+    known.collect()
+}
--- /dev/null
+++ b/components/state/tests/subset_placement.rs
@@ -0,0 +1,234 @@
+//! Placement by a host's subset of a service's endpoints.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use state::fleet::placement::{Context, Refusal, Request};
+use state::fleet::rollout::VersionRule;
+use state::fleet::token_buckets::Quota;
+use state::fleet::{Endpoint, Entry, LoadSample, Placement, Registry, Step, Subset};
+use state::topology::Topology;
+use state::{DataCentreKey, EndpointKey, Moment, RegionKey, ServiceKey, VersionKey};
+
+const START: Moment = Moment::from_millis(100_000);
+const NEAR: usize = 200;
+const HOSTS: usize = 60;
+
+fn endpoint(number: usize, centre: &str) -> Endpoint {
+    Endpoint {
+        instance: format!("{centre}-{number}"),
+        started_ms: 1,
+        service: ServiceKey::named("svc"),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        centre: DataCentreKey::named(centre),
+        version: None,
+        slots: 4,
+        draining: false,
+        cold: Duration::ZERO,
+    }
+}
+
+struct Host {
+    registry: Registry,
+    versions: VersionRule,
+    regions: BTreeSet<RegionKey>,
+    random: StdRng,
+}
+
+impl Host {
+    /// Returns a host with a subset of 200 near endpoints, and 50 far ones; `change` alters
+    /// their registrations.
+    fn with(change: impl Fn(usize, &mut Endpoint)) -> Host {
+        let mut entries = BTreeMap::new();
+        for (centre, count) in [("near", NEAR), ("far", 50)] {
+            for number in 0..count {
+                let mut endpoint = endpoint(number, centre);
+                change(number, &mut endpoint);
+                entries.insert(endpoint.instance.clone(), Entry::Endpoint(endpoint));
+            }
+        }
+        let mut registry = Registry::default();
+        registry.replace(entries, START);
+        let mut host = Host {
+            registry,
+            versions: VersionRule::All,
+            regions: BTreeSet::new(),
+            random: StdRng::seed_from_u64(3),
+        };
+        host.set_subset();
+        host
+    }
+
+    fn set_subset(&mut self) {
+        let service = ServiceKey::named("svc");
+        let near = self.registry.near(service, DataCentreKey::named("near"));
+        let subset = Subset::new(near.unwrap(), 7, HOSTS, 6);
+        self.registry.set_subset(service, subset);
+    }
+
+    fn members(&self) -> BTreeSet<EndpointKey> {
+        let subset = self.registry.subset(ServiceKey::named("svc")).unwrap();
+        subset.members().iter().copied().collect()
+    }
+
+    /// Runs one placement to its end; `sample` returns running requests and slowness.
+    fn place(
+        &mut self,
+        at: Moment,
+        sample: impl Fn(EndpointKey) -> (u32, u32),
+    ) -> Result<EndpointKey, Refusal> {
+        let mut placement = Placement::default();
+        let mut now = at;
+        let request = Request {
+            service: ServiceKey::named("svc"),
+            centre: DataCentreKey::named("near"),
+            objective: at + Duration::from_millis(600),
+            deadline: at + Duration::from_millis(2_000),
+            service_time: Duration::from_millis(200),
+            priority: 0,
+            account: None,
+            route: 0,
+            draw: self.random.random(),
+        };
+        loop {
+            let mut context = Context {
+                registry: &mut self.registry,
+                is_connected: &|_| false,
+                is_first: true,
+                may_probe: true,
+                leaving_centres: &BTreeSet::new(),
+                topology: &Topology::default(),
+                regions: &self.regions,
+                versions: &self.versions,
+                cold: Quota::cold(6.0, 0.1),
+            };
+            let random = &mut self.random;
+            let mut draw = || random.random::<f64>();
+            match placement.next(&mut context, &request, now, &mut draw) {
+                Step::Probe(key) => {
+                    now = now + Duration::from_millis(1);
+                    let (running, slowness) = sample(key);
+                    let sample = LoadSample {
+                        at: now,
+                        running,
+                        waiting: 0,
+                        slots: 4,
+                        slowness,
+                        healthy: true,
+                        reported: true,
+                    };
+                    self.registry.get_mut(key).unwrap().set_sample(sample);
+                }
+                Step::Place(key) => return Ok(key),
+                Step::Wait(time) => now = now + time,
+                Step::Refuse(refusal) => return Err(refusal),
+            }
+        }
+    }
+
+    fn centre_of(&self, key: EndpointKey) -> DataCentreKey {
+        self.registry.get(key).unwrap().endpoint.centre
+    }
+}
+
+/// A host that uses endpoints outside its subset opens connections that it doesn't use
+/// again.
+#[test]
+fn stays_with_members() {
+    let mut host = Host::with(|_, _| {});
+    let members = host.members();
+    for round in 0..50 {
+        let placed = host.place(START + Duration::from_secs(round), |_| (0, 100));
+        assert!(members.contains(&placed.unwrap()));
+    }
+}
+
+/// Members that leave must be replaced by other near endpoints, not by far ones.
+#[test]
+fn members_replaced() {
+    let mut host = Host::with(|_, _| {});
+    let members = host.members();
+    for key in &members {
+        host.registry.get_mut(*key).unwrap().leaving = true;
+    }
+    let mut used = BTreeSet::new();
+    for round in 0..50 {
+        let placed = host.place(START + Duration::from_secs(round), |_| (0, 100));
+        used.insert(placed.unwrap());
+    }
+    assert!(used.is_disjoint(&members));
+    assert!(
+        used.iter()
+            .all(|key| host.centre_of(*key) == DataCentreKey::named("near"))
+    );
+    assert!(used.len() <= members.len());
+}
+
+/// Full members must not keep requests waiting while other near endpoints are idle, and a
+/// full data centre not while others have room.
+#[test]
+fn spills_when_full() {
+    let mut host = Host::with(|_, _| {});
+    let members = host.members();
+    let full = |key: EndpointKey| (if members.contains(&key) { 4 } else { 0 }, 100);
+    assert!(!members.contains(&host.place(START, full).unwrap()));
+    let far = |host: &Host| -> BTreeSet<EndpointKey> {
+        let all = host.registry.endpoints_of(ServiceKey::named("svc"));
+        let far = all.filter(|(_, s)| s.endpoint.centre == DataCentreKey::named("far"));
+        far.map(|(key, _)| key).collect()
+    };
+    let far = far(&host);
+    let near_full = |key: EndpointKey| (if far.contains(&key) { 0 } else { 4 }, 100);
+    let placed = host
+        .place(START + Duration::from_secs(1), near_full)
+        .unwrap();
+    assert!(far.contains(&placed));
+}
+
+/// A request must not be refused while the one endpoint of the version that it may use is
+/// outside of what the host looks at first.
+#[test]
+fn rare_version_found() {
+    let version = VersionKey::named("v2");
+    for lone in [0, 50, 120, 199] {
+        let mut host = Host::with(|number, endpoint| {
+            let is_lone = number == lone && endpoint.centre == DataCentreKey::named("near");
+            endpoint.version = is_lone.then_some(version);
+        });
+        host.versions = VersionRule::Only(version);
+        let placed = host.place(START, |_| (0, 100)).unwrap();
+        assert_eq!(placed, endpoint(lone, "near").key());
+    }
+}
+
+/// A refusal must be true: all endpoints are full, or there is none.
+#[test]
+fn refusals_are_true() {
+    let mut host = Host::with(|_, _| {});
+    assert_eq!(host.place(START, |_| (4, 100)), Err(Refusal::Full));
+    let mut leaving = Host::with(|_, endpoint| endpoint.draining = true);
+    assert_eq!(leaving.place(START, |_| (0, 100)), Err(Refusal::NoEndpoint));
+}
+
+/// New endpoints are in the subsets of a few hosts only, which may have no request for
+/// seconds. Enough hosts must use them soon after they have joined.
+#[test]
+fn new_endpoint_used() {
+    let mut host = Host::with(|_, _| {});
+    let at = START + Duration::from_secs(20);
+    let added = endpoint(1_000, "near");
+    host.registry
+        .apply("added", Some(Entry::Endpoint(added.clone())), at);
+    host.set_subset();
+    let mut used = BTreeSet::new();
+    for round in 0..20 {
+        used.insert(
+            host.place(at + Duration::from_millis(round * 200), |_| (0, 100))
+                .unwrap(),
+        );
+    }
+    assert!(used.contains(&added.key()));
+}
