gateway: hosts use subsets of endpoints where their rate is low

Each second the gateway passes the hosts of its data centre that it has heard of lately, its request rate and the idle lifetime of connections to the subset size, and recomputes a subset if something has changed. It probes the three connections of a service that were used last before they expire. A connection that has expired but was not swept yet no longer counts as idle.

--- a/components/transport/src/gateway/isolation.rs
+++ b/components/transport/src/gateway/isolation.rs
@@ -211,7 +211,7 @@
         let failures = registry.isolation(service).map_or(0, |i| i.failures());
         log::warn!(
             "E0160 service-unreachable route={route} failed={failures} of={} seen={seen}",
-            registry.endpoints_of(service).count()
+            registry.count_of(service)
         );
         let others = registry.services().into_iter();
         let others = others.filter(|s| *s != service && !registry.is_isolated(*s));
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod settings;
 mod signals;
 mod stream;
+mod subset;
 mod topic_cache;
 mod traffic;
 mod wait_queue;
@@ -71,6 +72,7 @@
 use request_log::RequestLog;
 use server::Listener;
 pub use settings::{Bounds, Live, Ports, Settings};
+use subset::Subsets;
 use topic_cache::TopicCaches;
 use traffic::Traffic;
 use wait_queue::WaitQueues;
@@ -139,6 +141,7 @@
     /// Wakes the task that sends fragments.
     fragments_notify: Notify,
     pool: RefCell<Pool>,
+    subsets: Subsets,
     /// Idle connections to other hosts.
     host_pool: RefCell<Pool>,
     /// The hosts that serve requests for this one, by service.
@@ -197,6 +200,7 @@
         spawn_local(Rc::clone(&gateway).follow(Topic::Endpoints));
         spawn_local(Rc::clone(&gateway).maintain_group());
         spawn_local(Rc::clone(&gateway).sweep_pool());
+        spawn_local(Rc::clone(&gateway).maintain_subsets());
         spawn_local(Rc::clone(&gateway).report_traffic());
         spawn_local(Rc::clone(&gateway).confirm_crashes());
         spawn_local(Rc::clone(&gateway).send_reminders());
@@ -245,6 +249,7 @@
             traffic: RefCell::default(),
             fragments_notify: Notify::new(),
             pool: RefCell::default(),
+            subsets: Subsets::default(),
             host_pool: RefCell::default(),
             helpers: RefCell::default(),
             forwarded: ForwardedCounts::default(),
--- a/components/transport/src/gateway/pool.rs
+++ b/components/transport/src/gateway/pool.rs
@@ -40,9 +40,17 @@
 }
 
 impl Pool {
-    /// Returns whether there is an idle connection to an endpoint.
-    pub fn holds(&self, key: EndpointKey) -> bool {
-        self.idle.get(&key).is_some_and(|kept| !kept.is_empty())
+    /// Returns whether there is an idle connection to an endpoint that hasn't expired.
+    pub fn holds(&self, key: EndpointKey, now: Moment) -> bool {
+        let kept = self.idle.get(&key);
+        kept.is_some_and(|kept| kept.iter().any(|k| now < k.until))
+    }
+
+    /// Returns for each endpoint with idle connections when the last of them expires.
+    pub fn expiries(&self) -> BTreeMap<EndpointKey, Moment> {
+        let idle = self.idle.iter();
+        let last = idle.filter_map(|(key, kept)| Some((*key, kept.iter().map(|k| k.until).max()?)));
+        last.collect()
     }
 
     /// Takes the most recently used open connection to an endpoint, if there is one.
@@ -71,7 +79,7 @@
         if kept.len() >= max_idle || !connection.is_usable() {
             return;
         }
-        let time = limit.map_or(IDLE_TIMEOUT, |l| l.saturating_sub(CLOSE_MARGIN));
+        let time = idle_lifetime(limit);
         connection.reused = true;
         connection.idle_since = now;
         kept.push(IdleConnection {
@@ -94,6 +102,11 @@
     }
 }
 
+/// Returns how long a connection is kept whose endpoint advertises this idle limit.
+fn idle_lifetime(limit: Option<Duration>) -> Duration {
+    limit.map_or(IDLE_TIMEOUT, |l| l.saturating_sub(CLOSE_MARGIN))
+}
+
 impl Gateway {
     /// Returns a connection to the pool; `headers` are the headers of its last answer.
     ///
@@ -101,6 +114,7 @@
     pub(super) fn keep_connection(&self, connection: Connection, headers: &HeaderMap) {
         let limit = platform::headers::keep_alive_timeout(headers);
         let max_idle = self.max_idle(connection.endpoint);
+        self.subsets.note_idle_lifetime(idle_lifetime(limit));
         self.pool
             .borrow_mut()
             .put(connection, limit, max_idle, clock::now());
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -92,6 +92,8 @@
             placement, request, ..
         } = attempt;
         let regions = &attempt.route.regions;
+        self.subsets
+            .note_request(request.service, request.service_time, clock::now());
         let mut probed = ProbedConnections {
             gateway: self,
             connections: BTreeMap::new(),
@@ -155,7 +157,7 @@
     }
 
     /// Returns whether the probe rate limit allows one more probe.
-    fn may_probe(&self) -> bool {
+    pub(super) fn may_probe(&self) -> bool {
         let rate = self.live.borrow().bounds.ask_rate;
         let endpoints = self.registry.borrow().len();
         let now = clock::now();
@@ -212,11 +214,12 @@
             .as_ref()
             .and_then(|c| c.services.get(&request.service));
         let mut registry = self.registry.borrow_mut();
-        registry.expire_lapsed(clock::now());
+        let now = clock::now();
+        registry.expire_lapsed(now);
         let pool = self.pool.borrow();
         let mut context = Context {
             registry: &mut registry,
-            is_connected: &|key| pool.holds(key),
+            is_connected: &|key| pool.holds(key, now),
             is_first,
             may_probe,
             leaving_centres: &config.leaving_centres,
@@ -226,7 +229,6 @@
             cold: Quota::cold(plan.map_or(0.0, |p| p.cold_rate), self.share.get()),
         };
         let mut draw = || self.random_fraction();
-        let now = clock::now();
         let canary_step = canary.and_then(|target| {
             placement.next_canary(&mut context, request, &target, now, &mut draw)
         });
@@ -273,7 +275,7 @@
 
     /// Probes an endpoint; returns the connection and the answer's headers, or
     /// `None` if there is no valid answer.
-    async fn probe(&self, key: EndpointKey) -> Option<(Connection, HeaderMap)> {
+    pub(super) async fn probe(&self, key: EndpointKey) -> Option<(Connection, HeaderMap)> {
         let kept = self.pool.borrow_mut().take(key, clock::now());
         if kept.is_some() {
             if let Ok(Some(answered)) = timeout(PROBE_TIMEOUT, self.probe_on(key, kept)).await {
