gateway: hosts use subsets from the start

A host used all near endpoints until it had seen its rate for 15 s, and of the connections that it opened to them most expired before their next use. It starts with the smallest subset now, also for services without a request yet, and its estimate of the rate counts from the first second.

--- a/components/state/src/fleet/subset_size.rs
+++ b/components/state/src/fleet/subset_size.rs
@@ -79,12 +79,15 @@
 
 /// The number of near endpoints that a host wants to use, with hysteresis.
 ///
-/// A host uses all of them until it has seen its rate for a while.
+/// A host starts with the smallest number: of the connections that it opened to others, most
+/// would expire before their next use. The size follows the rate and crowding within seconds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SubsetSize {
     size: usize,
-    /// Requests per second.
+    /// Requests per second; a moving average that is short of [`SubsetSize::observed`].
     rate: f64,
+    /// The sum of the weights of the values in the average, 0 to 1.
+    observed: f64,
     /// Slots in use.
     load: f64,
     /// The factor by which crowding has increased the size.
@@ -95,11 +98,12 @@
 }
 
 impl SubsetSize {
-    /// Returns the state at the first request for a service.
+    /// Returns the state of a host that has seen no request for a service.
     pub fn new(now: Moment) -> SubsetSize {
         SubsetSize {
-            size: usize::MAX,
+            size: MIN_SIZE,
             rate: 0.0,
+            observed: 0.0,
             load: 0.0,
             growth: 1.0,
             updated: now,
@@ -114,7 +118,10 @@
 
     /// Returns the estimated rate in requests per second.
     pub fn rate(&self) -> f64 {
-        self.rate
+        match self.observed > 0.0 {
+            true => self.rate / self.observed,
+            false => 0.0,
+        }
     }
 
     /// Takes in the demand since the last update, about a second ago, and returns the wanted
@@ -125,7 +132,9 @@
             self.updated = now;
             let rate = f64::from(demand.requests) / time;
             let load = demand.busy.as_secs_f64() / time;
-            self.rate += (rate - self.rate) * weight(time, RATE_PERIOD);
+            let rate_weight = weight(time, RATE_PERIOD);
+            self.rate += (rate - self.rate) * rate_weight;
+            self.observed += (1.0 - self.observed) * rate_weight;
             self.load += (load - self.load) * weight(time, LOAD_PERIOD);
             self.note_usage(demand.usage, limits.near, time);
         }
@@ -155,7 +164,7 @@
     }
 
     fn wanted(&self, limits: Limits) -> usize {
-        let uses = self.rate * PROBES_PER_REQUEST * limits.idle_lifetime.as_secs_f64();
+        let uses = self.rate() * PROBES_PER_REQUEST * limits.idle_lifetime.as_secs_f64();
         let slots = f64::from(limits.slots.max(1)) * KNEE_LOAD * UNDISTURBED * OWN_FRACTION;
         let used = (uses / USES_PER_LIFETIME).max(self.load / slots);
         let size = (used * self.growth).ceil() as usize;
--- a/components/transport/src/gateway/subset.rs
+++ b/components/transport/src/gateway/subset.rs
@@ -128,8 +128,14 @@
         let now = clock::now();
         let mut services = self.subsets.services.borrow_mut();
         let mut registry = self.registry.borrow_mut();
-        // A service that has left the site needs no estimate.
+        // A service that has left the site needs no estimate. All others have a subset before
+        // their first request.
         services.retain(|service, _| registry.count_of(*service) > 0);
+        for service in registry.services() {
+            services
+                .entry(service)
+                .or_insert_with(|| ServiceUse::new(now));
+        }
         for (service, usage) in services.iter_mut() {
             self.update_subset(&mut registry, *service, usage, &hosts, now);
         }
