state: members that were probed don't keep a request from near endpoints

Once six members had been probed, the limit of probes in a round also blocked the next endpoints of the ring, so a request with full members went to another data centre while near endpoints were idle.

--- a/components/state/src/fleet/subset_placement.rs
+++ b/components/state/src/fleet/subset_placement.rs
@@ -87,19 +87,20 @@
         self.walk(
             context, request, &mut walk, looked_at, now, draw, &mut found,
         );
-        if self.rounds == 0 {
-            let near = candidates(&found.warm, context, request, now);
-            let near: Vec<&Candidate<'_>> = near.iter().collect();
-            if let Some(step) = self.good_or_probe(&near, mode, now, draw) {
-                self.note_decision(context, request, false);
-                return Some(step);
-            }
+        if let Some(step) = self.probe_part(context, request, &found.warm, mode, now, draw) {
+            self.note_decision(context, request, false);
+            return Some(step);
         }
         let registry = &*context.registry;
         let is_crowded = |key| registry.get(key).is_some_and(|s| is_loaded(s, now));
         let crowded = found.warm.iter().any(|key| is_crowded(*key));
         self.note_decision(context, request, crowded);
+        let members = found.warm.len();
         self.walk(context, request, &mut walk, SPILL, now, draw, &mut found);
+        let spill = &found.warm[members..];
+        if let Some(step) = self.probe_part(context, request, spill, mode, now, draw) {
+            return Some(step);
+        }
         self.find_far(context, request, now, draw, &mut found);
         if found.warm.is_empty() {
             return None;
@@ -114,6 +115,24 @@
         (!scans).then_some(step)
     }
 
+    /// Returns a good endpoint among these, or the next one of them to probe.
+    ///
+    /// The limit of probes in a round applies to each part alone: members that were probed
+    /// must not keep a request from probing the endpoints that replace them.
+    fn probe_part(
+        &mut self,
+        context: &Context<'_>,
+        request: &Request,
+        keys: &[EndpointKey],
+        mode: ProbeMode,
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
+    ) -> Option<Step> {
+        let part = candidates(keys, context, request, now);
+        let part: Vec<&Candidate<'_>> = part.iter().collect();
+        self.good_or_probe(&part, mode, now, draw)
+    }
+
     /// Returns where on the ring a request begins: at the first member, or with many members
     /// at another one for each request and round.
     fn window(&self, request: &Request, members: usize) -> usize {
--- a/components/state/tests/subset_placement.rs
+++ b/components/state/tests/subset_placement.rs
@@ -173,8 +173,14 @@
 fn spills_when_full() {
     let mut host = Host::with(|_, _| {});
     let members = host.members();
+    let near = DataCentreKey::named("near");
     let full = |key: EndpointKey| (if members.contains(&key) { 4 } else { 0 }, 100);
-    assert!(!members.contains(&host.place(START, full).unwrap()));
+    for second in 0..20 {
+        let at = START + Duration::from_secs(second);
+        let placed = host.place(at, full).unwrap();
+        assert!(!members.contains(&placed));
+        assert_eq!(host.centre_of(placed), near);
+    }
     let far = |host: &Host| -> BTreeSet<EndpointKey> {
         let all = host.registry.endpoints_of(ServiceKey::named("svc"));
         let far = all.filter(|(_, s)| s.endpoint.centre == DataCentreKey::named("far"));
@@ -183,7 +189,7 @@
     let far = far(&host);
     let near_full = |key: EndpointKey| (if far.contains(&key) { 0 } else { 4 }, 100);
     let placed = host
-        .place(START + Duration::from_secs(1), near_full)
+        .place(START + Duration::from_secs(30), near_full)
         .unwrap();
     assert!(far.contains(&placed));
 }
