gateway: placement and quotas count the objective from a caller's first attempt

Cause: the wait queue and placement counted a request's objective from its arrival, so callers that come back after a refusal went before requests that could still be in time; and the time used was inferred from the smaller of the announced time and the route's timeout. Change: the time used is estimated once a request, from what its caller announces, and both the tokens of its account's quota and placement use it. Only where the configuration has accounts.

--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -58,6 +58,8 @@
     origin: Origin,
     fingerprints: Fingerprints,
     arrived: Moment,
+    /// The time that the caller has presumably used before this request.
+    used: Duration,
     deadline: Moment,
     /// A random number from 0 to 1, the same for all attempts of the request.
     draw: f64,
@@ -180,6 +182,7 @@
         origin,
         fingerprints,
         arrived,
+        used: gateway.time_used(&route, timeout),
         deadline: arrived + timeout.min(route.timeout),
         draw: gateway.random_fraction(),
     };
@@ -320,8 +323,7 @@
             .caller
             .account()
             .filter(|_| !self.origin.is_forwarded)?;
-        let left = self.arrived.until(self.deadline);
-        Some(self.gateway.payer(account, self.route, self.arrived, left))
+        Some(self.gateway.payer(account, self.route, self.arrived, self.used))
     }
 
     /// Runs attempts until one gets an answer or no further attempt is allowed.
@@ -405,9 +407,7 @@
         placement::Request {
             service: self.service,
             centre: self.gateway.home,
-            objective: self
-                .gateway
-                .objective(self.route, &self.parts.headers, self.arrived),
+            objective: self.arrived + self.route.objective - self.used,
             deadline: self.deadline,
             service_time,
             priority: self.caller.priority.unwrap_or(self.route.priority),
--- a/components/transport/src/gateway/request_tokens.rs
+++ b/components/transport/src/gateway/request_tokens.rs
@@ -97,12 +97,8 @@
         account: AccountKey,
         route: &Route,
         arrived: Moment,
-        left: Duration,
+        used: Duration,
     ) -> Payer {
-        let mut times = self.announced_times.borrow_mut();
-        let times = times.entry(route.name.clone()).or_default();
-        times.note(left);
-        let used = times.used(left);
         let service_time = self.with_service_time(route, |time| time.estimate());
         // A request that was late from the start has a latest start before its arrival.
         let slack = route.objective.checked_sub(used + service_time);
--- a/components/transport/src/gateway/used_time.rs
+++ b/components/transport/src/gateway/used_time.rs
@@ -2,30 +2,24 @@
 
 use std::time::Duration;
 
-use hyper::HeaderMap;
-use state::Moment;
 use state::routing::Route;
 
 use super::Gateway;
 
 impl Gateway {
-    /// Returns the moment until which an answer has its full value to the caller.
+    /// Returns the estimated time that a caller has used before this request, which announces
+    /// that it waits for `left`.
     ///
-    /// A caller that comes back after a refusal has used a part of its time. Where client
-    /// accounts compete, that part counts, or late requests would go before those in time.
-    pub(super) fn objective(&self, route: &Route, headers: &HeaderMap, arrived: Moment) -> Moment {
-        let used = match self.has_accounts() {
-            true => self.time_used(route, headers),
-            false => Duration::ZERO,
-        };
-        arrived + route.objective - used
-    }
-
-    /// Returns the estimated time that the caller has used before this request.
-    ///
-    /// No estimate exists yet: each request counts as a first attempt.
-    fn time_used(&self, _route: &Route, _headers: &HeaderMap) -> Duration {
-        Duration::ZERO
+    /// Called once for each request, since it takes in what the request announces. Zero where
+    /// no client accounts compete.
+    pub(super) fn time_used(&self, route: &Route, left: Duration) -> Duration {
+        if !self.has_accounts() {
+            return Duration::ZERO;
+        }
+        let mut times = self.announced_times.borrow_mut();
+        let times = times.entry(route.name.clone()).or_default();
+        times.note(left);
+        times.used(left)
     }
 
     /// Returns whether the configuration has client accounts.
