quota: Retry-After by the caller's remaining time

Cause: Retry-After counted only requests of the caller's own urgency, also where the token that it led to came after the request's latest useful start. Such a caller came back late and was refused again.

A request for a token carries its latest start; a grant tells when a token can be expected and when the account has room for all refused requests. The host answers the first if it isn't after the latest start, else the second. Reservations are not built. The figurative Payer becomes QuotaRequest.

--- a/components/coordination/src/quota/contention.rs
+++ b/components/coordination/src/quota/contention.rs
@@ -46,6 +46,31 @@
     Late,
 }
 
+/// A request that needs a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenRequest {
+    /// The latest time at which the request can start at an endpoint and be in time, counted
+    /// from its caller's first attempt.
+    pub latest_start: Moment,
+}
+
+impl TokenRequest {
+    /// A request that was late from the start.
+    pub const LATE: TokenRequest = TokenRequest {
+        latest_start: Moment::from_millis(0),
+    };
+
+    /// Returns whether the request can still be in time.
+    ///
+    /// Inferred from what callers announce: it may only decide who yields to others.
+    pub fn urgency(&self, now: Moment) -> Urgency {
+        match now <= self.latest_start {
+            true => Urgency::InTime,
+            false => Urgency::Late,
+        }
+    }
+}
+
 /// Requests that a host refused without asking.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Refused {
--- a/components/coordination/src/quota/held.rs
+++ b/components/coordination/src/quota/held.rs
@@ -7,7 +7,7 @@
 use state::fleet::QuotaBucket;
 use state::{AccountKey, Moment};
 
-use super::contention::{MAX_NONE_FOR, Refused, Urgency};
+use super::contention::{MAX_NONE_FOR, Refused, TokenRequest, Urgency};
 use super::demand::Demand;
 use super::home::Grant;
 use super::reserve;
@@ -58,16 +58,29 @@
     none_until: Moment,
     /// Until when the home has nothing for requests that can't be in time.
     none_for_late_until: Moment,
-    /// When a refused caller whose request can be in time may return, by the home's last answer
+    /// When a token can be expected for a request that can be in time, by the home's last answer
     /// to such a request.
+    token_at: Moment,
+    /// When the account has room for any request.
     room_at: Moment,
-    /// The same for a request that can't be in time.
-    room_for_late_at: Moment,
     /// Requests refused since the home was last asked.
     refused: Refused,
 }
 
 impl Held {
+    /// Returns the time after which a refused caller should retry: when a token can be expected
+    /// with which its request is in time, or else when the account has room.
+    fn retry_after(&self, request: TokenRequest, now: Moment) -> Duration {
+        let token_at = self.token_at.max(self.none_until);
+        // Requests that can be in time get tokens first.
+        let room_at = self.room_at.max(self.none_for_late_until).max(token_at);
+        let at = match token_at <= request.latest_start {
+            true => token_at,
+            false => room_at,
+        };
+        now.until(at).max(MIN_RETRY_DELAY)
+    }
+
     fn new(now: Moment) -> Held {
         Held {
             tokens: 0,
@@ -78,8 +91,8 @@
             reserve_used: now,
             none_until: now,
             none_for_late_until: now,
+            token_at: now,
             room_at: now,
-            room_for_late_at: now,
             refused: Refused::default(),
         }
     }
@@ -114,21 +127,18 @@
         had
     }
 
-    /// Takes a token for a request of this urgency; returns what to do.
+    /// Takes a token for a request; returns what to do.
     ///
     /// While the home has nothing for requests that can't be in time, they leave the tokens
     /// here to others, unless those are about to expire.
-    pub fn decide(&mut self, account: AccountKey, urgency: Urgency, now: Moment) -> Decision {
+    pub fn decide(&mut self, account: AccountKey, request: TokenRequest, now: Moment) -> Decision {
+        let urgency = request.urgency(now);
         self.count(account, now);
         self.drop_expired(account, now);
         let held = self.of(account, now);
-        let (none_until, room_at) = match urgency {
-            Urgency::InTime => (held.none_until, held.room_at),
-            // Requests that can be in time get tokens first.
-            Urgency::Late => {
-                let room_at = held.room_for_late_at.max(held.room_at);
-                (held.none_for_late_until, room_at)
-            }
+        let none_until = match urgency {
+            Urgency::InTime => held.none_until,
+            Urgency::Late => held.none_for_late_until,
         };
         let is_yielding =
             urgency == Urgency::Late && now < none_until && now.until(held.expires) > LAST_USE;
@@ -140,8 +150,7 @@
             return Decision::Ask;
         }
         held.refused.count(urgency);
-        let until = room_at.max(none_until);
-        Decision::Refuse(now.until(until).max(MIN_RETRY_DELAY))
+        Decision::Refuse(held.retry_after(request, now))
     }
 
     /// Returns the requests refused since the last call.
@@ -151,12 +160,15 @@
 
     /// Takes in the home's answer to a claim; returns whether the request may run.
     ///
+    /// `urgency` is that of the request when the claim was made.
+    ///
     /// # Errors
     ///
     /// Returns the time after which the caller should retry.
     pub fn granted(
         &mut self,
         account: AccountKey,
+        request: TokenRequest,
         urgency: Urgency,
         grant: Grant,
         now: Moment,
@@ -164,16 +176,16 @@
         let held = self.of(account, now);
         let until = now + grant.none_for.min(MAX_NONE_FOR);
         held.none_for_late_until = held.none_for_late_until.max(until);
-        let room_at = now + grant.retry_after;
         match urgency {
             Urgency::InTime => {
                 held.none_until = until;
-                held.room_at = room_at;
+                held.token_at = now + grant.retry_after;
+                held.room_at = now + grant.room_after.max(grant.retry_after);
             }
-            Urgency::Late => held.room_for_late_at = room_at,
+            Urgency::Late => held.room_at = now + grant.retry_after,
         }
         match grant.tokens {
-            0 => Err(grant.retry_after),
+            0 => Err(held.retry_after(request, now)),
             n => {
                 self.add(account, n - 1, now);
                 Ok(())
--- a/components/coordination/src/quota/home.rs
+++ b/components/coordination/src/quota/home.rs
@@ -64,8 +64,12 @@
 pub struct Grant {
     /// The tokens granted; none if the quota is used up.
     pub tokens: u32,
-    /// How long a refused caller has to wait; zero if the account has room.
+    /// How long until a token can be expected for a refused request of this urgency; zero if
+    /// the account has room.
     pub retry_after: Duration,
+    /// How long until the account has room for all refused requests; zero if the home doesn't
+    /// tell, or it has room.
+    pub room_after: Duration,
     /// How long the host need not ask again for requests of this or a lower urgency.
     pub none_for: Duration,
 }
@@ -224,19 +228,24 @@
             Urgency::InTime => &account.refused_in_time,
             Urgency::Late => &account.refused,
         };
-        let wait = bucket.wait(refusals.rate(now) * REFUSAL_WINDOW.as_secs_f64());
+        let wait = |refused: &Demand| {
+            let wait = bucket.wait(refused.rate(now) * REFUSAL_WINDOW.as_secs_f64());
+            wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
+        };
+        let waits = (wait(refusals), wait(&account.refused));
         let none_for = account
             .contention
             .none_for(bucket, limit, claim, tokens, now);
         account.usage.part = account.part(claim.limit, centres, now);
         account.count(claim, tokens, now);
-        let retry_after = match tokens > 0 && none_for.is_zero() {
-            true => Duration::ZERO,
-            false => wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY),
+        let (retry_after, room_after) = match tokens > 0 && none_for.is_zero() {
+            true => (Duration::ZERO, Duration::ZERO),
+            false => waits,
         };
         Grant {
             tokens,
             retry_after,
+            room_after,
             none_for,
         }
     }
--- a/components/coordination/tests/held_tokens.rs
+++ b/components/coordination/tests/held_tokens.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coordination::quota::contention::Urgency;
+use coordination::quota::contention::{TokenRequest, Urgency};
 use coordination::quota::held::{Decision, HeldTokens};
 use coordination::quota::home::Grant;
 use state::{AccountKey, Moment};
@@ -14,23 +14,53 @@
     Grant {
         tokens: 0,
         retry_after: Duration::from_millis(retry_after),
+        room_after: Duration::ZERO,
         none_for: Duration::from_millis(none_for),
     }
 }
 
+fn request(slack: u64) -> TokenRequest {
+    TokenRequest {
+        latest_start: NOW + Duration::from_millis(slack),
+    }
+}
+
 /// Guards against a Retry-After that was computed for requests of the other urgency.
 #[test]
 fn separate_times() {
-    let in_time = (Urgency::InTime, none(150, 100));
-    let late = (Urgency::Late, none(5_000, 100));
+    let room_after = Duration::from_millis(5_000);
+    let in_time = Grant {
+        room_after,
+        ..none(150, 100)
+    };
+    let in_time = (request(200), in_time);
+    let late = (TokenRequest::LATE, none(5_000, 100));
     for answers in [[in_time, late], [late, in_time]] {
         let mut held = HeldTokens::default();
-        for (urgency, grant) in answers {
-            let _refused = held.granted(ACCOUNT, urgency, grant, NOW);
+        for (request, grant) in answers {
+            let _refused = held.granted(ACCOUNT, request, request.urgency(NOW), grant, NOW);
         }
-        for (urgency, grant) in answers {
-            let decision = held.decide(ACCOUNT, urgency, NOW);
+        for (request, grant) in answers {
+            let decision = held.decide(ACCOUNT, request, NOW);
             assert_eq!(decision, Decision::Refuse(grant.retry_after));
         }
     }
 }
+
+/// Guards against callers told to return at a time when their request is late and yields.
+#[test]
+fn remaining_time() {
+    let grant = Grant {
+        room_after: Duration::from_secs(5),
+        ..none(150, 100)
+    };
+    let cases = [(150, 150), (149, 5_000)];
+    for (slack, expected) in cases {
+        let mut held = HeldTokens::default();
+        let expected = Duration::from_millis(expected);
+        let asked = held.granted(ACCOUNT, request(slack), Urgency::InTime, grant, NOW);
+        assert_eq!(asked, Err(expected));
+        let refused = held.decide(ACCOUNT, request(slack), NOW);
+        assert_eq!(refused, Decision::Refuse(expected));
+    }
+}
--- a/components/coordination/tests/quota_contention.rs
+++ b/components/coordination/tests/quota_contention.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use coordination::quota::contention::Urgency;
+use coordination::quota::contention::TokenRequest;
 use quota_site::callers::{HotCallers, Outcome};
 use quota_site::{Order, Policy, STEP, Site};
 use rstest::rstest;
@@ -76,12 +76,12 @@
         while due >= 1.0 {
             due -= 1.0;
             let (centre, host) = site.draw_host();
-            let _ = site.request_for(centre, host, ACCOUNT, Urgency::InTime);
+            let _granted = site.request(centre, host, ACCOUNT);
         }
         for _ in 0..2 {
             let (centre, host) = site.draw_host();
             granted += u32::from(
-                site.request_for(centre, host, ACCOUNT, Urgency::Late)
+                site.request_for(centre, host, ACCOUNT, TokenRequest::LATE)
                     .is_ok(),
             );
         }
--- a/components/coordination/tests/quota_site/callers.rs
+++ b/components/coordination/tests/quota_site/callers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use coordination::quota::contention::Urgency;
+use coordination::quota::contention::TokenRequest;
 use state::fleet::AnnouncedTime;
 use state::{AccountKey, Moment};
 
@@ -123,12 +123,14 @@
         if !is_waiting {
             times.note(announced);
         }
-        let urgency = match times.used(announced) + kind.work <= kind.objective {
-            true => Urgency::InTime,
-            false => Urgency::Late,
-        };
+        let slack = kind
+            .objective
+            .checked_sub(times.used(announced) + kind.work);
+        let token_request = slack.map_or(TokenRequest::LATE, |slack| TokenRequest {
+            latest_start: site.now + slack,
+        });
         let before = site.totals.clone();
-        let result = site.request_for(centre, host, self.account, urgency);
+        let result = site.request_for(centre, host, self.account, token_request);
         // A waiting request was announced to the home once.
         if is_waiting {
             site.totals = super::Totals {
--- a/components/coordination/tests/quota_site/mod.rs
+++ b/components/coordination/tests/quota_site/mod.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use coordination::quota::contention::{Refused, Urgency};
+use coordination::quota::contention::{Refused, TokenRequest, Urgency};
 use coordination::quota::demand::Demand;
 use coordination::quota::held::{Decision, HeldTokens};
 use coordination::quota::home::{Centres, Claim, Grant, QuotaHomes};
@@ -290,8 +290,10 @@
 
     /// Handles a request of an account at one host; returns whether it may run.
     pub fn request(&mut self, centre: usize, host: usize, account: AccountKey) -> bool {
-        self.request_for(centre, host, account, Urgency::InTime)
-            .is_ok()
+        let in_time = TokenRequest {
+            latest_start: self.now + STEP,
+        };
+        self.request_for(centre, host, account, in_time).is_ok()
     }
 
     /// Handles a request of this urgency; returns the time after which a refused one returns.
@@ -300,7 +302,7 @@
         centre: usize,
         host: usize,
         account: AccountKey,
-        urgency: Urgency,
+        request: TokenRequest,
     ) -> Result<(), Duration> {
         let is_down = {
             let h = &self.centres[centre][host];
@@ -311,7 +313,7 @@
         }
         self.totals.asked += 1;
         let result = match self.policy {
-            Policy::Home => self.request_home(centre, host, account, urgency),
+            Policy::Home => self.request_home(centre, host, account, request),
             Policy::Shares => match self.request_share(centre, host, account) {
                 true => Ok(()),
                 false => Err(Duration::ZERO),
@@ -363,17 +365,18 @@
         centre: usize,
         host: usize,
         account: AccountKey,
-        urgency: Urgency,
+        request: TokenRequest,
     ) -> Result<(), Duration> {
         let now = self.now;
         let limit = self.limits[&account];
         let share = 1.0 / self.hosts() as f64;
-        let urgency = match self.order {
-            Order::Arrival => Urgency::InTime,
-            Order::Yield | Order::YieldLocally => urgency,
+        let request = match self.order {
+            Order::Arrival => TokenRequest { latest_start: now },
+            Order::Yield | Order::YieldLocally => request,
         };
+        let urgency = request.urgency(now);
         let held = &mut self.centres[centre][host].held;
-        match held.decide(account, urgency, now) {
+        match held.decide(account, request, now) {
             Decision::Run => return Ok(()),
             Decision::Refuse(time) => return Err(time),
             Decision::Ask => {}
@@ -388,7 +391,7 @@
                 if self.order != Order::YieldLocally {
                     grant.none_for = Duration::ZERO;
                 }
-                held.granted(account, urgency, grant, now)
+                held.granted(account, request, urgency, grant, now)
             }
         }
     }
--- a/components/protocol/src/quota_message.rs
+++ b/components/protocol/src/quota_message.rs
@@ -92,6 +92,9 @@
     /// Absent in grants of earlier releases: the host asks for each request.
     #[prost(uint64, tag = "4")]
     none_millis: u64,
+    /// Absent in grants of earlier releases, which tell a single time.
+    #[prost(uint64, tag = "5")]
+    room_millis: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -123,6 +126,11 @@
                 retry_millis: u64::try_from(answer.grant.retry_after.as_millis())
                     .unwrap_or(u64::MAX),
                 none_millis: u64::try_from(answer.grant.none_for.as_millis()).unwrap_or(u64::MAX),
+                // The second time is told only where it differs.
+                room_millis: match answer.grant.room_after > answer.grant.retry_after {
+                    true => u64::try_from(answer.grant.room_after.as_millis()).unwrap_or(u64::MAX),
+                    false => 0,
+                },
             }),
             QuotaMessage::Demand(report, _) => WireQuotaKind::Demand(WireDemand {
                 centre: report.centre.0,
@@ -160,6 +168,7 @@
                 grant: Grant {
                     tokens: answer.tokens,
                     retry_after: Duration::from_millis(answer.retry_millis),
+                    room_after: Duration::from_millis(answer.room_millis.max(answer.retry_millis)),
                     none_for: Duration::from_millis(answer.none_millis),
                 },
             }),
--- a/components/protocol/tests/quota_messages.rs
+++ b/components/protocol/tests/quota_messages.rs
@@ -27,6 +27,7 @@
         grant: Grant {
             tokens: 0,
             retry_after: Duration::from_millis(340),
+            room_after: Duration::from_millis(340),
             none_for,
         },
     }
@@ -40,9 +41,12 @@
 /// Guards against fields that are lost between hosts of one release.
 #[test]
 fn round_trip() {
+    let mut with_room = grant(Duration::ZERO);
+    with_room.grant.room_after = Duration::from_secs(5);
     let messages = [
         QuotaMessage::Claim(claim()),
         QuotaMessage::Grant(grant(Duration::from_millis(500))),
+        QuotaMessage::Grant(with_room),
     ];
     for message in messages {
         let sent = NeighbourMessage::Quota(message.clone());
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -27,7 +27,7 @@
 use super::denial::Denial;
 use super::forward::{increment, tell_leaving};
 use super::origin::{Origin, Source};
-use super::request_tokens::{Payer, RequestTokens};
+use super::request_tokens::{QuotaRequest, RequestTokens};
 use super::{Gateway, Stage};
 use crate::clock;
 use crate::edge::body::{BodyPrefix, CallerBody, MAX_REPLAY_BODY, SharedBody};
@@ -277,7 +277,7 @@
         let placement = RefCell::new(Placement::default());
         let helpers = RefCell::new(BTreeSet::new());
         let may_have_run = Cell::new(0);
-        let tokens = RequestTokens::take_first(self.gateway, self.payer(), &may_have_run)
+        let tokens = RequestTokens::take_first(self.gateway, self.quota_request(), &may_have_run)
             .await
             .map_err(Denial::OverQuota)?;
         let attempt = Attempt {
@@ -310,14 +310,17 @@
             .with_retry_budget(self.service, |budget| budget.count(self.arrived));
     }
 
-    /// Returns who pays for the request; nobody if the host that forwarded it has taken a token.
-    fn payer(&self) -> Option<Payer> {
+    /// Returns the use of an account's quota; none if the host that forwarded it has taken a token.
+    fn quota_request(&self) -> Option<QuotaRequest> {
         let account = self
             .caller
             .account()
             .filter(|_| !self.origin.is_forwarded)?;
         let left = self.arrived.until(self.deadline);
-        Some(self.gateway.payer(account, self.route, self.arrived, left))
+        Some(
+            self.gateway
+                .quota_request(account, self.route, self.arrived, left),
+        )
     }
 
     /// Runs attempts until one gets an answer or no further attempt is allowed.
--- a/components/transport/src/gateway/quota.rs
+++ b/components/transport/src/gateway/quota.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use coordination::quota::contention::Urgency;
+use coordination::quota::contention::{TokenRequest, Urgency};
 use coordination::quota::held::{Decision, HeldTokens};
 use coordination::quota::home::{Centres, Claim, Grant, QuotaHomes};
 use coordination::quota::{self, DemandEntry, DemandReport, HomeRanks};
@@ -91,16 +91,17 @@
     pub(super) async fn take_quota(
         &self,
         account: AccountKey,
-        urgency: Urgency,
+        request: TokenRequest,
     ) -> Result<(), Duration> {
         let Some(limit) = self.quota_limit(account) else {
             return Ok(());
         };
+        let urgency = request.urgency(clock::now());
         let decision = self
             .quotas
             .held
             .borrow_mut()
-            .decide(account, urgency, clock::now());
+            .decide(account, request, clock::now());
         match decision {
             Decision::Run => return Ok(()),
             Decision::Refuse(time) => return Err(time),
@@ -116,7 +117,7 @@
         let now = clock::now();
         let mut held = self.quotas.held.borrow_mut();
         match grant {
-            Some(grant) => held.granted(account, urgency, grant, now),
+            Some(grant) => held.granted(account, request, urgency, grant, now),
             None => held.take_reserve(account, limit, self.share.get(), now),
         }
     }
--- a/components/transport/src/gateway/request_tokens.rs
+++ b/components/transport/src/gateway/request_tokens.rs
@@ -3,32 +3,17 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use coordination::quota::contention::Urgency;
+use coordination::quota::contention::TokenRequest;
 use state::routing::Route;
 use state::{AccountKey, Moment};
 
 use super::Gateway;
-use crate::clock;
 
-/// The account whose quota pays for a request, and what it needs to be in time.
+/// The account whose quota a request uses, and what the request needs to be in time.
 #[derive(Clone, Copy)]
-pub(super) struct Payer {
+pub(super) struct QuotaRequest {
     account: AccountKey,
-    /// The latest time at which the request can start at an endpoint and be in time, counted
-    /// from its caller's first attempt.
-    latest_start: Moment,
-}
-
-impl Payer {
-    /// Returns whether the request can still be in time.
-    ///
-    /// Inferred from what callers announce: it may only decide who yields to others.
-    fn urgency(&self, now: Moment) -> Urgency {
-        match now <= self.latest_start {
-            true => Urgency::InTime,
-            false => Urgency::Late,
-        }
-    }
+    request: TokenRequest,
 }
 
 /// The tokens that a request has taken.
@@ -37,7 +22,7 @@
 pub(super) struct RequestTokens<'a> {
     gateway: &'a Gateway,
     /// None for a request without an account, or whose token another host has taken.
-    payer: Option<Payer>,
+    quota: Option<QuotaRequest>,
     may_have_run: &'a Cell<u32>,
     taken: Cell<u32>,
 }
@@ -52,12 +37,12 @@
     /// Returns the time after which the caller should retry if the quota is used up.
     pub async fn take_first(
         gateway: &'a Gateway,
-        payer: Option<Payer>,
+        quota: Option<QuotaRequest>,
         may_have_run: &'a Cell<u32>,
     ) -> Result<RequestTokens<'a>, Duration> {
         let tokens = RequestTokens {
             gateway,
-            payer,
+            quota,
             may_have_run,
             taken: Cell::new(0),
         };
@@ -72,9 +57,10 @@
     }
 
     async fn take(&self) -> Result<(), Duration> {
-        if let Some(payer) = self.payer {
-            let urgency = payer.urgency(clock::now());
-            self.gateway.take_quota(payer.account, urgency).await?;
+        if let Some(quota) = self.quota {
+            self.gateway
+                .take_quota(quota.account, quota.request)
+                .await?;
         }
         self.taken.set(self.taken.get() + 1);
         Ok(())
@@ -83,22 +69,22 @@
 
 impl Drop for RequestTokens<'_> {
     fn drop(&mut self) {
-        if let Some(payer) = self.payer {
+        if let Some(quota) = self.quota {
             let unused = self.taken.get().saturating_sub(self.may_have_run.get());
-            self.gateway.return_quota(payer.account, unused);
+            self.gateway.return_quota(quota.account, unused);
         }
     }
 }
 
 impl Gateway {
-    /// Returns who pays for a request that arrived at `arrived` with this time left.
-    pub(super) fn payer(
+    /// Returns the use of a quota by a request that arrived at `arrived` with this time left.
+    pub(super) fn quota_request(
         &self,
         account: AccountKey,
         route: &Route,
         arrived: Moment,
         left: Duration,
-    ) -> Payer {
+    ) -> QuotaRequest {
         let mut times = self.announced_times.borrow_mut();
         let times = times.entry(route.name.clone()).or_default();
         times.note(left);
@@ -106,9 +92,9 @@
         let service_time = self.with_service_time(route, |time| time.estimate());
         // A request that was late from the start has a latest start before its arrival.
         let slack = route.objective.checked_sub(used + service_time);
-        Payer {
-            account,
-            latest_start: slack.map_or(Moment::from_millis(0), |slack| arrived + slack),
-        }
+        let request = slack.map_or(TokenRequest::LATE, |slack| TokenRequest {
+            latest_start: arrived + slack,
+        });
+        QuotaRequest { account, request }
     }
 }
