quota: the late allowance is spent only on a token that is there

Cause: a late claim took from the allowance of late requests before the bucket was checked. With a small quota the bucket is mostly below one token, so the allowance was spent without a grant.

The level is checked first; the allowance grows from the first late claim on.

--- a/components/coordination/src/quota/contention.rs
+++ b/components/coordination/src/quota/contention.rs
@@ -132,14 +132,19 @@
             }
             return tokens;
         }
-        let is_left = bucket.level(now) >= left_over_level(limit);
-        match now >= self.until || is_left || self.take_late(limit, now) {
+        let level = bucket.level(now);
+        let is_left = now >= self.until || level >= left_over_level(limit);
+        // It grows from the first late claim on, and is spent only if there is a token.
+        let allowance = self.late_allowance(limit, now);
+        let is_granted = level >= 1.0 && (is_left || allowance.take(1, 1, now) > 0);
+        match is_granted {
             true => bucket.take(1, 1, now),
             false => 0,
         }
     }
 
-    fn take_late(&mut self, limit: QuotaLimit, now: Moment) -> bool {
+    /// Returns what yielding requests get in any case.
+    fn late_allowance(&mut self, limit: QuotaLimit, now: Moment) -> &mut QuotaBucket {
         let limit = QuotaLimit {
             rate: limit.rate * LATE_FRACTION,
             burst: 1.0,
@@ -148,7 +153,7 @@
             .late
             .get_or_insert_with(|| QuotaBucket::new(limit, 0.0, now));
         bucket.set_limit(limit, now);
-        bucket.take(1, 1, now) > 0
+        bucket
     }
 
     /// Returns how long the sender need not ask again, after `tokens` were granted.
