quota: hosts ask again after 200 ms at the latest

Cause: a host could refuse for 500 ms after the account's load had dropped, though the home had tokens, and hosts that no longer asked were counted for up to 1.5 s.

The longest time without a claim is 200 ms, under the shortest objective of the customers (250 ms). Hosts count for 500 ms, and are dropped at each claim.

--- a/components/coordination/src/quota/contention.rs
+++ b/components/coordination/src/quota/contention.rs
@@ -16,14 +16,17 @@
 
 /// The longest time for which a host need not ask.
 ///
-/// Bounds how long tokens stay unused after a home is lost or the account's load has fallen.
-pub const MAX_NONE_FOR: Duration = Duration::from_millis(500);
+/// Bounds how long tokens stay unused after a home is lost or the account's load has fallen. The
+/// shortest objective in use is 250 ms, so that a request refused meanwhile may still be in time.
+pub const MAX_NONE_FOR: Duration = Duration::from_millis(200);
 
 /// How long requests yield after one that could be in time found the bucket short.
 const CONTENTION_TTL: Duration = Duration::from_millis(500);
 
 /// How long a host counts among those that ask.
-const ASKER_TTL: Duration = Duration::from_secs(1);
+///
+/// Longer than `MAX_NONE_FOR`, after which a host that still has requests asks again.
+const ASKER_TTL: Duration = Duration::from_millis(500);
 
 /// The time for whose tokens a bucket is short: what requests in time take while a grant
 /// travels and its host's next request comes.
@@ -177,6 +180,7 @@
             Urgency::Late if now < self.until => MAX_NONE_FOR,
             Urgency::Late => bucket.wait(0.0).min(MAX_NONE_FOR),
             Urgency::InTime => {
+                self.forget(now);
                 self.askers.insert(claim.sender, now);
                 let time = self.askers.len() as f64 / limit.rate;
                 Duration::try_from_secs_f64(time).map_or(MAX_NONE_FOR, |t| t.min(MAX_NONE_FOR))
--- a/components/coordination/tests/late_allowance.rs
+++ b/components/coordination/tests/late_allowance.rs
@@ -42,3 +42,28 @@
     }
     assert_eq!(take(Urgency::Late, 12_000), 1);
 }
+
+/// Guards against hosts that don't ask for longer than their turns take: hosts that no longer
+/// ask are counted, or a wait outlasts the load by more than 200 ms.
+#[test]
+fn fewer_hosts() {
+    let start = Moment::from_millis(10_000);
+    let mut bucket = QuotaBucket::new(LIMIT, 0.0, start);
+    let mut contention = Contention::new(start);
+    let mut none_for = |host, millis| {
+        let now = start + Duration::from_millis(millis);
+        bucket.drain(now);
+        let claim = claim(Urgency::InTime, host);
+        contention.none_for(&mut bucket, LIMIT, &claim, 0, now)
+    };
+    let bound = Duration::from_millis(200);
+    assert!((0..10).all(|host| none_for(host, 0) <= bound));
+    let fast = QuotaLimit {
+        rate: 50.0,
+        burst: 50.0,
+    };
+    let now = start + Duration::from_millis(600);
+    let mut bucket = QuotaBucket::new(fast, 0.0, now);
+    let alone = contention.none_for(&mut bucket, fast, &claim(Urgency::InTime, 1), 0, now);
+    assert_eq!(alone, Duration::from_millis(20));
+}
