quota: refused requests are told once, while they are recent

Cause: a claim's count of locally refused requests was sent again unchanged with each retransmission and to the second choice, so that the home counted it up to four times. A host without further requests told old counts minutes later.

Only the first transmission carries the count; counts older than a second are dropped.

--- a/components/coordination/src/quota/held.rs
+++ b/components/coordination/src/quota/held.rs
@@ -32,6 +32,9 @@
 /// The shortest time after which a refused caller is told to return.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// How long refused requests are counted; the home estimates the demand of the last second.
+const REFUSED_TTL: Duration = Duration::from_secs(1);
+
 /// What to do with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -65,6 +68,8 @@
     room_at: Moment,
     /// Requests refused since the home was last asked.
     refused: Refused,
+    /// When the first of them was refused.
+    refused_since: Moment,
 }
 
 impl Held {
@@ -81,6 +86,12 @@
         now.until(at).max(MIN_RETRY_DELAY)
     }
 
+    fn drop_old_refused(&mut self, now: Moment) {
+        if now.since(self.refused_since) > REFUSED_TTL {
+            self.refused = Refused::default();
+        }
+    }
+
     fn new(now: Moment) -> Held {
         Held {
             tokens: 0,
@@ -94,6 +105,7 @@
             token_at: now,
             room_at: now,
             refused: Refused::default(),
+            refused_since: now,
         }
     }
 }
@@ -149,13 +161,19 @@
         if now >= none_until {
             return Decision::Ask;
         }
+        held.drop_old_refused(now);
+        if held.refused.total() == 0 {
+            held.refused_since = now;
+        }
         held.refused.count(urgency);
         Decision::Refuse(held.retry_after(request, now))
     }
 
-    /// Returns the requests refused since the last call.
+    /// Returns the requests refused since the last call; none if they are older than a second.
     pub fn take_refused(&mut self, account: AccountKey, now: Moment) -> Refused {
-        std::mem::take(&mut self.of(account, now).refused)
+        let held = self.of(account, now);
+        held.drop_old_refused(now);
+        std::mem::take(&mut held.refused)
     }
 
     /// Takes in the home's answer to a claim; returns whether the request may run.
@@ -197,7 +215,7 @@
     pub fn add(&mut self, account: AccountKey, tokens: u32, now: Moment) {
         self.drop_expired(account, now);
         let held = self.of(account, now);
-        held.tokens += tokens;
+        held.tokens = held.tokens.saturating_add(tokens);
         held.expires = now + TOKEN_TTL;
     }
 
--- a/components/coordination/src/quota/home.rs
+++ b/components/coordination/src/quota/home.rs
@@ -29,9 +29,11 @@
 /// The time over which refused requests are counted, for the time at which they return.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
 
-/// The bounds on the time after which a refused caller is told to return.
+/// The shortest time after which a refused caller is told to return.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
+
+/// The longest time after which a refused caller is told to return.
+pub const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// The data centres that share the quotas with this one.
 #[derive(Clone, Debug, Default)]
@@ -59,6 +61,16 @@
     pub refused: Refused,
 }
 
+impl Claim {
+    /// Returns the claim for another transmission, which doesn't count refused requests again.
+    pub fn repeated(self) -> Claim {
+        Claim {
+            refused: Refused::default(),
+            ..self
+        }
+    }
+}
+
 /// The answer to a request for tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
--- a/components/coordination/tests/held_tokens.rs
+++ b/components/coordination/tests/held_tokens.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use coordination::quota::contention::{TokenRequest, Urgency};
+use coordination::quota::contention::{Refused, TokenRequest, Urgency};
 use coordination::quota::held::{Decision, HeldTokens};
-use coordination::quota::home::Grant;
+use coordination::quota::home::{Claim, Grant};
+use state::accounts::QuotaLimit;
 use state::{AccountKey, Moment};
 
 const ACCOUNT: AccountKey = AccountKey(7);
@@ -64,3 +65,42 @@
         assert_eq!(refused, Decision::Refuse(expected));
     }
 }
+
+/// Guards against a demand that is reported long after it was there, or twice.
+#[test]
+fn old_refusals() {
+    for (age, expected) in [(100, 1), (1_001, 0)] {
+        let mut held = HeldTokens::default();
+        let asked = request(500);
+        let _refused = held.granted(ACCOUNT, asked, Urgency::InTime, none(150, 100), NOW);
+        let decision = held.decide(ACCOUNT, asked, NOW);
+        assert!(matches!(decision, Decision::Refuse(_)), "{decision:?}");
+        let later = NOW + Duration::from_millis(age);
+        assert_eq!(held.take_refused(ACCOUNT, later).total(), expected);
+        assert_eq!(held.take_refused(ACCOUNT, later), Refused::default());
+    }
+}
+
+/// Guards against refused requests that are counted with each transmission of a claim.
+#[test]
+fn repeated_claim() {
+    let limit = QuotaLimit {
+        rate: 5.0,
+        burst: 5.0,
+    };
+    let claim = Claim {
+        account: ACCOUNT,
+        limit,
+        wanted: 3,
+        is_first: false,
+        sender: ([10, 0, 0, 1], 1).into(),
+        urgency: Urgency::InTime,
+        refused: Refused {
+            in_time: 4,
+            late: 9,
+        },
+    };
+    let again = claim.repeated();
+    assert_eq!(again.refused, Refused::default());
+    assert_eq!(again.wanted, claim.wanted);
+}
--- a/components/coordination/tests/quota_site/mod.rs
+++ b/components/coordination/tests/quota_site/mod.rs
@@ -423,7 +423,7 @@
         centre: usize,
         host: usize,
         account: AccountKey,
-        wanted: (u32, Urgency, Refused),
+        mut wanted: (u32, Urgency, Refused),
     ) -> Option<Grant> {
         let now = self.now;
         let homes = quota::homes(account, self.heard(centre, host)?)?;
@@ -434,6 +434,7 @@
                 if grant.is_some() {
                     return grant;
                 }
+                wanted.2 = Refused::default();
             }
             self.centres[centre][host].held.home_failed(account, now);
         }
--- a/components/transport/src/gateway/quota.rs
+++ b/components/transport/src/gateway/quota.rs
@@ -185,7 +185,7 @@
     }
 
     /// Claims tokens from the account's home, or from the second choice if that fails.
-    async fn claim(&self, homes: &HomeRanks, claim: Claim) -> Option<Grant> {
+    async fn claim(&self, homes: &HomeRanks, mut claim: Claim) -> Option<Grant> {
         let has_failed = self
             .quotas
             .held
@@ -197,6 +197,7 @@
                 if grant.is_some() {
                     return grant;
                 }
+                claim = claim.repeated();
             }
             let mut held = self.quotas.held.borrow_mut();
             held.home_failed(claim.account, clock::now());
