--- a/components/protocol/src/quota_message.rs
+++ b/components/protocol/src/quota_message.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use coordination::quota::contention::{MAX_NONE_FOR, Refused, Urgency};
-use coordination::quota::home::Grant;
+use coordination::quota::home::{Grant, MAX_RETRY_DELAY};
 use coordination::quota::{DemandEntry, DemandReport};
 use prost::Message;
 use state::{AccountKey, DataCentreKey};
@@ -141,13 +141,12 @@
         WireQuota { kind: Some(kind) }
     }
 
-    /// Decodes the message; returns `None` if its form is unknown, or a claim or grant has a
-    /// value out of range.
+    /// Decodes the message; returns `None` if its form is unknown.
     ///
-    /// Demands that are negative or not finite are dropped.
+    /// Counts and times beyond their limits are reduced to them, so that the tokens of the same
+    /// message aren't lost. Demands that are negative or not finite are dropped.
     pub(crate) fn into_message(self, cross_centre: bool) -> Option<QuotaMessage> {
         Some(match self.kind? {
-            WireQuotaKind::Claim(claim) if !claim.is_valid() => return None,
             WireQuotaKind::Claim(claim) => QuotaMessage::Claim(QuotaClaim {
                 id: claim.id,
                 account: AccountKey(claim.account),
@@ -158,18 +157,18 @@
                     Urgency::InTime
                 },
                 refused: Refused {
-                    in_time: claim.refused_in_time,
-                    late: claim.refused_late,
+                    in_time: claim.refused_in_time.min(MAX_REFUSED),
+                    late: claim.refused_late.min(MAX_REFUSED),
                 },
             }),
-            WireQuotaKind::Grant(answer) if !answer.is_valid() => return None,
             WireQuotaKind::Grant(answer) => QuotaMessage::Grant(QuotaGrant {
                 id: answer.id,
                 grant: Grant {
                     tokens: answer.tokens,
-                    retry_after: Duration::from_millis(answer.retry_millis),
-                    room_after: Duration::from_millis(answer.room_millis.max(answer.retry_millis)),
-                    none_for: Duration::from_millis(answer.none_millis),
+                    retry_after: Duration::from_millis(answer.retry_millis).min(MAX_RETRY_DELAY),
+                    room_after: Duration::from_millis(answer.room_millis.max(answer.retry_millis))
+                        .min(MAX_RETRY_DELAY),
+                    none_for: Duration::from_millis(answer.none_millis).min(MAX_NONE_FOR),
                 },
             }),
             WireQuotaKind::Demand(demand) => {
@@ -179,18 +178,6 @@
     }
 }
 
-impl WireClaim {
-    fn is_valid(&self) -> bool {
-        self.refused_in_time <= MAX_REFUSED && self.refused_late <= MAX_REFUSED
-    }
-}
-
-impl WireGrant {
-    fn is_valid(&self) -> bool {
-        Duration::from_millis(self.none_millis) <= MAX_NONE_FOR
-    }
-}
-
 impl WireDemand {
     fn into_report(self) -> DemandReport {
         let pairs = self.accounts.into_iter().zip(self.rates);
