gateway: announced times by account, for accounts with a quota only

Cause: announced times were kept by route, so one account with long times made the requests of others seem late; they were noted and sorted for accounts without a quota too.

AnnouncedTimes keeps them by account and route, at most 4,096 (some 4 MB), and drops those of removed routes and accounts. Gateway::time_used notes a request's value and returns the time used; it is called once per request.

--- a/components/state/src/fleet/announced_time.rs
+++ b/components/state/src/fleet/announced_time.rs
@@ -4,8 +4,11 @@
 //! same route announce. Designed for an account far over its quota, where up to two thirds of
 //! the requests are retries; prevents tokens from going to requests that are already late.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::AccountKey;
+
 /// The number of recent values from which the usual time is estimated.
 const VALUES: usize = 64;
 
@@ -18,7 +21,10 @@
 /// may be retries, which announce less.
 const QUANTILE: f64 = 0.75;
 
-/// The times that recent requests of one route announced.
+/// The most accounts and routes for which times are kept, some 1 KB each.
+const MAX_ENTRIES: usize = 4_096;
+
+/// The times that recent requests of one account and route announced.
 #[derive(Clone, Debug, Default)]
 pub struct AnnouncedTime {
     recent: Vec<Duration>,
@@ -55,3 +61,45 @@
         usual.saturating_sub(announced)
     }
 }
+
+/// The announced times of all routes, by account.
+///
+/// Kept by account, so that callers of one account that announce long times don't make the
+/// requests of others seem late.
+#[derive(Clone, Debug, Default)]
+pub struct AnnouncedTimes {
+    times: BTreeMap<(AccountKey, String), AnnouncedTime>,
+}
+
+impl AnnouncedTimes {
+    /// Takes in the time that a request announced; returns the time that its caller has
+    /// presumably used since its first attempt.
+    ///
+    /// Nothing is inferred for entries beyond the limit on their number.
+    pub fn note(&mut self, account: AccountKey, route: &str, announced: Duration) -> Duration {
+        let is_full = self.times.len() >= MAX_ENTRIES;
+        let key = (account, String::from(route));
+        if is_full && !self.times.contains_key(&key) {
+            return Duration::ZERO;
+        }
+        let times = self.times.entry(key).or_default();
+        times.note(announced);
+        times.used(announced)
+    }
+
+    /// Drops the accounts and routes for which `keep` returns false.
+    pub fn retain(&mut self, keep: impl Fn(AccountKey, &str) -> bool) {
+        self.times
+            .retain(|(account, route), _| keep(*account, route));
+    }
+
+    /// Returns the number of accounts and routes for which times are kept.
+    pub fn len(&self) -> usize {
+        self.times.len()
+    }
+
+    /// Returns whether no times are kept.
+    pub fn is_empty(&self) -> bool {
+        self.times.is_empty()
+    }
+}
--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -24,7 +24,7 @@
 pub mod token_buckets;
 pub mod wait_queue;
 
-pub use announced_time::AnnouncedTime;
+pub use announced_time::{AnnouncedTime, AnnouncedTimes};
 pub use endpoint::{Endpoint, EndpointState};
 pub use fingerprint::{Fingerprint, Fingerprints};
 pub use load_sample::LoadSample;
--- a/components/state/tests/announced_time.rs
+++ b/components/state/tests/announced_time.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use state::fleet::AnnouncedTime;
+use state::AccountKey;
+use state::fleet::{AnnouncedTime, AnnouncedTimes};
 
 const USUAL: Duration = Duration::from_millis(1_000);
 
@@ -25,13 +26,13 @@
 
 /// Guards against a few callers with a longer or shorter time that make others seem late.
 #[test]
-fn odd_callers() {
-    let odd = |n| match n % 10 {
+fn unusual_times() {
+    let announced = |n| match n % 10 {
         0 | 5 => 60_000,
         1 | 2 => 5,
         _ => 1_000,
     };
-    assert_eq!(after((0..640).map(odd)).usual(), Some(USUAL));
+    assert_eq!(after((0..640).map(announced)).usual(), Some(USUAL));
 }
 
 /// Guards against an inference from the first few requests of a host.
@@ -47,3 +48,26 @@
     let times = after((0..200).map(|n| if n < 136 { 5_000 } else { 1_000 }));
     assert_eq!(times.usual(), Some(USUAL));
 }
+
+/// Guards against an account with long times that makes the requests of others seem late.
+#[test]
+fn long_account() {
+    let mut times = AnnouncedTimes::default();
+    let [long, usual] = [AccountKey(1), AccountKey(2)];
+    for _ in 0..64 {
+        times.note(long, "reads", Duration::from_secs(60));
+        assert_eq!(times.note(usual, "reads", USUAL), Duration::ZERO);
+    }
+}
+
+/// Guards against memory that grows with accounts and routes, or stays after they are gone.
+#[test]
+fn bounded_number() {
+    let mut times = AnnouncedTimes::default();
+    for account in 0..10_000 {
+        times.note(AccountKey(account), "reads", USUAL);
+    }
+    assert_eq!(times.len(), 4_096);
+    times.retain(|account, route| account == AccountKey(3) && route == "reads");
+    assert_eq!(times.len(), 1);
+}
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -317,10 +317,8 @@
             .account()
             .filter(|_| !self.origin.is_forwarded)?;
         let left = self.arrived.until(self.deadline);
-        Some(
-            self.gateway
-                .quota_request(account, self.route, self.arrived, left),
-        )
+        self.gateway
+            .quota_request(account, self.route, self.arrived, left)
     }
 
     /// Runs attempts until one gets an answer or no further attempt is allowed.
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -459,7 +459,8 @@
         }
     }
 
-    /// Drops the measured service times of removed routes.
+    /// Drops the measured service times of removed routes, and the announced times of removed
+    /// routes and accounts.
     ///
     /// Operators make a thousand changes a day, many of them with new route names,
     /// so the map would otherwise grow without limit.
@@ -472,7 +473,10 @@
         let mut service_times = self.service_times.borrow_mut();
         service_times.retain(|name, _| named.contains(name.as_str()));
         let mut announced_times = self.announced_times.borrow_mut();
-        announced_times.retain(|name, _| named.contains(name.as_str()));
+        let accounts = catalogue.accounts.as_ref();
+        announced_times.retain(|account, route| {
+            named.contains(route) && accounts.is_some_and(|a| a.get(account).is_some())
+        });
     }
 
     fn set_leaving(&self, centre: DataCentreKey, leaving: bool) {
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -53,7 +53,7 @@
 use rand::{Rng, SeedableRng};
 use state::fleet::retry_budget::RetryBounds;
 use state::fleet::service_time::ServiceTime;
-use state::fleet::{AnnouncedTime, HostProbeBudget, Registry, WindowedRetryBudget};
+use state::fleet::{AnnouncedTimes, HostProbeBudget, Registry, WindowedRetryBudget};
 use state::routing::{OperatorConfig, Route};
 use state::{DataCentreKey, Moment, ServiceKey};
 use thiserror::Error;
@@ -152,7 +152,7 @@
     /// Service time estimates by route name.
     service_times: RefCell<BTreeMap<String, ServiceTime>>,
     /// What callers with accounts announce as their time, by route name.
-    announced_times: RefCell<BTreeMap<String, AnnouncedTime>>,
+    announced_times: RefCell<AnnouncedTimes>,
     probe_budget: RefCell<HostProbeBudget>,
     quotas: Quotas,
     queues: RefCell<WaitQueues>,
--- a/components/transport/src/gateway/quota.rs
+++ b/components/transport/src/gateway/quota.rs
@@ -145,7 +145,7 @@
         }
     }
 
-    fn quota_limit(&self, account: AccountKey) -> Option<QuotaLimit> {
+    pub(super) fn quota_limit(&self, account: AccountKey) -> Option<QuotaLimit> {
         let config = self.config.borrow();
         let accounts = config.catalogue.as_ref()?.accounts.as_ref()?;
         accounts.get(account)?.quota
--- a/components/transport/src/gateway/request_tokens.rs
+++ b/components/transport/src/gateway/request_tokens.rs
@@ -77,24 +77,32 @@
 }
 
 impl Gateway {
-    /// Returns the use of a quota by a request that arrived at `arrived` with this time left.
+    /// Returns the time that a request's caller has presumably used since its first attempt.
+    ///
+    /// Takes in the time `left`, so it must be called once per request. May be wrong for a caller
+    /// with a shorter time of its own: it must not decide whether a request may run.
+    pub(super) fn time_used(&self, route: &Route, left: Duration, account: AccountKey) -> Duration {
+        let mut times = self.announced_times.borrow_mut();
+        times.note(account, &route.name, left)
+    }
+
+    /// Returns the use of a quota by a request that arrived at `arrived` with this time left;
+    /// none for an account without a quota.
     pub(super) fn quota_request(
         &self,
         account: AccountKey,
         route: &Route,
         arrived: Moment,
         left: Duration,
-    ) -> QuotaRequest {
-        let mut times = self.announced_times.borrow_mut();
-        let times = times.entry(route.name.clone()).or_default();
-        times.note(left);
-        let used = times.used(left);
+    ) -> Option<QuotaRequest> {
+        self.quota_limit(account)?;
+        let used = self.time_used(route, left, account);
         let service_time = self.with_service_time(route, |time| time.estimate());
         // A request that was late from the start has a latest start before its arrival.
         let slack = route.objective.checked_sub(used + service_time);
         let request = slack.map_or(TokenRequest::LATE, |slack| TokenRequest {
             latest_start: arrived + slack,
         });
-        QuotaRequest { account, request }
+        Some(QuotaRequest { account, request })
     }
 }
