Merge corrections of quota tokens

An account with few requests at a host is judged by the median of its route: with 73 accounts and four routes a host sees an account's fourth request on a route after a minute.

--- a/components/coordination/src/quota/contention.rs
+++ b/components/coordination/src/quota/contention.rs
@@ -16,14 +16,17 @@
 
 /// The longest time for which a host need not ask.
 ///
-/// Bounds how long tokens stay unused after a home is lost or the account's load has fallen.
-pub const MAX_NONE_FOR: Duration = Duration::from_millis(500);
+/// Bounds how long tokens stay unused after a home is lost or the account's load has fallen. The
+/// shortest objective in use is 250 ms, so that a request refused meanwhile may still be in time.
+pub const MAX_NONE_FOR: Duration = Duration::from_millis(200);
 
 /// How long requests yield after one that could be in time found the bucket short.
 const CONTENTION_TTL: Duration = Duration::from_millis(500);
 
 /// How long a host counts among those that ask.
-const ASKER_TTL: Duration = Duration::from_secs(1);
+///
+/// Longer than `MAX_NONE_FOR`, after which a host that still has requests asks again.
+const ASKER_TTL: Duration = Duration::from_millis(500);
 
 /// The time for whose tokens a bucket is short: what requests in time take while a grant
 /// travels and its host's next request comes.
@@ -46,6 +49,31 @@
     Late,
 }
 
+/// A request that needs a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenRequest {
+    /// The latest time at which the request can start at an endpoint and be in time, counted
+    /// from its caller's first attempt.
+    pub latest_start: Moment,
+}
+
+impl TokenRequest {
+    /// A request that was late from the start.
+    pub const LATE: TokenRequest = TokenRequest {
+        latest_start: Moment::from_millis(0),
+    };
+
+    /// Returns whether the request can still be in time.
+    ///
+    /// Inferred from what callers announce: it may only decide who yields to others.
+    pub fn urgency(&self, now: Moment) -> Urgency {
+        match now <= self.latest_start {
+            true => Urgency::InTime,
+            false => Urgency::Late,
+        }
+    }
+}
+
 /// Requests that a host refused without asking.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Refused {
@@ -107,14 +135,19 @@
             }
             return tokens;
         }
-        let is_left = bucket.level(now) >= left_over_level(limit);
-        match now >= self.until || is_left || self.take_late(limit, now) {
+        let level = bucket.level(now);
+        let is_left = now >= self.until || level >= left_over_level(limit);
+        // It grows from the first late claim on, and is spent only if there is a token.
+        let allowance = self.late_allowance(limit, now);
+        let is_granted = level >= 1.0 && (is_left || allowance.take(1, 1, now) > 0);
+        match is_granted {
             true => bucket.take(1, 1, now),
             false => 0,
         }
     }
 
-    fn take_late(&mut self, limit: QuotaLimit, now: Moment) -> bool {
+    /// Returns what yielding requests get in any case.
+    fn late_allowance(&mut self, limit: QuotaLimit, now: Moment) -> &mut QuotaBucket {
         let limit = QuotaLimit {
             rate: limit.rate * LATE_FRACTION,
             burst: 1.0,
@@ -123,7 +156,7 @@
             .late
             .get_or_insert_with(|| QuotaBucket::new(limit, 0.0, now));
         bucket.set_limit(limit, now);
-        bucket.take(1, 1, now) > 0
+        bucket
     }
 
     /// Returns how long the sender need not ask again, after `tokens` were granted.
@@ -147,6 +180,7 @@
             Urgency::Late if now < self.until => MAX_NONE_FOR,
             Urgency::Late => bucket.wait(0.0).min(MAX_NONE_FOR),
             Urgency::InTime => {
+                self.forget(now);
                 self.askers.insert(claim.sender, now);
                 let time = self.askers.len() as f64 / limit.rate;
                 Duration::try_from_secs_f64(time).map_or(MAX_NONE_FOR, |t| t.min(MAX_NONE_FOR))
--- a/components/coordination/src/quota/home.rs
+++ b/components/coordination/src/quota/home.rs
@@ -29,9 +29,11 @@
 /// The time over which refused requests are counted, for the time at which they return.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
 
-/// The bounds on the time after which a refused caller is told to return.
+/// The shortest time after which a refused caller is told to return.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
+
+/// The longest time after which a refused caller is told to return.
+pub const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// The data centres that share the quotas with this one.
 #[derive(Clone, Debug, Default)]
@@ -59,13 +61,27 @@
     pub refused: Refused,
 }
 
+impl Claim {
+    /// Returns the claim for another transmission, which doesn't count refused requests again.
+    pub fn repeated(self) -> Claim {
+        Claim {
+            refused: Refused::default(),
+            ..self
+        }
+    }
+}
+
 /// The answer to a request for tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
     /// The tokens granted; none if the quota is used up.
     pub tokens: u32,
-    /// How long a refused caller has to wait; zero if the account has room.
+    /// How long until a token can be expected for a refused request of this urgency; zero if
+    /// the account has room.
     pub retry_after: Duration,
+    /// How long until the account has room for all refused requests; zero if the home doesn't
+    /// tell, or it has room.
+    pub room_after: Duration,
     /// How long the host need not ask again for requests of this or a lower urgency.
     pub none_for: Duration,
 }
@@ -224,19 +240,24 @@
             Urgency::InTime => &account.refused_in_time,
             Urgency::Late => &account.refused,
         };
-        let wait = bucket.wait(refusals.rate(now) * REFUSAL_WINDOW.as_secs_f64());
+        let wait = |refused: &Demand| {
+            let wait = bucket.wait(refused.rate(now) * REFUSAL_WINDOW.as_secs_f64());
+            wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
+        };
+        let waits = (wait(refusals), wait(&account.refused));
         let none_for = account
             .contention
             .none_for(bucket, limit, claim, tokens, now);
         account.usage.part = account.part(claim.limit, centres, now);
         account.count(claim, tokens, now);
-        let retry_after = match tokens > 0 && none_for.is_zero() {
-            true => Duration::ZERO,
-            false => wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY),
+        let (retry_after, room_after) = match tokens > 0 && none_for.is_zero() {
+            true => (Duration::ZERO, Duration::ZERO),
+            false => waits,
         };
         Grant {
             tokens,
             retry_after,
+            room_after,
             none_for,
         }
     }
--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -4,11 +4,11 @@
 //! are four times as slow, and which ones are changes every few hundred milliseconds, so
 //! knowledge about an endpoint is outdated quickly: see [`load_sample`].
 
-pub mod centre_loss;
 pub mod announced_time;
+pub mod centre_loss;
 pub mod endpoint;
-pub mod fair_queue;
 mod endpoint_index;
+pub mod fair_queue;
 pub mod fingerprint;
 pub mod hints;
 pub mod isolation;
@@ -34,7 +34,7 @@
 pub mod token_buckets;
 pub mod wait_queue;
 
-pub use announced_time::AnnouncedTime;
+pub use announced_time::{AnnouncedTime, AnnouncedTimes};
 pub use endpoint::{Endpoint, EndpointState};
 pub use fair_queue::{FairQueue, FairTicket};
 pub use fingerprint::{Fingerprint, Fingerprints};
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -29,7 +29,7 @@
 use super::denial::Denial;
 use super::forward::{increment, tell_leaving};
 use super::origin::{Origin, Source};
-use super::request_tokens::{Payer, RequestTokens};
+use super::request_tokens::{QuotaRequest, RequestTokens};
 use super::{Gateway, Stage};
 use crate::clock;
 use crate::edge::body::{BodyPrefix, CallerBody, MAX_REPLAY_BODY, SharedBody};
@@ -182,7 +182,7 @@
         origin,
         fingerprints,
         arrived,
-        used: gateway.time_used(&route, timeout),
+        used: gateway.time_used(&route, timeout, identity.account()),
         deadline: arrived + timeout.min(route.timeout),
         draw: gateway.random_fraction(),
     };
@@ -282,7 +282,7 @@
         let placement = RefCell::new(Placement::default());
         let helpers = RefCell::new(BTreeSet::new());
         let may_have_run = Cell::new(0);
-        let tokens = RequestTokens::take_first(self.gateway, self.payer(), &may_have_run)
+        let tokens = RequestTokens::take_first(self.gateway, self.quota_request(), &may_have_run)
             .await
             .map_err(Denial::OverQuota)?;
         let replay = match &body {
@@ -317,13 +317,14 @@
             .with_retry_budget(self.service, |budget| budget.count(self.arrived));
     }
 
-    /// Returns who pays for the request; nobody if the host that forwarded it has taken a token.
-    fn payer(&self) -> Option<Payer> {
+    /// Returns the use of an account's quota; none if the host that forwarded it has taken a token.
+    fn quota_request(&self) -> Option<QuotaRequest> {
         let account = self
             .caller
             .account()
             .filter(|_| !self.origin.is_forwarded)?;
-        Some(self.gateway.payer(account, self.route, self.arrived, self.used))
+        self.gateway
+            .quota_request(account, self.route, self.arrived, self.used)
     }
 
     /// Runs attempts until one gets an answer or no further attempt is allowed.
--- a/components/transport/src/gateway/used_time.rs
+++ b/components/transport/src/gateway/used_time.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use state::AccountKey;
 use state::routing::Route;
 
 use super::Gateway;
@@ -10,16 +11,16 @@
     /// Returns the estimated time that a caller has used before this request, which announces
     /// that it waits for `left`.
     ///
-    /// Called once for each request, since it takes in what the request announces. Zero where
-    /// no client accounts compete.
-    pub(super) fn time_used(&self, route: &Route, left: Duration) -> Duration {
-        if !self.has_accounts() {
-            return Duration::ZERO;
-        }
+    /// Called once for each request, since it takes in what the request announces. Zero for a
+    /// request without an account.
+    pub(super) fn time_used(
+        &self,
+        route: &Route,
+        left: Duration,
+        account: Option<AccountKey>,
+    ) -> Duration {
         let mut times = self.announced_times.borrow_mut();
-        let times = times.entry(route.name.clone()).or_default();
-        times.note(left);
-        times.used(left)
+        account.map_or(Duration::ZERO, |a| times.note(a, &route.name, left))
     }
 
     /// Returns whether the configuration has client accounts.
