state: a new endpoint is probed before connected ones

A new endpoint was preferred by 2.0, an open connection that had been idle for 2 s by 3.0 and more, so hosts with few requests probed a new endpoint only after all connected members. A new endpoint has the highest preference now, and only connected ones gain by their idle time.

--- a/components/state/src/fleet/subset_placement.rs
+++ b/components/state/src/fleet/subset_placement.rs
@@ -32,9 +32,10 @@
 
 /// How much the expected slowdown of a preferred endpoint is lowered in the order of probes.
 ///
-/// More than a load sample that is still remembered can raise it. A probe on an open
-/// connection takes about a millisecond; a new connection takes a slot of the endpoint for as
-/// long, and costs its host more than the probe.
+/// A new connection takes a slot of the endpoint for about a millisecond, and costs its host
+/// more than a probe on an open one. The preference is larger than the random part of the
+/// order and the busy slots of an endpoint together, so that an open connection is used first
+/// unless an outdated load sample shows a slow endpoint.
 const SUBSET_PREFERENCE: f64 = 2.0;
 
 /// How much the expected slowdown is lowered further for each second since the last load
@@ -47,6 +48,12 @@
 /// The longest time since the last load sample that counts, in seconds.
 const MAX_IDLE_TIME: f64 = 10.0;
 
+/// How much the expected slowdown of an endpoint is lowered that has just joined.
+///
+/// More than that of any endpoint with a connection: otherwise hosts with few requests would
+/// probe all members before it.
+const NEW_PREFERENCE: f64 = SUBSET_PREFERENCE + MAX_IDLE_TIME * IDLE_WEIGHT + 1.0;
+
 /// Endpoints that a request may be sent to.
 #[derive(Default)]
 struct Found {
@@ -311,13 +318,18 @@
             true => Distance::SameCentre,
             false => context.topology.distance(request.centre, centre),
         };
+        let connected = (context.is_connected)(*key);
         Some(Candidate {
             key: *key,
             state,
             distance,
-            connected: (context.is_connected)(*key),
+            connected,
             limited: registry.limits().contains(*key),
-            preference: SUBSET_PREFERENCE + idle_time(state, now) * IDLE_WEIGHT,
+            preference: match state.is_new(now) {
+                true => NEW_PREFERENCE,
+                false if connected => SUBSET_PREFERENCE + idle_time(state, now) * IDLE_WEIGHT,
+                false => SUBSET_PREFERENCE,
+            },
         })
     });
     known.collect()
--- a/components/state/tests/subset_placement.rs
+++ b/components/state/tests/subset_placement.rs
@@ -36,14 +36,29 @@
     versions: VersionRule,
     regions: BTreeSet<RegionKey>,
     random: StdRng,
+    /// Where the host is among those of its data centre, and their number.
+    position: usize,
+    hosts: usize,
+    connected: BTreeSet<EndpointKey>,
+    probed: BTreeSet<EndpointKey>,
 }
 
 impl Host {
     /// Returns a host with a subset of 200 near endpoints, and 50 far ones; `change` alters
     /// their registrations.
     fn with(change: impl Fn(usize, &mut Endpoint)) -> Host {
+        Host::among(7, HOSTS, NEAR, change)
+    }
+
+    /// Returns the host at `position` among `hosts`, with this number of near endpoints.
+    fn among(
+        position: usize,
+        hosts: usize,
+        near: usize,
+        change: impl Fn(usize, &mut Endpoint),
+    ) -> Host {
         let mut entries = BTreeMap::new();
-        for (centre, count) in [("near", NEAR), ("far", 50)] {
+        for (centre, count) in [("near", near), ("far", 50)] {
             for number in 0..count {
                 let mut endpoint = endpoint(number, centre);
                 change(number, &mut endpoint);
@@ -57,15 +72,19 @@
             versions: VersionRule::All,
             regions: BTreeSet::new(),
             random: StdRng::seed_from_u64(3),
+            position,
+            hosts,
+            connected: BTreeSet::new(),
+            probed: BTreeSet::new(),
         };
-        host.set_subset();
+        host.set_subset(6);
         host
     }
 
-    fn set_subset(&mut self) {
+    fn set_subset(&mut self, wanted: usize) {
         let service = ServiceKey::named("svc");
         let near = self.registry.near(service, DataCentreKey::named("near"));
-        let subset = Subset::new(near.unwrap(), 7, HOSTS, 6);
+        let subset = Subset::new(near.unwrap(), self.position, self.hosts, wanted);
         self.registry.set_subset(service, subset);
     }
 
@@ -94,9 +113,10 @@
             draw: self.random.random(),
         };
         loop {
+            let connected = &self.connected;
             let mut context = Context {
                 registry: &mut self.registry,
-                is_connected: &|_| false,
+                is_connected: &|key| connected.contains(&key),
                 is_first: true,
                 may_probe: true,
                 leaving_centres: &BTreeSet::new(),
@@ -109,6 +129,7 @@
             let mut draw = || random.random::<f64>();
             match placement.next(&mut context, &request, now, &mut draw) {
                 Step::Probe(key) => {
+                    self.probed.insert(key);
                     now = now + Duration::from_millis(1);
                     let (running, slowness) = sample(key);
                     let sample = LoadSample {
@@ -228,7 +249,7 @@
     let added = endpoint(1_000, "near");
     host.registry
         .apply("added", Some(Entry::Endpoint(added.clone())), at);
-    host.set_subset();
+    host.set_subset(6);
     let mut used = BTreeSet::new();
     for round in 0..20 {
         used.insert(
@@ -238,3 +259,49 @@
     }
     assert!(used.contains(&added.key()));
 }
+
+/// Hosts with connections and a request every few seconds must not probe all their connected
+/// members before a new endpoint, which would get no request for as long.
+#[test]
+fn new_endpoint_soon() {
+    let (count, rate) = (52, 0.27);
+    let added = endpoint(1_000, "near");
+    for seed in 0..5 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut hosts: Vec<Host> = (0..count)
+            .map(|position| Host::among(position, count, 32, |_, _| {}))
+            .collect();
+        let joined = START + Duration::from_secs(20);
+        for host in &mut hosts {
+            host.connected = host.members();
+            for key in host.members() {
+                let at = joined.0 - random.random_range(2_000_000..8_000_000);
+                let sample = LoadSample {
+                    at: Moment(at),
+                    running: 0,
+                    waiting: 0,
+                    slots: 4,
+                    slowness: 100,
+                    healthy: true,
+                    reported: true,
+                };
+                host.registry.get_mut(key).unwrap().set_sample(sample);
+            }
+            let entry = Entry::Endpoint(added.clone());
+            host.registry.apply("added", Some(entry), joined);
+            host.set_subset(6);
+            let subset = host.registry.subset_mut(ServiceKey::named("svc"));
+            subset.unwrap().set_rate(rate);
+        }
+        let mut at = 0.0;
+        let mut is_offered = false;
+        while !is_offered {
+            at += -(1.0 - random.random::<f64>()).ln() / (rate * count as f64);
+            assert!(at < 4.0, "{seed}");
+            let host = &mut hosts[random.random_range(0..count)];
+            let now = joined + Duration::from_secs_f64(at);
+            host.place(now, |_| (0, 100)).unwrap();
+            is_offered = host.probed.contains(&added.key());
+        }
+    }
+}
