--- a/components/state/src/fleet/subset_placement.rs
+++ b/components/state/src/fleet/subset_placement.rs
@@ -61,10 +61,28 @@
     cold: Vec<EndpointKey>,
 }
 
-/// Which of the endpoints on a ring are looked at next.
+/// Which of the endpoints on a ring are looked at next: all members, from one of them on, then
+/// the others in the order of the ring.
 struct Walk {
-    at: usize,
-    left: usize,
+    /// The member that is looked at first.
+    start: usize,
+    members: usize,
+    ring_length: usize,
+    /// The number of endpoints that have been looked at.
+    done: usize,
+}
+
+impl Walk {
+    /// Returns the place on the ring of the next endpoint, `None` after the last one.
+    fn next(&mut self) -> Option<usize> {
+        let at = match self.done {
+            done if done >= self.ring_length => return None,
+            done if done < self.members => (self.start + done) % self.members,
+            done => done,
+        };
+        self.done += 1;
+        Some(at)
+    }
 }
 
 impl Placement {
@@ -85,8 +103,10 @@
         }
         let mode = ProbeMode::of(context);
         let mut walk = Walk {
-            at: self.window(request, members),
-            left: ring_length,
+            start: self.window(request, members),
+            members,
+            ring_length,
+            done: 0,
         };
         let mut found = Found::default();
         self.find_new(context, request, now, draw, &mut found);
@@ -164,14 +184,12 @@
     ) {
         let enough = found.warm.len() + count;
         let mut skipped = 0;
-        while walk.left > 0 && found.warm.len() < enough && skipped < MAX_SKIPPED {
+        while found.warm.len() < enough && skipped < MAX_SKIPPED {
             let subset = context.registry.subset(request.service);
-            let Some(key) = subset.and_then(|s| s.ring().get(walk.at % s.ring().len()).copied())
-            else {
+            let next = walk.next().and_then(|at| subset?.ring().get(at).copied());
+            let Some(key) = next else {
                 return;
             };
-            walk.at += 1;
-            walk.left -= 1;
             let before = found.warm.len();
             self.add(context, key, now, draw, found);
             skipped += usize::from(found.warm.len() == before);
--- a/components/state/tests/subset_placement.rs
+++ b/components/state/tests/subset_placement.rs
@@ -167,6 +167,20 @@
     }
 }
 
+/// A host with more members than a request looks at must not run past the last one while other
+/// members are good.
+#[test]
+fn many_members() {
+    let mut host = Host::with(|_, _| {});
+    host.set_subset(20);
+    let members = host.members();
+    assert!(members.len() > 16);
+    for round in 0..200 {
+        let placed = host.place(START + Duration::from_secs(round), |_| (0, 100));
+        assert!(members.contains(&placed.unwrap()));
+    }
+}
+
 /// Members that leave must be replaced by other near endpoints, not by far ones.
 #[test]
 fn members_replaced() {
