gateway: the idle lifetime of connections is kept for each service

One lifetime for all services was overwritten by each answer, also by those that advertise none. Each service keeps the one that its endpoints last advertised.

--- a/components/state/src/fleet/subset_size.rs
+++ b/components/state/src/fleet/subset_size.rs
@@ -19,6 +19,12 @@
 /// seven loses its connection between two uses.
 const USES_PER_LIFETIME: f64 = 2.0;
 
+/// The shortest lifetime of idle connections with which a host uses a subset.
+///
+/// Subsets are updated and connections refreshed once a second, so shorter-lived ones can't
+/// be kept open.
+const MIN_IDLE_LIFETIME: Duration = Duration::from_secs(1);
+
 /// The number of probes for each request.
 ///
 /// A third of the endpoints are disturbed, so that a request probes one and a half.
@@ -164,6 +170,9 @@
     }
 
     fn wanted(&self, limits: Limits) -> usize {
+        if limits.idle_lifetime < MIN_IDLE_LIFETIME {
+            return usize::MAX;
+        }
         let uses = self.rate() * PROBES_PER_REQUEST * limits.idle_lifetime.as_secs_f64();
         let slots = f64::from(limits.slots.max(1)) * KNEE_LOAD * UNDISTURBED * OWN_FRACTION;
         let used = (uses / USES_PER_LIFETIME).max(self.load / slots);
--- a/components/state/tests/subsets.rs
+++ b/components/state/tests/subsets.rs
@@ -194,6 +194,21 @@
     }
 }
 
+/// Where connections don't stay open between requests, a subset saves none and only narrows
+/// the choice.
+#[test]
+fn short_lifetime() {
+    for idle_ms in [0, 1, 999] {
+        let limits = Limits {
+            idle_lifetime: Duration::from_millis(idle_ms),
+            ..limits(26, 4)
+        };
+        let mut size = SubsetSize::new(Moment(0));
+        let settled = settle(&mut size, &mut 0, 1, demand(1, 100), limits);
+        assert!(settled >= 26, "{idle_ms}: {settled}");
+    }
+}
+
 /// Members that are nearly full must not hold back requests while other endpoints are idle:
 /// the subset grows within seconds, and shrinks when the load is gone.
 #[test]
--- a/components/transport/src/gateway/pool.rs
+++ b/components/transport/src/gateway/pool.rs
@@ -114,7 +114,14 @@
     pub(super) fn keep_connection(&self, connection: Connection, headers: &HeaderMap) {
         let limit = platform::headers::keep_alive_timeout(headers);
         let max_idle = self.max_idle(connection.endpoint);
-        self.subsets.note_idle_lifetime(idle_lifetime(limit));
+        let registry = self.registry.borrow();
+        let service = registry.get(connection.endpoint);
+        if let (Some(state), Some(_)) = (service, limit) {
+            let service = state.endpoint.service;
+            let lifetime = idle_lifetime(limit);
+            self.subsets.note_idle_lifetime(service, lifetime);
+        }
+        drop(registry);
         self.pool
             .borrow_mut()
             .put(connection, limit, max_idle, clock::now());
--- a/components/transport/src/gateway/subset.rs
+++ b/components/transport/src/gateway/subset.rs
@@ -1,7 +1,7 @@
 //! Keeps the host's subset of each service's endpoints up to date, and the few connections
 //! of a service with rare requests open.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,6 +43,8 @@
     size: SubsetSize,
     demand: Demand,
     last_request: Moment,
+    /// How long idle connections stay open, as an endpoint of the service last advertised it.
+    idle_lifetime: Duration,
     /// The hosts, the version of the endpoints and the size that the subset was made for.
     made_for: Option<(Vec<SocketAddr>, u64, usize)>,
     /// The number of members that was last logged, and when; none for all near endpoints.
@@ -58,6 +60,7 @@
             size: SubsetSize::new(now),
             demand: Demand::default(),
             last_request: now,
+            idle_lifetime: DEFAULT_IDLE_LIFETIME,
             made_for: None,
             logged: (None, Moment(0)),
             decisions: 0,
@@ -71,8 +74,6 @@
 #[derive(Default)]
 pub(super) struct Subsets {
     services: RefCell<BTreeMap<ServiceKey, ServiceUse>>,
-    /// How long idle connections stay open, as an endpoint last advertised it.
-    idle_lifetime: Cell<Option<Duration>>,
 }
 
 impl Subsets {
@@ -87,13 +88,11 @@
         usage.last_request = now;
     }
 
-    /// Notes how long an idle connection stays open.
-    pub fn note_idle_lifetime(&self, time: Duration) {
-        self.idle_lifetime.set(Some(time));
-    }
-
-    fn idle_lifetime(&self) -> Duration {
-        self.idle_lifetime.get().unwrap_or(DEFAULT_IDLE_LIFETIME)
+    /// Notes how long an idle connection to an endpoint of a service stays open.
+    pub fn note_idle_lifetime(&self, service: ServiceKey, time: Duration) {
+        if let Some(usage) = self.services.borrow_mut().get_mut(&service) {
+            usage.idle_lifetime = time;
+        }
     }
 }
 
@@ -164,7 +163,7 @@
         };
         let any = near.first().and_then(|key| registry.get(*key));
         let limits = Limits {
-            idle_lifetime: self.subsets.idle_lifetime(),
+            idle_lifetime: usage.idle_lifetime,
             slots: any.map_or(1, |s| s.endpoint.slots),
             near: near.len(),
         };
