--- a/components/state/src/fleet/placement.rs
+++ b/components/state/src/fleet/placement.rs
@@ -111,6 +111,10 @@
     unreachable: BTreeSet<EndpointKey>,
     /// How often the request has waited.
     pub(super) rounds: u32,
+    /// The last round that was counted as a decision of the host's subset.
+    pub(super) counted_round: Option<u32>,
+    /// The last round that was counted as crowded.
+    pub(super) crowded_round: Option<u32>,
 }
 
 /// How a request may find an endpoint.
--- a/components/state/src/fleet/subset.rs
+++ b/components/state/src/fleet/subset.rs
@@ -141,10 +141,14 @@
         self.ring[..self.new_reach].contains(&key)
     }
 
-    /// Counts a decision; `crowded` tells whether a member was nearly full and none good.
-    pub(super) fn note_decision(&mut self, crowded: bool) {
+    /// Counts a decision.
+    pub(super) fn note_decision(&mut self) {
         self.decisions += 1;
-        self.crowded += u32::from(crowded);
+    }
+
+    /// Counts that a member was nearly full and none good at a decision.
+    pub(super) fn note_crowded(&mut self) {
+        self.crowded += 1;
     }
 
     /// Returns how the subset was used since the last call.
--- a/components/state/src/fleet/subset_placement.rs
+++ b/components/state/src/fleet/subset_placement.rs
@@ -304,9 +304,19 @@
             .unwrap_or(step)
     }
 
-    fn note_decision(&self, context: &mut Context<'_>, request: &Request, crowded: bool) {
-        if let Some(subset) = context.registry.subset_mut(request.service) {
-            subset.note_decision(crowded);
+    /// Counts a decision once in each round of a request, and once that it was crowded.
+    fn note_decision(&mut self, context: &mut Context<'_>, request: &Request, crowded: bool) {
+        let round = Some(self.rounds);
+        let Some(subset) = context.registry.subset_mut(request.service) else {
+            return;
+        };
+        if self.counted_round != round {
+            self.counted_round = round;
+            subset.note_decision();
+        }
+        if crowded && self.crowded_round != round {
+            self.crowded_round = round;
+            subset.note_crowded();
         }
     }
 }
--- a/components/state/tests/subset_placement.rs
+++ b/components/state/tests/subset_placement.rs
@@ -181,6 +181,23 @@
     }
 }
 
+/// Counting each step of a request would hide crowding among the probes of other requests.
+#[test]
+fn requests_counted() {
+    let mut host = Host::with(|_, _| {});
+    let members = host.members();
+    let usage = |host: &mut Host| {
+        let subset = host.registry.subset_mut(ServiceKey::named("svc"));
+        let usage = subset.unwrap().take_usage();
+        (usage.decisions, usage.crowded)
+    };
+    host.place(START, |_| (0, 100)).unwrap();
+    assert_eq!(usage(&mut host), (1, 0));
+    let full = |key: EndpointKey| (if members.contains(&key) { 4 } else { 0 }, 100);
+    host.place(START + Duration::from_secs(1), full).unwrap();
+    assert_eq!(usage(&mut host), (1, 1));
+}
+
 /// Members that leave must be replaced by other near endpoints, not by far ones.
 #[test]
 fn members_replaced() {
