state: a request looks at a part of the ring before it is refused

With the scan budget used up a refusal rested on the same 20 to 30 endpoints. A request looks at 64 endpoints of the ring before that, others for each request and round, and endpoints that it has probed in the round stay known, so that the step after a scan's probe needs no other scan.

--- a/components/state/src/fleet/placement.rs
+++ b/components/state/src/fleet/placement.rs
@@ -342,6 +342,11 @@
         self.probed.contains(&key)
     }
 
+    /// Returns the endpoints that the request has probed in this round.
+    pub(super) fn probed_keys(&self) -> Vec<EndpointKey> {
+        self.probed.iter().copied().collect()
+    }
+
     /// Notes that `key` is about to be probed; returns whether it wasn't before.
     pub(super) fn note_probed(&mut self, key: EndpointKey) -> bool {
         self.probed.insert(key)
--- a/components/state/src/fleet/subset_placement.rs
+++ b/components/state/src/fleet/subset_placement.rs
@@ -24,6 +24,11 @@
 /// The number of endpoints of each other data centre that a request looks at.
 const FAR: usize = 6;
 
+/// The number of endpoints on the ring that a request looks at before it is refused.
+///
+/// Bounds the cost of a refusal; another part is looked at by each request and round.
+const SEARCHED: usize = 64;
+
 /// The number of endpoints that have just joined that a request looks at.
 const NEW: usize = 2;
 
@@ -129,6 +134,10 @@
             return Some(step);
         }
         self.find_far(context, request, now, draw, &mut found);
+        // Those that were found by a scan are outside of what a request looks at first.
+        for key in self.probed_keys() {
+            self.add(context, key, now, draw, &mut found);
+        }
         if found.warm.is_empty() {
             return None;
         }
@@ -138,10 +147,39 @@
             Step::Place(key) => !is_good(context, key, now) && mode != ProbeMode::Unprobed,
             Step::Probe(_) | Step::Wait(_) => false,
         };
+        if must_scan && let Some(step) = self.search(context, request, &mut found, mode, now, draw)
+        {
+            return Some(step);
+        }
         let scans = must_scan && context.registry.may_scan(request.service, now);
         (!scans).then_some(step)
     }
 
+    /// Returns a good endpoint in a part of the ring, or the next one there to probe.
+    ///
+    /// The part differs by request and round.
+    fn search(
+        &mut self,
+        context: &mut Context<'_>,
+        request: &Request,
+        found: &mut Found,
+        mode: ProbeMode,
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
+    ) -> Option<Step> {
+        let length = context.registry.subset(request.service)?.ring().len();
+        let hash = rendezvous(request.draw.to_bits(), u64::from(self.rounds));
+        let mut walk = Walk {
+            start: usize::try_from(hash % length as u64).unwrap_or_default(),
+            members: length,
+            ring_length: length.min(SEARCHED),
+            done: 0,
+        };
+        let known = found.warm.len();
+        self.walk(context, request, &mut walk, SEARCHED, now, draw, found);
+        self.probe_part(context, request, &found.warm[known..], mode, now, draw)
+    }
+
     /// Returns a good endpoint among these, or the next one of them to probe.
     ///
     /// The limit of probes in a round applies to each part alone: members that were probed
--- a/components/state/tests/subset_placement.rs
+++ b/components/state/tests/subset_placement.rs
@@ -98,13 +98,23 @@
         &mut self,
         at: Moment,
         sample: impl Fn(EndpointKey) -> (u32, u32),
+    ) -> Result<EndpointKey, Refusal> {
+        self.place_by(at, at + Duration::from_millis(600), sample)
+    }
+
+    /// Runs one placement of a request with this objective.
+    fn place_by(
+        &mut self,
+        at: Moment,
+        objective: Moment,
+        sample: impl Fn(EndpointKey) -> (u32, u32),
     ) -> Result<EndpointKey, Refusal> {
         let mut placement = Placement::default();
         let mut now = at;
         let request = Request {
             service: ServiceKey::named("svc"),
             centre: DataCentreKey::named("near"),
-            objective: at + Duration::from_millis(600),
+            objective,
             deadline: at + Duration::from_millis(2_000),
             service_time: Duration::from_millis(200),
             priority: 0,
@@ -336,3 +346,34 @@
         }
     }
 }
+
+/// With the budget of scans used up, requests must not be refused for seconds on the same few
+/// full endpoints while another one is idle.
+#[test]
+fn idle_found_unscanned() {
+    let mut host = Host::with(|_, _| {});
+    let service = ServiceKey::named("svc");
+    let all: Vec<EndpointKey> = host.registry.endpoints_of(service).map(|e| e.0).collect();
+    let sample = |running| LoadSample {
+        at: START,
+        running,
+        waiting: 0,
+        slots: 4,
+        slowness: 100,
+        healthy: true,
+        reported: true,
+    };
+    for key in all {
+        host.registry.get_mut(key).unwrap().set_sample(sample(4));
+    }
+    for _ in 0..1_000 {
+        let refused = host.place_by(START, START, |_| (4, 100));
+        assert_eq!(refused, Err(Refusal::Full));
+    }
+    let idle = host.registry.subset(service).unwrap().ring()[100];
+    host.registry.get_mut(idle).unwrap().set_sample(sample(0));
+    let placed: Vec<_> = (0..20)
+        .map(|_| host.place_by(START, START, |_| (4, 100)))
+        .collect();
+    assert!(placed.contains(&Ok(idle)));
+}
