--- a/components/state/src/fleet/placement.rs
+++ b/components/state/src/fleet/placement.rs
@@ -116,6 +116,10 @@
     unreachable: BTreeSet<EndpointKey>,
     /// How often the request has waited.
     pub(super) rounds: u32,
+    /// The last round that was counted as a decision of the host's subset.
+    pub(super) counted_round: Option<u32>,
+    /// The last round that was counted as crowded.
+    pub(super) crowded_round: Option<u32>,
 }
 
 /// How a request may find an endpoint.
@@ -343,6 +347,11 @@
         self.probed.contains(&key)
     }
 
+    /// Returns the endpoints that the request has probed in this round.
+    pub(super) fn probed_keys(&self) -> Vec<EndpointKey> {
+        self.probed.iter().copied().collect()
+    }
+
     /// Notes that `key` is about to be probed; returns whether it wasn't before.
     pub(super) fn note_probed(&mut self, key: EndpointKey) -> bool {
         self.probed.insert(key)
--- a/components/state/src/fleet/subset_placement.rs
+++ b/components/state/src/fleet/subset_placement.rs
@@ -24,6 +24,11 @@
 /// The number of endpoints of each other data centre that a request looks at.
 const FAR: usize = 6;
 
+/// The number of endpoints on the ring that a request looks at before it is refused.
+///
+/// Bounds the cost of a refusal; another part is looked at by each request and round.
+const SEARCHED: usize = 64;
+
 /// The number of endpoints that have just joined that a request looks at.
 const NEW: usize = 2;
 
@@ -32,9 +37,10 @@
 
 /// How much the expected slowdown of a preferred endpoint is lowered in the order of probes.
 ///
-/// More than a load sample that is still remembered can raise it. A probe on an open
-/// connection takes about a millisecond; a new connection takes a slot of the endpoint for as
-/// long, and costs its host more than the probe.
+/// A new connection takes a slot of the endpoint for about a millisecond, and costs its host
+/// more than a probe on an open one. The preference is larger than the random part of the
+/// order and the busy slots of an endpoint together, so that an open connection is used first
+/// unless an outdated load sample shows a slow endpoint.
 const SUBSET_PREFERENCE: f64 = 2.0;
 
 /// How much the expected slowdown is lowered further for each second since the last load
@@ -47,6 +53,12 @@
 /// The longest time since the last load sample that counts, in seconds.
 const MAX_IDLE_TIME: f64 = 10.0;
 
+/// How much the expected slowdown of an endpoint is lowered that has just joined.
+///
+/// More than that of any endpoint with a connection: otherwise hosts with few requests would
+/// probe all members before it.
+const NEW_PREFERENCE: f64 = SUBSET_PREFERENCE + MAX_IDLE_TIME * IDLE_WEIGHT + 1.0;
+
 /// Endpoints that a request may be sent to.
 #[derive(Default)]
 struct Found {
@@ -54,10 +66,28 @@
     cold: Vec<EndpointKey>,
 }
 
-/// Which of the endpoints on a ring are looked at next.
+/// Which of the endpoints on a ring are looked at next: all members, from one of them on, then
+/// the others in the order of the ring.
 struct Walk {
-    at: usize,
-    left: usize,
+    /// The member that is looked at first.
+    start: usize,
+    members: usize,
+    ring_length: usize,
+    /// The number of endpoints that have been looked at.
+    done: usize,
+}
+
+impl Walk {
+    /// Returns the place on the ring of the next endpoint, `None` after the last one.
+    fn next(&mut self) -> Option<usize> {
+        let at = match self.done {
+            done if done >= self.ring_length => return None,
+            done if done < self.members => (self.start + done) % self.members,
+            done => done,
+        };
+        self.done += 1;
+        Some(at)
+    }
 }
 
 impl Placement {
@@ -78,8 +108,10 @@
         }
         let mode = ProbeMode::of(context);
         let mut walk = Walk {
-            at: self.window(request, members),
-            left: ring_length,
+            start: self.window(request, members),
+            members,
+            ring_length,
+            done: 0,
         };
         let mut found = Found::default();
         self.find_new(context, request, now, draw, &mut found);
@@ -102,6 +134,10 @@
             return Some(step);
         }
         self.find_far(context, request, now, draw, &mut found);
+        // Those that were found by a scan are outside of what a request looks at first.
+        for key in self.probed_keys() {
+            self.add(context, key, now, draw, &mut found);
+        }
         if found.warm.is_empty() {
             return None;
         }
@@ -111,10 +147,39 @@
             Step::Place(key) => !is_good(context, key, now) && mode != ProbeMode::Unprobed,
             Step::Probe(_) | Step::Wait(_) => false,
         };
+        if must_scan && let Some(step) = self.search(context, request, &mut found, mode, now, draw)
+        {
+            return Some(step);
+        }
         let scans = must_scan && context.registry.may_scan(request.service, now);
         (!scans).then_some(step)
     }
 
+    /// Returns a good endpoint in a part of the ring, or the next one there to probe.
+    ///
+    /// The part differs by request and round.
+    fn search(
+        &mut self,
+        context: &mut Context<'_>,
+        request: &Request,
+        found: &mut Found,
+        mode: ProbeMode,
+        now: Moment,
+        draw: &mut dyn FnMut() -> f64,
+    ) -> Option<Step> {
+        let length = context.registry.subset(request.service)?.ring().len();
+        let hash = rendezvous(request.draw.to_bits(), u64::from(self.rounds));
+        let mut walk = Walk {
+            start: usize::try_from(hash % length as u64).unwrap_or_default(),
+            members: length,
+            ring_length: length.min(SEARCHED),
+            done: 0,
+        };
+        let known = found.warm.len();
+        self.walk(context, request, &mut walk, SEARCHED, now, draw, found);
+        self.probe_part(context, request, &found.warm[known..], mode, now, draw)
+    }
+
     /// Returns a good endpoint among these, or the next one of them to probe.
     ///
     /// The limit of probes in a round applies to each part alone: members that were probed
@@ -157,14 +222,12 @@
     ) {
         let enough = found.warm.len() + count;
         let mut skipped = 0;
-        while walk.left > 0 && found.warm.len() < enough && skipped < MAX_SKIPPED {
+        while found.warm.len() < enough && skipped < MAX_SKIPPED {
             let subset = context.registry.subset(request.service);
-            let Some(key) = subset.and_then(|s| s.ring().get(walk.at % s.ring().len()).copied())
-            else {
+            let next = walk.next().and_then(|at| subset?.ring().get(at).copied());
+            let Some(key) = next else {
                 return;
             };
-            walk.at += 1;
-            walk.left -= 1;
             let before = found.warm.len();
             self.add(context, key, now, draw, found);
             skipped += usize::from(found.warm.len() == before);
@@ -279,9 +342,19 @@
             .unwrap_or(step)
     }
 
-    fn note_decision(&self, context: &mut Context<'_>, request: &Request, crowded: bool) {
-        if let Some(subset) = context.registry.subset_mut(request.service) {
-            subset.note_decision(crowded);
+    /// Counts a decision once in each round of a request, and once that it was crowded.
+    fn note_decision(&mut self, context: &mut Context<'_>, request: &Request, crowded: bool) {
+        let round = Some(self.rounds);
+        let Some(subset) = context.registry.subset_mut(request.service) else {
+            return;
+        };
+        if self.counted_round != round {
+            self.counted_round = round;
+            subset.note_decision();
+        }
+        if crowded && self.crowded_round != round {
+            self.crowded_round = round;
+            subset.note_crowded();
         }
     }
 }
@@ -311,13 +384,18 @@
             true => Distance::SameCentre,
             false => context.topology.distance(request.centre, centre),
         };
+        let connected = (context.is_connected)(*key);
         Some(Candidate {
             key: *key,
             state,
             distance,
-            connected: (context.is_connected)(*key),
+            connected,
             limited: registry.limits().contains(*key),
-            preference: SUBSET_PREFERENCE + idle_time(state, now) * IDLE_WEIGHT,
+            preference: match state.is_new(now) {
+                true => NEW_PREFERENCE,
+                false if connected => SUBSET_PREFERENCE + idle_time(state, now) * IDLE_WEIGHT,
+                false => SUBSET_PREFERENCE,
+            },
         })
     });
     known.collect()
--- a/components/state/tests/subset_placement.rs
+++ b/components/state/tests/subset_placement.rs
@@ -36,14 +36,29 @@
     versions: VersionRule,
     regions: BTreeSet<RegionKey>,
     random: StdRng,
+    /// Where the host is among those of its data centre, and their number.
+    position: usize,
+    hosts: usize,
+    connected: BTreeSet<EndpointKey>,
+    probed: BTreeSet<EndpointKey>,
 }
 
 impl Host {
     /// Returns a host with a subset of 200 near endpoints, and 50 far ones; `change` alters
     /// their registrations.
     fn with(change: impl Fn(usize, &mut Endpoint)) -> Host {
+        Host::among(7, HOSTS, NEAR, change)
+    }
+
+    /// Returns the host at `position` among `hosts`, with this number of near endpoints.
+    fn among(
+        position: usize,
+        hosts: usize,
+        near: usize,
+        change: impl Fn(usize, &mut Endpoint),
+    ) -> Host {
         let mut entries = BTreeMap::new();
-        for (centre, count) in [("near", NEAR), ("far", 50)] {
+        for (centre, count) in [("near", near), ("far", 50)] {
             for number in 0..count {
                 let mut endpoint = endpoint(number, centre);
                 change(number, &mut endpoint);
@@ -57,15 +72,19 @@
             versions: VersionRule::All,
             regions: BTreeSet::new(),
             random: StdRng::seed_from_u64(3),
+            position,
+            hosts,
+            connected: BTreeSet::new(),
+            probed: BTreeSet::new(),
         };
-        host.set_subset();
+        host.set_subset(6);
         host
     }
 
-    fn set_subset(&mut self) {
+    fn set_subset(&mut self, wanted: usize) {
         let service = ServiceKey::named("svc");
         let near = self.registry.near(service, DataCentreKey::named("near"));
-        let subset = Subset::new(near.unwrap(), 7, HOSTS, 6);
+        let subset = Subset::new(near.unwrap(), self.position, self.hosts, wanted);
         self.registry.set_subset(service, subset);
     }
 
@@ -79,13 +98,23 @@
         &mut self,
         at: Moment,
         sample: impl Fn(EndpointKey) -> (u32, u32),
+    ) -> Result<EndpointKey, Refusal> {
+        self.place_by(at, at + Duration::from_millis(600), sample)
+    }
+
+    /// Runs one placement of a request with this objective.
+    fn place_by(
+        &mut self,
+        at: Moment,
+        objective: Moment,
+        sample: impl Fn(EndpointKey) -> (u32, u32),
     ) -> Result<EndpointKey, Refusal> {
         let mut placement = Placement::default();
         let mut now = at;
         let request = Request {
             service: ServiceKey::named("svc"),
             centre: DataCentreKey::named("near"),
-            objective: at + Duration::from_millis(600),
+            objective,
             deadline: at + Duration::from_millis(2_000),
             service_time: Duration::from_millis(200),
             priority: 0,
@@ -94,9 +123,10 @@
             draw: self.random.random(),
         };
         loop {
+            let connected = &self.connected;
             let mut context = Context {
                 registry: &mut self.registry,
-                is_connected: &|_| false,
+                is_connected: &|key| connected.contains(&key),
                 is_first: true,
                 may_probe: true,
                 leaving_centres: &BTreeSet::new(),
@@ -109,6 +139,7 @@
             let mut draw = || random.random::<f64>();
             match placement.next(&mut context, &request, now, &mut draw) {
                 Step::Probe(key) => {
+                    self.probed.insert(key);
                     now = now + Duration::from_millis(1);
                     let (running, slowness) = sample(key);
                     let sample = LoadSample {
@@ -146,6 +177,37 @@
     }
 }
 
+/// A host with more members than a request looks at must not run past the last one while other
+/// members are good.
+#[test]
+fn many_members() {
+    let mut host = Host::with(|_, _| {});
+    host.set_subset(20);
+    let members = host.members();
+    assert!(members.len() > 16);
+    for round in 0..200 {
+        let placed = host.place(START + Duration::from_secs(round), |_| (0, 100));
+        assert!(members.contains(&placed.unwrap()));
+    }
+}
+
+/// Counting each step of a request would hide crowding among the probes of other requests.
+#[test]
+fn requests_counted() {
+    let mut host = Host::with(|_, _| {});
+    let members = host.members();
+    let usage = |host: &mut Host| {
+        let subset = host.registry.subset_mut(ServiceKey::named("svc"));
+        let usage = subset.unwrap().take_usage();
+        (usage.decisions, usage.crowded)
+    };
+    host.place(START, |_| (0, 100)).unwrap();
+    assert_eq!(usage(&mut host), (1, 0));
+    let full = |key: EndpointKey| (if members.contains(&key) { 4 } else { 0 }, 100);
+    host.place(START + Duration::from_secs(1), full).unwrap();
+    assert_eq!(usage(&mut host), (1, 1));
+}
+
 /// Members that leave must be replaced by other near endpoints, not by far ones.
 #[test]
 fn members_replaced() {
@@ -228,7 +290,7 @@
     let added = endpoint(1_000, "near");
     host.registry
         .apply("added", Some(Entry::Endpoint(added.clone())), at);
-    host.set_subset();
+    host.set_subset(6);
     let mut used = BTreeSet::new();
     for round in 0..20 {
         used.insert(
@@ -238,3 +300,80 @@
     }
     assert!(used.contains(&added.key()));
 }
+
+/// Hosts with connections and a request every few seconds must not probe all their connected
+/// members before a new endpoint, which would get no request for as long.
+#[test]
+fn new_endpoint_soon() {
+    let (count, rate) = (52, 0.27);
+    let added = endpoint(1_000, "near");
+    for seed in 0..5 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut hosts: Vec<Host> = (0..count)
+            .map(|position| Host::among(position, count, 32, |_, _| {}))
+            .collect();
+        let joined = START + Duration::from_secs(20);
+        for host in &mut hosts {
+            host.connected = host.members();
+            for key in host.members() {
+                let at = joined.0 - random.random_range(2_000_000..8_000_000);
+                let sample = LoadSample {
+                    at: Moment(at),
+                    running: 0,
+                    waiting: 0,
+                    slots: 4,
+                    slowness: 100,
+                    healthy: true,
+                    reported: true,
+                };
+                host.registry.get_mut(key).unwrap().set_sample(sample);
+            }
+            let entry = Entry::Endpoint(added.clone());
+            host.registry.apply("added", Some(entry), joined);
+            host.set_subset(6);
+            let subset = host.registry.subset_mut(ServiceKey::named("svc"));
+            subset.unwrap().set_rate(rate);
+        }
+        let mut at = 0.0;
+        let mut is_offered = false;
+        while !is_offered {
+            at += -(1.0 - random.random::<f64>()).ln() / (rate * count as f64);
+            assert!(at < 4.0, "{seed}");
+            let host = &mut hosts[random.random_range(0..count)];
+            let now = joined + Duration::from_secs_f64(at);
+            host.place(now, |_| (0, 100)).unwrap();
+            is_offered = host.probed.contains(&added.key());
+        }
+    }
+}
+
+/// With the budget of scans used up, requests must not be refused for seconds on the same few
+/// full endpoints while another one is idle.
+#[test]
+fn idle_found_unscanned() {
+    let mut host = Host::with(|_, _| {});
+    let service = ServiceKey::named("svc");
+    let all: Vec<EndpointKey> = host.registry.endpoints_of(service).map(|e| e.0).collect();
+    let sample = |running| LoadSample {
+        at: START,
+        running,
+        waiting: 0,
+        slots: 4,
+        slowness: 100,
+        healthy: true,
+        reported: true,
+    };
+    for key in all {
+        host.registry.get_mut(key).unwrap().set_sample(sample(4));
+    }
+    for _ in 0..1_000 {
+        let refused = host.place_by(START, START, |_| (4, 100));
+        assert_eq!(refused, Err(Refusal::Full));
+    }
+    let idle = host.registry.subset(service).unwrap().ring()[100];
+    host.registry.get_mut(idle).unwrap().set_sample(sample(0));
+    let placed: Vec<_> = (0..20)
+        .map(|_| host.place_by(START, START, |_| (4, 100)))
+        .collect();
+    assert!(placed.contains(&Ok(idle)));
+}
