subsets: far endpoints stay the same, small sites use all near ones, growth from a quarter

Cause: requests looked at other endpoints of another data centre in each round, so that connections to them were not kept; a data centre with five hosts or eight endpoints used subsets; and with two slots an endpoint one decision in ten is crowded at usual load, so that subsets grew without need. Change: the window in another data centre begins at the same place for all requests of a host and doubles with the rounds; fewer than six hosts or nine endpoints use all; a subset grows when a quarter of its decisions are crowded.

--- a/components/state/src/fleet/subset.rs
+++ b/components/state/src/fleet/subset.rs
@@ -79,6 +79,17 @@
     (first..endpoints).find(is_even).unwrap_or(endpoints)
 }
 
+/// The smallest number of hosts in a data centre that use subsets.
+///
+/// Fewer hosts have enough requests each to keep connections to all endpoints open, and a
+/// difference of one host in their views would leave endpoints without requests.
+const MIN_HOSTS: usize = 6;
+
+/// The number of near endpoints up to which hosts use all of them.
+///
+/// A subset has six members at least; two more cost hardly any connections.
+const MAX_SHARED_BY_ALL: usize = 8;
+
 impl Subset {
     /// Returns the subset of the host at `position` among `hosts` of its data centre, with
     /// at least `wanted` of the near endpoints; `None` if the host uses all of them.
@@ -90,8 +101,9 @@
     ) -> Option<Subset> {
         let endpoints = near.len();
         let size = even_size(hosts, endpoints, wanted);
+        let is_small = hosts < MIN_HOSTS || endpoints <= MAX_SHARED_BY_ALL;
         // With nearly all endpoints in each subset there is nothing to gain.
-        if !ENABLED || hosts <= position || 5 * size >= 4 * endpoints {
+        if !ENABLED || is_small || hosts <= position || 5 * size >= 4 * endpoints {
             return None;
         }
         let start = position * endpoints / hosts;
@@ -159,16 +171,14 @@
         }
     }
 
-    /// Returns `count` endpoints of another data centre, others after each round of waiting.
+    /// Returns the `count` endpoints of another data centre that follow this host's place
+    /// there; with the same place for all requests, connections to them stay open.
     pub(super) fn far_window(
         &self,
         keys: &BTreeSet<EndpointKey>,
-        round: u32,
         count: usize,
     ) -> Vec<EndpointKey> {
-        // Multiples of this constant, 2^64 divided by the golden ratio, are spread evenly.
-        let shift = u64::from(round).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        let start = EndpointKey(self.far_start.wrapping_add(shift));
+        let start = EndpointKey(self.far_start);
         let after = keys.range((Bound::Included(start), Bound::Unbounded));
         let before = keys.range((Bound::Unbounded, Bound::Excluded(start)));
         after.chain(before).take(count).copied().collect()
--- a/components/state/src/fleet/subset_placement.rs
+++ b/components/state/src/fleet/subset_placement.rs
@@ -21,9 +21,15 @@
 /// The number of near endpoints beyond the members that a request looks at.
 const SPILL: usize = 8;
 
-/// The number of endpoints of each other data centre that a request looks at.
+/// The number of endpoints of each other data centre that a request looks at in its first
+/// round; each further round doubles it.
+///
+/// After the host's own data centre has left, requests find all their endpoints there.
 const FAR: usize = 6;
 
+/// How often the number of endpoints of another data centre doubles.
+const MAX_FAR_DOUBLINGS: u32 = 3;
+
 /// The number of endpoints on the ring that a request looks at before it is refused.
 ///
 /// Bounds the cost of a refusal; another part is looked at by each request and round.
@@ -274,13 +280,14 @@
         let Some(subset) = context.registry.subset(request.service) else {
             return;
         };
+        let count = FAR << self.rounds.min(MAX_FAR_DOUBLINGS);
         let centres = context.registry.index().centres(request.service);
         let others = centres.filter(|(centre, _)| {
             *centre != request.centre
                 && !context.leaving_centres.contains(centre)
                 && context.topology.is_allowed(context.regions, *centre)
         });
-        let windows = others.map(|(_, keys)| subset.far_window(keys, self.rounds, FAR));
+        let windows = others.map(|(_, keys)| subset.far_window(keys, count));
         let keys: Vec<EndpointKey> = windows.flatten().collect();
         for key in keys {
             self.add(context, key, now, draw, found);
--- a/components/state/src/fleet/subset_size.rs
+++ b/components/state/src/fleet/subset_size.rs
@@ -47,7 +47,12 @@
 const LOAD_PERIOD: Duration = Duration::from_secs(2);
 
 /// The fraction of crowded decisions above which the subset grows.
-const CROWDED: f64 = 0.1;
+///
+/// A request that finds no good member goes to the next endpoint on the ring, which may need a
+/// new connection. Rarer ones cost less than the connections of a larger subset. Endpoints with
+/// two slots are nearly full with one request, so that one decision in ten is crowded at usual
+/// load.
+const CROWDED: f64 = 0.25;
 
 /// The factor by which a crowded subset grows in a second.
 const GROWTH: f64 = 1.5;
--- a/components/state/tests/subsets.rs
+++ b/components/state/tests/subsets.rs
@@ -117,7 +117,7 @@
 /// A host that doesn't know its neighbours yet must not send all its requests to the few
 /// endpoints that it would use among hundreds of hosts.
 #[test]
-fn lonely_host() {
+fn unknown_position() {
     assert_eq!(Subset::new(&endpoints(26, 1), 0, 1, WANTED), None);
     assert_eq!(Subset::new(&endpoints(0, 1), 0, 52, WANTED), None);
     assert_eq!(Subset::new(&endpoints(26, 1), 52, 52, WANTED), None);
@@ -230,3 +230,12 @@
     let busy = demand(30, 1_000);
     assert!(settle(&mut size, &mut at, 6, busy, limits(1_000, 2)) >= 50);
 }
+
+/// Small sites, whose hosts can keep connections to all endpoints, must be served as without
+/// subsets.
+#[test]
+fn small_sites() {
+    assert_eq!(Subset::new(&endpoints(60, 1), 0, 5, WANTED), None);
+    assert_eq!(Subset::new(&endpoints(8, 1), 0, 52, WANTED), None);
+    assert!(Subset::new(&endpoints(26, 1), 0, 6, WANTED).is_some());
+}
