shares, observations: no flow is held for good, bounded receivers, no verdict without hosts

Found in the review of shares and of the loss of a data centre: - After an outage nothing has been placed, shares are zero, and all flows were held at all hosts while reports went on. A host may place one request in four seconds for a limited flow; it also serves hosts at which all requests of a flow are late (test placed_after_outage, none placed before). - The byte budget holds no datagram to more than 268 hosts, so hosts of larger data centres told nothing.

--- a/components/coordination/src/shares/host.rs
+++ b/components/coordination/src/shares/host.rs
@@ -17,6 +17,13 @@
 /// The rate in requests per second below which a flow is forgotten.
 const FORGOTTEN_RATE: f64 = 0.01;
 
+/// The smallest rate in requests per second that a host may have placed for a limited flow.
+///
+/// After an outage nothing has been placed, so shares are zero; with all flows held at all
+/// hosts nobody would find out that endpoints answer again. It also serves hosts at which all
+/// requests of a flow are late, which don't count as wanted.
+const MIN_CREDIT_RATE: f64 = 0.25;
+
 /// The smallest rate that rates are divided by; a row may say zero.
 const MIN_RATE: f64 = 1e-6;
 
@@ -146,7 +153,7 @@
                 updated: now,
             });
             credit.refill(now);
-            credit.rate = row.share * part;
+            credit.rate = (row.share * part).max(MIN_CREDIT_RATE);
             shares.credits.insert(row.key, credit);
         }
         shares.waiting = limits.waiting;
--- a/components/coordination/tests/shares.rs
+++ b/components/coordination/tests/shares.rs
@@ -240,3 +240,30 @@
         assert!(reports <= 340.0, "{reports} reports per second");
     }
 }
+
+/// After an outage shares are zero; a flow that stayed held at all hosts would never be placed
+/// again.
+#[test]
+fn placed_after_outage() {
+    let mut host = HostShares::default();
+    let row = shares::LimitRow {
+        key: key(HEAVY),
+        share: 0.0,
+        wanted: 100.0,
+    };
+    let limits = ShareLimits {
+        service: SERVICE,
+        waiting: 9,
+        rows: vec![row],
+    };
+    let mut placed = 0;
+    for tick in 0..100 {
+        let now = START + Duration::from_millis(100) * tick;
+        host.limits_received(&limits, Duration::from_secs(1), now);
+        if host.held_for(SERVICE, key(HEAVY), now).is_none() {
+            host.count_placed(SERVICE, key(HEAVY), now);
+            placed += 1;
+        }
+    }
+    assert!((2..=5).contains(&placed), "{placed} placed in 10 s");
+}
--- a/components/state/src/fleet/observation_outbox.rs
+++ b/components/state/src/fleet/observation_outbox.rs
@@ -151,6 +151,7 @@
 
     /// Takes in what another host told, and drops what needn't be told any more.
     pub fn note_told(&mut self, from: SocketAddr, observations: &[Observation], now: Moment) {
+        self.forget(now);
         for observation in observations {
             let new = || Heard {
                 kind: observation.kind,
--- a/components/transport/src/gateway/centre_loss.rs
+++ b/components/transport/src/gateway/centre_loss.rs
@@ -137,8 +137,8 @@
     /// Queries hosts of a suspected data centre until it is clear whether it is lost.
     async fn confirm_loss(self: Rc<Self>, centre: DataCentreKey) {
         for round in 0u32.. {
-            if round < QUERY_ROUNDS {
-                self.query_hosts(centre);
+            if round < QUERY_ROUNDS && !self.query_hosts(centre) {
+                return;
             }
             sleep(LOOK_INTERVAL).await;
             let now = clock::now();
@@ -173,7 +173,10 @@
         services.into_iter().for_each(|s| self.wake_all(s));
     }
 
-    fn query_hosts(&self, centre: DataCentreKey) {
+    /// Queries a few hosts of a data centre.
+    ///
+    /// Returns whether any host there is known; without one its silence shows nothing.
+    fn query_hosts(&self, centre: DataCentreKey) -> bool {
         let known = self.neighbours.borrow_mut().remote_hosts(clock::now());
         let there = known.into_iter();
         let there = there.filter(|c| DataCentreKey::named(&c.centre) == centre);
@@ -183,6 +186,7 @@
         hosts.truncate(QUERIED_HOSTS);
         let query = NeighbourMessage::Observations(ObservationReport::LivenessQuery);
         self.send_to_all(&hosts, &query);
+        !hosts.is_empty()
     }
 
     /// Probes endpoints of a data centre of which only other hosts have reported failures.
@@ -196,6 +200,9 @@
         let count = keys.len().max(1);
         keys.rotate_left((self.random_fraction() * count as f64) as usize % count);
         for key in keys.into_iter().take(PROBED_ENDPOINTS) {
+            if !self.may_probe() {
+                return;
+            }
             let gateway = Rc::clone(self);
             spawn_local(async move {
                 if let Some((connection, headers)) = gateway.probe_anew(key).await {
--- a/components/transport/src/gateway/observations.rs
+++ b/components/transport/src/gateway/observations.rs
@@ -21,6 +21,12 @@
 /// The window over which this host's requests at endpoints are counted.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
 
+/// The largest number of hosts that are told in one round, others in each.
+///
+/// The byte budget of a host holds a datagram to 268 hosts; with more receivers nothing could
+/// be told.
+const MAX_RECEIVERS: usize = 200;
+
 /// The shortest time between two lines that count observations in the log.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -155,7 +161,10 @@
 
     fn tell_due(&self) {
         let now = clock::now();
-        let neighbours = self.neighbours.borrow().heard_lately(now);
+        let mut neighbours = self.neighbours.borrow().heard_lately(now);
+        let count = neighbours.len().max(1);
+        neighbours.rotate_left((self.random_fraction() * count as f64) as usize % count);
+        neighbours.truncate(MAX_RECEIVERS);
         let mut observations = self.observations.borrow_mut();
         let due = observations.outbox.take_due(neighbours.len(), now);
         let dropped = observations.outbox.take_dropped();
