--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -11,11 +11,13 @@
 pub mod limit_report;
 pub mod member;
 pub mod neighbour;
+pub mod observation_report;
 pub mod peer;
 pub mod quota_message;
 pub mod record_runs;
 pub mod request_splitter;
 pub mod rollout_message;
+pub mod share_message;
 pub mod slots;
 
 pub use peer::{PeerMessage, ProtocolError};
--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -16,9 +16,11 @@
 use crate::crash_report::{CrashReport, WireCrashReport};
 use crate::envelope::{self, EnvelopeError};
 use crate::limit_report::{LimitReport, WireLimitReport};
+use crate::observation_report::{ObservationReport, WireObservationReport};
 use crate::quota_message::{QuotaMessage, WireQuota};
 use crate::record_runs::{self, RunsError};
 use crate::rollout_message::{RolloutMessage, WireRollout};
+use crate::share_message::{ShareMessage, WireShares};
 
 /// Maximum size in bytes of a message sent in one datagram.
 ///
@@ -70,6 +72,10 @@
     Rollout(RolloutMessage, bool),
     /// Divides the quotas of client accounts.
     Quota(QuotaMessage),
+    /// Reports what the sender observes about endpoints.
+    Observations(ObservationReport),
+    /// Divides a service's capacity among client accounts.
+    Shares(ShareMessage),
 }
 
 /// Probes lent to a neighbour, in answer to its request.
@@ -154,6 +160,12 @@
     /// The datagram is about a quota, in a form that this release doesn't know.
     #[error("the datagram about a quota is of an unknown form")]
     UnknownQuota,
+    /// The datagram reports observations in a form that this release doesn't know.
+    #[error("the datagram about observations is of an unknown form")]
+    UnknownObservations,
+    /// The datagram is about shares of a service, with rows that are no valid rates.
+    #[error("the datagram about shares of a service is invalid")]
+    InvalidShares,
     /// The numbers of records and renewals are wrong.
     #[error(transparent)]
     Runs(#[from] RunsError),
@@ -232,6 +244,10 @@
     /// In a hello, the number of hosts of the sender's data centre.
     #[prost(uint32, tag = "27")]
     size: u32,
+    #[prost(message, optional, tag = "29")]
+    observations: Option<WireObservationReport>,
+    #[prost(message, optional, tag = "28")]
+    shares: Option<WireShares>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -279,6 +295,8 @@
 const LIMIT_REPORT: u32 = 6;
 const ROLLOUT: u32 = 7;
 const QUOTA: u32 = 8;
+const OBSERVATIONS: u32 = 10;
+const SHARES: u32 = 9;
 
 impl RecordUpdate {
     /// Returns the same records without the addresses of hosts.
@@ -350,6 +368,8 @@
             NeighbourMessage::LimitReport(_) => "limits",
             NeighbourMessage::Quota(QuotaMessage::Demand(..)) => "quota_demand",
             NeighbourMessage::Quota(_) => "quota",
+            NeighbourMessage::Observations(_) => "observations",
+            NeighbourMessage::Shares(_) => "shares",
             NeighbourMessage::Rollout(RolloutMessage::State(_), _) => "rollout_state",
             NeighbourMessage::Rollout(RolloutMessage::Report(_), _) => "rollout_report",
             NeighbourMessage::Rollout(RolloutMessage::Summary(_), _) => "rollout_summary",
@@ -450,6 +470,16 @@
                 quota: Some(WireQuota::new(message)),
                 ..WireMessage::default()
             },
+            NeighbourMessage::Observations(report) => WireMessage {
+                topic: OBSERVATIONS,
+                observations: Some(WireObservationReport::from(report)),
+                ..WireMessage::default()
+            },
+            NeighbourMessage::Shares(message) => WireMessage {
+                topic: SHARES,
+                shares: Some(WireShares::new(message)),
+                ..WireMessage::default()
+            },
             NeighbourMessage::ReadStarted(topic) => WireMessage {
                 topic: topic_number(*topic),
                 read_started: true,
@@ -518,6 +548,17 @@
                 let message = message.ok_or(DatagramError::UnknownQuota)?;
                 return Ok(NeighbourMessage::Quota(message));
             }
+            OBSERVATIONS => {
+                let report = wire.observations;
+                let report = report.and_then(WireObservationReport::into_report);
+                let report = report.ok_or(DatagramError::UnknownObservations)?;
+                return Ok(NeighbourMessage::Observations(report));
+            }
+            SHARES => {
+                let message = wire.shares.and_then(WireShares::into_message);
+                let message = message.ok_or(DatagramError::InvalidShares)?;
+                return Ok(NeighbourMessage::Shares(message));
+            }
             OPERATORS => Topic::Operators,
             ENDPOINTS => Topic::Endpoints,
             _ => return Err(DatagramError::UnknownTopic),
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -19,14 +19,17 @@
 use state::fleet::retry_after;
 use state::routing::Route;
 use state::{Moment, ServiceKey};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::accounts::Caller;
 use super::answer_body::AnswerBody;
 use super::attempt::{Answer, Attempt, AttemptEnd};
+use super::centre_loss::notified;
 use super::denial::Denial;
 use super::forward::{increment, tell_leaving};
 use super::origin::{Origin, Source};
+use super::request_tokens::{QuotaRequest, RequestTokens};
 use super::{Gateway, Stage};
 use crate::clock;
 use crate::edge::body::{BodyPrefix, CallerBody, MAX_REPLAY_BODY, SharedBody};
@@ -55,6 +58,8 @@
     origin: Origin,
     fingerprints: Fingerprints,
     arrived: Moment,
+    /// The time that the caller has presumably used before this request.
+    used: Duration,
     deadline: Moment,
     /// A random number from 0 to 1, the same for all attempts of the request.
     draw: f64,
@@ -85,38 +90,6 @@
     Revoked,
 }
 
-/// The tokens of an account's quota that a request has taken, one for each run.
-///
-/// Tokens of attempts that didn't run are given back when the request ends.
-struct QuotaTokens<'a> {
-    call: &'a Call<'a>,
-    may_have_run: &'a Cell<u32>,
-    taken: Cell<u32>,
-}
-
-impl QuotaTokens<'_> {
-    /// Takes a token for a further attempt, if all others may have run; returns whether the
-    /// attempt may be sent.
-    async fn take_further(&self) -> bool {
-        if self.taken.get() > self.may_have_run.get() {
-            return true;
-        }
-        let taken = self.call.take_quota().await.is_ok();
-        self.taken.set(self.taken.get() + u32::from(taken));
-        taken
-    }
-}
-
-impl Drop for QuotaTokens<'_> {
-    fn drop(&mut self) {
-        let account = self.call.caller.account();
-        if let Some(account) = account.filter(|_| !self.call.origin.is_forwarded) {
-            let unused = self.taken.get().saturating_sub(self.may_have_run.get());
-            self.call.gateway.return_quota(account, unused);
-        }
-    }
-}
-
 type PendingAttempt<'a> = Pin<Box<dyn Future<Output = AttemptEnd> + 'a>>;
 
 /// The next event of a request with attempts in progress.
@@ -209,6 +182,7 @@
         origin,
         fingerprints,
         arrived,
+        used: gateway.time_used(&route, timeout, identity.account()),
         deadline: arrived + timeout.min(route.timeout),
         draw: gateway.random_fraction(),
     };
@@ -305,15 +279,17 @@
         if let Some(left) = self.gateway.quarantine_left(self.fingerprints) {
             return Err(Denial::Quarantined(left));
         }
-        self.take_quota().await?;
         let placement = RefCell::new(Placement::default());
         let helpers = RefCell::new(BTreeSet::new());
         let may_have_run = Cell::new(0);
-        let tokens = QuotaTokens {
-            call: self,
-            may_have_run: &may_have_run,
-            taken: Cell::new(1),
+        let tokens = RequestTokens::take_first(self.gateway, self.quota_request(), &may_have_run)
+            .await
+            .map_err(Denial::OverQuota)?;
+        let replay = match &body {
+            RequestBody::Buffered(bytes) => Some(bytes.clone()),
+            RequestBody::Streamed(..) => None,
         };
+        let loss = Notify::new();
         let attempt = Attempt {
             gateway: self.gateway,
             parts: self.parts,
@@ -325,10 +301,7 @@
             placement: &placement,
             helpers: &helpers,
             may_have_run: &may_have_run,
-        };
-        let replay = match &body {
-            RequestBody::Buffered(bytes) => Some(bytes.clone()),
-            RequestBody::Streamed(..) => None,
+            loss: (replay.is_some() && self.may_run_again()).then_some(&loss),
         };
         self.run_attempts(&attempt, body, replay, &tokens).await
     }
@@ -344,14 +317,14 @@
             .with_retry_budget(self.service, |budget| budget.count(self.arrived));
     }
 
-    /// Takes a token of the account's quota, for one run of the request at an endpoint.
-    ///
-    /// For a forwarded request the other host has taken it.
-    async fn take_quota(&self) -> Result<(), Denial> {
-        match self.caller.account() {
-            Some(account) if !self.origin.is_forwarded => self.gateway.take_quota(account).await,
-            _ => Ok(()),
-        }
+    /// Returns the use of an account's quota; none if the host that forwarded it has taken a token.
+    fn quota_request(&self) -> Option<QuotaRequest> {
+        let account = self
+            .caller
+            .account()
+            .filter(|_| !self.origin.is_forwarded)?;
+        self.gateway
+            .quota_request(account, self.route, self.arrived, self.used)
     }
 
     /// Runs attempts until one gets an answer or no further attempt is allowed.
@@ -362,7 +335,7 @@
         attempt: &'a Attempt<'a>,
         first: RequestBody,
         replay: Option<Bytes>,
-        tokens: &QuotaTokens<'_>,
+        tokens: &RequestTokens<'_>,
     ) -> Result<Box<Answer>, Denial> {
         let again = || attempt.run(RequestBody::Buffered(replay.clone().unwrap_or_default()));
         let mut pending: Vec<PendingAttempt<'a>> = vec![Box::pin(attempt.run(first))];
@@ -372,7 +345,7 @@
         };
         let mut hedge = self.hedge_at(replay.is_some());
         loop {
-            match self.next(&mut pending, hedge).await {
+            match self.next(&mut pending, hedge, attempt.loss).await {
                 Event::Ended(AttemptEnd::Answered(answer) | AttemptEnd::Denied(answer)) => {
                     return Ok(answer);
                 }
@@ -414,7 +387,13 @@
         if let Some(LastFailure::Rejected(_) | LastFailure::Unsent(_)) = last {
             return retry_after::short_delay(draw);
         }
-        retry_after::retry_after(&self.placement_request(), draw, clock::now())
+        let request = self.placement_request();
+        match last {
+            Some(LastFailure::Refused(Refusal::TooLate)) if self.gateway.has_accounts() => {
+                retry_after::after_deadline(&request, clock::now())
+            }
+            _ => retry_after::retry_after(&request, draw, clock::now()),
+        }
     }
 
     fn log_retry(&self, reason: &str) {
@@ -429,7 +408,7 @@
         placement::Request {
             service: self.service,
             centre: self.gateway.home,
-            objective: self.arrived + self.route.objective,
+            objective: self.arrived + self.route.objective - self.used,
             deadline: self.deadline,
             service_time,
             priority: self.caller.priority.unwrap_or(self.route.priority),
@@ -455,8 +434,14 @@
         (at + service_time <= self.route.objective).then(|| self.arrived + at)
     }
 
-    /// Waits for an attempt to end, for the hedge time or for the deadline.
-    async fn next(&self, pending: &mut Vec<PendingAttempt<'_>>, hedge: Option<Moment>) -> Event {
+    /// Waits for an attempt to end, for the hedge time, the loss of an attempt's data centre or
+    /// the deadline.
+    async fn next(
+        &self,
+        pending: &mut Vec<PendingAttempt<'_>>,
+        hedge: Option<Moment>,
+        loss: Option<&Notify>,
+    ) -> Event {
         let ended = poll_fn(|cx| {
             for at in 0..pending.len() {
                 if let Poll::Ready(ending) = pending[at].as_mut().poll(cx) {
@@ -473,6 +458,7 @@
             biased;
             ending = ended => Event::Ended(ending),
             () = sleep_until(deadline) => Event::Expired,
+            () = notified(loss) => Event::HedgeDue,
             () = sleep_until(hedge_at.unwrap_or(deadline)), if hedge_at.is_some() => Event::HedgeDue,
         }
     }
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod answer_body;
 mod attempt;
 mod call;
+mod centre_loss;
 mod denial;
 mod drain;
 mod follow;
@@ -18,6 +19,7 @@
 mod isolation;
 mod limits;
 mod neighbours;
+mod observations;
 mod origin;
 mod pipeline;
 mod pool;
@@ -28,13 +30,17 @@
 mod ready;
 mod report_limiter;
 mod request_log;
+mod request_tokens;
 mod rollouts;
 mod server;
 mod settings;
+mod shares;
 mod signals;
 mod stream;
+mod subset;
 mod topic_cache;
 mod traffic;
+mod used_time;
 mod wait_queue;
 
 use std::cell::{Cell, RefCell};
@@ -52,7 +58,7 @@
 use rand::{Rng, SeedableRng};
 use state::fleet::retry_budget::RetryBounds;
 use state::fleet::service_time::ServiceTime;
-use state::fleet::{HostProbeBudget, Registry, WindowedRetryBudget};
+use state::fleet::{AnnouncedTimes, HostProbeBudget, Registry, WindowedRetryBudget};
 use state::routing::{OperatorConfig, Route};
 use state::{DataCentreKey, Moment, ServiceKey};
 use thiserror::Error;
@@ -61,9 +67,11 @@
 use tokio::task::spawn_local;
 
 use crate::clock;
+use centre_loss::LossWatch;
 use forward::ForwardedCounts;
 use fragments::Transfers;
 use isolation::IsolationChecks;
+use observations::Observations;
 use pool::Pool;
 use quarantine::CrashTracker;
 use quota::Quotas;
@@ -71,6 +79,8 @@
 use request_log::RequestLog;
 use server::Listener;
 pub use settings::{Bounds, Live, Ports, Settings};
+use shares::Shares;
+use subset::Subsets;
 use topic_cache::TopicCaches;
 use traffic::Traffic;
 use wait_queue::WaitQueues;
@@ -139,6 +149,7 @@
     /// Wakes the task that sends fragments.
     fragments_notify: Notify,
     pool: RefCell<Pool>,
+    subsets: Subsets,
     /// Idle connections to other hosts.
     host_pool: RefCell<Pool>,
     /// The hosts that serve requests for this one, by service.
@@ -150,8 +161,11 @@
     retry_budgets: RefCell<BTreeMap<ServiceKey, WindowedRetryBudget>>,
     /// Service time estimates by route name.
     service_times: RefCell<BTreeMap<String, ServiceTime>>,
+    /// What callers with accounts announce as their time, by route name.
+    announced_times: RefCell<AnnouncedTimes>,
     probe_budget: RefCell<HostProbeBudget>,
     quotas: Quotas,
+    shares: Shares,
     queues: RefCell<WaitQueues>,
     /// The partitions of the store's group that this host holds; none before the first join.
     partitions: Cell<Option<usize>>,
@@ -169,6 +183,12 @@
     limit_reports: RefCell<ReportLimiter>,
     /// Wakes the task that checks whether an endpoint crashed.
     broken_notify: Notify,
+    observations: RefCell<Observations>,
+    loss_watch: RefCell<LossWatch>,
+    /// Wakes the task that checks data centres in which endpoints fail.
+    centres_failing: Notify,
+    /// Wakes the task that tells observations.
+    observations_due: Notify,
     rollouts: RefCell<Rollouts>,
     /// Wakes the task that steps the roll-outs.
     rollouts_changed: Notify,
@@ -197,10 +217,14 @@
         spawn_local(Rc::clone(&gateway).follow(Topic::Endpoints));
         spawn_local(Rc::clone(&gateway).maintain_group());
         spawn_local(Rc::clone(&gateway).sweep_pool());
+        spawn_local(Rc::clone(&gateway).maintain_subsets());
         spawn_local(Rc::clone(&gateway).report_traffic());
         spawn_local(Rc::clone(&gateway).confirm_crashes());
         spawn_local(Rc::clone(&gateway).send_reminders());
         spawn_local(Rc::clone(&gateway).report_demand());
+        spawn_local(Rc::clone(&gateway).tell_observations());
+        spawn_local(Rc::clone(&gateway).watch_centres());
+        spawn_local(Rc::clone(&gateway).exchange_shares());
         if gateway.rollouts.borrow().is_enabled() {
             spawn_local(Rc::clone(&gateway).run_rollouts());
         }
@@ -245,6 +269,7 @@
             traffic: RefCell::default(),
             fragments_notify: Notify::new(),
             pool: RefCell::default(),
+            subsets: Subsets::default(),
             host_pool: RefCell::default(),
             helpers: RefCell::default(),
             forwarded: ForwardedCounts::default(),
@@ -252,8 +277,10 @@
             checks_due: Notify::new(),
             retry_budgets: RefCell::default(),
             service_times: RefCell::default(),
+            announced_times: RefCell::default(),
             probe_budget: RefCell::new(probe_budget),
             quotas: Quotas::new(clock::now()),
+            shares: Shares::default(),
             queues: RefCell::default(),
             partitions: Cell::new(None),
             share: Cell::new(0.0),
@@ -265,6 +292,10 @@
             crash_tracker: RefCell::default(),
             limit_reports: RefCell::default(),
             broken_notify: Notify::new(),
+            observations: RefCell::default(),
+            loss_watch: RefCell::default(),
+            centres_failing: Notify::new(),
+            observations_due: Notify::new(),
             rollouts: RefCell::new(rollouts),
             rollouts_changed: Notify::new(),
         }
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -214,6 +214,7 @@
         };
         self.traffic.borrow_mut().received(&message, datagram.len());
         self.rollouts.borrow_mut().note_contact(clock::now());
+        self.note_host_contact(from);
         match message {
             NeighbourMessage::Update(u) if u.cross_centre => self.handle_cross_centre(u, from),
             NeighbourMessage::Update(update) => {
@@ -243,6 +244,8 @@
                 self.handle_rollout(from, message, cross_centre);
             }
             NeighbourMessage::Quota(message) => self.handle_quota(from, message),
+            NeighbourMessage::Observations(report) => self.handle_observations(from, &report),
+            NeighbourMessage::Shares(message) => self.handle_shares(from, message),
             NeighbourMessage::Borrow(number) => self.lend_probes(from, number),
             NeighbourMessage::Lend(loan) => {
                 let mut budget = self.probe_budget.borrow_mut();
@@ -330,7 +333,7 @@
     }
 
     /// Sends a message to several hosts, encoded once.
-    fn send_to_all(&self, addresses: &[SocketAddr], message: &NeighbourMessage) {
+    pub(super) fn send_to_all(&self, addresses: &[SocketAddr], message: &NeighbourMessage) {
         let datagram = message.encode();
         let mut traffic = self.traffic.borrow_mut();
         for address in addresses {
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -92,19 +92,23 @@
             placement, request, ..
         } = attempt;
         let regions = &attempt.route.regions;
+        self.subsets
+            .note_request(request.service, request.service_time, clock::now());
         let mut probed = ProbedConnections {
             gateway: self,
             connections: BTreeMap::new(),
         };
-        let mut entry = self
-            .has_waiting(request.service)
-            .then(|| self.enqueue(request));
+        let mut entry = self.join_queue(request);
         loop {
             if self.is_out_of_reach(attempt) {
                 return Err(Refusal::Unreachable);
             }
             let is_first = entry.as_ref().is_none_or(QueueEntry::is_first);
-            let step = self.step(&mut placement.borrow_mut(), request, regions, is_first);
+            let yields_for = entry.as_ref().and_then(QueueEntry::yields_for);
+            let step = yields_for.map_or_else(
+                || self.step(&mut placement.borrow_mut(), request, regions, is_first),
+                Step::Wait,
+            );
             match step {
                 Step::Probe(key) => match self.probe(key).await {
                     Some(answered) => {
@@ -115,7 +119,10 @@
                 Step::Place(key) => {
                     let given = probed.connections.remove(&key).map(|(c, _)| c);
                     match self.connect(key, given).await {
-                        Some(connection) => return Ok((key, connection)),
+                        Some(connection) => {
+                            self.note_placed(request);
+                            return Ok((key, connection));
+                        }
                         None => placement.borrow_mut().note_unanswered(key),
                     }
                 }
@@ -127,7 +134,10 @@
                     let entry = entry.get_or_insert_with(|| self.enqueue(request));
                     entry.wait(time).await;
                 }
-                Step::Refuse(refusal) => return Err(refusal),
+                Step::Refuse(refusal) => {
+                    self.note_refused(request);
+                    return Err(refusal);
+                }
             }
         }
     }
@@ -155,7 +165,7 @@
     }
 
     /// Returns whether the probe rate limit allows one more probe.
-    fn may_probe(&self) -> bool {
+    pub(super) fn may_probe(&self) -> bool {
         let rate = self.live.borrow().bounds.ask_rate;
         let endpoints = self.registry.borrow().len();
         let now = clock::now();
@@ -212,11 +222,12 @@
             .as_ref()
             .and_then(|c| c.services.get(&request.service));
         let mut registry = self.registry.borrow_mut();
-        registry.expire_lapsed(clock::now());
+        let now = clock::now();
+        registry.expire_lapsed(now);
         let pool = self.pool.borrow();
         let mut context = Context {
             registry: &mut registry,
-            is_connected: &|key| pool.holds(key),
+            is_connected: &|key| pool.holds(key, now),
             is_first,
             may_probe,
             leaving_centres: &config.leaving_centres,
@@ -226,7 +237,6 @@
             cold: Quota::cold(plan.map_or(0.0, |p| p.cold_rate), self.share.get()),
         };
         let mut draw = || self.random_fraction();
-        let now = clock::now();
         let canary_step = canary.and_then(|target| {
             placement.next_canary(&mut context, request, &target, now, &mut draw)
         });
@@ -273,7 +283,7 @@
 
     /// Probes an endpoint; returns the connection and the answer's headers, or
     /// `None` if there is no valid answer.
-    async fn probe(&self, key: EndpointKey) -> Option<(Connection, HeaderMap)> {
+    pub(super) async fn probe(&self, key: EndpointKey) -> Option<(Connection, HeaderMap)> {
         let kept = self.pool.borrow_mut().take(key, clock::now());
         if kept.is_some() {
             if let Ok(Some(answered)) = timeout(PROBE_TIMEOUT, self.probe_on(key, kept)).await {
@@ -367,6 +377,7 @@
         registry.note_answer(key, now);
         drop(registry);
         self.isolation_noted(service, was_isolated, "probe");
+        self.observe_probe(key);
         self.record_limit(key, headers, Source::Probe);
         true
     }
@@ -408,7 +419,8 @@
         let mut registry = self.registry.borrow_mut();
         let service = registry.get(key).map(|s| s.endpoint.service);
         let was_isolated = service.is_some_and(|s| registry.is_isolated(s));
-        if registry.note_outcome(key, outcome, now) {
+        let is_avoided = registry.note_outcome(key, outcome, now);
+        if is_avoided {
             let endpoint = registry.get(key).map(|s| &s.endpoint);
             let instance = endpoint.map(|e| e.instance.as_str());
             log::info!(
@@ -418,6 +430,8 @@
             );
         }
         drop(registry);
+        let connected = seen != Unanswered::Unconnected.name();
+        self.observe_outcome(key, outcome, is_avoided, connected);
         let Some(service) = service else {
             return;
         };
