--- a/components/coordination/src/read_schedule.rs
+++ b/components/coordination/src/read_schedule.rs
@@ -144,6 +144,19 @@
     updated_at: Moment,
     /// Reads that neighbours have begun since this host last read or received an update.
     neighbour_reads: u32,
+    /// Fragments received since this host last read or received an update.
+    fragments: u32,
+}
+
+/// What a host received since it last read the store or received an update.
+#[tag]
+pub struct Deferrals {
+    /// The time since then.
+    pub silence: Duration,
+    /// Number of reads that neighbours have begun.
+    pub neighbour_reads: u32,
+    /// Number of fragments.
+    pub fragments: u32,
 }
 
 /// What a host does with records that a neighbour has read.
@@ -178,6 +191,7 @@
             fragments_since: None,
             updated_at: now,
             neighbour_reads: 0,
+            fragments: 0,
         }
     }
 
@@ -340,6 +354,7 @@
     /// Defers this host's read: if it read the store before the message is complete, so
     /// would all others.
     pub fn fragment_received(&mut self, draw: f64, now: Moment) {
+        self.fragments = self.fragments.saturating_add(1);
         let since = *self.fragments_since.get_or_insert(now);
         if !self.reader && now.since(since) < FRAGMENT_WAIT_LIMIT {
             self.due = self
@@ -379,6 +394,15 @@
         }
     }
 
+    /// Returns what may have deferred this host's read.
+    pub fn deferrals(&self, now: Moment) -> Deferrals {
+        Deferrals {
+            silence: self.silence(now),
+            neighbour_reads: self.neighbour_reads,
+            fragments: self.fragments,
+        }
+    }
+
     /// Returns how long this host has neither read the store nor received an update.
     pub fn silence(&self, now: Moment) -> Duration {
         now.since(self.updated_at)
@@ -409,6 +433,7 @@
         self.updated_at = now;
         self.lagging = false;
         self.neighbour_reads = 0;
+        self.fragments = 0;
     }
 
     /// Records that the store no longer has the record at this host's offset.
--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -348,6 +348,15 @@
 }
 
 impl NeighbourMessage {
+    /// Returns the offset to read on from after this message, if it contains records.
+    pub fn next_offset(&self) -> Option<u64> {
+        match self {
+            NeighbourMessage::Update(update) => Some(update.next()),
+            NeighbourMessage::Snapshot(snapshot) => Some(snapshot.next),
+            _ => None,
+        }
+    }
+
     /// Returns the message's kind, under which sent and received messages are counted.
     pub fn kind(&self) -> &'static str {
         match self {
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -32,11 +32,20 @@
         let mut store = StoreClient::new(self.settings.log);
         loop {
             self.await_due(topic).await;
-            let (next, is_reader) = self.with_schedule(topic, |schedule| {
+            let now = clock::now();
+            let (next, is_reader, deferrals) = self.with_schedule(topic, |schedule| {
                 schedule.begin_read();
-                (schedule.next(), schedule.is_reader())
+                let deferrals = schedule.deferrals(now);
+                (schedule.next(), schedule.is_reader(), deferrals)
             });
             if !is_reader {
+                log::info!(
+                    "E0321 own-read topic={topic:?} from={next:?} silence_ms={} \
+                     neighbour_reads={} fragments={}",
+                    deferrals.silence.as_millis(),
+                    deferrals.neighbour_reads,
+                    deferrals.fragments
+                );
                 self.broadcast(&NeighbourMessage::ReadStarted(topic));
             }
             let result = match next {
@@ -292,7 +301,7 @@
                 .of(topic)
                 .put(&record, bytes.clone());
             match topic {
-                Topic::Operators => self.apply_operator_record(&record, true),
+                Topic::Operators => self.apply_operator_record(&record, Some(offset)),
                 Topic::Endpoints => {
                     let entry = decode_entry(&record);
                     if let Some(Entry::Endpoint(endpoint)) = &entry {
@@ -422,18 +431,20 @@
             self.set_leaving(*centre, false);
         }
         for record in records {
-            self.apply_operator_record(record, false);
+            self.apply_operator_record(record, None);
         }
     }
 
-    /// Applies an operators' record; `is_fresh` tells that this host read it when it was written.
-    fn apply_operator_record(self: &Rc<Self>, record: &Record, is_fresh: bool) {
+    /// Applies an operators' record.
+    ///
+    /// `offset` is that of a record read when it was written, `None` for one of a snapshot.
+    fn apply_operator_record(self: &Rc<Self>, record: &Record, offset: Option<u64>) {
         match (operator::classify_key(&record.key), &record.value) {
             (Subject::Leaving(centre), value) => self.set_leaving(centre, value.is_some()),
             (Subject::Rollout(service), value) => {
-                self.apply_rollout_order(&service, value.as_deref(), is_fresh);
+                self.apply_rollout_order(&service, value.as_deref(), offset.is_some());
             }
-            (Subject::Catalogue, Some(value)) => self.apply_catalogue(value),
+            (Subject::Catalogue, Some(value)) => self.apply_catalogue(value, offset),
             (Subject::Catalogue, None) => {
                 log::warn!("E0311 config-withdrawn; the current configuration stays in force");
             }
@@ -441,13 +452,13 @@
         }
     }
 
-    fn apply_catalogue(&self, value: &[u8]) {
+    fn apply_catalogue(&self, value: &[u8], offset: Option<u64>) {
         match operator::decode(value) {
             Ok(catalogue) => {
                 let version = catalogue.version;
                 if self.config.borrow_mut().adopt(catalogue) {
                     log::info!(
-                        "E0302 config-in-force version={version} bytes={}",
+                        "E0302 config-in-force version={version} bytes={} offset={offset:?}",
                         value.len()
                     );
                     self.forget_routes();
--- a/components/transport/src/gateway/fragments.rs
+++ b/components/transport/src/gateway/fragments.rs
@@ -70,7 +70,8 @@
         let encoded = Bytes::from(message.encode());
         let fragments = self.split(&encoded);
         log::info!(
-            "E0422 message-distributed topic={topic:?} bytes={} fragments={} neighbours={}",
+            "E0422 message-distributed topic={topic:?} next={:?} bytes={} fragments={} neighbours={}",
+            message.next_offset(),
             encoded.len(),
             fragments.len(),
             neighbours.len()
@@ -280,6 +281,7 @@
         if transfers.deferred.len() == MAX_DEFERRED_UPDATES {
             // A gap in the records is filled by reading from the store.
             transfers.deferred.pop_front();
+            log::info!("E0425 update-dropped topic={:?}", update.topic);
         }
         transfers.deferred.push_back((update.clone(), sender));
     }
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -177,6 +177,13 @@
                 update.topic,
                 &NeighbourMessage::Update(update.without_addresses()),
             );
+        } else {
+            log::info!(
+                "E0426 update-not-distributed topic={:?} next={} receiving={}",
+                update.topic,
+                update.next(),
+                self.is_receiving(update.topic)
+            );
         }
     }
 
--- a/components/transport/src/gateway/topic_cache.rs
+++ b/components/transport/src/gateway/topic_cache.rs
@@ -246,10 +246,8 @@
     /// Handles a snapshot from a neighbour.
     pub(super) fn handle_snapshot(self: &Rc<Self>, snapshot: TopicSnapshot) {
         let (topic, next) = (snapshot.topic, snapshot.next);
-        if self
-            .with_schedule(topic, |schedule| schedule.next())
-            .is_some_and(|known| known >= next)
-        {
+        let known = self.with_schedule(topic, |schedule| schedule.next());
+        if known.is_some_and(|known| known >= next) {
             return;
         }
         let records: Vec<Record> = snapshot
@@ -258,7 +256,7 @@
             .filter_map(platform::store::decode_record)
             .collect();
         log::info!(
-            "E0317 snapshot-received topic={topic:?} records={}",
+            "E0317 snapshot-received topic={topic:?} records={} next={next} known={known:?}",
             records.len()
         );
         let draw = self.random_fraction();
