--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -210,6 +210,11 @@
         self.peers.ip()
     }
 
+    /// Returns the address to which other hosts send datagrams.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
         self.signal(nix::sys::signal::Signal::SIGTERM);
