--- a/components/coordination/src/fragments.rs
+++ b/components/coordination/src/fragments.rs
@@ -77,6 +77,10 @@
     pub number: u32,
     /// Whether the receiver relays the fragment to all its neighbours.
     pub relay: bool,
+    /// The offset up to which the message's receiver knows the topic afterwards.
+    pub next: u64,
+    /// How long ago the store was read to the message, if known.
+    pub age: Option<Duration>,
     /// The fragment's part of the message.
     pub bytes: Bytes,
 }
@@ -110,12 +114,13 @@
     pub numbers: Vec<u32>,
 }
 
-/// Splits a message of `origin` into fragments for this many hosts.
+/// Splits a message of `origin` into fragments for this many hosts; it leads to the offset
+/// `next`.
 ///
 /// Makes about one fragment per host, so that all share the relaying. Only few fragment
 /// sizes are possible, so that hosts whose counts of neighbours differ slightly split a
 /// message in the same way.
-pub fn split(origin: SocketAddr, message: &Bytes, hosts: usize) -> Vec<Fragment> {
+pub fn split(origin: SocketAddr, next: u64, message: &Bytes, hosts: usize) -> Vec<Fragment> {
     let share = message.len().div_ceil(hosts.max(1));
     let size = size_class(share).clamp(MIN_FRAGMENT_BYTES, MAX_FRAGMENT_BYTES);
     let key = MessageKey {
@@ -130,6 +135,8 @@
             origin,
             number,
             relay: false,
+            next,
+            age: None,
             bytes: message.slice(start..message.len().min(start + size)),
         })
         .collect()
@@ -213,6 +220,9 @@
     /// The last known host that has the whole message.
     origin: SocketAddr,
     missing: usize,
+    next: u64,
+    /// When the store was read to the message; unknown if any fragment doesn't tell.
+    read_at: Option<Moment>,
     last_fragment: Moment,
     /// When a fragment last arrived or was requested.
     last_activity: Moment,
@@ -226,6 +236,8 @@
             origin: fragment.origin,
             missing: pieces.len(),
             pieces,
+            next: fragment.next,
+            read_at: read_at(fragment, now),
             last_fragment: now,
             last_activity: now,
             requests: 0,
@@ -241,6 +253,11 @@
             return false;
         }
         piece.bytes = Some(fragment.bytes.clone());
+        // Each fragment was on its way for some time, which its age leaves out.
+        self.read_at = self
+            .read_at
+            .zip(read_at(fragment, now))
+            .map(|(a, b)| a.min(b));
         self.missing -= 1;
         self.last_fragment = now;
         self.last_activity = now;
@@ -281,6 +298,11 @@
     }
 }
 
+/// Returns when the store was read to the message that a fragment belongs to, if it tells.
+fn read_at(fragment: &Fragment, now: Moment) -> Option<Moment> {
+    fragment.age.and_then(|age| now.checked_sub(age))
+}
+
 /// Reassembles received messages, and keeps fragments for neighbours that request them.
 #[derive(Clone, Debug, Default)]
 pub struct Reassembly {
@@ -289,12 +311,21 @@
 
 impl Reassembly {
     /// Stores a message that this host sends, for neighbours that lose fragments of it.
-    pub fn insert_own(&mut self, fragments: &[Fragment], now: Moment) {
+    ///
+    /// The store was read to it this long ago, or at an unknown moment.
+    pub fn insert_own(&mut self, fragments: &[Fragment], age: Option<Duration>, now: Moment) {
         for fragment in fragments {
-            self.store(fragment, now);
+            let fragment = fragment.clone();
+            self.store(&Fragment { age, ..fragment }, now);
         }
     }
 
+    /// Returns how long ago the store was read to a message, if known.
+    pub fn age(&self, key: MessageKey, now: Moment) -> Option<Duration> {
+        let message = self.messages.get(&key)?;
+        message.read_at.map(|at| now.since(at))
+    }
+
     /// Stores a received fragment.
     pub fn insert(&mut self, fragment: &Fragment, now: Moment) -> Inserted {
         let count = fragment.message.count;
@@ -401,6 +432,8 @@
                 origin: message.origin,
                 number: *number,
                 relay,
+                next: message.next,
+                age: None,
                 bytes,
             });
         }
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod group_joins;
 pub mod helpers;
 pub mod members;
+pub mod missing_records;
 pub mod neighbours;
 pub mod quota;
 pub mod read_schedule;
--- a/components/coordination/src/read_schedule.rs
+++ b/components/coordination/src/read_schedule.rs
@@ -14,6 +14,8 @@
 use derives::tag;
 use state::Moment;
 
+use crate::missing_records::MissingRecords;
+
 /// How long a read waits at the store for a record (long poll).
 ///
 /// The store answers as soon as a record is written, but for a rare read that isn't woken
@@ -59,11 +61,20 @@
 /// In this time it requests lost fragments three times.
 const FRAGMENT_WAIT: Duration = Duration::from_millis(300);
 
-/// The total time for which arriving fragments defer a host's own read.
+/// How long after a host first heard of records that it lacks it reads them by itself.
 ///
-/// A message takes 0.6 s to arrive in fragments. Without a limit, a neighbour that sends
-/// a single fragment now and then would keep this host from reading the store.
-const FRAGMENT_WAIT_LIMIT: Duration = Duration::from_millis(1_000);
+/// A message takes 0.6 s to arrive in fragments. Nothing that arrives extends this time: a
+/// neighbour that sends a single fragment or an old update now and then must not keep this
+/// host from reading the store.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(1_200);
+
+/// How long a host that lacks records waits before it requests them once more.
+const REQUEST_PAUSE: Duration = Duration::from_millis(200);
+
+/// The total time for which reads of neighbours with an unknown outcome defer a host's own.
+///
+/// As long as a read may wait for an answer: then the neighbour reports its failure.
+const NEIGHBOUR_READ_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// How long the reader pauses after a failed read.
 ///
@@ -137,9 +148,21 @@
     /// Whether this host reads for its data centre what was read elsewhere.
     lagging: bool,
     failures: u32,
+    /// When the last of this host's reads in a row that failed ended.
+    failed_at: Moment,
     due: Moment,
-    /// When the first fragment of a message that is still incomplete arrived.
-    fragments_since: Option<Moment>,
+    started: Moment,
+    /// When the store was read, by any host, to what this host knows; unknown if that was
+    /// before this host started.
+    read_at: Option<Moment>,
+    /// Records that this host has heard of and lacks.
+    missing: MissingRecords,
+    /// When this host last requested missing records.
+    requested_at: Option<Moment>,
+    /// The random number, from 0 to 1, by which this host's next read is deferred.
+    draw: f64,
+    /// Whether a neighbour's read has failed since the store was last read.
+    trouble: bool,
     /// When this host last read the store or received an update.
     updated_at: Moment,
     /// Reads that neighbours have begun since this host last read or received an update.
@@ -187,8 +210,14 @@
             has_gap: false,
             lagging: false,
             failures: 0,
+            failed_at: now,
             due: now,
-            fragments_since: None,
+            started: now,
+            read_at: None,
+            missing: MissingRecords::default(),
+            requested_at: None,
+            draw: 0.0,
+            trouble: false,
             updated_at: now,
             neighbour_reads: 0,
             fragments: 0,
@@ -239,7 +268,30 @@
 
     /// Returns when this host's own read is due.
     pub fn due(&self) -> Moment {
-        self.due
+        self.latest_read().map_or(self.due, |at| self.due.min(at))
+    }
+
+    /// Returns when this host reads at the latest, whatever it receives until then.
+    ///
+    /// None while reads fail: then nothing is gained by reading sooner, and all hosts would.
+    fn latest_read(&self) -> Option<Moment> {
+        match self.missing.since() {
+            _ if self.failures > 0 || self.next.is_none() => None,
+            Some(since) => Some(since + CATCH_UP_WAIT + READ_JITTER.mul_f64(self.draw)),
+            None if self.trouble => None,
+            None => Some(self.counts_from() + takeover_delay(1.0) + NEIGHBOUR_READ_LIMIT),
+        }
+    }
+
+    /// Returns how long ago the store was read, by any host, to what this host knows; `None`
+    /// if that was before this host started.
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        self.read_at.map(|at| now.since(at))
+    }
+
+    /// Returns from when this host counts the time until it reads by itself.
+    fn counts_from(&self) -> Moment {
+        self.read_at.unwrap_or(self.started)
     }
 
     /// Returns whether this host reads for its neighbours.
@@ -267,32 +319,48 @@
     /// failures came before it.
     ///
     /// Hosts read the whole topic when they start, often all at once. No host becomes the
-    /// reader by this; the first one whose next read is due does. `draw` is a random
-    /// number from 0 to 1.
-    pub fn full_read_finished(&mut self, next: u64, draw: f64, now: Moment) -> bool {
+    /// reader by this; the first one whose next read is due does. The read began at
+    /// `read_at`; `draw` is a random number from 0 to 1.
+    pub fn full_read_finished(
+        &mut self,
+        next: u64,
+        read_at: Moment,
+        draw: f64,
+        now: Moment,
+    ) -> bool {
         self.note_update(now);
         self.next = Some(next);
         self.replaced_at = Some(now);
         self.reader = false;
         self.reading = false;
         self.has_gap = false;
-        self.due = now + takeover_delay(draw);
+        self.missing.clear();
+        self.note_read_at(read_at);
+        self.defer_takeover(draw, now);
         std::mem::take(&mut self.failures) > 0
     }
 
     /// Records that a neighbour sent a snapshot of the topic, up to `next`.
     ///
-    /// A host whose own reads failed keeps its retry schedule, and reads on from `next`;
-    /// any other waits for updates, as if it had read the topic itself. `draw` is a
-    /// random number from 0 to 1.
-    pub fn snapshot_received(&mut self, next: u64, draw: f64, now: Moment) {
+    /// The store was read to it at `read_at`, or at an unknown moment. A host whose own
+    /// reads failed keeps its retry schedule, and reads on from `next`; any other waits for
+    /// updates, as if it had read the topic itself at that moment. `draw` is a random
+    /// number from 0 to 1.
+    pub fn snapshot_received(
+        &mut self,
+        next: u64,
+        read_at: Option<Moment>,
+        draw: f64,
+        now: Moment,
+    ) {
         self.note_update(now);
-        self.has_gap = false;
         self.next = Some(next);
         self.replaced_at = Some(now);
         self.trimmed_at = None;
+        self.reach(next);
+        self.read_at = read_at;
         if self.failures == 0 {
-            self.due = now + takeover_delay(draw);
+            self.defer_takeover(draw, now);
         }
     }
 
@@ -307,20 +375,34 @@
     /// The host goes on as reader for its neighbours, unless it has yielded to another
     /// reader during the read. A host that knows no neighbours (`alone`) waits as long
     /// between reads as a host without updates does: when a whole site starts, no host
-    /// knows another, and all would read all the time. `draw` is a random number from 0
-    /// to 1.
-    pub fn read_finished(&mut self, next: u64, alone: bool, draw: f64, now: Moment) -> bool {
+    /// knows another, and all would read all the time. The answer held all records written
+    /// before `read_at`; `draw` is a random number from 0 to 1.
+    pub fn read_finished(
+        &mut self,
+        next: u64,
+        read_at: Moment,
+        alone: bool,
+        draw: f64,
+        now: Moment,
+    ) -> bool {
         self.note_update(now);
         let has_records = self.next != Some(next);
-        self.next = Some(next.max(self.next.unwrap_or(0)));
-        if self.reading {
+        let known = self.next.unwrap_or(0);
+        // A neighbour may have sent newer records during the read.
+        if next > known || next == known && Some(read_at) > self.read_at {
+            self.note_read_at(read_at);
+        }
+        self.next = Some(next.max(known));
+        // The store has no records beyond those, whatever others say.
+        self.missing.clear();
+        if std::mem::take(&mut self.reading) {
             // A host that only read records lost on the way doesn't become the reader.
             self.reader = !std::mem::take(&mut self.has_gap);
-            self.due = match has_records {
-                _ if alone || !self.reader => now + takeover_delay(draw),
-                true => now + BATCH_PAUSE,
-                false => now,
-            };
+            match has_records {
+                _ if alone || !self.reader => self.defer_takeover(draw, now),
+                true => self.due = now + BATCH_PAUSE,
+                false => self.due = now,
+            }
         }
         std::mem::take(&mut self.failures) > 0
     }
@@ -331,6 +413,8 @@
     /// outage doesn't cause reads by every host.
     pub fn read_failed(&mut self, draw: f64, now: Moment) {
         self.failures += 1;
+        self.failed_at = now;
+        self.reading = false;
         self.due = match self.reader {
             true => now + RETRY_PAUSE,
             false => now + takeover_delay(draw),
@@ -343,24 +427,99 @@
     /// without a failure still reads when its own read is due, since the store sometimes
     /// rejects single hosts.
     pub fn neighbour_read_failed(&mut self, draw: f64, now: Moment) {
+        self.trouble = true;
         if self.failures > 0 && !self.reader {
             self.due = now + takeover_delay(draw);
         }
     }
 
-    /// Records that a fragment of a neighbour's message arrived; `draw` is a random
-    /// number from 0 to 1.
+    /// Records that a fragment of a neighbour's message arrived, which leads to the offset
+    /// `end`; `draw` is a random number from 0 to 1.
     ///
     /// Defers this host's read: if it read the store before the message is complete, so
     /// would all others.
-    pub fn fragment_received(&mut self, draw: f64, now: Moment) {
+    pub fn fragment_received(&mut self, end: u64, draw: f64, now: Moment) {
         self.fragments = self.fragments.saturating_add(1);
-        let since = *self.fragments_since.get_or_insert(now);
-        if !self.reader && now.since(since) < FRAGMENT_WAIT_LIMIT {
-            self.due = self
-                .due
-                .max(now + FRAGMENT_WAIT + READ_JITTER.mul_f64(draw));
+        if self.next.is_some_and(|known| end <= known) {
+            return;
         }
+        self.hear_of(end, draw, now);
+        let since = self.missing.since().unwrap_or(now);
+        if !self.reader {
+            let deferred = now + FRAGMENT_WAIT + READ_JITTER.mul_f64(draw);
+            self.due = self.due.max(deferred.min(since + CATCH_UP_WAIT));
+        }
+    }
+
+    /// Records that a neighbour knows the topic up to the offset `end`, to which the store was
+    /// read at `read_at`; returns whether this host lacks records. `draw` is a random number
+    /// from 0 to 1.
+    pub fn position_received(&mut self, end: u64, read_at: Moment, draw: f64, now: Moment) -> bool {
+        let Some(known) = self.next else {
+            return false;
+        };
+        if end > known {
+            self.hear_of(end, draw, now);
+            return true;
+        }
+        if end == known && Some(read_at) > self.read_at {
+            self.note_read_at(read_at);
+            self.neighbour_reads = 0;
+            if self.awaits_updates() {
+                self.defer_takeover(draw, now);
+            }
+        }
+        false
+    }
+
+    /// Returns whether to request the missing records now, and notes the request.
+    ///
+    /// They may be on their way when a host first hears of them.
+    pub fn take_request(&mut self, now: Moment) -> bool {
+        let since = self.missing.since();
+        let is_due = since.is_some_and(|at| now.since(at) >= RESEND_WAIT)
+            && self
+                .requested_at
+                .is_none_or(|at| now.since(at) >= REQUEST_PAUSE);
+        if is_due {
+            self.requested_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Notes records up to `end` that this host lacks.
+    fn hear_of(&mut self, end: u64, draw: f64, now: Moment) {
+        if self.missing.is_empty() {
+            self.draw = draw;
+        }
+        self.missing.hear_of(end, now);
+    }
+
+    /// Notes that this host knows the topic up to `next`.
+    fn reach(&mut self, next: u64) {
+        self.missing.reach(next);
+        self.has_gap &= !self.missing.is_empty();
+    }
+
+    /// Notes that the store was read at `read_at` to what this host knows.
+    fn note_read_at(&mut self, read_at: Moment) {
+        self.read_at = Some(read_at);
+        self.trouble = false;
+    }
+
+    /// Returns whether this host neither reads nor lacks records.
+    fn awaits_updates(&self) -> bool {
+        !self.reader && !self.reading && self.failures == 0 && self.missing.is_empty()
+    }
+
+    /// Makes this host's own read due when nothing new is heard for a while.
+    fn defer_takeover(&mut self, draw: f64, now: Moment) {
+        self.draw = draw;
+        let due = self.counts_from() + takeover_delay(draw);
+        self.due = match due > now {
+            true => due,
+            false => now + READ_JITTER.mul_f64(draw),
+        };
     }
 
     /// Records that a neighbour has begun its own read; `draw` is a random number from 0
@@ -397,17 +556,12 @@
     /// Returns what may have deferred this host's read.
     pub fn deferrals(&self, now: Moment) -> Deferrals {
         Deferrals {
-            silence: self.silence(now),
+            silence: now.since(self.updated_at),
             neighbour_reads: self.neighbour_reads,
             fragments: self.fragments,
         }
     }
 
-    /// Returns how long this host has neither read the store nor received an update.
-    pub fn silence(&self, now: Moment) -> Duration {
-        now.since(self.updated_at)
-    }
-
     /// Returns whether this data centre has received no update for a while.
     pub fn is_stale(&self, now: Moment) -> bool {
         now.since(self.updated_at) > STALE_AFTER
@@ -416,20 +570,23 @@
     /// Records that the store has records of which this data centre gets no copy.
     ///
     /// Large changes aren't sent between data centres unless a host there requests them. If
-    /// none come, this host reads them soon and sends them to its neighbours.
-    pub fn mark_lagging(&mut self, now: Moment) {
+    /// none come, this host reads them soon and sends them to its neighbours. `end` is the
+    /// offset up to which the store has records; `draw` is a random number from 0 to 1.
+    pub fn mark_lagging(&mut self, end: u64, draw: f64, now: Moment) {
+        self.hear_of(end, draw, now);
         self.due = self.due.min(now + CENTRE_RESEND_WAIT);
         self.has_gap = !self.reader;
         self.lagging = true;
     }
 
-    /// Returns whether this host reads for its data centre what was read elsewhere.
-    pub fn is_lagging(&self) -> bool {
-        self.lagging
+    /// Returns whether this host reads for its data centre what was read elsewhere, or what
+    /// none of its neighbours has sent.
+    pub fn is_lagging(&self, now: Moment) -> bool {
+        let since = self.missing.since();
+        self.lagging || since.is_some_and(|at| now.since(at) >= CATCH_UP_WAIT)
     }
 
     fn note_update(&mut self, now: Moment) {
-        self.fragments_since = None;
         self.updated_at = now;
         self.lagging = false;
         self.neighbour_reads = 0;
@@ -459,13 +616,15 @@
     /// Records that a neighbour read the records from `from` to `next`, and returns what to
     /// do with them.
     ///
-    /// `yields` says whether this host gives up being the reader if both read; `draw` is
-    /// a random number from 0 to 1. An update that ends before this host's own offset is
-    /// ignored: the neighbour may have been paused between reading and sending.
+    /// The store was read to them at `read_at`, or at an unknown moment: an update that
+    /// waited on its way, or comes from a host that is cut off, doesn't show that the store
+    /// has nothing newer. `yields` says whether this host gives up being the reader if both
+    /// read; `draw` is a random number from 0 to 1. An update that ends before this host's
+    /// own offset is ignored: the neighbour may have been paused between reading and sending.
     pub fn update_received(
         &mut self,
-        from: u64,
-        next: u64,
+        (from, next): (u64, u64),
+        read_at: Option<Moment>,
         yields: bool,
         draw: f64,
         now: Moment,
@@ -478,6 +637,7 @@
             // Due soon, in case no neighbour sends the records again, with a random delay
             // so that hosts that missed the same records don't all read at once.
             _ => {
+                self.hear_of(next, draw, now);
                 self.due = self.due.min(now + RESEND_WAIT + READ_JITTER.mul_f64(draw));
                 self.has_gap = !self.reader;
                 return UpdateOutcome::Gap;
@@ -486,15 +646,27 @@
         if next < known {
             return UpdateOutcome::Known;
         }
-        let recovered = std::mem::take(&mut self.failures) > 0;
-        if yields || recovered || !(self.reader || self.reading) {
+        let is_recent = read_at.is_some_and(|at| now.since(at) < TAKEOVER_DELAY);
+        let recovered = self.failures > 0 && read_at.is_some_and(|at| at > self.failed_at);
+        if recovered {
+            self.failures = 0;
+        }
+        if recovered || is_recent && (yields || !(self.reader || self.reading)) {
             self.reader = false;
             self.reading = false;
-            self.due = now + takeover_delay(draw);
         }
-        self.note_update(now);
+        if is_recent {
+            self.note_update(now);
+        }
+        match read_at {
+            Some(at) if next > known || Some(at) > self.read_at => self.note_read_at(at),
+            _ => {}
+        }
         self.next = Some(next);
-        self.has_gap = false;
+        self.reach(next);
+        if self.awaits_updates() {
+            self.defer_takeover(draw, now);
+        }
         match next > known || recovered {
             true => UpdateOutcome::Apply {
                 skip: known - from,
--- a/components/coordination/tests/cross_centre_reads.rs
+++ b/components/coordination/tests/cross_centre_reads.rs
@@ -39,6 +39,7 @@
 /// An update on its way to a host of another data centre.
 struct CrossCentreUpdate {
     at: Moment,
+    read_at: Moment,
     to: usize,
     reader: usize,
     from: u64,
@@ -162,16 +163,16 @@
         let host = &mut self.hosts[at];
         host.fresh_at = now;
         let Some(from) = host.schedule.next() else {
-            host.schedule.full_read_finished(self.end, draw, now);
+            host.schedule.full_read_finished(self.end, now, draw, now);
             self.send_snapshots(at, now);
             return;
         };
-        host.schedule.read_finished(self.end, false, draw, now);
+        host.schedule.read_finished(self.end, now, false, draw, now);
         let next = self.end;
         if host.schedule.is_reader() {
             self.send_cross_centre(at, from, now);
         }
-        self.send_to_centre(at, at, from, next, now);
+        self.send_to_centre(at, at, (from, next), now, now);
     }
 
     /// Sends a snapshot to the neighbours without records.
@@ -181,7 +182,7 @@
                 let draw = self.random.random();
                 self.hosts[other]
                     .schedule
-                    .snapshot_received(self.end, draw, now);
+                    .snapshot_received(self.end, Some(now), draw, now);
                 self.hosts[other].fresh_at = now;
             }
         }
@@ -191,13 +192,13 @@
         &mut self,
         relay_root: usize,
         reader: usize,
-        from: u64,
-        next: u64,
+        records: (u64, u64),
+        read_at: Moment,
         now: Moment,
     ) {
         for other in self.neighbours(relay_root) {
             if self.arrives(other) {
-                self.receive(other, reader, from, next, now);
+                self.receive(other, reader, records, read_at, now);
             }
         }
     }
@@ -206,14 +207,18 @@
         &mut self,
         at: usize,
         reader: usize,
-        from: u64,
-        next: u64,
+        (from, next): (u64, u64),
+        read_at: Moment,
         now: Moment,
     ) -> UpdateOutcome {
         let draw = self.random.random();
-        let outcome = self.hosts[at]
-            .schedule
-            .update_received(from, next, reader < at, draw, now);
+        let outcome = self.hosts[at].schedule.update_received(
+            (from, next),
+            Some(read_at),
+            reader < at,
+            draw,
+            now,
+        );
         if outcome != UpdateOutcome::Gap && next == self.end {
             self.hosts[at].fresh_at = now;
         }
@@ -227,6 +232,7 @@
         for centre in (0..self.hosts.len() / self.centre).filter(|c| *c != mine) {
             for place in 0..REMOTE_TARGETS.min(self.centre) {
                 self.in_flight.push(CrossCentreUpdate {
+                    read_at: now,
                     at: now + SECOND_HOST_DELAY * place as u32,
                     to: centre * self.centre + place,
                     reader,
@@ -246,13 +252,27 @@
         let schedule = &mut self.hosts[update.to].schedule;
         match schedule.next() {
             None => return,
-            Some(next) if update.from > next => return schedule.mark_lagging(now),
+            Some(next) if update.from > next => {
+                return schedule.mark_lagging(update.next, 0.5, now);
+            }
             Some(_) => {}
         }
         let stale = schedule.is_stale(now);
-        let outcome = self.receive(update.to, update.reader, update.from, update.next, now);
+        let outcome = self.receive(
+            update.to,
+            update.reader,
+            (update.from, update.next),
+            update.read_at,
+            now,
+        );
         if stale || matches!(outcome, UpdateOutcome::Apply { .. }) {
-            self.send_to_centre(update.to, update.reader, update.from, update.next, now);
+            self.send_to_centre(
+                update.to,
+                update.reader,
+                (update.from, update.next),
+                update.read_at,
+                now,
+            );
         }
     }
 
@@ -366,9 +386,9 @@
 fn gap_not_deferred() {
     let mut now = Moment::from_millis(10_000);
     let mut schedule = ReadSchedule::new(now);
-    schedule.full_read_finished(27, 0.5, now);
+    schedule.full_read_finished(27, now, 0.5, now);
     assert_eq!(
-        schedule.update_received(990, 991, true, 0.5, now),
+        schedule.update_received((990, 991), Some(now), true, 0.5, now),
         UpdateOutcome::Gap
     );
     let first = now;
--- a/components/coordination/tests/freshness.rs
+++ b/components/coordination/tests/freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coordination::read_schedule::ReadSchedule;
+use coordination::read_schedule::{READ_WAIT, ReadSchedule};
 use state::Moment;
 
 /// The time within which every record must be known to all hosts.
@@ -12,7 +12,7 @@
 fn host_at(now: Moment) -> ReadSchedule {
     let mut schedule = ReadSchedule::new(now);
     schedule.begin_read();
-    schedule.full_read_finished(18, 0.5, now);
+    schedule.full_read_finished(18, now, 0.5, now);
     schedule
 }
 
@@ -22,7 +22,7 @@
     let read_at = Moment::from_millis(10_000);
     let mut schedule = host_at(read_at);
     let received_at = read_at + Duration::from_millis(1_400);
-    schedule.update_received(11, 18, true, 0.5, received_at);
+    schedule.update_received((11, 18), Some(read_at), true, 0.5, received_at);
     assert!(
         schedule.due().since(read_at) < UPDATE_TIMEOUT,
         "the read is due {:?} after the topic was read",
@@ -39,7 +39,7 @@
     for _ in 0..2 {
         now = now + Duration::from_millis(700);
         schedule = ReadSchedule::new(now);
-        schedule.snapshot_received(18, 0.5, now);
+        schedule.snapshot_received(18, Some(read_at), 0.5, now);
     }
     assert!(
         schedule.due().since(read_at) < UPDATE_TIMEOUT,
@@ -47,3 +47,44 @@
         schedule.due().since(read_at)
     );
 }
+
+/// Records that were announced and don't come must be read, whatever else comes meanwhile.
+#[test]
+fn announced_records_lost() {
+    let start = Moment::from_millis(10_000);
+    let mut schedule = host_at(start);
+    let mut now = start;
+    assert!(schedule.position_received(19, now, 0.5, now));
+    while schedule.due() > now {
+        now = now + Duration::from_millis(50);
+        let end = 19 + now.since(start).as_millis() as u64;
+        schedule.position_received(end, now, 0.5, now);
+        schedule.fragment_received(end, 1.0, now);
+        schedule.neighbour_read_started(1.0, now);
+        schedule.update_received((11, 18), Some(now), true, 0.5, now);
+        assert!(now.since(start) < UPDATE_TIMEOUT, "the read is deferred");
+    }
+}
+
+/// A neighbour that has read the store and has nothing newer keeps a host from reading, as
+/// each read is charged.
+#[test]
+fn position_confirms() {
+    let start = Moment::from_millis(10_000);
+    let mut schedule = host_at(start);
+    let now = start + Duration::from_millis(1_400);
+    assert!(!schedule.position_received(18, now, 0.5, now));
+    assert!(schedule.due() > now + Duration::from_millis(1_000));
+}
+
+/// A host that is told of records which the store doesn't have must not read again and again.
+#[test]
+fn false_position() {
+    let start = Moment::from_millis(10_000);
+    let mut schedule = host_at(start);
+    schedule.position_received(1_000, start, 0.5, start);
+    let now = schedule.due();
+    schedule.begin_read();
+    schedule.read_finished(18, now, false, 0.5, now);
+    assert_eq!(schedule.read_wait(now), READ_WAIT);
+}
--- a/components/coordination/tests/large_messages.rs
+++ b/components/coordination/tests/large_messages.rs
@@ -84,9 +84,9 @@
     fn send_message(&mut self, origin: usize, now: Moment) -> MessageKey {
         let others = self.others(origin);
         let me = self.addresses[origin];
-        let fragments = split(me, &self.message, self.hosts.len());
+        let fragments = split(me, 1, &self.message, self.hosts.len());
         let host = &mut self.hosts[origin];
-        host.fragments.insert_own(&fragments, now);
+        host.fragments.insert_own(&fragments, None, now);
         host.complete_at = Some(now);
         for (to, fragment) in assign_relays(me, &fragments, &others) {
             assert!(host.queue.push(to, (), fragment));
@@ -311,7 +311,7 @@
 fn bad_fragments() {
     let origin = SocketAddr::from(([10, 1, 0, 1], 7540));
     let now = Moment::from_millis(1);
-    let good = split(origin, &Bytes::from(vec![7; 40_000]), 3);
+    let good = split(origin, 1, &Bytes::from(vec![7; 40_000]), 3);
     let mut fragments = Reassembly::default();
     let mut claims = good[0].clone();
     claims.message.count = u32::MAX;
--- a/components/coordination/tests/read_schedule.rs
+++ b/components/coordination/tests/read_schedule.rs
@@ -89,21 +89,24 @@
             return;
         }
         let Some(from) = host.schedule.next() else {
-            host.schedule.full_read_finished(self.end, draw, now);
+            host.schedule.full_read_finished(self.end, now, draw, now);
             host.fresh_at = now;
             return;
         };
-        host.schedule.read_finished(self.end, alone, draw, now);
+        host.schedule.read_finished(self.end, now, alone, draw, now);
         host.fresh_at = now;
         for other in (0..self.hosts.len()).filter(|o| *o != at) {
             if !self.arrives(other) {
                 continue;
             }
             let draw = self.random.random();
-            let outcome =
-                self.hosts[other]
-                    .schedule
-                    .update_received(from, self.end, at < other, draw, now);
+            let outcome = self.hosts[other].schedule.update_received(
+                (from, self.end),
+                Some(now),
+                at < other,
+                draw,
+                now,
+            );
             if outcome != UpdateOutcome::Gap {
                 self.hosts[other].fresh_at = now;
             }
@@ -237,10 +240,16 @@
 fn stale_update() {
     let mut schedule = ReadSchedule::new(Moment(0));
     schedule.begin_read();
-    schedule.full_read_finished(10, 0.5, Moment(0));
+    schedule.full_read_finished(10, Moment(0), 0.5, Moment(0));
     let due = schedule.due();
     assert_eq!(
-        schedule.update_received(5, 9, true, 0.5, Moment::from_millis(900)),
+        schedule.update_received(
+            (5, 9),
+            Some(Moment::from_millis(900)),
+            true,
+            0.5,
+            Moment::from_millis(900)
+        ),
         UpdateOutcome::Known
     );
     assert_eq!(schedule.due(), due);
@@ -252,9 +261,9 @@
 fn missing_records() {
     let mut schedule = ReadSchedule::new(Moment(0));
     schedule.begin_read();
-    schedule.full_read_finished(10, 0.5, Moment(0));
+    schedule.full_read_finished(10, Moment(0), 0.5, Moment(0));
     assert_eq!(
-        schedule.update_received(12, 14, true, 0.5, Moment(1)),
+        schedule.update_received((12, 14), Some(Moment(1)), true, 0.5, Moment(1)),
         UpdateOutcome::Gap
     );
     assert_eq!(schedule.next(), Some(10));
@@ -263,7 +272,7 @@
         recovered: false,
     };
     assert_eq!(
-        schedule.update_received(8, 14, true, 0.5, Moment(2)),
+        schedule.update_received((8, 14), Some(Moment(2)), true, 0.5, Moment(2)),
         applied
     );
     assert_eq!(schedule.next(), Some(14));
@@ -289,13 +298,13 @@
     for schedule in &mut schedules {
         let due = schedule.due();
         assert_eq!(
-            schedule.update_received(3, 4, true, 0.0, first),
+            schedule.update_received((3, 4), Some(first), true, 0.0, first),
             UpdateOutcome::Gap
         );
         assert_eq!(schedule.due(), due);
-        schedule.snapshot_received(4, 0.5, snapshot_at);
+        schedule.snapshot_received(4, Some(snapshot_at), 0.5, snapshot_at);
         assert!(schedule.due() > snapshot_at + READ_WAIT);
-        let next = schedule.update_received(4, 5, true, 0.0, snapshot_at);
+        let next = schedule.update_received((4, 5), Some(snapshot_at), true, 0.0, snapshot_at);
         assert!(matches!(next, UpdateOutcome::Apply { skip: 0, .. }));
     }
 }
@@ -308,7 +317,12 @@
     schedule.begin_read();
     schedule.read_failed(0.5, Moment(0));
     let due = schedule.due();
-    schedule.snapshot_received(7, 0.5, Moment::from_millis(10));
+    schedule.snapshot_received(
+        7,
+        Some(Moment::from_millis(10)),
+        0.5,
+        Moment::from_millis(10),
+    );
     assert_eq!((schedule.due(), schedule.next()), (due, Some(7)));
 }
 
@@ -320,10 +334,10 @@
 fn fragments_awaited() {
     let start = Moment::from_millis(10_000);
     let mut schedule = ReadSchedule::new(start);
-    schedule.full_read_finished(7, 0.0, start);
+    schedule.full_read_finished(7, start, 0.0, start);
     let mut now = schedule.due();
     for _ in 0..5 {
-        schedule.fragment_received(0.0, now);
+        schedule.fragment_received(8, 0.0, now);
         assert!(
             schedule.due() > now,
             "the read is due although fragments still arrive"
@@ -332,7 +346,7 @@
     }
     let first = now;
     while schedule.due() > now {
-        schedule.fragment_received(1.0, now);
+        schedule.fragment_received(8, 1.0, now);
         now = now + Duration::from_millis(100);
         assert!(
             now.since(first) < UPDATE_TIMEOUT,
--- a/components/coordination/tests/update_relay.rs
+++ b/components/coordination/tests/update_relay.rs
@@ -49,13 +49,13 @@
     let mut schedules = vec![ReadSchedule::new(start); hosts.len()];
     let mut forwarded = vec![Forwarded::default(); hosts.len()];
     for schedule in &mut schedules {
-        schedule.full_read_finished(100, 0.5, start);
+        schedule.full_read_finished(100, start, 0.5, start);
     }
     let now = start + Duration::from_secs(2);
     let readers = [3, 11, 19];
     for reader in readers {
         schedules[reader].begin_read();
-        schedules[reader].read_finished(150, false, 0.5, now);
+        schedules[reader].read_finished(150, now, false, 0.5, now);
     }
     let mut in_flight: Vec<(usize, SocketAddr)> = Vec::new();
     let hops = |me: usize, reader: SocketAddr| {
@@ -71,7 +71,7 @@
     while !in_flight.is_empty() {
         let (me, reader) = in_flight.remove(0);
         sent += 1;
-        schedules[me].update_received(100, 150, reader < hosts[me], 0.5, now);
+        schedules[me].update_received((100, 150), Some(now), reader < hosts[me], 0.5, now);
         if forwarded[me].mark(reader, 150) {
             let next = hops(me, reader);
             in_flight.extend(next.into_iter().map(|h| (index(h), reader)));
--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -5,6 +5,7 @@
 //! and never affects correctness.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use coordination::fragments::{Fragment, FragmentRequest, MessageKey};
@@ -103,6 +104,19 @@
     pub neighbours: Vec<SocketAddr>,
     /// A few remote hosts, which are in other data centres; only in an answer.
     pub contacts: Vec<Contact>,
+    /// How far the sender knows the topics; only in some greetings.
+    pub positions: Vec<Position>,
+}
+
+/// How far a host knows a topic.
+#[tag]
+pub struct Position {
+    /// The topic.
+    pub topic: Topic,
+    /// The offset after the last record that the host knows.
+    pub next: u64,
+    /// How long ago the store was read, by any host, and had no further records.
+    pub age: Duration,
 }
 
 /// The newest record of each key of a topic.
@@ -116,6 +130,9 @@
     pub records: Vec<Bytes>,
     /// Whether this message is sent to all hosts of the data centre.
     pub shared: bool,
+    /// How long ago the store was read, by any host, and had no further records; unknown in
+    /// fragments, which tell it themselves.
+    pub age: Option<Duration>,
 }
 
 /// Consecutive records of a topic that a host has read from the store.
@@ -135,6 +152,9 @@
     pub cross_centre: bool,
     /// The offset of the first record.
     pub from: u64,
+    /// How long ago the store was read, by any host, and had no further records; unknown in
+    /// fragments, which tell it themselves.
+    pub age: Option<Duration>,
     /// The records, encoded as in the store; an empty one renews its key's last record.
     ///
     /// Endpoints renew their entries every few seconds. What a host sends and receives would
@@ -248,6 +268,21 @@
     observations: Option<WireObservationReport>,
     #[prost(message, optional, tag = "28")]
     shares: Option<WireShares>,
+    /// How long ago the store was read to what the message holds, in milliseconds.
+    #[prost(uint64, optional, tag = "30")]
+    age_ms: Option<u64>,
+    #[prost(message, repeated, tag = "31")]
+    positions: Vec<WirePosition>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WirePosition {
+    #[prost(uint32, tag = "1")]
+    topic: u32,
+    #[prost(uint64, tag = "2")]
+    next: u64,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -274,6 +309,10 @@
     relay: bool,
     #[prost(bytes = "bytes", tag = "6")]
     bytes: Bytes,
+    #[prost(uint64, tag = "7")]
+    next: u64,
+    #[prost(uint64, optional, tag = "8")]
+    age_ms: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -299,15 +338,16 @@
 const SHARES: u32 = 9;
 
 impl RecordUpdate {
-    /// Returns the same records without the addresses of hosts.
+    /// Returns the same records without the addresses of hosts and without their age.
     ///
     /// Fragmented messages are identified by the digest of their content, so
     /// hosts that read the same records must send identical messages.
-    pub fn without_addresses(self) -> RecordUpdate {
+    pub fn content(self) -> RecordUpdate {
         let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
         RecordUpdate {
             reader: unspecified,
             relay_root: unspecified,
+            age: None,
             ..self
         }
     }
@@ -399,6 +439,7 @@
                 wants_hosts: hello.wants_hosts,
                 neighbours: hello.neighbours.iter().map(SocketAddr::to_string).collect(),
                 contacts: hello.contacts.iter().map(WireContact::from).collect(),
+                positions: hello.positions.iter().map(WirePosition::from).collect(),
                 ..WireMessage::default()
             },
             NeighbourMessage::Update(update) => WireMessage {
@@ -407,6 +448,7 @@
                 relay_root: update.relay_root.to_string(),
                 cross_centre: update.cross_centre,
                 from: update.from,
+                age_ms: update.age.map(millis),
                 records: update.changed().cloned().collect(),
                 runs: record_runs::lengths(&update.records),
                 ..WireMessage::default()
@@ -427,6 +469,7 @@
                 from: snapshot.next,
                 snapshot: true,
                 shared: snapshot.shared,
+                age_ms: snapshot.age.map(millis),
                 records: snapshot.records.clone(),
                 ..WireMessage::default()
             },
@@ -521,6 +564,7 @@
                 return Ok(NeighbourMessage::Hello(Hello {
                     neighbours: addresses(&wire.neighbours)?,
                     contacts: contacts(wire.contacts)?,
+                    positions: positions(&wire.positions)?,
                     wants_hosts: wire.wants_hosts,
                     size: wire.size,
                     centre: wire.centre,
@@ -568,9 +612,7 @@
                 let message = message.ok_or(DatagramError::InvalidShares)?;
                 return Ok(NeighbourMessage::Shares(message));
             }
-            OPERATORS => Topic::Operators,
-            ENDPOINTS => Topic::Endpoints,
-            _ => return Err(DatagramError::UnknownTopic),
+            number => topic_of(number)?,
         };
         match wire {
             _ if wire.read_started => return Ok(NeighbourMessage::ReadStarted(topic)),
@@ -580,6 +622,7 @@
             _ if wire.snapshot => {
                 return Ok(NeighbourMessage::Snapshot(TopicSnapshot {
                     topic,
+                    age: wire.age_ms.map(Duration::from_millis),
                     next: wire.from,
                     records: wire.records,
                     shared: wire.shared,
@@ -602,6 +645,7 @@
             relay_root: address(&wire.relay_root)?,
             cross_centre: wire.cross_centre,
             from: wire.from,
+            age: wire.age_ms.map(Duration::from_millis),
             records: record_runs::expand(wire.records, &wire.runs)?,
         }))
     }
@@ -625,6 +669,8 @@
             count: fragment.message.count,
             relay: fragment.relay,
             bytes: fragment.bytes.clone(),
+            next: fragment.next,
+            age_ms: fragment.age.map(millis),
         }
     }
 }
@@ -640,6 +686,8 @@
             number: self.number,
             relay: self.relay,
             bytes: self.bytes,
+            next: self.next,
+            age: self.age_ms.map(Duration::from_millis),
         })
     }
 }
@@ -656,6 +704,39 @@
     }
 }
 
+impl From<&Position> for WirePosition {
+    fn from(position: &Position) -> WirePosition {
+        WirePosition {
+            topic: topic_number(position.topic),
+            next: position.next,
+            age_ms: millis(position.age),
+        }
+    }
+}
+
+fn positions(wire: &[WirePosition]) -> Result<Vec<Position>, DatagramError> {
+    let read = wire.iter().map(|position| {
+        Ok(Position {
+            topic: topic_of(position.topic)?,
+            next: position.next,
+            age: Duration::from_millis(position.age_ms),
+        })
+    });
+    read.collect()
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn topic_of(number: u32) -> Result<Topic, DatagramError> {
+    match number {
+        OPERATORS => Ok(Topic::Operators),
+        ENDPOINTS => Ok(Topic::Endpoints),
+        _ => Err(DatagramError::UnknownTopic),
+    }
+}
+
 fn topic_number(topic: Topic) -> u32 {
     match topic {
         Topic::Operators => OPERATORS,
--- a/components/protocol/tests/neighbour_messages.rs
+++ b/components/protocol/tests/neighbour_messages.rs
@@ -8,7 +8,9 @@
 use proptest::prelude::*;
 use protocol::crash_report::{CrashReport, CrashedRun};
 use protocol::limit_report::LimitReport;
-use protocol::neighbour::{Hello, NeighbourMessage, ProbeLoan, RecordUpdate, Topic, TopicSnapshot};
+use protocol::neighbour::{
+    Hello, NeighbourMessage, Position, ProbeLoan, RecordUpdate, Topic, TopicSnapshot,
+};
 use protocol::observation_report::ObservationReport;
 use state::EndpointKey;
 use state::fleet::quarantine::QuarantineUpdate;
@@ -22,6 +24,7 @@
         relay_root: "10.1.2.5:7540".parse().expect("an address"),
         cross_centre: true,
         from: 40,
+        age: Some(Duration::ZERO),
         records: records.into_iter().map(Bytes::from).collect(),
     }
 }
@@ -101,6 +104,11 @@
                 centre: "soar".to_owned(),
                 address: "10.3.2.3:7540".parse().expect("an address"),
             }],
+            positions: vec![Position {
+                topic: Topic::Endpoints,
+                next: 0,
+                age: Duration::from_millis(1_250),
+            }],
         }),
         NeighbourMessage::Update(update(vec![b"one".to_vec(), Vec::new()])),
         NeighbourMessage::ReadFailed(Topic::Operators),
@@ -111,6 +119,7 @@
             next: 9,
             records: vec![Bytes::from_static(b"one")],
             shared: true,
+            age: None,
         }),
         NeighbourMessage::ReadStarted(Topic::Endpoints),
         NeighbourMessage::Borrow(8),
@@ -125,6 +134,8 @@
                 origin: "10.1.2.3:7540".parse().expect("an address"),
                 number: 4,
                 relay: true,
+                next: 41,
+                age: Some(Duration::from_millis(300)),
                 bytes: Bytes::from_static(b"one"),
             },
         ),
--- a/components/state/src/moment.rs
+++ b/components/state/src/moment.rs
@@ -24,6 +24,12 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the moment `duration` earlier, or `None` if the process hadn't started then.
+    pub fn checked_sub(self, duration: Duration) -> Option<Moment> {
+        let micros = u64::try_from(duration.as_micros()).ok()?;
+        self.0.checked_sub(micros).map(Moment)
+    }
+
     /// Returns the time until `later`, or zero if `later` is in the past.
     pub fn until(self, later: Moment) -> Duration {
         later.since(self)
--- a/components/transport/src/gateway/accounts.rs
+++ b/components/transport/src/gateway/accounts.rs
@@ -8,7 +8,6 @@
 
 use super::Gateway;
 use super::denial::Denial;
-use crate::clock;
 
 /// The account that a request belongs to, as known when the request arrived.
 #[derive(Debug, Default)]
@@ -81,12 +80,12 @@
 
     /// Returns whether API keys may have been revoked without this host having heard of it.
     ///
-    /// Operators choose what a host does that hears nothing from the store or its
-    /// neighbours: go on with the keys it knows, or serve none.
+    /// Operators choose what a host does that can't tell whether the store has newer ones: go on
+    /// with the keys it knows, or serve none.
     fn are_keys_outdated(&self) -> bool {
         let live = self.live.borrow();
         let limit = live.bounds.revocation.filter(|_| live.bounds.fail_closed);
-        let silence = self.with_schedule(Topic::Operators, |s| s.silence(clock::now()));
-        limit.is_some_and(|limit| silence > limit)
+        let age = self.age(Topic::Operators);
+        limit.is_some_and(|limit| age.is_none_or(|age| age > limit))
     }
 }
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use coordination::read_schedule::{ReadSchedule, UpdateOutcome};
@@ -87,6 +88,11 @@
         }
     }
 
+    /// Returns how long ago the store was read to what this host knows of a topic.
+    pub(super) fn age(&self, topic: Topic) -> Option<Duration> {
+        self.with_schedule(topic, |schedule| schedule.age(clock::now()))
+    }
+
     fn note_read_failure(&self, topic: Topic, error: &StoreError) {
         let now = clock::now();
         let draw = self.random_fraction();
@@ -124,11 +130,14 @@
             return;
         };
         if update.from > next {
-            if self.is_receiving(topic) {
+            if self.is_receiving(topic, update.from) {
                 return;
             }
             self.send(sender, &NeighbourMessage::RecordsRequest(topic, next));
-            self.with_schedule(topic, |schedule| schedule.mark_lagging(clock::now()));
+            let draw = self.random_fraction();
+            self.with_schedule(topic, |schedule| {
+                schedule.mark_lagging(update.next(), draw, clock::now());
+            });
             self.schedule_changed.notify_waiters();
             return;
         }
@@ -163,10 +172,13 @@
         topic: Topic,
         from: u64,
     ) -> Result<(), StoreError> {
+        let sent = clock::now();
         let (wait, is_lagging) = self.with_schedule(topic, |schedule| {
-            (schedule.read_wait(clock::now()), schedule.is_lagging())
+            (schedule.read_wait(sent), schedule.is_lagging(sent))
         });
         let read = store.read(topic_name(topic), from, wait, None).await?;
+        // An answer may be as old as it is overdue.
+        let read_at = clock::now().min(sent + wait);
         // A neighbour may have sent some of the records in the meantime.
         let known = self
             .with_schedule(topic, |schedule| schedule.next())
@@ -174,7 +186,7 @@
         let alone = self.neighbours.borrow().is_empty();
         let draw = self.random_fraction();
         let recovered = self.with_schedule(topic, |schedule| {
-            schedule.read_finished(read.next(), alone, draw, clock::now())
+            schedule.read_finished(read.next(), read_at, alone, draw, clock::now())
         });
         self.note_readable(topic, recovered);
         let skip = usize::try_from(known.saturating_sub(from)).unwrap_or(usize::MAX);
@@ -193,6 +205,7 @@
             relay_root: self.settings.peers,
             cross_centre: false,
             from,
+            age: Some(clock::now().since(read_at)),
             records,
         };
         let reader = self.with_schedule(topic, |schedule| schedule.is_reader());
@@ -247,12 +260,9 @@
         update: &RecordUpdate,
         sender: SocketAddr,
     ) -> bool {
-        let ahead = |next: u64| update.from > next;
-        if self.is_receiving(update.topic)
-            && self
-                .with_schedule(update.topic, |s| s.next())
-                .is_some_and(ahead)
-        {
+        let known = self.with_schedule(update.topic, |schedule| schedule.next());
+        let is_ahead = known.is_some_and(|next| update.from > next);
+        if is_ahead && self.is_receiving(update.topic, update.from) {
             self.defer_update(update, sender);
             return false;
         }
@@ -262,7 +272,8 @@
         let yields = update.reader < self.settings.peers;
         let next = update.next();
         let outcome = self.with_schedule(update.topic, |schedule| {
-            schedule.update_received(update.from, next, yields, draw, now)
+            let read_at = update.age.and_then(|age| now.checked_sub(age));
+            schedule.update_received((update.from, next), read_at, yields, draw, now)
         });
         let (skip, recovered) = match outcome {
             UpdateOutcome::Apply { skip, recovered } => (skip, recovered),
@@ -274,6 +285,7 @@
                         &NeighbourMessage::RecordsRequest(update.topic, from),
                     );
                 }
+                self.schedule_changed.notify_waiters();
                 return false;
             }
         };
@@ -335,13 +347,14 @@
         store: &mut StoreClient,
         topic: Topic,
     ) -> Result<(), StoreError> {
+        let read_at = clock::now();
         let (records, end) = read_newest(store, topic_name(topic)).await?;
         let trimmed = self.with_schedule(topic, |schedule| schedule.take_trimmed());
-        let bridge = trimmed.and_then(|from| self.bridge(topic, &records, from, end));
         let draw = self.random_fraction();
         let recovered = self.with_schedule(topic, |schedule| {
-            schedule.full_read_finished(end, draw, clock::now())
+            schedule.full_read_finished(end, read_at, draw, clock::now())
         });
+        let bridge = trimmed.and_then(|from| self.bridge(topic, &records, from, end));
         self.note_readable(topic, recovered);
         let first = !self.has_topic(topic);
         self.apply_snapshot(topic, &records);
@@ -351,7 +364,11 @@
                 self.send_cross_centre(&update);
                 self.send_update(update, true);
             }
-            None => self.distribute_snapshot(topic, first),
+            None => {
+                if !self.distribute_snapshot(topic, first) {
+                    self.announce_positions();
+                }
+            }
         }
         Ok(())
     }
@@ -394,6 +411,7 @@
             relay_root: self.settings.peers,
             cross_centre: false,
             from,
+            age: self.age(topic),
             records: changed,
         })
     }
--- a/components/transport/src/gateway/fragments.rs
+++ b/components/transport/src/gateway/fragments.rs
@@ -10,7 +10,8 @@
 use coordination::fragments::{
     self, Fragment, FragmentRequest, Inserted, MESSAGE_TTL, MessageKey, Reassembly, RequestTarget,
 };
-use protocol::neighbour::{DATAGRAM_LIMIT, NeighbourMessage, RecordUpdate, Topic};
+use protocol::neighbour::{DATAGRAM_LIMIT, NeighbourMessage, RecordUpdate, Topic, TopicSnapshot};
+use state::Moment;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -25,35 +26,43 @@
 /// Number of updates kept until a large message with the preceding records is complete.
 const MAX_DEFERRED_UPDATES: usize = 8;
 
+/// An update that waits for the records before it.
+struct DeferredUpdate {
+    update: RecordUpdate,
+    sender: SocketAddr,
+    received_at: Moment,
+}
+
 /// The large messages being sent and received.
 #[derive(Default)]
 pub(super) struct Transfers {
     fragments: Reassembly,
-    /// Incomplete messages.
-    receiving: BTreeMap<MessageKey, Topic>,
-    /// Updates whose preceding records are in an incomplete message, with their senders.
-    deferred: VecDeque<(RecordUpdate, SocketAddr)>,
+    /// Incomplete messages, with the offsets up to which they lead.
+    receiving: BTreeMap<MessageKey, (Topic, u64)>,
+    /// Updates whose preceding records are in an incomplete message.
+    deferred: VecDeque<DeferredUpdate>,
     outbox: FragmentQueue<Topic>,
 }
 
 impl Gateway {
-    /// Sends a message to one neighbour, in fragments if it is too large for a datagram.
+    /// Sends records to one neighbour, in fragments if they are too large for a datagram.
     pub(super) fn send_in_fragments(
         self: &Rc<Self>,
         to: SocketAddr,
         topic: Topic,
-        message: &NeighbourMessage,
+        message: NeighbourMessage,
     ) {
         let encoded = Bytes::from(message.encode());
         if encoded.len() <= DATAGRAM_LIMIT {
-            self.send(to, message);
+            self.send(to, &with_age(message, self.age(topic)));
             return;
         }
         if self.transfers.borrow().outbox.is_busy() {
             // The neighbour soon asks another host, or reads from the store.
             return;
         }
-        let fragments = self.split(&encoded);
+        let next = message.next_offset().unwrap_or_default();
+        let fragments = self.split(topic, next, &encoded);
         let queued = |f: &Fragment| self.transfers.borrow().outbox.contains(to, f.message);
         if fragments.first().is_some_and(queued) {
             // The neighbour repeated its request before the fragments were sent.
@@ -64,14 +73,13 @@
     }
 
     /// Distributes a message to all neighbours; each receives some of the fragments
-    /// and forwards them to the others.
-    pub(super) fn distribute(self: &Rc<Self>, topic: Topic, message: &NeighbourMessage) {
+    /// and forwards them to the others. The message leads to the offset `next`.
+    pub(super) fn distribute(self: &Rc<Self>, topic: Topic, next: u64, message: &NeighbourMessage) {
         let neighbours = self.neighbours.borrow_mut().current(clock::now());
         let encoded = Bytes::from(message.encode());
-        let fragments = self.split(&encoded);
+        let fragments = self.split(topic, next, &encoded);
         log::info!(
-            "E0422 message-distributed topic={topic:?} next={:?} bytes={} fragments={} neighbours={}",
-            message.next_offset(),
+            "E0422 message-distributed topic={topic:?} next={next} bytes={} fragments={} neighbours={}",
             encoded.len(),
             fragments.len(),
             neighbours.len()
@@ -81,14 +89,15 @@
     }
 
     /// Splits a message into fragments, and keeps them for neighbours that lose some.
-    fn split(self: &Rc<Self>, message: &Bytes) -> Vec<Fragment> {
+    fn split(self: &Rc<Self>, topic: Topic, next: u64, message: &Bytes) -> Vec<Fragment> {
         let now = clock::now();
         let count = self.neighbours.borrow_mut().current(now).len();
-        let fragments = fragments::split(self.settings.peers, message, count + 1);
+        let fragments = fragments::split(self.settings.peers, next, message, count + 1);
+        let age = self.age(topic);
         self.transfers
             .borrow_mut()
             .fragments
-            .insert_own(&fragments, now);
+            .insert_own(&fragments, age, now);
         spawn_local(Rc::clone(self).expire_later());
         fragments
     }
@@ -113,6 +122,11 @@
         self.fragments_notify.notify_one();
     }
 
+    /// Returns how long ago the store was read to a large message, if known.
+    fn message_age(&self, message: MessageKey) -> Option<Duration> {
+        self.transfers.borrow().fragments.age(message, clock::now())
+    }
+
     /// Sends queued fragments; never returns.
     ///
     /// The rate is limited so that a link of low bandwidth still carries the
@@ -120,10 +134,11 @@
     pub(super) async fn send_fragments(self: Rc<Self>) {
         loop {
             let next = self.transfers.borrow_mut().outbox.pop();
-            let Some((to, topic, fragment)) = next else {
+            let Some((to, topic, mut fragment)) = next else {
                 self.fragments_notify.notified().await;
                 continue;
             };
+            fragment.age = self.message_age(fragment.message);
             self.send(to, &NeighbourMessage::Fragment(topic, fragment));
             let pause = self.transfers.borrow_mut().outbox.pause();
             if let Some(pause) = pause {
@@ -144,7 +159,7 @@
         }
         match inserted {
             Inserted::Ignored => {}
-            Inserted::New => self.await_fragments(topic, fragment.message),
+            Inserted::New => self.await_fragments(topic, fragment),
             Inserted::Complete(message) => {
                 self.transfers
                     .borrow_mut()
@@ -155,7 +170,8 @@
                     message.len(),
                     fragment.origin
                 );
-                self.handle_message(fragment.origin, &message);
+                let age = self.message_age(fragment.message);
+                self.handle_message(fragment.origin, age, &message);
                 self.handle_deferred(topic);
             }
         }
@@ -173,19 +189,21 @@
     }
 
     /// Waits for the remaining fragments of a message, and postpones reading from the store.
-    fn await_fragments(self: &Rc<Self>, topic: Topic, message: MessageKey) {
-        self.postpone_read(topic);
-        let before = self.transfers.borrow_mut().receiving.insert(message, topic);
+    fn await_fragments(self: &Rc<Self>, topic: Topic, fragment: &Fragment) {
+        let draw = self.random_fraction();
+        self.with_schedule(topic, |schedule| {
+            schedule.fragment_received(fragment.next, draw, clock::now());
+        });
+        self.schedule_changed.notify_waiters();
+        let message = fragment.message;
+        let mut transfers = self.transfers.borrow_mut();
+        let before = transfers.receiving.insert(message, (topic, fragment.next));
+        drop(transfers);
         if before.is_none() {
             spawn_local(Rc::clone(self).reassemble(topic, message));
         }
     }
 
-    fn postpone_read(&self, topic: Topic) {
-        let draw = self.random_fraction();
-        self.with_schedule(topic, |s| s.fragment_received(draw, clock::now()));
-    }
-
     /// Requests missing fragments until the message is complete or given up.
     async fn reassemble(self: Rc<Self>, topic: Topic, message: MessageKey) {
         while self.transfers.borrow().fragments.is_incomplete(message) {
@@ -217,7 +235,6 @@
     }
 
     fn request_fragments(&self, topic: Topic, target: RequestTarget, request: FragmentRequest) {
-        self.postpone_read(topic);
         let draw = self.random_u64();
         let to = match target {
             RequestTarget::Origin(origin) => Some(origin),
@@ -244,12 +261,14 @@
         self.queue(topic, fragments.into_iter().map(|f| (from, f)));
     }
 
-    fn handle_message(self: &Rc<Self>, origin: SocketAddr, message: &[u8]) {
+    /// Handles a complete message; the store was read to it this long ago, if known.
+    fn handle_message(self: &Rc<Self>, origin: SocketAddr, age: Option<Duration>, message: &[u8]) {
         match NeighbourMessage::decode(message) {
             Ok(NeighbourMessage::Update(update)) => {
                 let update = RecordUpdate {
                     reader: origin,
                     relay_root: origin,
+                    age,
                     ..update
                 };
                 if update.cross_centre {
@@ -258,7 +277,9 @@
                     self.handle_update(&update, origin);
                 }
             }
-            Ok(NeighbourMessage::Snapshot(snapshot)) => self.handle_snapshot(snapshot),
+            Ok(NeighbourMessage::Snapshot(snapshot)) => {
+                self.handle_snapshot(TopicSnapshot { age, ..snapshot });
+            }
             Ok(_) => log::warn!(
                 "E0405 datagram-refused from={origin} error=message kind not allowed in fragments"
             ),
@@ -266,13 +287,11 @@
         }
     }
 
-    /// Returns whether a fragmented message about this topic is being received.
-    pub(super) fn is_receiving(&self, topic: Topic) -> bool {
-        self.transfers
-            .borrow()
-            .receiving
-            .values()
-            .any(|t| *t == topic)
+    /// Returns whether a message that leads to `offset` or beyond is being received.
+    pub(super) fn is_receiving(&self, topic: Topic, offset: u64) -> bool {
+        let transfers = self.transfers.borrow();
+        let mut receiving = transfers.receiving.values();
+        receiving.any(|(t, next)| *t == topic && *next >= offset)
     }
 
     /// Keeps an update until the records before it have arrived.
@@ -283,19 +302,41 @@
             transfers.deferred.pop_front();
             log::info!("E0425 update-dropped topic={:?}", update.topic);
         }
-        transfers.deferred.push_back((update.clone(), sender));
+        transfers.deferred.push_back(DeferredUpdate {
+            update: update.clone(),
+            sender,
+            received_at: clock::now(),
+        });
     }
 
     /// Handles the updates that waited for a large message about this topic.
     fn handle_deferred(self: &Rc<Self>, topic: Topic) {
-        let waiting = std::mem::take(&mut self.transfers.borrow_mut().deferred);
-        for (update, sender) in waiting {
-            match update.topic == topic {
-                true => {
-                    self.handle_update(&update, sender);
-                }
-                false => self.defer_update(&update, sender),
-            }
+        let mut transfers = self.transfers.borrow_mut();
+        let all = std::mem::take(&mut transfers.deferred);
+        let (waiting, others) = all.into_iter().partition(|d| d.update.topic == topic);
+        transfers.deferred = others;
+        drop(transfers);
+        let waiting: VecDeque<DeferredUpdate> = waiting;
+        for deferred in waiting {
+            let waited = clock::now().since(deferred.received_at);
+            let update = RecordUpdate {
+                age: deferred.update.age.map(|age| age + waited),
+                ..deferred.update
+            };
+            self.handle_update(&update, deferred.sender);
+        }
+    }
+}
+
+/// Returns records with their age, for a message in one datagram.
+fn with_age(message: NeighbourMessage, age: Option<Duration>) -> NeighbourMessage {
+    match message {
+        NeighbourMessage::Update(update) => {
+            NeighbourMessage::Update(RecordUpdate { age, ..update })
+        }
+        NeighbourMessage::Snapshot(snapshot) => {
+            NeighbourMessage::Snapshot(TopicSnapshot { age, ..snapshot })
         }
+        other => other,
     }
 }
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -7,7 +7,8 @@
 
 use coordination::neighbours::{self, Contact, GreetingEffect};
 use coordination::relay;
-use protocol::neighbour::{DATAGRAM_LIMIT, Hello, NeighbourMessage, RecordUpdate, Topic};
+use protocol::neighbour::{DATAGRAM_LIMIT, Hello, NeighbourMessage, Position, RecordUpdate, Topic};
+use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -45,6 +46,12 @@
 /// A host of another data centre is greeted once per this many rounds of greetings.
 const REMOTE_HELLO_TICKS: u32 = 2;
 
+/// Number of neighbours that a greeting tells how far this host knows the topics.
+///
+/// A host hears the positions of as many others in a second, so that it hears soon of records
+/// that it lacks.
+const POSITION_TARGETS: usize = 8;
+
 /// How long to wait when no datagram can be received.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -72,7 +79,7 @@
         for tick in 0u32.. {
             ticks.tick().await;
             self.update_share();
-            self.broadcast(&self.hello(false));
+            self.greet_neighbours();
             if tick.is_multiple_of(REMOTE_HELLO_TICKS) {
                 self.greet_remote_host();
             }
@@ -84,6 +91,56 @@
         }
     }
 
+    /// Greets all neighbours, and tells some of them how far this host knows the topics.
+    ///
+    /// With positions in every greeting, traffic would grow with the number of hosts.
+    fn greet_neighbours(&self) {
+        let mut neighbours = self.neighbours.borrow_mut().current(clock::now());
+        let told = POSITION_TARGETS.min(neighbours.len());
+        let random = &mut *self.random.borrow_mut();
+        let (some, others) = neighbours.partial_shuffle(random, told);
+        self.send_to_all(some, &self.hello_with_positions());
+        self.send_to_all(others, &self.hello(false));
+    }
+
+    /// Returns a greeting that tells how far this host knows the topics.
+    fn hello_with_positions(&self) -> NeighbourMessage {
+        let positions = [Topic::Operators, Topic::Endpoints].map(|topic| {
+            self.with_schedule(topic, |schedule| {
+                let (next, age) = (schedule.next()?, schedule.age(clock::now())?);
+                Some(Position { topic, next, age })
+            })
+        });
+        NeighbourMessage::Hello(Hello {
+            positions: positions.into_iter().flatten().collect(),
+            ..self.greeting(false)
+        })
+    }
+
+    /// Handles how far a neighbour knows a topic, and requests what this host lacks.
+    fn handle_position(&self, from: SocketAddr, position: Position) {
+        let Position { topic, next, age } = position;
+        let now = clock::now();
+        let Some(read_at) = now.checked_sub(age) else {
+            return;
+        };
+        let draw = self.random_fraction();
+        let is_behind = self.with_schedule(topic, |schedule| {
+            schedule.position_received(next, read_at, draw, now)
+        });
+        if !is_behind {
+            return;
+        }
+        self.schedule_changed.notify_waiters();
+        let known = self.with_schedule(topic, |schedule| schedule.next());
+        let Some(known) = known.filter(|_| !self.is_receiving(topic, next)) else {
+            return;
+        };
+        if self.with_schedule(topic, |schedule| schedule.take_request(now)) {
+            self.send(from, &NeighbourMessage::RecordsRequest(topic, known));
+        }
+    }
+
     /// Greets a random host of another data centre, so that some hosts there know this one.
     fn greet_remote_host(&self) {
         let draw = self.random_u64();
@@ -150,6 +207,7 @@
             wants_hosts: false,
             neighbours: hosts,
             contacts: neighbours::sample_by_centre(others, draw),
+            positions: Vec::new(),
         }));
     }
 
@@ -172,21 +230,28 @@
             self.broadcast(&NeighbourMessage::Update(update));
         } else if NeighbourMessage::Update(update.clone()).fits_datagram() {
             self.forward(&update);
-        } else if may_distribute && !self.is_receiving(update.topic) {
-            self.distribute(
-                update.topic,
-                &NeighbourMessage::Update(update.without_addresses()),
-            );
+        } else if may_distribute && !self.is_receiving(update.topic, update.next()) {
+            let (topic, next) = (update.topic, update.next());
+            self.distribute(topic, next, &NeighbourMessage::Update(update.content()));
         } else {
             log::info!(
                 "E0426 update-not-distributed topic={:?} next={} receiving={}",
                 update.topic,
                 update.next(),
-                self.is_receiving(update.topic)
+                self.is_receiving(update.topic, update.next())
             );
+            self.announce_positions();
         }
     }
 
+    /// Tells all neighbours how far this host knows the topics.
+    ///
+    /// Those that lack records request them, and no longer wait for the outcome of this
+    /// host's read.
+    pub(super) fn announce_positions(&self) {
+        self.broadcast(&self.hello_with_positions());
+    }
+
     /// Forwards records to this host's children in the forwarding tree.
     fn forward(&self, update: &RecordUpdate) {
         let known = self.neighbours.borrow_mut().current(clock::now());
@@ -289,6 +354,11 @@
             GreetingEffect::New | GreetingEffect::NewRemote => self.send(from, &self.hello(false)),
             GreetingEffect::Known | GreetingEffect::Remote => {}
         }
+        if matches!(effect, GreetingEffect::New | GreetingEffect::Known) {
+            for position in hello.positions {
+                self.handle_position(from, position);
+            }
+        }
         for contact in hello.contacts {
             self.neighbours.borrow_mut().add_remote(contact, now);
         }
@@ -307,13 +377,18 @@
 
     /// Returns a greeting; `wants_hosts` asks the receiver for the hosts that it knows.
     fn hello(&self, wants_hosts: bool) -> NeighbourMessage {
-        NeighbourMessage::Hello(Hello {
+        NeighbourMessage::Hello(self.greeting(wants_hosts))
+    }
+
+    fn greeting(&self, wants_hosts: bool) -> Hello {
+        Hello {
             centre: self.settings.data_centre.clone(),
             size: self.centre_size(),
             wants_hosts,
             neighbours: Vec::new(),
             contacts: Vec::new(),
-        })
+            positions: Vec::new(),
+        }
     }
 
     /// Returns a greeting that names all hosts of `centre`, for a host there that asked.
@@ -330,6 +405,7 @@
             wants_hosts: false,
             neighbours: known.hosts_of(centre, now),
             contacts: known.remote_sample(now),
+            positions: Vec::new(),
         })
     }
 
--- a/components/transport/src/gateway/topic_cache.rs
+++ b/components/transport/src/gateway/topic_cache.rs
@@ -190,7 +190,7 @@
             return;
         };
         let snapshot = self.snapshot(topic, next, false);
-        self.send_in_fragments(to, topic, &NeighbourMessage::Snapshot(snapshot));
+        self.send_in_fragments(to, topic, NeighbourMessage::Snapshot(snapshot));
     }
 
     fn snapshot(&self, topic: Topic, next: u64, shared: bool) -> TopicSnapshot {
@@ -199,6 +199,7 @@
             topic,
             next,
             shared,
+            age: None,
             records: records.into_values().collect(),
         }
     }
@@ -208,15 +209,17 @@
     /// Guards against a slow start after all hosts have lost power: sent from one
     /// host to the next, a snapshot would reach the last of a hundred hosts after
     /// a second. `first` means that this host had no snapshot before, so it got
-    /// none from its neighbours.
-    pub(super) fn distribute_snapshot(self: &Rc<Self>, topic: Topic, first: bool) {
+    /// none from its neighbours. Returns whether the snapshot is distributed.
+    pub(super) fn distribute_snapshot(self: &Rc<Self>, topic: Topic, first: bool) -> bool {
         let waiting = std::mem::take(&mut self.caches.borrow_mut().of(topic).waiting);
         let next = self.with_schedule(topic, |schedule| schedule.next());
         let needed = !waiting.is_empty() || first && self.has_neighbours();
-        if let (true, Some(next)) = (needed, next) {
-            let snapshot = self.snapshot(topic, next, true);
-            self.distribute(topic, &NeighbourMessage::Snapshot(snapshot));
-        }
+        let Some(next) = next.filter(|_| needed) else {
+            return false;
+        };
+        let snapshot = self.snapshot(topic, next, true);
+        self.distribute(topic, next, &NeighbourMessage::Snapshot(snapshot));
+        true
     }
 
     /// Resends records that a neighbour missed, or a snapshot if they are no longer kept.
@@ -242,9 +245,10 @@
             relay_root: self.settings.peers,
             cross_centre: !is_neighbour,
             from,
+            age: None,
             records,
         };
-        self.send_in_fragments(to, topic, &NeighbourMessage::Update(update));
+        self.send_in_fragments(to, topic, NeighbourMessage::Update(update));
     }
 
     /// Handles a snapshot from a neighbour.
@@ -264,7 +268,9 @@
             records.len()
         );
         let draw = self.random_fraction();
-        self.with_schedule(topic, |s| s.snapshot_received(next, draw, clock::now()));
+        let now = clock::now();
+        let read_at = snapshot.age.and_then(|age| now.checked_sub(age));
+        self.with_schedule(topic, |s| s.snapshot_received(next, read_at, draw, now));
         self.apply_snapshot(topic, &records);
         let waiting = std::mem::take(&mut self.caches.borrow_mut().of(topic).waiting);
         if !snapshot.shared {
--- a/tests/outdated_hosts.rs
+++ b/tests/outdated_hosts.rs
@@ -18,8 +18,9 @@
 /// The pause between messages of the scripted neighbour.
 const MESSAGE_PAUSE: Duration = Duration::from_millis(40);
 
-/// Returns an update without records, from a host whose messages make others stop reading.
-fn empty_update(from: u64) -> NeighbourMessage {
+/// Returns an update without records, from a host whose reads make others stop reading; it
+/// read the store this long ago.
+fn empty_update(from: u64, age: Duration) -> NeighbourMessage {
     let reader = SocketAddr::from(([127, 0, 0, 1], 1));
     NeighbourMessage::Update(RecordUpdate {
         topic: Topic::Operators,
@@ -27,6 +28,7 @@
         relay_root: reader,
         cross_centre: false,
         from,
+        age: Some(age),
         records: Vec::new(),
     })
 }
@@ -42,7 +44,7 @@
             .expect("the datagram is sent");
     };
     // The host knows the first record, and another one is the reader.
-    send(&empty_update(1)).await;
+    send(&empty_update(1, Duration::ZERO)).await;
     tokio::spawn(async move {
         loop {
             send(&message).await;
@@ -77,5 +79,5 @@
 /// A neighbour that repeats what it once knew must not keep a host from reading.
 #[tokio::test(flavor = "multi_thread")]
 async fn old_news() {
-    await_added_route(empty_update(1)).await;
+    await_added_route(empty_update(1, Duration::from_secs(10))).await;
 }
