gateway: updates of 4 to 16 KB go in fragments; datagrams wait for a full send buffer

What callers saw: in series of large configurations a third of the hosts answered from old ones, always the same hosts. Cause: updates from 1 to 16 KB were forwarded along a tree, six copies at once. The send buffer of a host with a narrow link holds three of 14 KB, the others were dropped (a line at level debug), so that the leaves below them missed every update of that size and read the store by themselves 1.45 s later. Test: update_relay::copies_fit_buffer, fails where the tree takes 16 KB (38 of 51 hosts reached by copies of 8 KB).

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod claims;
 pub mod config;
+pub mod datagram_queue;
 pub mod fragment_queue;
 pub mod fragments;
 pub mod group_joins;
--- a/components/coordination/src/relay.rs
+++ b/components/coordination/src/relay.rs
@@ -10,6 +10,17 @@
 /// store.
 const FAN_OUT: usize = 6;
 
+/// The largest message in bytes that is forwarded in the tree.
+///
+/// A host sends its copies at once, and the system drops those for which a narrow link's send
+/// buffer has no room: the hosts below them would miss every message of that size.
+const MAX_MESSAGE_BYTES: usize = 4 * 1_024;
+
+/// Returns whether a message of this size in bytes may be forwarded in the tree.
+pub fn takes(message_bytes: usize) -> bool {
+    message_bytes <= MAX_MESSAGE_BYTES
+}
+
 /// Returns the hosts to which `me` forwards an update that started at `relay_root`.
 ///
 /// All hosts, sorted by address and beginning with the relay root, form a tree. Each host
--- a/components/coordination/tests/update_relay.rs
+++ b/components/coordination/tests/update_relay.rs
@@ -1,13 +1,18 @@
 //! Tests that the records read by one host reach every neighbour through relays.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use coordination::fragments;
 use coordination::read_schedule::ReadSchedule;
-use coordination::relay::{Forwarded, next_hops};
+use coordination::relay::{self, Forwarded, next_hops};
 use state::Moment;
 
+/// The send buffer of a host with a narrow link.
+const SEND_BUFFER: usize = 40 * 1_024;
+
 /// A reader with a narrow link has dozens of neighbours: each of them receives the update
 /// once, and no host sends it to more than a few.
 #[test]
@@ -97,3 +102,41 @@
     forwarded.retain(|_| false);
     assert!(forwarded.mark(reader, 150));
 }
+
+/// Returns the hosts that a tree reaches if each host loses what its send buffer doesn't hold.
+fn reached_in_tree(hosts: &[SocketAddr], message_bytes: usize) -> BTreeSet<SocketAddr> {
+    let mut reached = BTreeSet::from([hosts[0]]);
+    let mut senders = VecDeque::from([hosts[0]]);
+    while let Some(me) = senders.pop_front() {
+        let others: Vec<SocketAddr> = hosts.iter().copied().filter(|h| *h != me).collect();
+        let hops = next_hops(me, hosts[0], &others);
+        for hop in hops.into_iter().take(SEND_BUFFER / message_bytes) {
+            reached.insert(hop);
+            senders.push_back(hop);
+        }
+    }
+    reached
+}
+
+/// A host forwards an update to six others at once. If their copies exceed its send buffer, half of
+/// a data centre misses every update of that size, and answers from an old configuration.
+#[test]
+fn copies_fit_buffer() {
+    let hosts = hosts(51);
+    let size = |kilobytes: usize| kilobytes * 1_024;
+    for bytes in [1, 2, 3, 4, 6, 8, 12, 16].map(size) {
+        if relay::takes(bytes) {
+            assert_eq!(
+                reached_in_tree(&hosts, bytes).len(),
+                hosts.len(),
+                "{bytes} bytes"
+            );
+            continue;
+        }
+        // In fragments, a host relays a small part, and queues it.
+        let message = Bytes::from(vec![7; bytes]);
+        let parts = fragments::split(hosts[0], 1, &message, hosts.len());
+        let relayed = parts.len().div_ceil(hosts.len()) * parts[0].bytes.len();
+        assert!(relayed <= 1_024, "{relayed} of {bytes} bytes");
+    }
+}
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use coordination::datagram_queue::DatagramQueue;
 use coordination::helpers::Helpers;
 use coordination::neighbours::Neighbours;
 use coordination::read_schedule::ReadSchedule;
@@ -143,6 +144,9 @@
     config_loaded: Notify,
     caches: RefCell<TopicCaches>,
     socket: UdpSocket,
+    unsent: RefCell<DatagramQueue>,
+    /// Wakes the task that sends queued datagrams.
+    unsent_notify: Notify,
     neighbours: RefCell<Neighbours>,
     transfers: RefCell<Transfers>,
     traffic: RefCell<Traffic>,
@@ -212,6 +216,7 @@
         spawn_local(Rc::clone(&gateway).receive_datagrams());
         spawn_local(Rc::clone(&gateway).send_greetings());
         spawn_local(Rc::clone(&gateway).send_fragments());
+        spawn_local(Rc::clone(&gateway).send_queued());
         spawn_local(Rc::clone(&gateway).fetch_topics());
         spawn_local(Rc::clone(&gateway).follow(Topic::Operators));
         spawn_local(Rc::clone(&gateway).follow(Topic::Endpoints));
@@ -264,6 +269,8 @@
             config_loaded: Notify::new(),
             caches: RefCell::default(),
             socket,
+            unsent: RefCell::default(),
+            unsent_notify: Notify::new(),
             neighbours: RefCell::new(neighbours),
             transfers: RefCell::default(),
             traffic: RefCell::default(),
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use coordination::neighbours::{self, Contact, GreetingEffect};
 use coordination::relay;
 use protocol::neighbour::{DATAGRAM_LIMIT, Hello, NeighbourMessage, Position, RecordUpdate, Topic};
@@ -55,6 +56,9 @@
 /// How long to wait when no datagram can be received.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long to wait when it is unknown whether a datagram can be sent.
+const SEND_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 impl Gateway {
     /// Sends periodic greetings to the neighbours; never returns.
     ///
@@ -220,7 +224,7 @@
     }
 
     /// Sends records to the neighbours: small ones directly, larger ones along the
-    /// forwarding tree, and in fragments if they exceed a datagram.
+    /// forwarding tree, and in fragments if they are too large for it.
     ///
     /// When many hosts read a large update at the same time, only a host with
     /// `may_distribute` set sends the update, and only if the host isn't receiving it:
@@ -228,7 +232,7 @@
     pub(super) fn send_update(self: &Rc<Self>, update: RecordUpdate, may_distribute: bool) {
         if update.size() <= DIRECT_SEND_LIMIT {
             self.broadcast(&NeighbourMessage::Update(update));
-        } else if NeighbourMessage::Update(update.clone()).fits_datagram() {
+        } else if relay::takes(NeighbourMessage::Update(update.clone()).encode().len()) {
             self.forward(&update);
         } else if may_distribute && !self.is_receiving(update.topic, update.next()) {
             let (topic, next) = (update.topic, update.next());
@@ -417,11 +421,48 @@
 
     /// Sends a message to several hosts, encoded once.
     pub(super) fn send_to_all(&self, addresses: &[SocketAddr], message: &NeighbourMessage) {
-        let datagram = message.encode();
+        let datagram = Bytes::from(message.encode());
         let mut traffic = self.traffic.borrow_mut();
         for address in addresses {
             traffic.sent(message, datagram.len());
-            send_datagram(&self.socket, *address, &datagram);
+            self.send_datagram(*address, &datagram);
+        }
+    }
+
+    /// Sends a datagram without blocking, or queues it if the send buffer is full.
+    fn send_datagram(&self, address: SocketAddr, datagram: &Bytes) {
+        let mut unsent = self.unsent.borrow_mut();
+        if unsent.is_empty() && try_send(&self.socket, address, datagram) {
+            return;
+        }
+        if !unsent.push(address, datagram.clone()) {
+            let bytes = datagram.len();
+            log::info!("E0406 datagram-not-sent address={address} bytes={bytes} error=queue full");
+        }
+        self.unsent_notify.notify_one();
+    }
+
+    /// Sends queued datagrams once the send buffer has room; never returns.
+    pub(super) async fn send_queued(self: Rc<Self>) {
+        loop {
+            self.unsent_notify.notified().await;
+            while !self.unsent.borrow().is_empty() {
+                if let Err(error) = self.socket.writable().await {
+                    log::warn!("E0406 datagram-not-sent error={error:?}");
+                    sleep(SEND_RETRY_DELAY).await;
+                }
+                self.send_unsent();
+            }
+        }
+    }
+
+    fn send_unsent(&self) {
+        let mut unsent = self.unsent.borrow_mut();
+        while let Some((address, datagram)) = unsent.front() {
+            if !try_send(&self.socket, *address, datagram) {
+                return;
+            }
+            unsent.pop();
         }
     }
 
@@ -445,16 +486,15 @@
     }
 }
 
-/// Sends a datagram without blocking; drops the datagram if the send buffer is full.
-fn send_datagram(socket: &UdpSocket, address: SocketAddr, datagram: &[u8]) {
+/// Sends a datagram, and returns whether that is done; `false` if the send buffer is full.
+fn try_send(socket: &UdpSocket, address: SocketAddr, datagram: &[u8]) -> bool {
     match socket.try_send_to(datagram, address) {
         Ok(_) => {}
-        Err(error) if error.kind() == ErrorKind::WouldBlock => {
-            log::debug!("E0406 datagram-not-sent address={address} error={error:?}");
-        }
+        Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
         Err(error) => log::warn!(
             "E0406 datagram-not-sent address={address} bytes={} error={error:?}",
             datagram.len()
         ),
     }
+    true
 }
