gateway: no final answer from a configuration that may be outdated

What callers saw: a 404, which they don't repeat, from a host that had not read the newest configuration, though any other host would have served the request. Cause: a host answered 404 and 401 from what it knew, however old. Change: where the store was read longer ago than configuration_seconds (settings), an unknown route or API key is answered 503 with Retry-After, as by a host that has no configuration yet. Known routes and keys are served on. Without the setting nothing changes. Weighed: one more time-out after which a host reads (there is one), not ready (takes hosts out that serve all else well), a read of the store for each unknown route (callers could make the host call the store). Test: outdated_hosts::unknown_route_outdated; before, 404 for as long as the store is away.

--- a/components/transport/src/gateway/accounts.rs
+++ b/components/transport/src/gateway/accounts.rs
@@ -1,5 +1,7 @@
 //! Tells which client account a request belongs to.
 
+use std::time::Duration;
+
 use hyper::HeaderMap;
 use protocol::neighbour::Topic;
 use state::AccountKey;
@@ -52,7 +54,7 @@
         let Some((key, account)) = found else {
             return match route.public {
                 true => Ok(Caller::default()),
-                false => Err(Denial::UnknownKey),
+                false => Err(self.reject_unknown(Denial::UnknownKey)),
             };
         };
         if !route.public && self.are_keys_outdated() {
@@ -78,6 +80,18 @@
         accounts.and_then(|a| a.holder(digest)) == Some(account)
     }
 
+    /// Returns the answer to a request whose route or API key this host doesn't know.
+    ///
+    /// Guards against a final answer from a configuration that may be outdated: callers don't
+    /// retry a 404 or a 401, and another host may know better.
+    pub(super) fn reject_unknown(&self, denial: Denial) -> Denial {
+        let limit = self.live.borrow().bounds.configuration;
+        match limit {
+            Some(limit) if self.is_older(Topic::Operators, limit) => Denial::ConfigOutdated,
+            _ => denial,
+        }
+    }
+
     /// Returns whether API keys may have been revoked without this host having heard of it.
     ///
     /// Operators choose what a host does that can't tell whether the store has newer ones: go on
@@ -85,7 +99,12 @@
     fn are_keys_outdated(&self) -> bool {
         let live = self.live.borrow();
         let limit = live.bounds.revocation.filter(|_| live.bounds.fail_closed);
-        let age = self.age(Topic::Operators);
-        limit.is_some_and(|limit| age.is_none_or(|age| age > limit))
+        limit.is_some_and(|limit| self.is_older(Topic::Operators, limit))
+    }
+
+    /// Returns whether the store may have held records of a topic that this host lacks for
+    /// longer than `limit`.
+    fn is_older(&self, topic: Topic, limit: Duration) -> bool {
+        self.age(topic).is_none_or(|age| age > limit)
     }
 }
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -241,7 +241,7 @@
     }
     let route = catalogue
         .route(host(parts)?, parts.uri.path())
-        .ok_or(Denial::NoRoute)?;
+        .ok_or_else(|| gateway.reject_unknown(Denial::NoRoute))?;
     Ok((route.clone(), catalogue.limits.body_size))
 }
 
--- a/components/transport/src/gateway/denial.rs
+++ b/components/transport/src/gateway/denial.rs
@@ -20,6 +20,9 @@
     /// No configuration has been read yet.
     #[error("this host does not know its routes yet")]
     NoCatalogue,
+    /// This host knows no route or API key of the request, and may lack a newer configuration.
+    #[error("this host does not know whether its configuration is the newest")]
+    ConfigOutdated,
     /// This host is shutting down.
     #[error("this host is stopping")]
     Stopping,
@@ -66,14 +69,15 @@
     Silent,
 }
 
-/// `Retry-After` of a host that has just started and has no configuration yet.
-const START_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// `Retry-After` of a host that has no configuration yet, or perhaps not the newest.
+const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 impl Denial {
     /// Returns the HTTP status; 503 promises that the request was not run.
     pub fn status(&self) -> StatusCode {
         match self {
             Denial::NoCatalogue
+            | Denial::ConfigOutdated
             | Denial::Stopping
             | Denial::KeysOutdated
             | Denial::NotRun(..)
@@ -116,13 +120,18 @@
     pub fn is_unavailable(&self) -> bool {
         matches!(
             self,
-            Denial::NoCatalogue | Denial::Stopping | Denial::Unreachable(_)
+            Denial::NoCatalogue
+                | Denial::ConfigOutdated
+                | Denial::Stopping
+                | Denial::Unreachable(_)
         )
     }
 
     fn retry_after(&self) -> Option<Duration> {
         match self {
-            Denial::NoCatalogue | Denial::KeysOutdated => Some(START_RETRY_DELAY),
+            Denial::NoCatalogue | Denial::ConfigOutdated | Denial::KeysOutdated => {
+                Some(CONFIG_RETRY_DELAY)
+            }
             Denial::Stopping => Some(Duration::ZERO),
             Denial::NotRun(_, time)
             | Denial::Unreachable(time)
--- a/components/transport/src/gateway/settings.rs
+++ b/components/transport/src/gateway/settings.rs
@@ -74,6 +74,8 @@
     pub ask_rate: f64,
     /// Requests by which all hosts together may exceed an account's quota in a window.
     pub quota_slack: f64,
+    /// How soon a changed configuration must be in force.
+    pub configuration: Option<Duration>,
     /// How soon a revoked API key must run nothing more.
     pub revocation: Option<Duration>,
     /// Whether a host that hears nothing for that time serves no API key.
--- a/src/settings_file.rs
+++ b/src/settings_file.rs
@@ -74,6 +74,9 @@
     /// The number of requests by which all hosts together may exceed an account's quota.
     #[serde(default)]
     quota_slack: f64,
+    /// The time in seconds after which a changed configuration must be in force. Without it a
+    /// host rejects what it doesn't know as final, however old its configuration may be.
+    configuration_seconds: Option<f64>,
     /// The time in seconds after which a revoked API key must run nothing more.
     revocation_seconds: Option<f64>,
     /// Whether a host that hears nothing for that time serves no API key.
@@ -174,6 +177,9 @@
         file.repeat_window_seconds,
         &mut errors,
     );
+    let configuration = file
+        .configuration_seconds
+        .and_then(|time| seconds("configuration_seconds", time, &mut errors));
     let revocation = file
         .revocation_seconds
         .and_then(|time| seconds("revocation_seconds", time, &mut errors));
@@ -224,6 +230,7 @@
                         repeat_window: window,
                         ask_rate: file.probes_per_second,
                         quota_slack: file.quota_slack,
+                        configuration,
                         revocation,
                         fail_closed: file.fail_closed,
                     },
--- a/tests/outdated_hosts.rs
+++ b/tests/outdated_hosts.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use protocol::neighbour::{NeighbourMessage, RecordUpdate, Topic};
+use site::store::Mode;
 use site::{Host, ROUTES, config, until};
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
@@ -81,3 +82,26 @@
 async fn old_news() {
     await_added_route(empty_update(1, Duration::from_secs(10))).await;
 }
+
+/// A host that can't read the store must not tell callers for good that a route doesn't exist: it
+/// may have been added, and callers don't retry a 404.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_route_outdated() {
+    let (store, _endpoint) = site::store_and_endpoint(&config(1, ROUTES)).await;
+    let host = Host::ready("entry", &store).await;
+    let setting = "repeat_slack = 50\n";
+    host.change_settings(setting, &format!("{setting}configuration_seconds = 2\n"));
+    assert_eq!(host.request("GET", "/new/x", "r").await.status, 404);
+    store.set_mode(Mode::Refusing);
+    until("the host calls its configuration outdated", async || {
+        let answer = host.request("GET", "/new/x", "r").await;
+        answer.status == 503 && answer.has_header("retry-after")
+    })
+    .await;
+    assert_eq!(host.request("GET", "/read/x", "r").await.status, 200);
+    store.set_mode(Mode::Up);
+    until("the host has read the store", async || {
+        host.request("GET", "/new/x", "r").await.status == 404
+    })
+    .await;
+}
