group: a host whose joins fail gives up its share once its session has ended

Cause: a host that the store turns away kept the share of its last join for good, though the store gives its partitions to others once the session ends: the shares by which retries, probes and requests to cold endpoints are divided added up to more than one. Change: where the store was read, by any host, 5 s or more after this host's session ended, it counts as holding no partition until it joins again. In an outage of the store, when nobody reads and sessions pause, all keep their shares as before. Tests: group_joins::rejected_member, outage_keeps_share.

--- a/components/coordination/src/group_joins.rs
+++ b/components/coordination/src/group_joins.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use state::Moment;
+
 /// Number of topics whose partitions are assigned to the hosts.
 ///
 /// The store assigns partitions evenly, so a host's fraction of all partitions is its
@@ -41,6 +43,20 @@
 /// With fewer, a single slow answer of the store would reassign all partitions.
 const SESSION_PAUSES: u32 = 3;
 
+/// How long after a session may have ended a member's failing joins show that it has.
+///
+/// After an outage of the store, in which sessions pause, members join again within this time.
+const LAPSE_GRACE: Duration = Duration::from_secs(5);
+
+/// Returns whether the store may have assigned a member's partitions to others.
+///
+/// The session of its last successful join ends at `session_end`, and the store was read, by
+/// any host, at `read_at`. A store that others read goes on with its sessions: a member whose
+/// own joins fail all the while must not use its share beside those that got it.
+pub fn has_lapsed(session_end: Moment, read_at: Option<Moment>) -> bool {
+    read_at.is_some_and(|at| at > session_end + LAPSE_GRACE)
+}
+
 /// Returns the names of the topics that hosts join for.
 pub fn group_topics() -> Vec<String> {
     (0..GROUP_TOPICS).map(|n| format!("hosts-{n}")).collect()
--- a/components/coordination/src/read_schedule.rs
+++ b/components/coordination/src/read_schedule.rs
@@ -283,8 +283,13 @@
         }
     }
 
-    /// Returns how long ago the store was read, by any host, to what this host knows; `None`
-    /// if that was before this host started.
+    /// Returns when the store was read, by any host, to what this host knows; `None` if that
+    /// was before this host started.
+    pub fn read_at(&self) -> Option<Moment> {
+        self.read_at
+    }
+
+    /// Returns how long ago that was.
     pub fn age(&self, now: Moment) -> Option<Duration> {
         self.read_at.map(|at| now.since(at))
     }
--- a/components/coordination/tests/group_joins.rs
+++ b/components/coordination/tests/group_joins.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use coordination::group_joins::{GROUP_TOPICS, GroupJoins, share};
+use coordination::group_joins::{GROUP_TOPICS, GroupJoins, has_lapsed, share};
 use state::Moment;
 
 /// Number of partitions of all topics, 24 each.
@@ -135,3 +135,24 @@
         }
     }
 }
+
+/// The store rejects one host's joins and gives its partitions to others: it must not go on using
+/// its share, or the shares of all hosts add up to more than one.
+#[test]
+fn rejected_member() {
+    let session_end = Moment::from_millis(60_000);
+    let read_at = |millis| Some(Moment::from_millis(millis));
+    assert!(!has_lapsed(session_end, read_at(59_000)));
+    assert!(has_lapsed(session_end, read_at(70_000)));
+}
+
+/// During an outage of the store no partition is reassigned: hosts that gave up their shares
+/// could neither retry nor use cold endpoints.
+#[test]
+fn outage_keeps_share() {
+    let session_end = Moment::from_millis(60_000);
+    assert!(!has_lapsed(session_end, None));
+    assert!(!has_lapsed(session_end, Some(Moment::from_millis(40_000))));
+    // The store is back, and this host joins again at its next try.
+    assert!(!has_lapsed(session_end, Some(Moment::from_millis(63_000))));
+}
--- a/components/transport/src/gateway/group.rs
+++ b/components/transport/src/gateway/group.rs
@@ -9,6 +9,7 @@
 use coordination::group_joins::{self, GroupJoins};
 use coordination::neighbours::Contact;
 use coordination::read_schedule::{self, GREETING_WAIT};
+use protocol::neighbour::Topic;
 use state::Moment;
 use tokio::time::sleep;
 
@@ -106,9 +107,11 @@
         let timeout = joins.session_timeout().as_secs_f64();
         let generation = joins.generation();
         let body = platform::store::join_body(GROUP, member, topics, timeout, generation);
+        let session_end = clock::now() + joins.session_timeout();
         match store.join(body).await {
             Ok(membership) => {
                 self.partitions.set(Some(membership.partitions));
+                self.session_end.set(session_end);
                 self.update_share();
                 joins.join_succeeded(membership.generation, membership.partitions)
             }
@@ -138,6 +141,11 @@
         let Some(held) = self.partitions.get() else {
             return;
         };
+        let read_at = self.with_schedule(Topic::Endpoints, |schedule| schedule.read_at());
+        let held = match group_joins::has_lapsed(self.session_end.get(), read_at) {
+            true => 0,
+            false => held,
+        };
         let total = group_joins::GROUP_TOPICS * self.settings.partitions;
         let centres = self.settings.topology.count();
         let hosts = self.neighbours.borrow().site_size(centres, clock::now());
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -173,6 +173,8 @@
     queues: RefCell<WaitQueues>,
     /// The partitions of the store's group that this host holds; none before the first join.
     partitions: Cell<Option<usize>>,
+    /// When the store may assign them to others, unless this host joins again.
+    session_end: Cell<Moment>,
     /// This host's fraction of all hosts, from 0 to 1; 0 until known.
     share: Cell<f64>,
     random: RefCell<SmallRng>,
@@ -290,6 +292,7 @@
             shares: Shares::default(),
             queues: RefCell::default(),
             partitions: Cell::new(None),
+            session_end: Cell::new(clock::now()),
             share: Cell::new(0.0),
             random: RefCell::new(random),
             stage: watch::Sender::new(Stage::Serving),
