clock: time in which the machine was suspended counts

Cause: the monotonic clock stands still while a machine is suspended (the platform's page says so). A host that wakes took what it knew for as new as before, held leases and tokens that had expired elsewhere, and waited on before it read the store. Change: the boot clock, which goes on; it never steps either.

--- a/components/transport/src/clock.rs
+++ b/components/transport/src/clock.rs
@@ -1,15 +1,24 @@
 //! The process's monotonic clock.
 
 use std::sync::OnceLock;
-use std::time::Instant;
+use std::time::Duration;
 
+use nix::time::{ClockId, clock_gettime};
 use state::Moment;
 
 /// Returns the time since the first call in this process, in microseconds.
 ///
-/// The clock is monotonic: a wall clock can jump, so no decision depends on one.
+/// The clock is monotonic: a wall clock can jump, so no decision depends on one. It goes on
+/// while the machine is suspended, so that a host that wakes finds its leases expired and
+/// knows how old its configuration is.
+///
+/// # Panics
+///
+/// Panics if the system has no such clock.
 pub fn now() -> Moment {
-    static START: OnceLock<Instant> = OnceLock::new();
-    let elapsed = START.get_or_init(Instant::now).elapsed();
+    static START: OnceLock<Duration> = OnceLock::new();
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the system has a boot clock");
+    let time = Duration::from(time);
+    let elapsed = time.saturating_sub(*START.get_or_init(|| time));
     Moment(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
 }
