pipelining: no request starts beside one that isn't idempotent

Cause: requests behind the one being served were started early whenever they were idempotent themselves, whatever the one being served was. Ruled out: r2 before r1 was never seen; start_requests stops at a request with a body, so that it was r2's own service during which r3 and r4 started. RFC 9112 allows parallel processing only where all requests are safe. Change: while a request that isn't idempotent is served, none behind it is started.

--- a/components/transport/src/gateway/pipeline.rs
+++ b/components/transport/src/gateway/pipeline.rs
@@ -5,7 +5,8 @@
 //! the library comes to one, it gets the answer that is under way.
 //!
 //! Only idempotent requests without a body are started early: one that waits behind an
-//! answer that closes the connection counts as unread, and its caller sends it again.
+//! answer that closes the connection counts as unread, and its caller sends it again. None is
+//! started beside one that isn't idempotent: its caller expects it to see what that one did.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -66,6 +67,8 @@
     started: RefCell<VecDeque<EarlyCall>>,
     /// Whether the HTTP library has come to the first of them.
     is_due: Cell<bool>,
+    /// Whether the request being served must be answered before others start.
+    is_exclusive: Cell<bool>,
     taken: Notify,
 }
 
@@ -76,13 +79,15 @@
             source,
             started: RefCell::default(),
             is_due: Cell::new(false),
+            is_exclusive: Cell::new(false),
             taken: Notify::new(),
         }
     }
 
     /// Returns whether one more request may be started early.
     pub fn has_room(&self) -> bool {
-        self.started.borrow().len() < MAX_AHEAD
+        !self.is_exclusive.get()
+            && self.started.borrow().len() < MAX_AHEAD
             && self.gateway.ahead.get() < MAX_AHEAD_TOTAL
             && *self.gateway.stage.borrow() == Stage::Serving
     }
@@ -109,11 +114,13 @@
     }
 
     /// Returns the request that the HTTP library has just read, if it was started early.
-    pub fn take(&self) -> Option<EarlyCall> {
+    pub fn take(&self, parts: &Parts) -> Option<EarlyCall> {
         let call = match self.is_due.take() {
             true => self.started.borrow_mut().pop_front(),
             false => None,
         };
+        let is_exclusive = call.is_none() && !call::is_idempotent(&self.gateway, parts);
+        self.is_exclusive.set(is_exclusive);
         self.taken.notify_waiters();
         call
     }
--- a/components/transport/src/gateway/server.rs
+++ b/components/transport/src/gateway/server.rs
@@ -111,15 +111,13 @@
         let gateway = Rc::clone(gateway);
         let activity = Rc::clone(&activity);
         let pipeline = Rc::clone(&pipeline);
-        let early = pipeline.take();
+        let (parts, incoming) = request.into_parts();
+        let early = pipeline.take(&parts);
         activity.serving();
         async move {
             let mut response = match early {
                 Some(early) => early.answer().await,
-                None => {
-                    let (parts, incoming) = request.into_parts();
-                    call::handle(&gateway, parts, Some(incoming), source).await
-                }
+                None => call::handle(&gateway, parts, Some(incoming), source).await,
             };
             // Requests that were started are answered before the connection ends.
             if *gateway.stage.borrow() >= Stage::Leaving && !pipeline.is_waiting() {
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -156,6 +156,21 @@
     );
 }
 
+/// Requests behind one that isn't idempotent must see what it did: none runs before its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn unsafe_runs_alone() {
+    let (_store, endpoint, host) = start().await;
+    endpoint.set_behaviour(Behaviour::Delay(400));
+    let mut caller = Caller::connect(host.callers).await;
+    caller.send(&[post(1), get(2), get(3)]).await;
+    assert_eq!(caller.answers(3).await, names(1..=3));
+    let arrivals = endpoint.arrivals();
+    let (first, others) = arrivals.split_first().expect("requests have run");
+    assert_eq!(first.0, "r1");
+    let answered = first.1 + Duration::from_millis(400);
+    assert!(others.iter().all(|(_, at)| *at >= answered), "{arrivals:?}");
+}
+
 /// A caller that sends without end is served a few requests at a time, and all of them.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_requests() {
