read schedule: a host that is overtaken while it reads doesn't read again at once

Cause: where another host became the reader during a read, and still more records were announced, the finished read left the next one due in the past: one more call of the store. Change: a finished read always sets when the next one is due. Test: freshness::overtaken_read, failed before.

--- a/components/coordination/src/read_schedule.rs
+++ b/components/coordination/src/read_schedule.rs
@@ -400,16 +400,18 @@
         self.next = Some(next.max(known));
         // The store has no records beyond those, whatever others say.
         self.missing.clear();
+        let recovered = std::mem::take(&mut self.failures) > 0;
+        // Another host may have become the reader during the read.
         if std::mem::take(&mut self.reading) {
             // A host that only read records lost on the way doesn't become the reader.
             self.reader = !std::mem::take(&mut self.has_gap);
-            match has_records {
-                _ if alone || !self.reader => self.defer_takeover(draw, now),
-                true => self.due = now + BATCH_PAUSE,
-                false => self.due = now,
-            }
         }
-        std::mem::take(&mut self.failures) > 0
+        match has_records {
+            _ if alone || !self.reader => self.defer_takeover(draw, now),
+            true => self.due = now + BATCH_PAUSE,
+            false => self.due = now,
+        }
+        recovered
     }
 
     /// Records that a read failed; `draw` is a random number from 0 to 1.
--- a/components/coordination/tests/freshness.rs
+++ b/components/coordination/tests/freshness.rs
@@ -88,3 +88,16 @@
     schedule.read_finished(18, now, false, 0.5, now);
     assert_eq!(schedule.read_wait(now), READ_WAIT);
 }
+
+/// Another host becomes the reader while this one reads: this one must not read again at once.
+#[test]
+fn overtaken_read() {
+    let start = Moment::from_millis(10_000);
+    let mut schedule = host_at(start);
+    let now = schedule.due();
+    schedule.begin_read();
+    schedule.position_received(30, now, 0.5, now);
+    schedule.update_received((18, 20), Some(now), true, 0.5, now);
+    schedule.read_finished(30, now, false, 0.5, now);
+    assert!(schedule.due() > now + Duration::from_millis(1_000));
+}
