gateway: positions and the sending of datagrams in modules of their own

Moved without a change, but that dropped datagrams are counted and logged once the queue is empty, not one line each, and that the random generator isn't borrowed while messages are sent. Test: coordination/tests/datagram_queue.rs.

--- a/components/coordination/src/datagram_queue.rs
+++ b/components/coordination/src/datagram_queue.rs
@@ -16,17 +16,24 @@
 pub struct DatagramQueue {
     datagrams: VecDeque<(SocketAddr, Bytes)>,
     size: usize,
+    /// Number of datagrams for which there was no room.
+    dropped: u64,
 }
 
 impl DatagramQueue {
-    /// Appends a datagram, and returns whether there was room for it.
-    pub fn push(&mut self, to: SocketAddr, datagram: Bytes) -> bool {
+    /// Appends a datagram, or drops and counts it if there is no room.
+    pub fn push(&mut self, to: SocketAddr, datagram: Bytes) {
         if self.size + datagram.len() > LIMIT_BYTES {
-            return false;
+            self.dropped += 1;
+            return;
         }
         self.size += datagram.len();
         self.datagrams.push_back((to, datagram));
-        true
+    }
+
+    /// Returns how many datagrams were dropped since the last call.
+    pub fn take_dropped(&mut self) -> u64 {
+        std::mem::take(&mut self.dropped)
     }
 
     /// Returns the next datagram.
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -1,16 +1,12 @@
-//! Exchanges datagrams with other hosts: greetings, and records read from the store.
+//! Handles datagrams of other hosts: greetings, and records read from the store.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use coordination::neighbours::{self, Contact, GreetingEffect};
 use coordination::relay;
-use protocol::neighbour::{DATAGRAM_LIMIT, Hello, NeighbourMessage, Position, RecordUpdate, Topic};
-use rand::seq::SliceRandom;
-use tokio::net::UdpSocket;
+use protocol::neighbour::{DATAGRAM_LIMIT, Hello, NeighbourMessage, RecordUpdate, Topic};
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -47,18 +43,9 @@
 /// A host of another data centre is greeted once per this many rounds of greetings.
 const REMOTE_HELLO_TICKS: u32 = 2;
 
-/// Number of neighbours that a greeting tells how far this host knows the topics.
-///
-/// A host hears the positions of as many others in a second, so that it hears soon of records
-/// that it lacks.
-const POSITION_TARGETS: usize = 8;
-
 /// How long to wait when no datagram can be received.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// How long to wait when it is unknown whether a datagram can be sent.
-const SEND_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 impl Gateway {
     /// Sends periodic greetings to the neighbours; never returns.
     ///
@@ -95,56 +82,6 @@
         }
     }
 
-    /// Greets all neighbours, and tells some of them how far this host knows the topics.
-    ///
-    /// With positions in every greeting, traffic would grow with the number of hosts.
-    fn greet_neighbours(&self) {
-        let mut neighbours = self.neighbours.borrow_mut().current(clock::now());
-        let told = POSITION_TARGETS.min(neighbours.len());
-        let random = &mut *self.random.borrow_mut();
-        let (some, others) = neighbours.partial_shuffle(random, told);
-        self.send_to_all(some, &self.hello_with_positions());
-        self.send_to_all(others, &self.hello(false));
-    }
-
-    /// Returns a greeting that tells how far this host knows the topics.
-    fn hello_with_positions(&self) -> NeighbourMessage {
-        let positions = [Topic::Operators, Topic::Endpoints].map(|topic| {
-            self.with_schedule(topic, |schedule| {
-                let (next, age) = (schedule.next()?, schedule.age(clock::now())?);
-                Some(Position { topic, next, age })
-            })
-        });
-        NeighbourMessage::Hello(Hello {
-            positions: positions.into_iter().flatten().collect(),
-            ..self.greeting(false)
-        })
-    }
-
-    /// Handles how far a neighbour knows a topic, and requests what this host lacks.
-    fn handle_position(&self, from: SocketAddr, position: Position) {
-        let Position { topic, next, age } = position;
-        let now = clock::now();
-        let Some(read_at) = now.checked_sub(age) else {
-            return;
-        };
-        let draw = self.random_fraction();
-        let is_behind = self.with_schedule(topic, |schedule| {
-            schedule.position_received(next, read_at, draw, now)
-        });
-        if !is_behind {
-            return;
-        }
-        self.schedule_changed.notify_waiters();
-        let known = self.with_schedule(topic, |schedule| schedule.next());
-        let Some(known) = known.filter(|_| !self.is_receiving(topic, next)) else {
-            return;
-        };
-        if self.with_schedule(topic, |schedule| schedule.take_request(now)) {
-            self.send(from, &NeighbourMessage::RecordsRequest(topic, known));
-        }
-    }
-
     /// Greets a random host of another data centre, so that some hosts there know this one.
     fn greet_remote_host(&self) {
         let draw = self.random_u64();
@@ -248,14 +185,6 @@
         }
     }
 
-    /// Tells all neighbours how far this host knows the topics.
-    ///
-    /// Those that lack records request them, and no longer wait for the outcome of this
-    /// host's read.
-    pub(super) fn announce_positions(&self) {
-        self.broadcast(&self.hello_with_positions());
-    }
-
     /// Forwards records to this host's children in the forwarding tree.
     fn forward(&self, update: &RecordUpdate) {
         let known = self.neighbours.borrow_mut().current(clock::now());
@@ -380,11 +309,11 @@
     }
 
     /// Returns a greeting; `wants_hosts` asks the receiver for the hosts that it knows.
-    fn hello(&self, wants_hosts: bool) -> NeighbourMessage {
+    pub(super) fn hello(&self, wants_hosts: bool) -> NeighbourMessage {
         NeighbourMessage::Hello(self.greeting(wants_hosts))
     }
 
-    fn greeting(&self, wants_hosts: bool) -> Hello {
+    pub(super) fn greeting(&self, wants_hosts: bool) -> Hello {
         Hello {
             centre: self.settings.data_centre.clone(),
             size: self.centre_size(),
@@ -412,89 +341,4 @@
             positions: Vec::new(),
         })
     }
-
-    /// Sends a message to all neighbours.
-    pub(super) fn broadcast(&self, message: &NeighbourMessage) {
-        let addresses = self.neighbours.borrow_mut().current(clock::now());
-        self.send_to_all(&addresses, message);
-    }
-
-    /// Sends a message to several hosts, encoded once.
-    pub(super) fn send_to_all(&self, addresses: &[SocketAddr], message: &NeighbourMessage) {
-        let datagram = Bytes::from(message.encode());
-        let mut traffic = self.traffic.borrow_mut();
-        for address in addresses {
-            traffic.sent(message, datagram.len());
-            self.send_datagram(*address, &datagram);
-        }
-    }
-
-    /// Sends a datagram without blocking, or queues it if the send buffer is full.
-    fn send_datagram(&self, address: SocketAddr, datagram: &Bytes) {
-        let mut unsent = self.unsent.borrow_mut();
-        if unsent.is_empty() && try_send(&self.socket, address, datagram) {
-            return;
-        }
-        if !unsent.push(address, datagram.clone()) {
-            let bytes = datagram.len();
-            log::info!("E0406 datagram-not-sent address={address} bytes={bytes} error=queue full");
-        }
-        self.unsent_notify.notify_one();
-    }
-
-    /// Sends queued datagrams once the send buffer has room; never returns.
-    pub(super) async fn send_queued(self: Rc<Self>) {
-        loop {
-            self.unsent_notify.notified().await;
-            while !self.unsent.borrow().is_empty() {
-                if let Err(error) = self.socket.writable().await {
-                    log::warn!("E0406 datagram-not-sent error={error:?}");
-                    sleep(SEND_RETRY_DELAY).await;
-                }
-                self.send_unsent();
-            }
-        }
-    }
-
-    fn send_unsent(&self) {
-        let mut unsent = self.unsent.borrow_mut();
-        while let Some((address, datagram)) = unsent.front() {
-            if !try_send(&self.socket, *address, datagram) {
-                return;
-            }
-            unsent.pop();
-        }
-    }
-
-    /// Sends a message to all hosts: to the neighbours, and to some hosts of each
-    /// other data centre, which forward it to their neighbours.
-    ///
-    /// `message` builds the message; its argument tells whether the message goes to
-    /// another data centre.
-    pub(super) fn broadcast_all_centres(&self, message: impl Fn(bool) -> NeighbourMessage) {
-        self.broadcast(&message(false));
-        let cross_centre = message(true);
-        let contacts = self.neighbours.borrow_mut().remote_targets(clock::now());
-        for host in contacts.into_iter().flatten() {
-            self.send(host, &cross_centre);
-        }
-    }
-
-    /// Sends a message to one host.
-    pub(super) fn send(&self, address: SocketAddr, message: &NeighbourMessage) {
-        self.send_to_all(&[address], message);
-    }
-}
-
-/// Sends a datagram, and returns whether that is done; `false` if the send buffer is full.
-fn try_send(socket: &UdpSocket, address: SocketAddr, datagram: &[u8]) -> bool {
-    match socket.try_send_to(datagram, address) {
-        Ok(_) => {}
-        Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
-        Err(error) => log::warn!(
-            "E0406 datagram-not-sent address={address} bytes={} error={error:?}",
-            datagram.len()
-        ),
-    }
-    true
 }
