--- a/components/coordination/tests/freshness.rs
+++ b/components/coordination/tests/freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coordination::read_schedule::{READ_WAIT, ReadSchedule};
+use coordination::read_schedule::{READ_WAIT, ReadSchedule, UpdateOutcome};
 use state::Moment;
 
 /// The time within which every record must be known to all hosts.
@@ -101,3 +101,16 @@
     schedule.read_finished(30, now, false, 0.5, now);
     assert!(schedule.due() > now + Duration::from_millis(1_000));
 }
+
+/// Hosts of the release before this one don't say how old their updates are: what they send is
+/// applied, and this host goes on reading by itself.
+#[test]
+fn age_unknown() {
+    let start = Moment::from_millis(10_000);
+    let mut schedule = host_at(start);
+    let now = start + Duration::from_millis(1_000);
+    let outcome = schedule.update_received((18, 20), None, true, 0.5, now);
+    assert!(matches!(outcome, UpdateOutcome::Apply { skip: 0, .. }));
+    assert_eq!(schedule.next(), Some(20));
+    assert!(schedule.due().since(start) < UPDATE_TIMEOUT);
+}
--- a/components/protocol/tests/neighbour_messages.rs
+++ b/components/protocol/tests/neighbour_messages.rs
@@ -277,3 +277,16 @@
         assert!(NeighbourMessage::decode(bytes).is_err());
     }
 }
+
+/// A message of the release before this one says nothing of its age, and is understood.
+#[test]
+fn without_age() {
+    let sent = RecordUpdate {
+        age: None,
+        ..update(vec![b"one".to_vec()])
+    };
+    let message = NeighbourMessage::Update(sent);
+    // An absent age takes no byte, so this is what that release sends.
+    let decoded = NeighbourMessage::decode(&message.encode()).expect("the message is valid");
+    assert_eq!(decoded, message);
+}
