read schedule: what hosts repeat to each other isn't a newer read

Cause: the time on the way is not in a message's age, so that a position that is heard again seemed some milliseconds newer. In an outage that put reads off or, as it ended the notion that neighbours' reads fail, let all hosts read. Found by reading the code. Change: a read counts as another one when it is 100 ms newer. Test: freshness::repeated_in_outage, failed before.

--- a/components/coordination/src/read_schedule.rs
+++ b/components/coordination/src/read_schedule.rs
@@ -71,6 +71,12 @@
 /// How long a host that lacks records waits before it requests them once more.
 const REQUEST_PAUSE: Duration = Duration::from_millis(200);
 
+/// How much later two hosts may believe that the store was read at the same moment.
+///
+/// Messages don't say how long they were on their way. Without this, hosts that repeat to each
+/// other what one of them read would count it as read later and later.
+const TRANSIT_TIME: Duration = Duration::from_millis(100);
+
 /// The total time for which reads of neighbours with an unknown outcome defer a host's own.
 ///
 /// As long as a read may wait for an answer: then the neighbour reports its failure.
@@ -148,7 +154,7 @@
     /// Whether this host reads for its data centre what was read elsewhere.
     lagging: bool,
     failures: u32,
-    /// When the last of this host's reads in a row that failed ended.
+    /// When this host's last read that failed ended.
     failed_at: Moment,
     due: Moment,
     started: Moment,
@@ -469,7 +475,7 @@
             self.hear_of(end, draw, now);
             return true;
         }
-        if end == known && Some(read_at) > self.read_at {
+        if end == known && self.is_later(read_at) {
             self.note_read_at(read_at);
             self.neighbour_reads = 0;
             if self.awaits_updates() {
@@ -508,6 +514,11 @@
         self.has_gap &= !self.missing.is_empty();
     }
 
+    /// Returns whether a read at `read_at` is another one than the last that this host knows.
+    fn is_later(&self, read_at: Moment) -> bool {
+        self.read_at.is_none_or(|at| read_at > at + TRANSIT_TIME)
+    }
+
     /// Notes that the store was read at `read_at` to what this host knows.
     fn note_read_at(&mut self, read_at: Moment) {
         self.read_at = Some(read_at);
@@ -666,7 +677,7 @@
             self.note_update(now);
         }
         match read_at {
-            Some(at) if next > known || Some(at) > self.read_at => self.note_read_at(at),
+            Some(at) if next > known || self.is_later(at) => self.note_read_at(at),
             _ => {}
         }
         self.next = Some(next);
--- a/components/coordination/tests/freshness.rs
+++ b/components/coordination/tests/freshness.rs
@@ -114,3 +114,18 @@
     assert_eq!(schedule.next(), Some(20));
     assert!(schedule.due().since(start) < UPDATE_TIMEOUT);
 }
+
+/// The store is down, and hosts repeat to each other what one of them read before: on its way, a
+/// message grows younger by some milliseconds. That must not count as a new read each time.
+#[test]
+fn repeated_in_outage() {
+    let start = Moment::from_millis(10_000);
+    let mut schedule = host_at(start);
+    schedule.neighbour_read_failed(0.5, start);
+    let due = schedule.due();
+    for step in 1..40 {
+        let now = start + Duration::from_millis(50 * step);
+        schedule.position_received(18, start + Duration::from_millis(2 * step), 0.5, now);
+        assert_eq!(schedule.due(), due);
+    }
+}
