gateway: endpoints' updates of 4 to 16 KB go along the tree again

Likely: a fragment doesn't tell which host reads, so that readers don't learn of each other; not traced by messages. Change: only configurations above 4 KB go in fragments; endpoints' updates take the tree up to 16 KB as before.

--- a/components/coordination/src/relay.rs
+++ b/components/coordination/src/relay.rs
@@ -12,13 +12,22 @@
 
 /// The largest message in bytes that is forwarded in the tree.
 ///
-/// A host sends its copies at once, and the system drops those for which a narrow link's send
-/// buffer has no room: the hosts below them would miss every message of that size.
+/// A host sends its copies at once, and a narrow link that is full loses some: the hosts below
+/// them would miss every message of that size.
 const MAX_MESSAGE_BYTES: usize = 4 * 1_024;
 
+/// The same for a topic that changes all the time.
+///
+/// Fragments don't tell which host reads. For such a topic several hosts would go on reading,
+/// and send what they read to all data centres.
+const MAX_FREQUENT_BYTES: usize = 16 * 1_024;
+
 /// Returns whether a message of this size in bytes may be forwarded in the tree.
-pub fn takes(message_bytes: usize) -> bool {
-    message_bytes <= MAX_MESSAGE_BYTES
+pub fn takes(message_bytes: usize, is_frequent: bool) -> bool {
+    match is_frequent {
+        true => message_bytes <= MAX_FREQUENT_BYTES,
+        false => message_bytes <= MAX_MESSAGE_BYTES,
+    }
 }
 
 /// Returns the hosts to which `me` forwards an update that started at `relay_root`.
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -167,9 +167,13 @@
     /// `may_distribute` set sends the update, and only if the host isn't receiving it:
     /// otherwise the links would carry the update twice.
     pub(super) fn send_update(self: &Rc<Self>, update: RecordUpdate, may_distribute: bool) {
+        let is_frequent = update.topic == Topic::Endpoints;
         if update.size() <= DIRECT_SEND_LIMIT {
             self.broadcast(&NeighbourMessage::Update(update));
-        } else if relay::takes(NeighbourMessage::Update(update.clone()).encode().len()) {
+        } else if relay::takes(
+            NeighbourMessage::Update(update.clone()).encode().len(),
+            is_frequent,
+        ) {
             self.forward(&update);
         } else if may_distribute && !self.is_receiving(update.topic, update.next()) {
             let (topic, next) = (update.topic, update.next());
