--- a/components/coordination/tests/update_relay.rs
+++ b/components/coordination/tests/update_relay.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use coordination::fragments;
 use coordination::read_schedule::ReadSchedule;
 use coordination::relay::{self, Forwarded, next_hops};
 use state::Moment;
@@ -128,6 +130,12 @@
                 hosts.len(),
                 "{bytes} bytes"
             );
+            continue;
         }
+        // In fragments, a host relays a small part, and queues it.
+        let message = Bytes::from(vec![7; bytes]);
+        let parts = fragments::split(hosts[0], 1, &message, hosts.len());
+        let relayed = parts.len().div_ceil(hosts.len()) * parts[0].bytes.len();
+        assert!(relayed <= 1_024, "{relayed} of {bytes} bytes");
     }
 }
