superseded: the state of a batch is kept once

blank_configs kept in a cell whether it had found the newest valid configuration, which blank_superseded keeps too, and told it by an enum of three. blank_superseded now takes what a record holds and whether that can be decoded, and asks the latter only until one is valid, as before. Behaviour and assertions are the same.

--- a/components/coordination/src/superseded.rs
+++ b/components/coordination/src/superseded.rs
@@ -5,31 +5,24 @@
 //! that are no longer in force.
 
 use bytes::Bytes;
-use derives::tag;
-
-/// What a record of a batch holds.
-#[tag]
-pub enum Content {
-    /// A complete state, which replaces those before it.
-    State,
-    /// A complete state that can't be decoded, and so replaces none.
-    Invalid,
-    /// Anything else.
-    Other,
-}
 
 /// Replaces the states that a later one in the same batch replaces by empty records, so that
 /// the offsets of the others stay the same.
 ///
-/// `content` tells what a record holds; it is called from the last record on, and for
-/// earlier ones only needs to tell states from others.
-pub fn blank_superseded(records: &mut [Bytes], content: impl Fn(&Bytes) -> Content) {
+/// `state` returns the complete state that a record holds, if any. `is_valid` tells whether a
+/// state can be decoded: one that can't replaces none. It is called for the newest states
+/// only, until one is valid.
+pub fn blank_superseded<T>(
+    records: &mut [Bytes],
+    state: impl Fn(&Bytes) -> Option<T>,
+    is_valid: impl Fn(&T) -> bool,
+) {
     let mut is_replaced = false;
     for record in records.iter_mut().rev().filter(|r| !r.is_empty()) {
-        match content(record) {
-            Content::State | Content::Invalid if is_replaced => *record = Bytes::new(),
-            Content::State => is_replaced = true,
-            Content::Invalid | Content::Other => {}
+        match state(record) {
+            None => {}
+            Some(_) if is_replaced => *record = Bytes::new(),
+            Some(state) => is_replaced = is_valid(&state),
         }
     }
 }
--- a/components/coordination/tests/superseded.rs
+++ b/components/coordination/tests/superseded.rs
@@ -1,19 +1,16 @@
 //! Tests which records of a batch are left out.
 
 use bytes::Bytes;
-use coordination::superseded::{Content, blank_superseded};
+use coordination::superseded::blank_superseded;
 
-fn content(record: &Bytes) -> Content {
-    match record.first() {
-        Some(b's') => Content::State,
-        Some(b'!') => Content::Invalid,
-        _ => Content::Other,
-    }
+/// Returns the first letter of a record that holds a state; `!` stands for an invalid one.
+fn state(record: &Bytes) -> Option<u8> {
+    record.first().copied().filter(|c| b"s!".contains(c))
 }
 
 fn blanked(records: &[&'static str]) -> Vec<Bytes> {
     let mut records: Vec<Bytes> = records.iter().map(|r| Bytes::from(*r)).collect();
-    blank_superseded(&mut records, content);
+    blank_superseded(&mut records, state, |c| *c == b's');
     records
 }
 
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -3,7 +3,6 @@
 //! `coordination::read_schedule` decides when this host reads from the store. The host
 //! sends the records that it reads to its neighbours.
 
-use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,7 +10,7 @@
 
 use bytes::Bytes;
 use coordination::read_schedule::{ReadSchedule, UpdateOutcome};
-use coordination::superseded::{self, Content};
+use coordination::superseded::blank_superseded;
 use platform::endpoint;
 use platform::operator::{self, Subject};
 use platform::store::Record;
@@ -542,18 +541,8 @@
 
 /// Replaces configurations that a later record makes needless by empty records.
 pub(super) fn blank_configs(records: &mut [Bytes]) {
-    let is_found = Cell::new(false);
-    superseded::blank_superseded(records, |bytes| match catalogue_value(bytes) {
-        None => Content::Other,
-        // Once the newest valid one is known, those before it needn't be decoded.
-        Some(value) if !is_found.get() => match operator::decode(&value) {
-            Ok(_) => {
-                is_found.set(true);
-                Content::State
-            }
-            Err(_) => Content::Invalid,
-        },
-        Some(_) => Content::State,
+    blank_superseded(records, catalogue_value, |value| {
+        operator::decode(value).is_ok()
     });
 }
 
