gateway: E0190 tells what a host counts as repeats and what it has left

Cause: E0128 names no service, doesn't tell charged repeats from free ones and is limited to 100 lines a second, so the sum over hosts couldn't be set beside the rule. Change: a line a second and service with repeats; no change of what is allowed.

--- a/components/state/src/fleet/retry_budget.rs
+++ b/components/state/src/fleet/retry_budget.rs
@@ -22,6 +22,32 @@
     pub window: Duration,
 }
 
+/// What a host counted at a service since the last report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RetryCounts {
+    /// Callers' requests.
+    pub requests: u32,
+    /// Retries that were charged.
+    pub charged: u32,
+    /// Requests sent again without a charge, since they had reached no endpoint.
+    pub uncharged: u32,
+    /// Retries that the budget didn't allow.
+    pub turned_down: u32,
+}
+
+/// The state of a host's budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryReport {
+    /// What was counted since the last report.
+    pub counts: RetryCounts,
+    /// The charged retries of the last window.
+    pub in_window: usize,
+    /// The retries granted for the requests of the last window.
+    pub earned: f64,
+    /// The retries granted besides.
+    pub slack: f64,
+}
+
 /// The retries that this host may still send to one service.
 ///
 /// Without a bound, a service that fails under load would get each failed request a
@@ -34,6 +60,7 @@
     started: Moment,
     requests: VecDeque<Moment>,
     retries: VecDeque<Moment>,
+    counts: RetryCounts,
 }
 
 impl WindowedRetryBudget {
@@ -44,6 +71,7 @@
             started,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
+            counts: RetryCounts::default(),
         }
     }
 
@@ -56,6 +84,12 @@
     pub fn count(&mut self, now: Moment) {
         self.drop_expired(now);
         self.requests.push_back(now);
+        self.counts.requests += 1;
+    }
+
+    /// Counts a request that is sent again though it isn't charged.
+    pub fn note_uncharged(&mut self) {
+        self.counts.uncharged += 1;
     }
 
     /// Decides whether a request may be sent again, and counts the retry if so.
@@ -63,18 +97,49 @@
     /// `share` is this host's share of all hosts, 0 to 1.
     pub fn take(&mut self, share: f64, now: Moment) -> bool {
         self.drop_expired(now);
-        let earned = self.requests.len() as f64 * self.bounds.ratio;
-        let slack = match now.since(self.started) < self.bounds.window {
+        let granted = self.earned() + self.slack(share, now);
+        let allowed = (self.retries.len() as f64) + 1.0 <= granted * USED_FRACTION;
+        if allowed {
+            self.retries.push_back(now);
+            self.counts.charged += 1;
+        } else {
+            self.counts.turned_down += 1;
+        }
+        allowed
+    }
+
+    /// Returns the state of the budget and starts the counts anew; `None` if no request was
+    /// to be sent again.
+    pub fn report(&mut self, share: f64, now: Moment) -> Option<RetryReport> {
+        let RetryCounts {
+            charged,
+            uncharged,
+            turned_down,
+            ..
+        } = self.counts;
+        if charged + uncharged + turned_down == 0 {
+            return None;
+        }
+        self.drop_expired(now);
+        Some(RetryReport {
+            counts: std::mem::take(&mut self.counts),
+            in_window: self.retries.len(),
+            earned: self.earned() * USED_FRACTION,
+            slack: self.slack(share, now) * USED_FRACTION,
+        })
+    }
+
+    fn earned(&self) -> f64 {
+        self.requests.len() as f64 * self.bounds.ratio
+    }
+
+    fn slack(&self, share: f64, now: Moment) -> f64 {
+        match now.since(self.started) < self.bounds.window {
             // A restarted host doesn't know what it sent before. If all hosts were killed
             // at once, the slack would be spent twice.
             true => 0.0,
             false => self.bounds.slack * share,
-        };
-        let allowed = (self.retries.len() as f64) + 1.0 <= (earned + slack) * USED_FRACTION;
-        if allowed {
-            self.retries.push_back(now);
         }
-        allowed
     }
 
     fn drop_expired(&mut self, now: Moment) {
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -13,10 +13,10 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use protocol::forwarded_request;
-use state::fleet::Placement;
 use state::fleet::fingerprint::{Content, Fingerprints};
 use state::fleet::placement::{self, Refusal};
 use state::fleet::retry_after;
+use state::fleet::{Placement, WindowedRetryBudget};
 use state::routing::Route;
 use state::{Moment, ServiceKey};
 use tokio::sync::Notify;
@@ -474,7 +474,14 @@
                 return false;
             }
             _ if self.gateway.quarantine_left(self.fingerprints).is_some() => return false,
-            Some(LastFailure::Unsent(_)) => return progress.unsent < MAX_UNSENT_ATTEMPTS,
+            Some(LastFailure::Unsent(_)) => {
+                let allowed = progress.unsent < MAX_UNSENT_ATTEMPTS;
+                if allowed {
+                    self.gateway
+                        .with_retry_budget(self.service, WindowedRetryBudget::note_uncharged);
+                }
+                return allowed;
+            }
             _ => {}
         }
         self.may_send(progress)
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod report_limiter;
 mod request_log;
 mod request_tokens;
+mod retries;
 mod rollouts;
 mod server;
 mod settings;
@@ -59,9 +60,8 @@
 use protocol::neighbour::Topic;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use state::fleet::retry_budget::RetryBounds;
 use state::fleet::service_time::ServiceTime;
-use state::fleet::{AnnouncedTimes, HostProbeBudget, Registry, WindowedRetryBudget};
+use state::fleet::{AnnouncedTimes, HostProbeBudget, Registry};
 use state::routing::{OperatorConfig, Route};
 use state::{DataCentreKey, Moment, ServiceKey};
 use thiserror::Error;
@@ -80,6 +80,7 @@
 use quota::Quotas;
 use report_limiter::ReportLimiter;
 use request_log::RequestLog;
+use retries::RetryBudgets;
 use server::Listener;
 pub use settings::{Bounds, Live, Ports, Settings};
 use shares::Shares;
@@ -164,7 +165,7 @@
     isolation_checks: RefCell<IsolationChecks>,
     /// Wakes the task that checks whether endpoints answer.
     checks_due: Notify,
-    retry_budgets: RefCell<BTreeMap<ServiceKey, WindowedRetryBudget>>,
+    retry_budgets: RetryBudgets,
     /// Service time estimates by route name.
     service_times: RefCell<BTreeMap<String, ServiceTime>>,
     /// What callers with accounts announce as their time, by route name.
@@ -228,6 +229,7 @@
         spawn_local(Rc::clone(&gateway).sweep_pool());
         spawn_local(Rc::clone(&gateway).maintain_subsets());
         spawn_local(Rc::clone(&gateway).report_traffic());
+        spawn_local(Rc::clone(&gateway).report_retries());
         spawn_local(Rc::clone(&gateway).confirm_crashes());
         spawn_local(Rc::clone(&gateway).send_reminders());
         spawn_local(Rc::clone(&gateway).report_demand());
@@ -361,28 +363,6 @@
         self.random.borrow_mut().random()
     }
 
-    /// Runs `act` on the retry budget of a service.
-    fn with_retry_budget<R>(
-        &self,
-        service: ServiceKey,
-        act: impl FnOnce(&mut WindowedRetryBudget) -> R,
-    ) -> R {
-        let bounds = {
-            let bounds = &self.live.borrow().bounds;
-            RetryBounds {
-                ratio: bounds.repeat_ratio,
-                slack: bounds.repeat_slack,
-                window: bounds.repeat_window,
-            }
-        };
-        let mut retry_budgets = self.retry_budgets.borrow_mut();
-        let budget = retry_budgets
-            .entry(service)
-            .or_insert_with(|| WindowedRetryBudget::new(bounds, self.started));
-        budget.set_bounds(bounds);
-        act(budget)
-    }
-
     /// Runs `act` on the service time estimate of a route.
     fn with_service_time<R>(&self, route: &Route, act: impl FnOnce(&mut ServiceTime) -> R) -> R {
         let mut service_times = self.service_times.borrow_mut();
