shares: no host uses more partitions than an even split gives it

Cause: a host uses what its last join told until its next one, up to 20 s later, while the store has given some of it to others; after an outage in which sessions lapse the first host to join gets all partitions, and the others go on with theirs (1.92 of the whole at 13 hosts in the model). Change: a host counts the partitions of an even split among the hosts that it hears of at most; its part of the slack of retries is one host's at most.

--- a/components/coordination/src/group_joins.rs
+++ b/components/coordination/src/group_joins.rs
@@ -22,10 +22,16 @@
 /// The member holds `held` of `partitions`, and estimates that there are `hosts`. Where
 /// there are more hosts than partitions, some hold none, and each takes the same share.
 /// Estimates that are too low by a tenth make the shares add up to a tenth too much.
+///
+/// A member that holds more than an even split has them before others have joined, or while
+/// others that don't know it yet go on with them.
 pub fn share(held: usize, partitions: usize, hosts: usize) -> f64 {
     match hosts > partitions {
         true => 1.0 / hosts as f64,
-        false => held as f64 / partitions.max(1) as f64,
+        false => {
+            let even_split = partitions.div_ceil(hosts.max(1));
+            held.min(even_split) as f64 / partitions.max(1) as f64
+        }
     }
 }
 
--- a/components/coordination/tests/group_joins.rs
+++ b/components/coordination/tests/group_joins.rs
@@ -136,6 +136,42 @@
     }
 }
 
+/// All sessions lapse during an outage of the store, and the first host to join afterwards gets
+/// all partitions while the others go on with what they held until they join again. The shares
+/// must not add up to more than one partition a host more than there are.
+#[test]
+fn sessions_lapsed() {
+    for hosts in [13, 97, 472] {
+        let others = (1..hosts).map(|n| {
+            let held = PARTITIONS / hosts + usize::from(n < PARTITIONS % hosts);
+            share(held, PARTITIONS, hosts)
+        });
+        let sum = share(PARTITIONS, PARTITIONS, hosts) + others.sum::<f64>();
+        let limit = 1.0 + 1.0 / PARTITIONS as f64;
+        assert!(sum <= limit, "{hosts} hosts: {sum}");
+    }
+}
+
+/// Hosts are added and the store assigns all partitions anew at once: the new hosts get theirs
+/// while the others still count on what they held. The shares must not add up to more than one
+/// partition a host more than there are.
+#[test]
+fn partitions_reassigned() {
+    for (before, after) in [(18, 22), (97, 130), (300, 470)] {
+        let old = (0..before).map(|n| {
+            let held = PARTITIONS / before + usize::from(n < PARTITIONS % before);
+            share(held, PARTITIONS, after)
+        });
+        let new = (before..after).map(|n| {
+            let held = PARTITIONS / after + usize::from(n < PARTITIONS % after);
+            share(held, PARTITIONS, after)
+        });
+        let sum: f64 = old.chain(new).sum();
+        let limit = 1.0 + after as f64 / PARTITIONS as f64;
+        assert!(sum <= limit, "{before} to {after} hosts: {sum}");
+    }
+}
+
 /// The store rejects one host's joins and gives its partitions to others: it must not go on using
 /// its share, or the shares of all hosts add up to more than one.
 #[test]
--- a/components/transport/src/gateway/retries.rs
+++ b/components/transport/src/gateway/retries.rs
@@ -52,14 +52,12 @@
     ///
     /// A host that can't renew its membership may not have its share any more.
     pub(super) fn retry_part(&self) -> HostPart {
+        let hosts = self.site_size.get();
         let share = match clock::now() < self.session_end.get() {
-            true => self.share.get(),
+            true => self.share.get().min(1.0 / hosts.max(1) as f64),
             false => 0.0,
         };
-        HostPart {
-            share,
-            hosts: self.site_size.get(),
-        }
+        HostPart { share, hosts }
     }
 
     /// Periodically logs the budgets of services with retries; never returns.
