quotas: a home that starts anew has nothing of the burst

What was seen: in the model, requests of an account in five seconds reached 1.07 of the bound of its quota when half of the hosts were killed again and again, every 0.9 s (three of 36 cases over it). Each host that starts had a quarter of the burst, whatever it or its predecessor had granted before. Change: it starts with an empty bucket, which fills up at the account's rate from when the host hears of its neighbours.

--- a/components/coordination/src/quota/home.rs
+++ b/components/coordination/src/quota/home.rs
@@ -335,16 +335,13 @@
 /// A lower demand counts as none, in requests per second.
 const MIN_DEMAND: f64 = 0.01;
 
-/// The part of the burst that a host has at its start.
-const FIRST_FRACTION: f64 = 0.25;
-
 /// Returns the bucket of an account whose first request has come.
 ///
 /// It has filled up since this host is a member, whichever account comes first. A host that
-/// has just started has a part of the burst: an earlier home may have granted it a moment
-/// ago.
+/// has just started has nothing: an earlier home, or this host before it was killed, may have
+/// granted the burst a moment ago, and hosts may be killed again and again.
 fn first_bucket(limit: QuotaLimit, since: Moment, now: Moment) -> QuotaBucket {
-    let mut bucket = QuotaBucket::new(limit, limit.burst * FIRST_FRACTION, since);
+    let mut bucket = QuotaBucket::new(limit, 0.0, since);
     bucket.set_limit(limit, now);
     bucket
 }
--- a/components/coordination/tests/quota.rs
+++ b/components/coordination/tests/quota.rs
@@ -149,6 +149,60 @@
     assert!(worst <= 1.0, "{worst} of the bound");
 }
 
+/// After a calm time the whole burst is used at once, and hosts are killed again and again: each
+/// home that starts anew grants from an empty memory. Together they must not grant the burst
+/// once more.
+#[rstest]
+fn killed_repeatedly(
+    #[values(0.2, 0.55, 1.0)] fraction: f64,
+    #[values(600, 1_100, 1_700)] pause: u64,
+    #[values(LARGE, SMALL)] limit: QuotaLimit,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut site = site(32, limit, seed);
+    let calm = Duration::from_secs(5);
+    load(&mut site, limit.rate * 0.1, Callers::Everywhere, calm);
+    for _ in 0..6 {
+        let down = Duration::from_millis(300);
+        let up = Duration::from_millis(pause);
+        load(&mut site, limit.rate * 6.0, Callers::Everywhere, up);
+        site.remove(fraction, false);
+        load(&mut site, limit.rate * 6.0, Callers::Everywhere, down);
+        site.restore();
+    }
+    let worst = site.worst_window(ACCOUNT, WINDOW);
+    assert!(worst <= 1.0, "{worst} of the bound");
+}
+
+/// An account uses its burst at once, and its homes are killed before its next requests come. The
+/// hosts that become its homes, and have granted nothing, must not grant the burst once more.
+#[rstest]
+fn home_killed_in_calm(
+    #[values(0.35, 0.45)] fraction: f64,
+    #[values(300, 2_700)] down: u64,
+    #[values(false, true)] is_back: bool,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let limit = QuotaLimit {
+        rate: 60.0,
+        burst: 600.0,
+    };
+    let mut site = site(32, limit, seed);
+    let calm = Duration::from_secs(12);
+    load(&mut site, limit.rate * 0.1, Callers::Everywhere, calm);
+    let burst = Duration::from_millis(800);
+    load(&mut site, 1_200.0, Callers::Everywhere, burst);
+    site.remove(fraction, false);
+    let silence = Duration::from_millis(down);
+    load(&mut site, 0.0, Callers::Everywhere, silence);
+    if is_back {
+        site.restore();
+    }
+    load(&mut site, 1_200.0, Callers::Everywhere, burst);
+    let worst = site.worst_window(ACCOUNT, WINDOW);
+    assert!(worst <= 1.0, "{worst} of the bound");
+}
+
 /// A host's messages don't grow with the number of hosts: a site of four times the hosts and
 /// requests sends four times the messages.
 #[test]
