tokens for cold and limited endpoints: a started host goes on with its predecessor's

Cause: each start drew the phase of a host's tokens anew. The mean holds, but the chance that many hosts' tokens meet in one window is drawn again with each kill, and a host may use two tokens within less than an interval. Change: the phase follows from the host's address, the endpoint and the machine's uptime, so that a process that starts has the turns of the one before it. After a loss of power the uptime starts anew, and with it the phases, as before. Tests that passed random numbers for the phase pass hosts' names instead; their checks are unchanged.

--- a/components/state/src/fleet/placement.rs
+++ b/components/state/src/fleet/placement.rs
@@ -227,7 +227,7 @@
         let step = match self.next_in_subset(context, request, now, draw) {
             Some(step) => step,
             None => {
-                let exhausted = context.registry.limits_mut().exhausted(share, now, draw);
+                let exhausted = context.registry.limits_mut().exhausted(share, now);
                 self.decide(context, &exhausted, request, now, draw)
             }
         };
@@ -282,7 +282,7 @@
         let warm: Vec<&Candidate<'_>> = usable.iter().filter(|c| !c.state.is_cold(now)).collect();
         if warm.is_empty() {
             let keys = usable.iter().map(|c| c.key).collect();
-            return self.place_cold(context, keys, request, now, draw);
+            return self.place_cold(context, keys, request, now);
         }
         let healthy: Vec<&Candidate<'_>> = warm
             .iter()
@@ -301,7 +301,7 @@
             .filter(|c| c.state.is_cold(now) && !c.state.health.is_avoided(now))
             .map(|c| c.key)
             .collect();
-        self.try_cold(context, &cold, now, draw).unwrap_or(step)
+        self.try_cold(context, &cold, now).unwrap_or(step)
     }
 
     /// Sends the request to a cold endpoint, within this host's quota.
@@ -314,19 +314,18 @@
         context: &mut Context<'_>,
         keys: &[EndpointKey],
         now: Moment,
-        draw: &mut dyn FnMut() -> f64,
     ) -> Option<Step> {
         let quota = context.cold;
         let registry = &mut *context.registry;
         for key in keys {
-            if !registry.cold_buckets_mut().has(*key, quota, draw(), now) {
+            if !registry.cold_buckets_mut().has(*key, quota, now) {
                 continue;
             }
             let slowdown = registry.get(*key).and_then(|s| s.slowdown(now));
             match slowdown {
                 Some(slowdown)
                     if slowdown <= GOOD_SLOWDOWN
-                        && registry.cold_buckets_mut().take(*key, quota, draw(), now) =>
+                        && registry.cold_buckets_mut().take(*key, quota, now) =>
                 {
                     return Some(Step::Place(*key));
                 }
@@ -474,11 +473,10 @@
         keys: Vec<EndpointKey>,
         request: &Request,
         now: Moment,
-        draw: &mut dyn FnMut() -> f64,
     ) -> Step {
         for key in keys {
             let buckets = context.registry.cold_buckets_mut();
-            if buckets.take(key, context.cold, draw(), now) {
+            if buckets.take(key, context.cold, now) {
                 return Step::Place(key);
             }
         }
--- a/components/state/src/fleet/rate_limit.rs
+++ b/components/state/src/fleet/rate_limit.rs
@@ -9,7 +9,7 @@
 
 use derives::tag;
 
-use super::token_buckets::{Quota, TokenBuckets};
+use super::token_buckets::{HostPhase, Quota, TokenBuckets};
 use crate::{EndpointKey, Moment};
 
 /// How long a token for an endpoint that advertises a limit remains valid.
@@ -106,6 +106,14 @@
 }
 
 impl RateLimits {
+    /// Returns the limits as known to a host that has just started: none.
+    pub fn new(phase: HostPhase) -> RateLimits {
+        RateLimits {
+            limits: BTreeMap::new(),
+            buckets: TokenBuckets::new(phase),
+        }
+    }
+
     /// Applies an endpoint's answer, and returns the update to send to other hosts.
     pub fn observe(
         &mut self,
@@ -164,18 +172,12 @@
     /// Returns the endpoints for which this host has no token now, and when each next
     /// token comes.
     ///
-    /// `share` is this host's share of all hosts, 0 to 1; `draw` returns random numbers
-    /// from 0 to 1.
-    pub fn exhausted(
-        &mut self,
-        share: f64,
-        now: Moment,
-        draw: &mut dyn FnMut() -> f64,
-    ) -> BTreeMap<EndpointKey, Moment> {
+    /// `share` is this host's share of all hosts, 0 to 1.
+    pub fn exhausted(&mut self, share: f64, now: Moment) -> BTreeMap<EndpointKey, Moment> {
         let mut exhausted = BTreeMap::new();
         for (key, known) in &self.limits {
             let quota = known.limit.quota(share);
-            if !self.buckets.has(*key, quota, draw(), now) {
+            if !self.buckets.has(*key, quota, now) {
                 let next = self.buckets.next(*key).unwrap_or(now);
                 exhausted.insert(*key, next);
             }
@@ -185,21 +187,15 @@
 
     /// Returns whether this host may send a request to an endpoint now: it has a token, or
     /// the endpoint advertises no limit.
-    pub fn has_token(
-        &mut self,
-        key: EndpointKey,
-        share: f64,
-        now: Moment,
-        draw: &mut dyn FnMut() -> f64,
-    ) -> bool {
+    pub fn has_token(&mut self, key: EndpointKey, share: f64, now: Moment) -> bool {
         let quota = self.limits.get(&key).map(|known| known.limit.quota(share));
-        quota.is_none_or(|quota| self.buckets.has(key, quota, draw(), now))
+        quota.is_none_or(|quota| self.buckets.has(key, quota, now))
     }
 
     /// Counts a request that is sent to an endpoint.
     pub fn count(&mut self, key: EndpointKey, share: f64, now: Moment) {
         if let Some(known) = self.limits.get(&key) {
-            self.buckets.take(key, known.limit.quota(share), 0.0, now);
+            self.buckets.take(key, known.limit.quota(share), now);
         }
     }
 }
--- a/components/state/src/fleet/registry.rs
+++ b/components/state/src/fleet/registry.rs
@@ -11,7 +11,7 @@
 use super::reachability::Reachability;
 use super::scan_budget::ScanBudget;
 use super::subset::Subset;
-use super::token_buckets::TokenBuckets;
+use super::token_buckets::{HostPhase, TokenBuckets};
 use crate::{DataCentreKey, EndpointKey, Moment, ServiceKey};
 
 /// How long endpoints whose lease expired during a store outage are still used.
@@ -56,6 +56,15 @@
 }
 
 impl Registry {
+    /// Returns the registry of a host that knows no endpoint yet.
+    pub fn new(phase: HostPhase) -> Registry {
+        Registry {
+            cold_buckets: TokenBuckets::new(phase),
+            limits: RateLimits::new(phase),
+            ..Registry::default()
+        }
+    }
+
     /// Applies a record: the current entry for `name`, or `None` if it was removed.
     pub fn apply(&mut self, name: &str, entry: Option<Entry>, now: Moment) {
         match entry {
--- a/components/state/src/fleet/rollout/canary.rs
+++ b/components/state/src/fleet/rollout/canary.rs
@@ -48,13 +48,12 @@
         request: &Request,
         target: &CanaryTarget,
         now: Moment,
-        draw: &mut dyn FnMut() -> f64,
     ) -> Option<Step> {
         if !self.is_untried() || !context.may_probe || !request.has_time(now) {
             return None;
         }
         let share = context.cold.share();
-        let exhausted = context.registry.limits_mut().exhausted(share, now, draw);
+        let exhausted = context.registry.limits_mut().exhausted(share, now);
         let mut ranked: Vec<(Distance, u64, EndpointKey)> = context
             .registry
             .endpoints_of(request.service)
@@ -74,7 +73,7 @@
         let step = ranked
             .iter()
             .take(MAX_CANDIDATES)
-            .find_map(|(_, _, key)| self.fill(context, *key, now, draw));
+            .find_map(|(_, _, key)| self.fill(context, *key, now));
         if let Some(Step::Place(key)) = step {
             context.registry.limits_mut().count(key, share, now);
         }
@@ -83,26 +82,20 @@
 
     /// Returns the step by which a request fills a free slot of this endpoint, or learns
     /// whether there is one.
-    fn fill(
-        &mut self,
-        context: &mut Context<'_>,
-        key: EndpointKey,
-        now: Moment,
-        draw: &mut dyn FnMut() -> f64,
-    ) -> Option<Step> {
+    fn fill(&mut self, context: &mut Context<'_>, key: EndpointKey, now: Moment) -> Option<Step> {
         let quota = context.cold;
         let registry = &mut *context.registry;
         let state = registry.get(key)?;
         let cold = state.is_cold(now);
         let room = state.has_room(now);
-        if cold && !registry.cold_buckets_mut().has(key, quota, draw(), now) {
+        if cold && !registry.cold_buckets_mut().has(key, quota, now) {
             return None;
         }
         match room {
             None => self.note_probed(key).then_some(Step::Probe(key)),
             Some(false) => None,
             Some(true) if cold => {
-                let token = registry.cold_buckets_mut().take(key, quota, draw(), now);
+                let token = registry.cold_buckets_mut().take(key, quota, now);
                 token.then_some(Step::Place(key))
             }
             Some(true) => Some(Step::Place(key)),
--- a/components/state/src/fleet/subset_placement.rs
+++ b/components/state/src/fleet/subset_placement.rs
@@ -120,11 +120,9 @@
             done: 0,
         };
         let mut found = Found::default();
-        self.find_new(context, request, now, draw, &mut found);
+        self.find_new(context, request, now, &mut found);
         let looked_at = members.min(MAX_MEMBERS);
-        self.walk(
-            context, request, &mut walk, looked_at, now, draw, &mut found,
-        );
+        self.walk(context, request, &mut walk, looked_at, now, &mut found);
         if let Some(step) = self.probe_part(context, request, &found.warm, mode, now, draw) {
             self.note_decision(context, request, false);
             return Some(step);
@@ -134,15 +132,15 @@
         let crowded = found.warm.iter().any(|key| is_crowded(*key));
         self.note_decision(context, request, crowded);
         let members = found.warm.len();
-        self.walk(context, request, &mut walk, SPILL, now, draw, &mut found);
+        self.walk(context, request, &mut walk, SPILL, now, &mut found);
         let spill = &found.warm[members..];
         if let Some(step) = self.probe_part(context, request, spill, mode, now, draw) {
             return Some(step);
         }
-        self.find_far(context, request, now, draw, &mut found);
+        self.find_far(context, request, now, &mut found);
         // Those that were found by a scan are outside of what a request looks at first.
         for key in self.probed_keys() {
-            self.add(context, key, now, draw, &mut found);
+            self.add(context, key, now, &mut found);
         }
         if found.warm.is_empty() {
             return None;
@@ -182,7 +180,7 @@
             done: 0,
         };
         let known = found.warm.len();
-        self.walk(context, request, &mut walk, SEARCHED, now, draw, found);
+        self.walk(context, request, &mut walk, SEARCHED, now, found);
         self.probe_part(context, request, &found.warm[known..], mode, now, draw)
     }
 
@@ -215,7 +213,6 @@
     }
 
     /// Adds the next `count` endpoints of the ring that can be used.
-    #[expect(clippy::too_many_arguments, reason = "the parts of one decision")]
     fn walk(
         &self,
         context: &mut Context<'_>,
@@ -223,7 +220,6 @@
         walk: &mut Walk,
         count: usize,
         now: Moment,
-        draw: &mut dyn FnMut() -> f64,
         found: &mut Found,
     ) {
         let enough = found.warm.len() + count;
@@ -235,7 +231,7 @@
                 return;
             };
             let before = found.warm.len();
-            self.add(context, key, now, draw, found);
+            self.add(context, key, now, found);
             skipped += usize::from(found.warm.len() == before);
         }
     }
@@ -249,7 +245,6 @@
         context: &mut Context<'_>,
         request: &Request,
         now: Moment,
-        draw: &mut dyn FnMut() -> f64,
         found: &mut Found,
     ) {
         let registry = &*context.registry;
@@ -264,7 +259,7 @@
         };
         let new: Vec<EndpointKey> = recent.filter(is_new).take(NEW).collect();
         for key in new {
-            self.add(context, key, now, draw, found);
+            self.add(context, key, now, found);
         }
     }
 
@@ -274,7 +269,6 @@
         context: &mut Context<'_>,
         request: &Request,
         now: Moment,
-        draw: &mut dyn FnMut() -> f64,
         found: &mut Found,
     ) {
         let Some(subset) = context.registry.subset(request.service) else {
@@ -290,19 +284,12 @@
         let windows = others.map(|(_, keys)| subset.far_window(keys, count));
         let keys: Vec<EndpointKey> = windows.flatten().collect();
         for key in keys {
-            self.add(context, key, now, draw, found);
+            self.add(context, key, now, found);
         }
     }
 
     /// Adds an endpoint if the request may be sent there now.
-    fn add(
-        &self,
-        context: &mut Context<'_>,
-        key: EndpointKey,
-        now: Moment,
-        draw: &mut dyn FnMut() -> f64,
-        found: &mut Found,
-    ) {
+    fn add(&self, context: &mut Context<'_>, key: EndpointKey, now: Moment, found: &mut Found) {
         let registry = &*context.registry;
         let Some(state) = registry.get(key) else {
             return;
@@ -316,11 +303,7 @@
         if !is_usable || found.warm.contains(&key) || found.cold.contains(&key) {
             return;
         }
-        if !context
-            .registry
-            .limits_mut()
-            .has_token(key, share, now, draw)
-        {
+        if !context.registry.limits_mut().has_token(key, share, now) {
             return;
         }
         match is_cold {
@@ -345,8 +328,7 @@
         if is_final(&step, &warm, mode, now) {
             return step;
         }
-        self.try_cold(context, &found.cold, now, draw)
-            .unwrap_or(step)
+        self.try_cold(context, &found.cold, now).unwrap_or(step)
     }
 
     /// Counts a decision once in each round of a request, and once that it was crowded.
--- a/components/state/src/fleet/token_buckets.rs
+++ b/components/state/src/fleet/token_buckets.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::keys::rendezvous;
 use crate::{EndpointKey, Moment};
 
 /// This host's tokens for endpoints that take only a limited number of requests per
@@ -14,11 +15,37 @@
 /// random phase. The phase keeps hosts that start together from sending in the same
 /// second, and a host whose interval is longer than an endpoint's cold phase usually
 /// sends nothing. A bucket holds one token, for a short time only.
+///
+/// The phase follows from the host's name and its machine's uptime, so that a host that is
+/// killed goes on with the tokens of the process before it.
 #[derive(Clone, Debug, Default)]
 pub struct TokenBuckets {
+    phase: HostPhase,
     next: BTreeMap<EndpointKey, Moment>,
 }
 
+/// What a host's phases follow from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HostPhase {
+    /// Identifies the host, the same after each start.
+    pub host: u64,
+    /// The machine's uptime when the process started.
+    pub uptime: Duration,
+}
+
+impl HostPhase {
+    /// Returns the time to this host's next turn for an endpoint, as a fraction of `interval`.
+    fn time_to_turn(self, key: EndpointKey, interval: Duration, now: Moment) -> f64 {
+        if interval.is_zero() {
+            return 0.0;
+        }
+        let uptime = self.uptime + now.since(Moment(0));
+        let turns = uptime.as_secs_f64() / interval.as_secs_f64();
+        let offset = rendezvous(self.host, key.0) as f64 / u64::MAX as f64;
+        1.0 - (turns - offset).rem_euclid(1.0)
+    }
+}
+
 /// The longest interval between two tokens.
 const MAX_INTERVAL: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -68,12 +95,22 @@
 }
 
 impl TokenBuckets {
+    /// Returns the empty buckets of a host.
+    pub fn new(phase: HostPhase) -> TokenBuckets {
+        TokenBuckets {
+            phase,
+            next: BTreeMap::new(),
+        }
+    }
+
     /// Returns whether there is a token for an endpoint now.
-    ///
-    /// `draw`, a random number from 0 to 1, is the phase of the first token.
-    pub fn has(&mut self, key: EndpointKey, quota: Quota, draw: f64, now: Moment) -> bool {
+    pub fn has(&mut self, key: EndpointKey, quota: Quota, now: Moment) -> bool {
         let interval = quota.interval();
-        let next = self.next.entry(key).or_insert(now + interval.mul_f64(draw));
+        let phase = self.phase;
+        let next = self.next.entry(key).or_insert_with(|| {
+            let fraction = phase.time_to_turn(key, interval, now);
+            now + interval.mul_f64(fraction)
+        });
         // The previous interval may have been longer, or unknown.
         *next = (*next).min(now + interval);
         let late = now.since(*next);
@@ -85,8 +122,8 @@
     }
 
     /// Takes the token for an endpoint, if there is one.
-    pub fn take(&mut self, key: EndpointKey, quota: Quota, draw: f64, now: Moment) -> bool {
-        let had = self.has(key, quota, draw, now);
+    pub fn take(&mut self, key: EndpointKey, quota: Quota, now: Moment) -> bool {
+        let had = self.has(key, quota, now);
         if had {
             self.next.insert(key, now + quota.interval());
         }
--- a/components/state/tests/canary_placement.rs
+++ b/components/state/tests/canary_placement.rs
@@ -84,7 +84,7 @@
             is_first: true,
             may_probe: true,
         };
-        placement.next_canary(&mut context, &request, &target, NOW, &mut || 0.0)
+        placement.next_canary(&mut context, &request, &target, NOW)
     }
 
     /// Places one request, answering its probes truthfully; returns its endpoint.
--- a/components/state/tests/fleet_placement.rs
+++ b/components/state/tests/fleet_placement.rs
@@ -11,7 +11,7 @@
 use state::fleet::rate_limit::Source;
 use state::fleet::retry_after;
 use state::fleet::rollout::VersionRule;
-use state::fleet::token_buckets::Quota;
+use state::fleet::token_buckets::{HostPhase, Quota};
 use state::fleet::{Endpoint, Entry, LoadSample, Placement, Registry, Step};
 use state::topology::Topology;
 use state::{DataCentreKey, EndpointKey, Moment, RegionKey, ServiceKey};
@@ -85,7 +85,12 @@
 
 impl Fleet {
     fn of(endpoints: &[(&str, &str)]) -> Fleet {
-        let mut registry = Registry::default();
+        Fleet::on(HostPhase::default(), endpoints)
+    }
+
+    /// Returns the fleet as known to this host.
+    fn on(phase: HostPhase, endpoints: &[(&str, &str)]) -> Fleet {
+        let mut registry = Registry::new(phase);
         for (name, centre) in endpoints {
             registry.apply(name, Some(Entry::Endpoint(endpoint(name, centre))), START);
         }
@@ -414,7 +419,11 @@
     let hosts = 20;
     let mut fleets: Vec<Fleet> = (0..hosts)
         .map(|n| {
-            let mut fleet = Fleet::of(&[("a", "near")]);
+            let phase = HostPhase {
+                host: n,
+                uptime: Duration::ZERO,
+            };
+            let mut fleet = Fleet::on(phase, &[("a", "near")]);
             fleet.random = StdRng::seed_from_u64(n);
             fleet.share = 1.0 / hosts as f64;
             fleet
--- a/components/state/tests/rate_limits.rs
+++ b/components/state/tests/rate_limits.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use state::fleet::rate_limit::{RateLimit, RateLimitUpdate, RateLimits, Source};
+use state::fleet::token_buckets::HostPhase;
 use state::{EndpointKey, Moment};
 
 const ENDPOINT: EndpointKey = EndpointKey(7);
@@ -49,10 +50,17 @@
     first: Vec<Moment>,
 }
 
+/// Returns hosts that have just started, on machines with this uptime.
+fn started(hosts: usize, seed: u64, uptime: Duration) -> Vec<RateLimits> {
+    let names = (0..hosts as u64).map(|n| seed * 1_000 + n);
+    let phases = names.map(|host| HostPhase { host, uptime });
+    phases.map(RateLimits::new).collect()
+}
+
 impl Fleet {
     fn new(hosts: usize, seed: u64) -> Fleet {
         Fleet {
-            hosts: (0..hosts).map(|_| RateLimits::default()).collect(),
+            hosts: started(hosts, seed, Duration::ZERO),
             random: SmallRng::seed_from_u64(seed),
             now: Moment::from_millis(1_000),
             sent: Vec::new(),
@@ -73,8 +81,7 @@
         let share = 1.0 / self.hosts.len() as f64;
         while self.now < end {
             for host in &mut self.hosts {
-                let random = &mut self.random;
-                let exhausted = host.exhausted(share, self.now, &mut || random.random());
+                let exhausted = host.exhausted(share, self.now);
                 if busy && !exhausted.contains_key(&ENDPOINT) {
                     host.count(ENDPOINT, share, self.now);
                     self.sent.push(self.now);
@@ -96,7 +103,7 @@
             let host = &mut self.hosts[at];
             let random = &mut self.random;
             let chosen = host.contains(ENDPOINT) || random.random_ratio(1, 100);
-            let exhausted = host.exhausted(share, self.now, &mut || random.random());
+            let exhausted = host.exhausted(share, self.now);
             if chosen && !exhausted.contains_key(&ENDPOINT) {
                 host.count(ENDPOINT, share, self.now);
                 self.sent.push(self.now);
@@ -153,6 +160,28 @@
     }
 }
 
+/// Hosts that are killed again and again forget what they sent. The ones that start must not send
+/// an endpoint its limit once more.
+#[rstest]
+fn killed_repeatedly(
+    #[values(3, 13, 472)] hosts: usize,
+    #[values(0.4, 1.2, 6.0)] rate: f64,
+    #[values(700, 1_500, 4_000)] lifetime: u64,
+) {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(hosts, seed);
+        fleet.advertise(rate);
+        fleet.pass(Duration::from_secs(10), true);
+        for _ in 0..10 {
+            fleet.hosts = started(hosts, seed, Duration::ZERO);
+            fleet.advertise(rate);
+            fleet.pass(Duration::from_millis(lifetime), true);
+        }
+        let most = fleet.busiest();
+        assert!(most <= granted(rate), "{most} with seed {seed}");
+    }
+}
+
 /// Quotas unused in a quiet minute must not all be used at once in a burst.
 #[rstest]
 fn burst_after_calm(#[values(3, 13, 472)] hosts: usize) {
--- a/components/state/tests/resting_endpoints.rs
+++ b/components/state/tests/resting_endpoints.rs
@@ -114,7 +114,7 @@
                 version: VersionKey::named("v2"),
                 left: Duration::from_secs(60),
             };
-            let step = placement.next_canary(&mut context, &request, &target, now, &mut draw);
+            let step = placement.next_canary(&mut context, &request, &target, now);
             return step.unwrap_or(Step::Refuse(Refusal::NoEndpoint));
         }
         placement.next(&mut context, &request, now, &mut draw)
--- a/components/state/tests/token_buckets.rs
+++ b/components/state/tests/token_buckets.rs
@@ -2,21 +2,28 @@
 
 use std::time::Duration;
 
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use state::fleet::TokenBuckets;
-use state::fleet::token_buckets::Quota;
+use state::fleet::token_buckets::{HostPhase, Quota};
 use state::{EndpointKey, Moment};
 
 const ENDPOINT: EndpointKey = EndpointKey(7);
 const RATE: f64 = 3.0;
 const STEP: Duration = Duration::from_millis(10);
 
+/// Returns the buckets of hosts that have just started.
+fn started(hosts: usize, seed: u64) -> Vec<TokenBuckets> {
+    let names = (0..hosts as u64).map(|n| seed * 1_000 + n);
+    let phases = names.map(|host| HostPhase {
+        host,
+        uptime: Duration::ZERO,
+    });
+    phases.map(TokenBuckets::new).collect()
+}
+
 /// Returns how many requests a cold endpoint gets in each of thirty seconds, if all of
 /// `hosts` hosts have requests for it from `from` on.
 fn sent(hosts: usize, from: Duration, seed: u64) -> Vec<usize> {
-    let mut random = SmallRng::seed_from_u64(seed);
-    let mut buckets = vec![TokenBuckets::default(); hosts];
+    let mut buckets = started(hosts, seed);
     let quota = Quota::cold(RATE, 1.0 / hosts as f64);
     let start = Moment::from_millis(1_000);
     let mut seconds = vec![0; 30];
@@ -24,13 +31,12 @@
         let passed = STEP * step;
         let now = start + passed;
         for bucket in &mut buckets {
-            let draw = random.random();
             let sent = match passed < from {
                 true => {
-                    bucket.has(ENDPOINT, quota, draw, now);
+                    bucket.has(ENDPOINT, quota, now);
                     false
                 }
-                false => bucket.take(ENDPOINT, quota, draw, now),
+                false => bucket.take(ENDPOINT, quota, now),
             };
             seconds[passed.as_secs() as usize] += usize::from(sent);
         }
@@ -68,15 +74,47 @@
     }
 }
 
+/// All hosts are killed again and again while a cold endpoint is asked for at each. What they sent
+/// is forgotten, and must not be sent once more within the same second.
+#[test]
+fn killed_repeatedly() {
+    for (hosts, slack) in [(13, 5), (103, 8), (472, 10)] {
+        let bound = (RATE * 1.5) as usize + slack;
+        for seed in 0..50 {
+            let quota = Quota::cold(RATE, 1.0 / f64::from(hosts));
+            let mut buckets = started(hosts as usize, seed);
+            let mut sent = Vec::new();
+            for step in 0..2_000 {
+                let now = Moment::from_millis(1_000) + STEP * step;
+                if step % 70 == 0 {
+                    buckets = started(hosts as usize, seed);
+                }
+                for bucket in &mut buckets {
+                    if bucket.take(ENDPOINT, quota, now) {
+                        sent.push(now);
+                    }
+                }
+            }
+            let second = Duration::from_secs(1);
+            let within = |first: &Moment| {
+                let inside = |at: &&Moment| **at >= *first && at.since(*first) < second;
+                sent.iter().filter(inside).count()
+            };
+            let most = sent.iter().map(within).max().unwrap_or_default();
+            assert!(most <= bound, "{hosts} hosts sent {most}, seed {seed}");
+        }
+    }
+}
+
 /// A host that sees an endpoint before it knows its own share must not leave it out for a
 /// day.
 #[test]
 fn share_known_late() {
     let mut buckets = TokenBuckets::default();
     let start = Moment::from_millis(1_000);
-    assert!(!buckets.take(ENDPOINT, Quota::cold(RATE, 0.0), 0.5, start));
+    assert!(!buckets.take(ENDPOINT, Quota::cold(RATE, 0.0), start));
     let quota = Quota::cold(RATE, 0.1);
     let steps = (0..1_000).map(|step| start + STEP * step);
-    let sent = steps.filter(|now| buckets.take(ENDPOINT, quota, 0.5, *now));
+    let sent = steps.filter(|now| buckets.take(ENDPOINT, quota, *now));
     assert!(sent.count() >= 2);
 }
--- a/components/transport/src/clock.rs
+++ b/components/transport/src/clock.rs
@@ -16,9 +16,21 @@
 ///
 /// Panics if the system has no such clock.
 pub fn now() -> Moment {
+    let elapsed = uptime().saturating_sub(uptime_at_start());
+    Moment(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
+}
+
+/// Returns the machine's uptime at the first call of either function in this process.
+///
+/// # Panics
+///
+/// Panics if the system has no such clock.
+pub fn uptime_at_start() -> Duration {
     static START: OnceLock<Duration> = OnceLock::new();
+    *START.get_or_init(uptime)
+}
+
+fn uptime() -> Duration {
     let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the system has a boot clock");
-    let time = Duration::from(time);
-    let elapsed = time.saturating_sub(*START.get_or_init(|| time));
-    Moment(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
+    Duration::from(time)
 }
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -61,9 +61,10 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use state::fleet::service_time::ServiceTime;
+use state::fleet::token_buckets::HostPhase;
 use state::fleet::{AnnouncedTimes, HostProbeBudget, Registry};
 use state::routing::{OperatorConfig, Route};
-use state::{DataCentreKey, Moment, ServiceKey};
+use state::{DataCentreKey, HostKey, Moment, ServiceKey};
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, watch};
@@ -264,13 +265,17 @@
             true => HostProbeBudget::new(clock::now()),
             false => HostProbeBudget::restarted(clock::now()),
         };
+        let phase = HostPhase {
+            host: HostKey::named(&settings.peers.to_string()).0,
+            uptime: clock::uptime_at_start(),
+        };
         Gateway {
             home: DataCentreKey::named(&settings.data_centre),
             live: RefCell::new(settings.live.clone()),
             settings,
             started: clock::now(),
             config: RefCell::default(),
-            registry: RefCell::default(),
+            registry: RefCell::new(Registry::new(phase)),
             endpoints_loaded: Cell::new(false),
             schedules: RefCell::new(schedules),
             schedule_changed: Notify::new(),
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -237,9 +237,8 @@
             cold: Quota::cold(plan.map_or(0.0, |p| p.cold_rate), self.share.get()),
         };
         let mut draw = || self.random_fraction();
-        let canary_step = canary.and_then(|target| {
-            placement.next_canary(&mut context, request, &target, now, &mut draw)
-        });
+        let canary_step =
+            canary.and_then(|target| placement.next_canary(&mut context, request, &target, now));
         canary_step.unwrap_or_else(|| placement.next(&mut context, request, now, &mut draw))
     }
 
