--- a/tests/site/endpoint.rs
+++ b/tests/site/endpoint.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -29,6 +30,8 @@
     Delay(u64),
     /// Answers 503 with `Not-Executed: 1`, without running the request.
     Reject,
+    /// Does so with three requests of five, and serves the others.
+    RejectMost,
     /// Does so with `Retry-After`, in seconds.
     Rest(u32),
     /// Runs requests and answers 500.
@@ -89,8 +92,10 @@
     /// The rate limit, in requests a second, that answers to requests advertise.
     rate_limit: Mutex<Option<f64>>,
     runs: Mutex<Vec<(String, Instant)>>,
-    /// When each request was rejected.
-    rejections: Mutex<Vec<Instant>>,
+    /// The attempt IDs of the rejected requests, and when each arrived.
+    rejections: Mutex<Vec<(String, Instant)>>,
+    /// The number of requests of which a part was to be rejected.
+    requests: AtomicU64,
     /// When each health check arrived.
     probes: Mutex<Vec<Instant>>,
     /// Which answers say that the endpoint leaves.
@@ -134,6 +139,7 @@
             rate_limit: Mutex::default(),
             runs: Mutex::default(),
             rejections: Mutex::default(),
+            requests: AtomicU64::default(),
             probes: Mutex::default(),
             leaving: Mutex::default(),
             cancel_count: Mutex::default(),
@@ -203,6 +209,15 @@
 
     /// Returns when each request was rejected.
     pub fn rejections(&self) -> Vec<Instant> {
+        self.rejected().into_iter().map(|(_, at)| at).collect()
+    }
+
+    /// Returns the attempt IDs of all requests that arrived, rejected ones included, and when.
+    pub fn contacts(&self) -> Vec<(String, Instant)> {
+        [self.arrivals(), self.rejected()].concat()
+    }
+
+    fn rejected(&self) -> Vec<(String, Instant)> {
         self.inner
             .rejections
             .lock()
@@ -272,6 +287,11 @@
         store.put("keyed.servers", &self.instance(), Some(&entry));
     }
 
+    /// Counts a request that may be rejected, and returns the number of those before it.
+    fn count_request(&self) -> u64 {
+        self.requests.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Returns whether requests of this path crash the endpoint.
     fn crashes_on(&self, path: &str) -> bool {
         let crash = self
@@ -391,12 +411,17 @@
         .behaviour
         .lock()
         .expect("no test panics with the lock held");
-    if let Behaviour::Reject | Behaviour::Rest(_) = behaviour {
+    let is_rejected = match behaviour {
+        Behaviour::Reject | Behaviour::Rest(_) => true,
+        Behaviour::RejectMost => inner.count_request() % 5 < 3,
+        _ => false,
+    };
+    if is_rejected {
         inner
             .rejections
             .lock()
             .expect("no test panics with the lock held")
-            .push(Instant::now());
+            .push((id.clone(), Instant::now()));
         let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, "", &id);
         set_header(&mut response, "not-executed", "1");
         if let Behaviour::Rest(seconds) = behaviour {
