--- a/components/state/tests/host_probe_budget.rs
+++ b/components/state/tests/host_probe_budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
 use state::Moment;
 use state::fleet::HostProbeBudget;
 
@@ -68,6 +69,35 @@
     }
 }
 
+/// Hosts are killed again and again under a flood of requests. If each start brings probes that
+/// nobody has earned, the hosts together send several times what is granted.
+#[rstest]
+fn restarted_in_flood(#[values(1_200, 2_500, 5_000)] lifetime: u64) {
+    for (hosts, endpoints) in [(13, 25), (18, 37), (133, 240)] {
+        let start = Moment::from_millis(1_000);
+        let mut budget = HostProbeBudget::new(start);
+        let mut sent = 0;
+        for millis in 0..58_000 {
+            let now = start + Duration::from_millis(millis);
+            if millis > 8_000 && millis % lifetime == 0 {
+                budget = HostProbeBudget::restarted(now);
+            }
+            budget.refill(RATE, endpoints, 1.0 / f64::from(hosts), now);
+            if budget.is_available() {
+                budget.spend();
+                sent += 1;
+            }
+        }
+        // Callers arrive eight seconds after the start.
+        let granted = RATE * endpoints as f64 * 50.0;
+        let all = f64::from(sent * hosts);
+        assert!(
+            all <= granted,
+            "{hosts} hosts sent {all} probes of {granted}"
+        );
+    }
+}
+
 /// In a burst after a quiet period a host may use the probes it has saved, but not more
 /// than those of one minute.
 #[test]
