tests: reads_served gives hosts requests first, so that they have earned retries

Cause: the run's own load had stood still, so that it sent 49 requests instead of 150. Each of six hosts that had just started had got four or five by the loss, which earn 0.9 of a retry: requests at the lost data centre were not sent elsewhere, as the retry budget asks. Change: each host gets twelve requests before the load. What is sent, lost and checked is as before.

--- a/tests/centre_lost.rs
+++ b/tests/centre_lost.rs
@@ -28,6 +28,9 @@
 /// How long requests are sent before and after the loss.
 const LOAD_TIME: Duration = Duration::from_millis(1_500);
 
+/// The requests that each host gets before the load, so that it has earned retries.
+const FIRST_REQUESTS: usize = 12;
+
 /// One in this many requests may fail: those whose retry met the lost data centre again.
 const FAILED_DIVISOR: usize = 25;
 
@@ -86,6 +89,17 @@
         }
     }
 
+    /// Sends the hosts requests that earn retries for later ones.
+    async fn warm_up(&self) {
+        let mut running = JoinSet::new();
+        for number in 0..FIRST_REQUESTS * self.hosts.len() {
+            let host = Arc::clone(&self.hosts[number % self.hosts.len()]);
+            let id = format!("first-{number}");
+            running.spawn(async move { host.try_request("GET", "/read/x", &id).await });
+        }
+        running.join_all().await;
+    }
+
     /// Ends the data centre that is lost, as seen from the others.
     fn lose(&self, mode: CutMode) {
         let hosts: Vec<&Host> = self.hosts.iter().map(|h| &**h).collect();
@@ -172,6 +186,7 @@
 async fn reads_served(#[case] mode: CutMode) {
     let site = Site::start().await;
     sleep(Duration::from_secs(2)).await;
+    site.warm_up().await;
     let all = site.run("GET", mode).await;
     print(&all);
     let failed = all.iter().filter(|s| s.status != 200).count();
