retry budget: named for the host that it belongs to; the window is needed nowhere

The limits hold in windows of any length, so HostRetryBudget has no window; repeat_window_seconds is still checked in the settings. No change of what is allowed.

--- a/components/state/src/fleet/mod.rs
+++ b/components/state/src/fleet/mod.rs
@@ -48,7 +48,7 @@
 pub use quota_bucket::QuotaBucket;
 pub use rate_limit::RateLimit;
 pub use registry::{Entry, Registry};
-pub use retry_budget::WindowedRetryBudget;
+pub use retry_budget::HostRetryBudget;
 pub use subset::Subset;
 pub use subset_size::SubsetSize;
 pub use token_buckets::TokenBuckets;
--- a/components/state/src/fleet/retry_budget.rs
+++ b/components/state/src/fleet/retry_budget.rs
@@ -1,7 +1,5 @@
 //! Limits the retries of requests within a time window, over all hosts together.
 
-use std::time::Duration;
-
 /// The fraction of the granted ratio that hosts use.
 ///
 /// A host counts a request when it reads it, which may be in a later window than the one in
@@ -15,8 +13,6 @@
     pub ratio: f64,
     /// The number of retries granted besides, in each window and to all hosts together.
     pub slack: f64,
-    /// The length of the window.
-    pub window: Duration,
 }
 
 /// What a host counted at a service since the last report.
@@ -62,16 +58,16 @@
 /// buckets held when it began: hosts may be killed and start with an empty bucket, and callers
 /// may move between hosts, but nothing that one host has spent is earned by another one.
 #[derive(Clone, Debug)]
-pub struct WindowedRetryBudget {
+pub struct HostRetryBudget {
     bounds: RetryBounds,
     tokens: f64,
     counts: RetryCounts,
 }
 
-impl WindowedRetryBudget {
+impl HostRetryBudget {
     /// Returns the budget of a host that starts together with its whole site.
-    pub fn new(bounds: RetryBounds) -> WindowedRetryBudget {
-        WindowedRetryBudget {
+    pub fn new(bounds: RetryBounds) -> HostRetryBudget {
+        HostRetryBudget {
             bounds,
             tokens: bounds.slack,
             counts: RetryCounts::default(),
@@ -79,10 +75,10 @@
     }
 
     /// Returns the budget of a host that starts while others run, or after others have run.
-    pub fn restarted(bounds: RetryBounds) -> WindowedRetryBudget {
-        WindowedRetryBudget {
+    pub fn restarted(bounds: RetryBounds) -> HostRetryBudget {
+        HostRetryBudget {
             tokens: 0.0,
-            ..WindowedRetryBudget::new(bounds)
+            ..HostRetryBudget::new(bounds)
         }
     }
 
--- a/components/state/tests/windowed_retry_budget.rs
+++ b/components/state/tests/host_retry_budget.rs
@@ -6,15 +6,17 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use state::fleet::WindowedRetryBudget;
+use state::fleet::HostRetryBudget;
 use state::fleet::retry_budget::{HostPart, RetryBounds};
 
 const BOUNDS: RetryBounds = RetryBounds {
     ratio: 0.2,
     slack: 56.0,
-    window: Duration::from_secs(10),
 };
 
+/// The window in which operators count retries.
+const WINDOW: Duration = Duration::from_secs(10);
+
 /// Returns the part of one of `hosts` equal hosts.
 fn equal_part(hosts: usize) -> HostPart {
     HostPart {
@@ -31,14 +33,13 @@
     for seed in 0..20 {
         let mut random = StdRng::seed_from_u64(seed);
         let hosts = 13;
-        let mut budgets: Vec<WindowedRetryBudget> = (0..hosts)
-            .map(|_| WindowedRetryBudget::new(BOUNDS))
-            .collect();
+        let mut budgets: Vec<HostRetryBudget> =
+            (0..hosts).map(|_| HostRetryBudget::new(BOUNDS)).collect();
         let mut requests = Vec::new();
         let mut retries = Vec::new();
         for step in 0..40_000u64 {
             if step == 20_000 {
-                budgets = vec![WindowedRetryBudget::restarted(BOUNDS); hosts];
+                budgets = vec![HostRetryBudget::restarted(BOUNDS); hosts];
             }
             if !random.random_bool(0.1) {
                 continue;
@@ -75,7 +76,7 @@
 /// A host that starts doesn't know what it sent before it was killed.
 #[test]
 fn idle_host() {
-    let mut budget = WindowedRetryBudget::restarted(BOUNDS);
+    let mut budget = HostRetryBudget::restarted(BOUNDS);
     assert!(!budget.take(equal_part(10)));
     for _ in 0..5 {
         budget.count(equal_part(10));
@@ -90,7 +91,7 @@
 fn site_start() {
     let mut retries = 0;
     for _ in 0..13 {
-        let mut budget = WindowedRetryBudget::new(BOUNDS);
+        let mut budget = HostRetryBudget::new(BOUNDS);
         while budget.take(equal_part(13)) {
             retries += 1;
         }
@@ -105,7 +106,7 @@
         share: 0.0,
         hosts: 1,
     };
-    let mut budget = WindowedRetryBudget::restarted(BOUNDS);
+    let mut budget = HostRetryBudget::restarted(BOUNDS);
     let mut retries = 0;
     for _ in 0..1_000 {
         budget.count(unknown);
@@ -117,7 +118,7 @@
 /// A share that shrinks takes what was saved with it.
 #[test]
 fn smaller_share() {
-    let mut budget = WindowedRetryBudget::new(BOUNDS);
+    let mut budget = HostRetryBudget::new(BOUNDS);
     let part = HostPart {
         share: 0.0,
         hosts: 13,
@@ -130,7 +131,7 @@
 struct Site {
     random: StdRng,
     bounds: RetryBounds,
-    budgets: Vec<WindowedRetryBudget>,
+    budgets: Vec<HostRetryBudget>,
     /// The time, in milliseconds, from which each host receives requests.
     up_from: Vec<u64>,
     parts: Vec<HostPart>,
@@ -146,7 +147,7 @@
         Site {
             random: StdRng::seed_from_u64(seed),
             bounds,
-            budgets: vec![WindowedRetryBudget::new(bounds); hosts],
+            budgets: vec![HostRetryBudget::new(bounds); hosts],
             up_from: vec![0; hosts],
             parts: vec![equal_part(hosts); hosts],
             callers: (0..hosts).collect(),
@@ -180,7 +181,7 @@
     /// Kills a part of the hosts; they are back after `down` milliseconds.
     fn kill(&mut self, fraction: f64, down: u64, now: u64) {
         for host in self.choose(fraction) {
-            self.budgets[host] = WindowedRetryBudget::restarted(self.bounds);
+            self.budgets[host] = HostRetryBudget::restarted(self.bounds);
             self.up_from[host] = now + down;
         }
     }
@@ -203,7 +204,7 @@
 
     /// Fails if any window has more retries than are granted.
     fn check(&self, what: &str) {
-        let window = self.bounds.window.as_millis() as u64;
+        let window = WINDOW.as_millis() as u64;
         let since = |times: &[u64], after: u64| times.partition_point(|t| *t <= after);
         let within =
             |times: &[u64], end: u64| since(times, end) - since(times, end.saturating_sub(window));
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -16,7 +16,7 @@
 use state::fleet::fingerprint::{Content, Fingerprints};
 use state::fleet::placement::{self, Refusal};
 use state::fleet::retry_after;
-use state::fleet::{Placement, WindowedRetryBudget};
+use state::fleet::{HostRetryBudget, Placement};
 use state::routing::Route;
 use state::{Moment, ServiceKey};
 use tokio::sync::Notify;
@@ -479,7 +479,7 @@
                 let allowed = progress.unsent < MAX_UNSENT_ATTEMPTS;
                 if allowed {
                     self.gateway
-                        .with_retry_budget(self.service, WindowedRetryBudget::note_uncharged);
+                        .with_retry_budget(self.service, HostRetryBudget::note_uncharged);
                 }
                 return allowed;
             }
--- a/components/transport/src/gateway/retries.rs
+++ b/components/transport/src/gateway/retries.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use state::ServiceKey;
-use state::fleet::WindowedRetryBudget;
+use state::fleet::HostRetryBudget;
 use state::fleet::retry_budget::{HostPart, RetryBounds};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -20,29 +20,28 @@
 const MAX_LINES: usize = 16;
 
 /// The retry budgets by service.
-pub(super) type RetryBudgets = RefCell<BTreeMap<ServiceKey, WindowedRetryBudget>>;
+pub(super) type RetryBudgets = RefCell<BTreeMap<ServiceKey, HostRetryBudget>>;
 
 impl Gateway {
     /// Runs `act` on the retry budget of a service.
     pub(super) fn with_retry_budget<R>(
         &self,
         service: ServiceKey,
-        act: impl FnOnce(&mut WindowedRetryBudget) -> R,
+        act: impl FnOnce(&mut HostRetryBudget) -> R,
     ) -> R {
         let bounds = {
             let bounds = &self.live.borrow().bounds;
             RetryBounds {
                 ratio: bounds.repeat_ratio,
                 slack: bounds.repeat_slack,
-                window: bounds.repeat_window,
             }
         };
         let mut budgets = self.retry_budgets.borrow_mut();
         let budget = budgets
             .entry(service)
             .or_insert_with(|| match self.settings.first_start {
-                true => WindowedRetryBudget::new(bounds),
-                false => WindowedRetryBudget::restarted(bounds),
+                true => HostRetryBudget::new(bounds),
+                false => HostRetryBudget::restarted(bounds),
             });
         budget.set_bounds(bounds);
         act(budget)
--- a/components/transport/src/gateway/settings.rs
+++ b/components/transport/src/gateway/settings.rs
@@ -68,8 +68,6 @@
     pub repeat_ratio: f64,
     /// Additional retries allowed to all hosts together within each window.
     pub repeat_slack: f64,
-    /// The window in which retries are counted.
-    pub repeat_window: Duration,
     /// Maximum number of probes per second to one endpoint from all hosts together.
     pub ask_rate: f64,
     /// Requests by which all hosts together may exceed an account's quota in a window.
--- a/src/settings_file.rs
+++ b/src/settings_file.rs
@@ -59,7 +59,8 @@
     /// The number of additional retries granted to all hosts together in each window.
     #[serde(default)]
     repeat_slack: f64,
-    /// The length in seconds of the window in which retries are counted.
+    /// The length in seconds of the window in which retries are counted; the limits hold in
+    /// windows of any length.
     #[serde(default = "default_window")]
     repeat_window_seconds: f64,
     /// Probes per second that one endpoint may receive from all hosts together.
@@ -200,7 +201,7 @@
     }
     let regions = file.regions.iter().map(|(c, r)| (c.as_str(), r.as_str()));
     match (callers, readiness, peers, log, grace, window) {
-        (Some(callers), Some(readiness), Some(peers), Some(log), Some(grace), Some(window))
+        (Some(callers), Some(readiness), Some(peers), Some(log), Some(grace), Some(_))
             if errors.is_empty() =>
         {
             Ok(Settings {
@@ -227,7 +228,6 @@
                         grace,
                         repeat_ratio: file.repeat_ratio,
                         repeat_slack: file.repeat_slack,
-                        repeat_window: window,
                         ask_rate: file.probes_per_second,
                         quota_slack: file.quota_slack,
                         configuration,
