--- a/components/coordination/src/group_joins.rs
+++ b/components/coordination/src/group_joins.rs
@@ -23,7 +23,7 @@
 /// there are more hosts than partitions, some hold none, and each takes the same share.
 /// Estimates that are too low by a tenth make the shares add up to a tenth too much.
 ///
-/// A member that holds more than an even split has them before others have joined, or while
+/// Partitions beyond an even split don't count: the member has them before others have joined, or
 /// others that don't know it yet go on with them.
 pub fn share(held: usize, partitions: usize, hosts: usize) -> f64 {
     match hosts > partitions {
