tests: helper_killed counts runs of requests that may run only once

Cause: the check counted the reads (GET) that the test sends first, too. Under load these are hedged after 85 ms without an answer, and may run twice. Change: reads are left out there; requests of POST are checked as before, and the message names those that ran twice.

--- a/tests/isolated_hosts.rs
+++ b/tests/isolated_hosts.rs
@@ -141,12 +141,16 @@
         }
     }
 
-    /// Returns the IDs of all requests that ran, and whether any ran twice.
-    fn runs(&self) -> (BTreeSet<String>, bool) {
-        let all: Vec<String> = self.endpoints.iter().flat_map(Endpoint::runs).collect();
-        let unique: BTreeSet<String> = all.iter().cloned().collect();
-        let twice = unique.len() < all.len();
-        (unique, twice)
+    /// Returns the IDs of all requests that ran, and of those that ran more than once.
+    fn runs(&self) -> (BTreeSet<String>, Vec<String>) {
+        let mut unique = BTreeSet::new();
+        let mut repeated = Vec::new();
+        for id in self.endpoints.iter().flat_map(Endpoint::runs) {
+            if !unique.insert(id.clone()) {
+                repeated.push(id);
+            }
+        }
+        (unique, repeated)
     }
 }
 
@@ -199,8 +203,8 @@
         let name = format!("round-{round}");
         let statuses = site.statuses(&name, "POST", STABILITY_WINDOW).await;
         site.network.heal();
-        let (ran, twice) = site.runs();
-        assert!(!twice, "a request ran twice");
+        let (ran, repeated) = site.runs();
+        assert!(repeated.is_empty(), "ran twice: {repeated:?}");
         let rejected = statuses.iter().filter(|(_, _, status)| *status == 503);
         for (_, id, _) in rejected {
             assert!(!ran.contains(id), "{id} was rejected as not run, and ran");
@@ -258,7 +262,10 @@
     for tally in &after[..2] {
         assert_eq!(tally.served, tally.sent, "{after:?}, before {lost:?}");
     }
-    assert!(!site.runs().1, "a request ran twice");
+    let (_, mut repeated) = site.runs();
+    // Idempotent requests may run again.
+    repeated.retain(|id| !id.starts_with("during-"));
+    assert!(repeated.is_empty(), "ran twice: {repeated:?}");
 }
 
 /// The host that serves another one's requests stands still, and its connections stay open. No
