gateway: E0190 is logged for each service with retries

Cause: at most 16 services were logged a second, always the first by key, so that with more services than that failing at once the others were never told, though the comment said later. A line a second and service is bounded by the services themselves. Change: the limit is gone.

--- a/components/transport/src/gateway/retries.rs
+++ b/components/transport/src/gateway/retries.rs
@@ -16,9 +16,6 @@
 /// The shortest interval between two log lines about the same service.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum number of services logged per interval; the others are logged in a later one.
-const MAX_LINES: usize = 16;
-
 /// The retry budgets by service.
 pub(super) type RetryBudgets = RefCell<BTreeMap<ServiceKey, HostRetryBudget>>;
 
@@ -72,11 +69,10 @@
     fn log_retry_budgets(&self) {
         let part = self.retry_part();
         let mut budgets = self.retry_budgets.borrow_mut();
-        let reports = budgets.iter_mut().filter_map(|(service, budget)| {
-            let report = budget.report(part)?;
-            Some((service, report))
-        });
-        for (service, report) in reports.take(MAX_LINES) {
+        for (service, budget) in budgets.iter_mut() {
+            let Some(report) = budget.report(part) else {
+                continue;
+            };
             let counts = report.counts;
             log::info!(
                 "E0190 retry-budget service={:016x} requests={} charged={} uncharged={} \
