tests: the flood of probes and the calm before a failure are written once

check_flood serves short_flood and restarted_in_flood, fail_after_calm the three tests of the retry budget.

--- a/components/state/tests/host_probe_budget.rs
+++ b/components/state/tests/host_probe_budget.rs
@@ -41,6 +41,34 @@
     }
 }
 
+/// Fails if `hosts` hosts, each of which would send 1,000 probes a second for 58 seconds, send more
+/// than are granted for the 50 seconds with callers.
+///
+/// With a `lifetime`, in milliseconds, all hosts restart this often while there are callers.
+fn check_flood(hosts: u32, endpoints: usize, lifetime: Option<u64>) {
+    let start = Moment::from_millis(1_000);
+    let mut budget = HostProbeBudget::new(start);
+    let mut sent = 0;
+    for millis in 0..58_000 {
+        let now = start + Duration::from_millis(millis);
+        if lifetime.is_some_and(|time| millis > 8_000 && millis % time == 0) {
+            budget = HostProbeBudget::restarted(now);
+        }
+        budget.refill(RATE, endpoints, 1.0 / f64::from(hosts), now);
+        if budget.is_available() {
+            budget.spend();
+            sent += 1;
+        }
+    }
+    // Callers arrive eight seconds after the start.
+    let granted = RATE * endpoints as f64 * 50.0;
+    let all = f64::from(sent * hosts);
+    assert!(
+        all <= granted,
+        "{hosts} hosts sent {all} probes of {granted}"
+    );
+}
+
 /// A site starts with a flood of requests, and its whole day lasts less than a minute. If
 /// hosts keep the thousand probes that each may send before it knows its share, 13 hosts
 /// probe 25 endpoints more often in 58 seconds than is granted for the 50 seconds with
@@ -48,24 +76,7 @@
 #[test]
 fn short_flood() {
     for (hosts, endpoints) in [(13, 25), (18, 37), (133, 240), (1_000, 280)] {
-        let start = Moment::from_millis(1_000);
-        let mut budget = HostProbeBudget::new(start);
-        let mut sent = 0;
-        for millis in 0..58_000 {
-            let now = start + Duration::from_millis(millis);
-            budget.refill(RATE, endpoints, 1.0 / f64::from(hosts), now);
-            if budget.is_available() {
-                budget.spend();
-                sent += 1;
-            }
-        }
-        // Callers arrive eight seconds after the start.
-        let granted = RATE * endpoints as f64 * 50.0;
-        let all = f64::from(sent * hosts);
-        assert!(
-            all <= granted,
-            "{hosts} hosts sent {all} probes of {granted}"
-        );
+        check_flood(hosts, endpoints, None);
     }
 }
 
@@ -74,27 +85,7 @@
 #[rstest]
 fn restarted_in_flood(#[values(1_200, 2_500, 5_000)] lifetime: u64) {
     for (hosts, endpoints) in [(13, 25), (18, 37), (133, 240)] {
-        let start = Moment::from_millis(1_000);
-        let mut budget = HostProbeBudget::new(start);
-        let mut sent = 0;
-        for millis in 0..58_000 {
-            let now = start + Duration::from_millis(millis);
-            if millis > 8_000 && millis % lifetime == 0 {
-                budget = HostProbeBudget::restarted(now);
-            }
-            budget.refill(RATE, endpoints, 1.0 / f64::from(hosts), now);
-            if budget.is_available() {
-                budget.spend();
-                sent += 1;
-            }
-        }
-        // Callers arrive eight seconds after the start.
-        let granted = RATE * endpoints as f64 * 50.0;
-        let all = f64::from(sent * hosts);
-        assert!(
-            all <= granted,
-            "{hosts} hosts sent {all} probes of {granted}"
-        );
+        check_flood(hosts, endpoints, Some(lifetime));
     }
 }
 
--- a/components/state/tests/host_retry_budget.rs
+++ b/components/state/tests/host_retry_budget.rs
@@ -202,6 +202,17 @@
         }
     }
 
+    /// Sends a request each millisecond; none fails for 20 seconds, and all do for 25.
+    ///
+    /// Calls `event` with each time before its request.
+    fn fail_after_calm(&mut self, mut event: impl FnMut(&mut Site, u64)) {
+        for now in 0..45_000 {
+            event(self, now);
+            let failing = if now < 20_000 { 0.0 } else { 1.0 };
+            self.request(now, failing);
+        }
+    }
+
     /// Fails if any window has more retries than are granted.
     fn check(&self, what: &str) {
         let window = WINDOW.as_millis() as u64;
@@ -231,13 +242,11 @@
     #[values(500, 2_500, 6_000)] after: u64,
 ) {
     let mut site = Site::new(hosts, hosts as f64 + 44.0, 1);
-    for now in 0..45_000 {
+    site.fail_after_calm(|site, now| {
         if now == 20_000 + after {
             site.kill(killed, 500, now);
         }
-        let failing = if now < 20_000 { 0.0 } else { 1.0 };
-        site.request(now, failing);
-    }
+    });
     site.check("killed");
 }
 
@@ -248,13 +257,11 @@
     let mut site = Site::new(hosts, hosts as f64 + 44.0, 2);
     let (first, second): (Vec<usize>, Vec<usize>) = (0..hosts).partition(|n| n * 2 < hosts);
     site.callers = first;
-    for now in 0..45_000 {
+    site.fail_after_calm(|site, now| {
         if now == 22_500 {
             site.callers.clone_from(&second);
         }
-        let failing = if now < 20_000 { 0.0 } else { 1.0 };
-        site.request(now, failing);
-    }
+    });
     site.check("moved");
 }
 
@@ -263,13 +270,11 @@
 #[rstest]
 fn shares_moved(#[values(13, 97, 984)] hosts: usize) {
     let mut site = Site::new(hosts, hosts as f64 + 200.0, 3);
-    for now in 0..45_000 {
+    site.fail_after_calm(|site, now| {
         if now >= 20_000 && now % 1_500 == 0 {
             site.move_shares(0.2);
         }
-        let failing = if now < 20_000 { 0.0 } else { 1.0 };
-        site.request(now, failing);
-    }
+    });
     site.check("shares moved");
 }
 
