--- a/components/coordination/tests/quota.rs
+++ b/components/coordination/tests/quota.rs
@@ -149,9 +149,9 @@
     assert!(worst <= 1.0, "{worst} of the bound");
 }
 
-/// After a calm time the whole burst is used at once, and hosts are killed again and again: each
-/// home that starts anew grants from an empty memory. Together they must not grant the burst
-/// once more.
+/// After a calm time the whole burst is used at once, and hosts are killed again and again: a home
+/// that starts anew doesn't know what was granted. Together they must not grant the burst once
+/// more.
 #[rstest]
 fn killed_repeatedly(
     #[values(0.2, 0.55, 1.0)] fraction: f64,
--- a/components/state/src/fleet/token_buckets.rs
+++ b/components/state/src/fleet/token_buckets.rs
@@ -12,7 +12,7 @@
 ///
 /// Cold endpoints fail if they get clearly more than their rate. The limit applies to all
 /// hosts together, so each host uses only its quota: one token per interval, with a
-/// random phase. The phase keeps hosts that start together from sending in the same
+/// phase of its own. The phase keeps hosts that start together from sending in the same
 /// second, and a host whose interval is longer than an endpoint's cold phase usually
 /// sends nothing. A bucket holds one token, for a short time only.
 ///
--- a/src/settings_file.rs
+++ b/src/settings_file.rs
@@ -173,7 +173,7 @@
     }
     let log = address("log_address", &file.log_address, &mut errors);
     let grace = seconds("grace_seconds", file.grace_seconds, &mut errors);
-    let window = seconds(
+    seconds(
         "repeat_window_seconds",
         file.repeat_window_seconds,
         &mut errors,
@@ -200,8 +200,8 @@
         errors.push(format!("open_files: must be above {}", RESERVED_FILES * 2));
     }
     let regions = file.regions.iter().map(|(c, r)| (c.as_str(), r.as_str()));
-    match (callers, readiness, peers, log, grace, window) {
-        (Some(callers), Some(readiness), Some(peers), Some(log), Some(grace), Some(_))
+    match (callers, readiness, peers, log, grace) {
+        (Some(callers), Some(readiness), Some(peers), Some(log), Some(grace))
             if errors.is_empty() =>
         {
             Ok(Settings {
