read schedule: hosts leave reading a whole topic to the one that began

After the store has dropped records that no host had read, none can read on from its offset, and each read of all pages is charged.

Cause: a host that begins a read puts the others' off by 60 to 120 ms, as an answer takes 4 ms. Hosts whose offset is trimmed forgot it, so that they could take nothing from a neighbour until they had read everything themselves.

Change: a host that reads a whole topic for the others says so, every 100 ms while it makes progress; the others leave it to that host for 200 to 400 ms from its last word, also the reader and those that have found their offset trimmed, which wait a random time of up to 40 ms first. A trimmed host keeps its offset and applies what the neighbour sends; a read that ends behind that is not applied. Killed or stuck, the host falls silent and another one reads.

--- a/components/coordination/src/read_schedule.rs
+++ b/components/coordination/src/read_schedule.rs
@@ -127,6 +127,17 @@
 /// The total time for which a host without any records defers to its neighbours.
 const FULL_READ_DEFERRAL_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// The largest random delay before a host reads a whole topic whose records were dropped.
+///
+/// Hosts whose reads became due at the same moment learn in this time which of them is first.
+const RESYNC_JITTER: Duration = Duration::from_millis(40);
+
+/// How often a host that reads a whole topic for the others repeats that it does.
+pub const RESYNC_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How long a host leaves reading the whole topic to a neighbour that was last heard to do so.
+const RESYNC_DEFERRAL: Duration = RESYNC_INTERVAL.saturating_mul(2);
+
 /// The longest time for which a restarted host waits to learn of its neighbours.
 const INTRODUCTION_WAIT: Duration = Duration::from_millis(100);
 
@@ -144,8 +155,10 @@
 #[derive(Clone, Debug)]
 pub struct ReadSchedule {
     next: Option<u64>,
-    /// The offset to read from when the store no longer had its record.
-    trimmed_at: Option<u64>,
+    /// Whether the store no longer has the record at the offset.
+    is_trimmed: bool,
+    /// Until when this host leaves reading the whole topic to a neighbour.
+    resync_until: Moment,
     /// When this host last took in the whole topic.
     replaced_at: Option<Moment>,
     reader: bool,
@@ -209,7 +222,8 @@
     pub fn new(now: Moment) -> ReadSchedule {
         ReadSchedule {
             next: None,
-            trimmed_at: None,
+            is_trimmed: false,
+            resync_until: now,
             replaced_at: None,
             reader: false,
             reading: false,
@@ -267,11 +281,16 @@
         }
     }
 
-    /// Returns the offset to read from, or `None` if the whole topic has to be read.
+    /// Returns the offset up to which this host knows the topic, `None` if it has no records.
     pub fn next(&self) -> Option<u64> {
         self.next
     }
 
+    /// Returns the offset to read from, or `None` if the whole topic has to be read.
+    pub fn read_from(&self) -> Option<u64> {
+        self.next.filter(|_| !self.is_trimmed)
+    }
+
     /// Returns when this host's own read is due.
     pub fn due(&self) -> Moment {
         self.latest_read().map_or(self.due, |at| self.due.min(at))
@@ -367,7 +386,7 @@
         self.note_update(now);
         self.next = Some(next);
         self.replaced_at = Some(now);
-        self.trimmed_at = None;
+        self.is_trimmed = false;
         self.reach(next);
         self.read_at = read_at;
         if self.failures == 0 {
@@ -611,15 +630,33 @@
         self.fragments = 0;
     }
 
-    /// Records that the store no longer has the record at this host's offset.
-    pub fn offset_trimmed(&mut self, now: Moment) {
-        self.trimmed_at = self.next.take();
-        self.due = now;
+    /// Records that the store no longer has the record at this host's offset; `draw` is a
+    /// random number from 0 to 1.
+    ///
+    /// None of the neighbours can read on from there either. The first host reads the whole
+    /// topic and sends the others what has changed.
+    pub fn offset_trimmed(&mut self, draw: f64, now: Moment) {
+        self.is_trimmed = true;
+        self.reading = false;
+        self.due = self.resync_until.max(now + RESYNC_JITTER.mul_f64(draw));
+    }
+
+    /// Records that a neighbour reads the whole topic, since the store dropped records that no
+    /// host had read; `draw` is a random number from 0 to 1.
+    ///
+    /// The neighbour repeats this while it makes progress, so that one that is killed doesn't
+    /// keep the others from reading.
+    pub fn neighbour_resyncs(&mut self, draw: f64, now: Moment) {
+        self.resync_until = now + RESYNC_DEFERRAL.mul_f64(1.0 + draw);
+        if self.is_trimmed || !self.reader && !self.has_gap {
+            self.due = self.due.max(self.resync_until);
+        }
     }
 
     /// Returns the offset that was trimmed, once.
     pub fn take_trimmed(&mut self) -> Option<u64> {
-        self.trimmed_at.take()
+        let is_trimmed = std::mem::take(&mut self.is_trimmed);
+        self.next.filter(|_| is_trimmed)
     }
 
     /// Returns whether this host knows exactly the records before its offset.
@@ -681,6 +718,7 @@
             _ => {}
         }
         self.next = Some(next);
+        self.is_trimmed &= next == known;
         self.reach(next);
         if self.awaits_updates() {
             self.defer_takeover(draw, now);
--- a/components/protocol/src/neighbour.rs
+++ b/components/protocol/src/neighbour.rs
@@ -48,6 +48,9 @@
     ReadStarted(Topic),
     /// Reports that the sender failed to read this topic from the store.
     ReadFailed(Topic),
+    /// Announces that the sender reads this whole topic, since the store dropped records that
+    /// no host had read. It sends what has changed.
+    Resync(Topic),
     /// Requests a snapshot of this topic, since the sender has no records of it and can't
     /// read the store.
     SnapshotRequest(Topic),
@@ -273,6 +276,9 @@
     age_ms: Option<u64>,
     #[prost(message, repeated, tag = "31")]
     positions: Vec<WirePosition>,
+    /// Whether the sender reads the whole topic for its neighbours.
+    #[prost(bool, tag = "32")]
+    resync: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -407,6 +413,7 @@
             NeighbourMessage::Update(_) => "news",
             NeighbourMessage::ReadStarted(_) => "reading",
             NeighbourMessage::ReadFailed(_) => "trouble",
+            NeighbourMessage::Resync(_) => "resync",
             NeighbourMessage::SnapshotRequest(_) => "wanted",
             NeighbourMessage::Snapshot(_) => "held",
             NeighbourMessage::RecordsRequest(..) => "missing",
@@ -542,6 +549,13 @@
                 read_failed: true,
                 ..WireMessage::default()
             },
+            NeighbourMessage::Resync(topic) => WireMessage {
+                topic: topic_number(*topic),
+                // Hosts of earlier releases know it as any other read.
+                read_started: true,
+                resync: true,
+                ..WireMessage::default()
+            },
         };
         let message = wire.encode_to_vec();
         let is_fragment = matches!(self, NeighbourMessage::Fragment(..));
@@ -615,6 +629,7 @@
             number => topic_of(number)?,
         };
         match wire {
+            _ if wire.resync => return Ok(NeighbourMessage::Resync(topic)),
             _ if wire.read_started => return Ok(NeighbourMessage::ReadStarted(topic)),
             _ if wire.read_failed => return Ok(NeighbourMessage::ReadFailed(topic)),
             _ if wire.resend => return Ok(NeighbourMessage::RecordsRequest(topic, wire.from)),
--- a/components/protocol/tests/neighbour_messages.rs
+++ b/components/protocol/tests/neighbour_messages.rs
@@ -122,6 +122,7 @@
             age: None,
         }),
         NeighbourMessage::ReadStarted(Topic::Endpoints),
+        NeighbourMessage::Resync(Topic::Endpoints),
         NeighbourMessage::Borrow(8),
         NeighbourMessage::Lend(ProbeLoan {
             request_id: 8,
--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -9,14 +9,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coordination::read_schedule::{ReadSchedule, UpdateOutcome};
+use coordination::read_schedule::{RESYNC_INTERVAL, ReadSchedule, UpdateOutcome};
 use coordination::superseded::blank_superseded;
 use platform::endpoint;
 use platform::operator::{self, Subject};
 use platform::store::Record;
 use protocol::neighbour::{NeighbourMessage, RecordUpdate, Topic};
 use state::fleet::{Endpoint, Entry};
-use state::{DataCentreKey, ServiceKey};
+use state::{DataCentreKey, Moment, ServiceKey};
 use tokio::time::timeout;
 
 use super::Gateway;
@@ -38,7 +38,7 @@
             let (next, is_reader, deferrals) = self.with_schedule(topic, |schedule| {
                 schedule.begin_read();
                 let deferrals = schedule.deferrals(now);
-                (schedule.next(), schedule.is_reader(), deferrals)
+                (schedule.read_from(), schedule.is_reader(), deferrals)
             });
             if !is_reader {
                 log::info!(
@@ -96,7 +96,7 @@
         let now = clock::now();
         let draw = self.random_fraction();
         if let StoreError::Forgotten(_) = error {
-            self.with_schedule(topic, |schedule| schedule.offset_trimmed(now));
+            self.with_schedule(topic, |schedule| schedule.offset_trimmed(draw, now));
             return;
         }
         let failures = self.with_schedule(topic, |schedule| {
@@ -122,6 +122,12 @@
         self.with_schedule(topic, |s| s.neighbour_read_started(draw, clock::now()));
     }
 
+    /// Handles a neighbour's message that it reads a whole topic and sends what has changed.
+    pub(super) fn handle_resync(&self, topic: Topic) {
+        let draw = self.random_fraction();
+        self.with_schedule(topic, |s| s.neighbour_resyncs(draw, clock::now()));
+    }
+
     /// Handles records read by a host of another data centre, on behalf of all neighbours.
     pub(super) fn handle_cross_centre(self: &Rc<Self>, update: RecordUpdate, sender: SocketAddr) {
         let topic = update.topic;
@@ -347,7 +353,16 @@
         topic: Topic,
     ) -> Result<(), StoreError> {
         let read_at = clock::now();
-        let (records, end) = read_newest(store, topic_name(topic)).await?;
+        let is_resync = self.with_schedule(topic, |schedule| schedule.next().is_some());
+        let (records, end) = match is_resync {
+            true => self.read_for_neighbours(store, topic).await?,
+            false => read_newest(store, topic_name(topic), || {}).await?,
+        };
+        let known = self.with_schedule(topic, |schedule| schedule.read_from());
+        if let Some(known) = known.filter(|known| is_resync && *known >= end) {
+            self.finish_outdated_read(topic, known, read_at);
+            return Ok(());
+        }
         let trimmed = self.with_schedule(topic, |schedule| schedule.take_trimmed());
         let draw = self.random_fraction();
         let recovered = self.with_schedule(topic, |schedule| {
@@ -372,6 +387,38 @@
         Ok(())
     }
 
+    /// Reads the newest record of each key, while neighbours that can't read on from their
+    /// offsets either are told to wait for what this host sends.
+    async fn read_for_neighbours(
+        &self,
+        store: &mut StoreClient,
+        topic: Topic,
+    ) -> Result<(Vec<Record>, u64), StoreError> {
+        let message = NeighbourMessage::Resync(topic);
+        self.broadcast(&message);
+        let mut announced = clock::now();
+        let announce = || {
+            let now = clock::now();
+            if now.since(announced) >= RESYNC_INTERVAL {
+                announced = now;
+                self.broadcast(&message);
+            }
+        };
+        read_newest(store, topic_name(topic), announce).await
+    }
+
+    /// Ends a read of a whole topic during which a neighbour sent all records and more, up to
+    /// `known`.
+    ///
+    /// Applied now, the older records would take back what the newer ones changed.
+    fn finish_outdated_read(&self, topic: Topic, known: u64, read_at: Moment) {
+        let draw = self.random_fraction();
+        let recovered = self.with_schedule(topic, |schedule| {
+            schedule.full_read_finished(known, read_at, draw, clock::now())
+        });
+        self.note_readable(topic, recovered);
+    }
+
     /// Returns an update that leads from what this host knew at offset `from` to the whole
     /// topic as read now, up to `end`.
     ///
@@ -564,16 +611,19 @@
 
 /// Returns the newest record of each key of a topic, and the offset to continue from.
 ///
-/// The pages are not a consistent snapshot. Reading continues from the end offset
+/// `on_page` is called for each page but the last. The pages are not a consistent snapshot.
+/// Reading continues from the end offset
 /// of the first page, so records written in the meantime are read again.
 pub(super) async fn read_newest(
     store: &mut StoreClient,
     topic: &str,
+    mut on_page: impl FnMut(),
 ) -> Result<(Vec<Record>, u64), StoreError> {
     let mut page = store.newest(topic, None).await?;
     let end = page.end;
     let mut records = page.records;
     while let Some(after) = page.after {
+        on_page();
         page = store.newest(topic, Some(&after)).await?;
         records.append(&mut page.records);
     }
--- a/components/transport/src/gateway/neighbours.rs
+++ b/components/transport/src/gateway/neighbours.rs
@@ -238,6 +238,7 @@
                 self.handle_read_start(topic);
             }
             NeighbourMessage::ReadFailed(topic) => self.handle_read_failure(topic),
+            NeighbourMessage::Resync(topic) => self.handle_resync(topic),
             NeighbourMessage::SnapshotRequest(topic) => {
                 self.add_neighbour(from);
                 self.send_snapshot(from, topic);
--- a/components/transport/src/gateway/rollouts.rs
+++ b/components/transport/src/gateway/rollouts.rs
@@ -418,7 +418,7 @@
 
 /// Returns the states of all roll-outs, and the topic's end when they were read.
 async fn read_statuses(store: &mut StoreClient) -> Result<(Vec<RolloutStatus>, u64), StoreError> {
-    let (records, end) = super::follow::read_newest(store, status::TOPIC).await?;
+    let (records, end) = super::follow::read_newest(store, status::TOPIC, || {}).await?;
     let mut statuses = Vec::new();
     for record in &records {
         let (Some(service), Some(value)) = (status::service_of(&record.key), &record.value) else {
