placement: without probes, requests wait where endpoints were nearly full

Cause: a host without probes left sends each request to an endpoint that it knows nothing of. That is right in a short burst; when all hosts do so under too much load, endpoints are filled far beyond their slots.

--- a/components/state/src/fleet/placement.rs
+++ b/components/state/src/fleet/placement.rs
@@ -127,7 +127,8 @@
 pub(super) enum ProbeMode {
     /// By probing endpoints.
     Probe,
-    /// By taking an endpoint without a probe, since this host's probe budget is used up.
+    /// By taking an endpoint without a probe, since this host's probe budget is used up. Where
+    /// endpoints were nearly full a moment ago, the request waits for the budget instead.
     Unprobed,
     /// By the load samples that other requests collect.
     KnownOnly,
@@ -191,7 +192,7 @@
     /// the load samples already known.
     pub is_first: bool,
     /// Whether the probe budget allows a probe; without one the request goes to the
-    /// endpoint that is expected to be fastest.
+    /// endpoint that is expected to be fastest, or waits if endpoints were nearly full.
     pub may_probe: bool,
 }
 
@@ -453,6 +454,11 @@
         if probed_here.count() >= MAX_PROBES {
             return None;
         }
+        // Placed without a probe, the requests of all hosts would fill endpoints beyond their
+        // slots.
+        if mode == ProbeMode::Unprobed && candidates.iter().any(|c| was_loaded(c.state, now)) {
+            return None;
+        }
         let key = candidates
             .iter()
             .filter(|c| !self.probed.contains(&c.key) && c.state.slowdown(now).is_none())
@@ -561,6 +567,13 @@
         .is_some_and(|l| l.is_fresh(now) && l.is_loaded(state.sent))
 }
 
+/// Returns whether a recent load sample shows an endpoint that was nearly full.
+fn was_loaded(state: &EndpointState, now: Moment) -> bool {
+    state
+        .sample
+        .is_some_and(|l| now.since(l.at) < OLD_SAMPLE_TTL && l.is_loaded(state.sent))
+}
+
 /// Returns the least loaded of the good endpoints.
 fn least_loaded_good(candidates: &[&Candidate<'_>], now: Moment) -> Option<EndpointKey> {
     candidates
--- a/components/state/tests/fleet_placement.rs
+++ b/components/state/tests/fleet_placement.rs
@@ -197,6 +197,34 @@
     assert_eq!(now, START);
 }
 
+/// The probe budgets of all hosts are used up under more load than the endpoints can take. If
+/// each host placed its requests without probes, endpoints would be filled far beyond their
+/// slots; requests must wait for the budget as long as they can still be in time.
+#[test]
+fn loaded_without_probe() {
+    let mut fleet = Fleet::of(&[("a", "near"), ("b", "near")]);
+    let full = |_, at| sample(100, 6, 0, at);
+    let mut now = START;
+    assert_eq!(
+        fleet.place(&request(100), &mut now, full),
+        Err(Refusal::Full)
+    );
+    fleet.may_probe = false;
+    let seen = now;
+    let unprobed = |_, _| panic!("the endpoint is probed");
+    let patient = Request {
+        objective: now + Duration::from_millis(800),
+        ..request_at(now)
+    };
+    let chosen = fleet.place(&patient, &mut now, unprobed);
+    assert!(chosen.is_ok(), "{chosen:?}");
+    assert!(now.since(seen) >= Duration::from_millis(200));
+    // Nothing is known of the load any more.
+    let later = now;
+    assert!(fleet.place(&request_at(now), &mut now, unprobed).is_ok());
+    assert_eq!(now, later);
+}
+
 /// All endpoints of the data centre are briefly disturbed. Traffic between data centres
 /// is expensive, so a request with time left must wait for one of them to recover.
 #[test]
