probes: a restarted host has none of its own

Cause: each start brought the probes of ten seconds, and a thousand before the host knew its share, whatever the process before it had spent: a part that ends with the process, as with retries.

Change: a restarted host has none and earns its part from its start on; neighbours lend, as before. In return hosts use 0.86 of what is granted, not 0.8, and a starting site has nothing but what it earns before callers come. A host that restarts while the store is down and so can't join earns an even part once greetings have told it of the others (2 s).

--- a/components/state/src/fleet/probe_budget.rs
+++ b/components/state/src/fleet/probe_budget.rs
@@ -6,9 +6,9 @@
 
 /// The fraction of the granted probes that hosts use.
 ///
-/// The rest covers probes sent before a host knows its share, and endpoints that have
-/// left since they were counted.
-const USED_FRACTION: f64 = 0.8;
+/// The rest covers endpoints that have left since they were counted, and what is earned before
+/// callers arrive.
+const USED_FRACTION: f64 = 0.86;
 
 /// The longest time for which unused probes are saved.
 ///
@@ -16,22 +16,11 @@
 /// seconds: a host that sends 50 probes a second on average needs 500 then.
 const MAX_SAVED: Duration = Duration::from_secs(60);
 
-/// The number of probes that a host may send before it knows its share.
+/// The number of probes that a host may send in advance when its whole site starts.
 ///
 /// A host learns its share seconds after its start, and receives requests before that.
 const INITIAL_PROBES: f64 = 1_000.0;
 
-/// The probes saved at the start of a whole site, as time at the host's rate.
-///
-/// Together with `USED_FRACTION` this keeps the limit even for a day of less than a
-/// minute that starts with a flood of requests.
-const SITE_START_SAVED: Duration = Duration::from_secs(4);
-
-/// The probes saved at the restart of a single host, as time at the host's rate.
-///
-/// The host may have saved more before the restart; those probes are lost.
-const HOST_RESTART_SAVED: Duration = Duration::from_secs(10);
-
 /// The probes that a host doesn't lend, as time at its rate.
 const LENDING_RESERVE: Duration = Duration::from_secs(4);
 
@@ -50,11 +39,14 @@
 /// Callers are spread unevenly over hosts, so some hosts have probes left that others
 /// lack. Hosts lend probes to each other. A lender gives up what it lends, so the total
 /// never grows, and it shrinks if a message is lost.
+///
+/// A restarted host has none: what it had saved before is lost, and what it had spent is
+/// forgotten. So hosts that are killed again and again send no more than others.
 #[derive(Clone, Debug)]
 pub struct HostProbeBudget {
     saved: f64,
-    /// The probes saved initially, as time at the host's rate.
-    initial: Duration,
+    /// The probes granted in advance, until this host knows its share.
+    advance: f64,
     /// The host's rate in probes per second; none until the host knows its share.
     granted_rate: Option<f64>,
     refilled_at: Moment,
@@ -77,7 +69,7 @@
     pub fn new(now: Moment) -> HostProbeBudget {
         HostProbeBudget {
             saved: INITIAL_PROBES,
-            initial: SITE_START_SAVED,
+            advance: INITIAL_PROBES,
             granted_rate: None,
             refilled_at: now,
             borrowing: BorrowState::default(),
@@ -87,7 +79,8 @@
     /// Returns the budget of a single host that restarted at `now`.
     pub fn restarted(now: Moment) -> HostProbeBudget {
         HostProbeBudget {
-            initial: HOST_RESTART_SAVED,
+            saved: 0.0,
+            advance: 0.0,
             ..HostProbeBudget::new(now)
         }
     }
@@ -99,14 +92,14 @@
     /// all hosts from 0 to 1, which is 0 while unknown.
     pub fn refill(&mut self, rate: f64, endpoints: usize, share: f64, now: Moment) {
         let own_rate = rate * endpoints as f64 * share * USED_FRACTION;
-        if self.granted_rate.is_none() && own_rate > 0.0 {
-            self.saved += own_rate * self.initial.as_secs_f64() - INITIAL_PROBES;
+        if own_rate > 0.0 {
+            self.saved -= std::mem::take(&mut self.advance);
         }
         let known = (own_rate > 0.0).then_some(own_rate);
         self.granted_rate = known.or(self.granted_rate);
         let max_saved = match self.granted_rate {
             Some(granted_rate) => granted_rate * MAX_SAVED.as_secs_f64(),
-            None => INITIAL_PROBES,
+            None => self.advance,
         };
         let earned = own_rate * now.since(self.refilled_at).as_secs_f64();
         // Borrowed probes may exceed the limit on saved ones.
--- a/components/transport/src/gateway/group.rs
+++ b/components/transport/src/gateway/group.rs
@@ -33,6 +33,11 @@
 /// they were lost.
 const MAX_SEARCH_INTERVAL: Duration = Duration::from_secs(60);
 
+/// The time in which the greetings of all other hosts reach a host that restarts.
+///
+/// Hosts greet each other every second.
+const INTRODUCTION_TIME: Duration = Duration::from_secs(2);
+
 /// Changes of the share by a smaller fraction are not logged.
 const LOGGED_CHANGE: f64 = 0.1;
 
@@ -157,6 +162,23 @@
         self.site_size.set(hosts);
     }
 
+    /// Returns this host's share of the limit on probes.
+    ///
+    /// A host that restarts while the store doesn't answer can't join the group. It uses an even
+    /// part of the limit, once greetings have had the time to tell it of the other hosts.
+    pub(super) fn probe_share(&self) -> f64 {
+        let now = clock::now();
+        let is_introduced = now.since(self.started) >= INTRODUCTION_TIME;
+        let knows_share = self.settings.first_start || self.partitions.get().is_some();
+        match knows_share || !is_introduced || !self.has_neighbours() {
+            true => self.share.get(),
+            false => {
+                let centres = self.settings.topology.count();
+                1.0 / self.neighbours.borrow().site_size(centres, now) as f64
+            }
+        }
+    }
+
     /// Searches the store's group for neighbours, if a search is due and no neighbour is known.
     async fn search(&self, store: &mut StoreClient, search: &mut NeighbourSearch) {
         if clock::now() < search.due {
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -170,7 +170,7 @@
         let endpoints = self.registry.borrow().len();
         let now = clock::now();
         let mut budget = self.probe_budget.borrow_mut();
-        budget.refill(rate, endpoints, self.share.get(), now);
+        budget.refill(rate, endpoints, self.probe_share(), now);
         let available = budget.is_available();
         let loan_request = budget.borrow(now);
         drop(budget);
@@ -194,7 +194,7 @@
         let rate = self.live.borrow().bounds.ask_rate;
         let endpoints = self.registry.borrow().len();
         let mut budget = self.probe_budget.borrow_mut();
-        budget.refill(rate, endpoints, self.share.get(), clock::now());
+        budget.refill(rate, endpoints, self.probe_share(), clock::now());
         let probes = budget.lend();
         drop(budget);
         if probes > 0 {
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -138,6 +138,20 @@
     assert_eq!(new.request("GET", "/read/x", "r1").await.status, 200);
 }
 
+/// A host that starts during an outage of the store doesn't learn its share of the probes from
+/// it. It must probe all the same, or its callers get the endpoints that happen to be slow.
+#[tokio::test(flavor = "multi_thread")]
+async fn outage_probes() {
+    let (store, endpoint) = site::store_and_endpoint(&config(1, ROUTES)).await;
+    let [_old, new] = site::start_in_outage(&store).await;
+    let before = endpoint.probes().len();
+    until("the new host probes", async || {
+        assert_eq!(new.request("GET", "/read/x", "r").await.status, 200);
+        endpoint.probes().len() > before
+    })
+    .await;
+}
+
 /// The store drops old records that a host has not read yet. The host must start over from the
 /// newest record of each key, and must notice that an endpoint has been removed.
 #[tokio::test(flavor = "multi_thread")]
