--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -12,7 +12,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -97,6 +97,15 @@
         Host::start_at((name, CENTRE), store, address, None).await
     }
 
+    /// Starts an entry host; its log goes to the returned pipe.
+    pub async fn start_with_log(name: &str, store: &Store) -> (Host, ChildStderr) {
+        let address = SocketAddr::from((site_ip(), 0));
+        let mut host =
+            Host::start_logging((name, CENTRE), store, address, None, Stdio::piped()).await;
+        let log = host.process.stderr.take().expect("the log is piped");
+        (host, log)
+    }
+
     /// Starts a further entry host, which joins the others through this one.
     ///
     /// All hosts of a site use the same peer port, each at a loopback address of its own.
@@ -118,10 +127,20 @@
     }
 
     async fn start_at(
+        name: (&str, &str),
+        store: &Store,
+        peer_address: SocketAddr,
+        seed: Option<SocketAddr>,
+    ) -> Host {
+        Host::start_logging(name, store, peer_address, seed, Stdio::inherit()).await
+    }
+
+    async fn start_logging(
         (name, centre): (&str, &str),
         store: &Store,
         peer_address: SocketAddr,
         seed: Option<SocketAddr>,
+        log: Stdio,
     ) -> Host {
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let file = format!("{name}-{}-{number}.toml", std::process::id());
@@ -138,7 +157,7 @@
             .arg("--settings")
             .arg(&settings)
             .stdout(Stdio::piped())
-            .stderr(Stdio::inherit())
+            .stderr(log)
             .spawn()
             .expect("the process starts");
         let mut line = String::new();
