follow: no read of a whole topic takes back what a neighbour sent meanwhile

Cause (found on reading, not seen): a host whose offset the store has dropped keeps it and applies updates while it reads all pages. Since only the endpoints' topic was kept from being replaced by the older pages afterwards; for the operators' topic an evacuation that came meanwhile would have been taken back until the next update.

Change: the check holds for each topic that the host knew before; which reads are announced is decided apart from it. platform_store and large_changes passed; no test of its own.

--- a/components/transport/src/gateway/follow.rs
+++ b/components/transport/src/gateway/follow.rs
@@ -353,15 +353,15 @@
         topic: Topic,
     ) -> Result<(), StoreError> {
         let read_at = clock::now();
+        let had_records = self.with_schedule(topic, |schedule| schedule.next().is_some());
         // A configuration is read in one page, which takes each host less time than to wait.
-        let is_resync = topic == Topic::Endpoints
-            && self.with_schedule(topic, |schedule| schedule.next().is_some());
+        let is_resync = had_records && topic == Topic::Endpoints;
         let (records, end) = match is_resync {
             true => self.read_for_neighbours(store, topic).await?,
             false => read_newest(store, topic_name(topic), || {}).await?,
         };
         let known = self.with_schedule(topic, |schedule| schedule.read_from());
-        if let Some(known) = known.filter(|known| is_resync && *known >= end) {
+        if let Some(known) = known.filter(|known| had_records && *known >= end) {
             self.finish_outdated_read(topic, known, read_at);
             return Ok(());
         }
