probes: the budget is refilled in one place; the share of a host that has joined comes first

The budget was refilled by the same lines before each probe and each loan. The share of probes was worked out with the clock and the list of neighbours before each probe, though only a host that hasn't joined needs them. No change of behaviour; clippy, outage_start and outage_probes passed.

--- a/components/transport/src/gateway/group.rs
+++ b/components/transport/src/gateway/group.rs
@@ -167,18 +167,21 @@
     /// A host that restarts while the store doesn't answer can't join the group. It uses an even
     /// part of the limit, once greetings have had the time to tell it of the other hosts.
     pub(super) fn probe_share(&self) -> f64 {
-        let now = clock::now();
-        let is_introduced = now.since(self.started) >= INTRODUCTION_TIME;
-        let knows_share = self.settings.first_start || self.partitions.get().is_some();
-        match knows_share || !is_introduced || !self.has_neighbours() {
-            true => self.share.get(),
-            false => {
+        match self.partitions.get() {
+            None if !self.settings.first_start && self.is_introduced() => {
                 let centres = self.settings.topology.count();
-                1.0 / self.neighbours.borrow().site_size(centres, now) as f64
+                let neighbours = self.neighbours.borrow();
+                1.0 / neighbours.site_size(centres, clock::now()) as f64
             }
+            _ => self.share.get(),
         }
     }
 
+    /// Returns whether this host has had the time to learn of the others, and knows some.
+    fn is_introduced(&self) -> bool {
+        clock::now().since(self.started) >= INTRODUCTION_TIME && self.has_neighbours()
+    }
+
     /// Searches the store's group for neighbours, if a search is due and no neighbour is known.
     async fn search(&self, store: &mut StoreClient, search: &mut NeighbourSearch) {
         if clock::now() < search.due {
--- a/components/transport/src/gateway/probe.rs
+++ b/components/transport/src/gateway/probe.rs
@@ -12,7 +12,7 @@
 use state::fleet::placement::{self, Context, Refusal, Step};
 use state::fleet::rate_limit::Source;
 use state::fleet::token_buckets::Quota;
-use state::fleet::{Placement, Registry};
+use state::fleet::{HostProbeBudget, Placement, Registry};
 use state::{EndpointKey, Moment, RegionKey};
 use tokio::time::timeout;
 
@@ -164,16 +164,20 @@
         few && !attempt.origin.is_forwarded && self.has_helper(attempt)
     }
 
-    /// Returns whether the probe rate limit allows one more probe.
-    pub(super) fn may_probe(&self) -> bool {
+    /// Runs `act` on the probe budget, with what this host has earned until now.
+    fn with_probe_budget<R>(&self, act: impl FnOnce(&mut HostProbeBudget, Moment) -> R) -> R {
         let rate = self.live.borrow().bounds.ask_rate;
         let endpoints = self.registry.borrow().len();
         let now = clock::now();
         let mut budget = self.probe_budget.borrow_mut();
         budget.refill(rate, endpoints, self.probe_share(), now);
-        let available = budget.is_available();
-        let loan_request = budget.borrow(now);
-        drop(budget);
+        act(&mut budget, now)
+    }
+
+    /// Returns whether the probe rate limit allows one more probe.
+    pub(super) fn may_probe(&self) -> bool {
+        let (available, loan_request) =
+            self.with_probe_budget(|budget, now| (budget.is_available(), budget.borrow(now)));
         if let Some(request_id) = loan_request {
             self.borrow_probes(request_id);
         }
@@ -191,12 +195,7 @@
 
     /// Transfers unused probe budget to the neighbour `to`, in reply to its request `request_id`.
     pub(super) fn lend_probes(&self, to: SocketAddr, request_id: u32) {
-        let rate = self.live.borrow().bounds.ask_rate;
-        let endpoints = self.registry.borrow().len();
-        let mut budget = self.probe_budget.borrow_mut();
-        budget.refill(rate, endpoints, self.probe_share(), clock::now());
-        let probes = budget.lend();
-        drop(budget);
+        let probes = self.with_probe_budget(|budget, _| budget.lend());
         if probes > 0 {
             log::debug!("E0140 probes-lent to={to} questions={probes}");
             self.send(
