upstream: an answer whose length can't be told is no answer

With `Transfer-Encoding: chunke` the sizes of the chunks came as part of the body; with a Content-Length beside the chunks the host's own head contradicted its body, or the client's connection was closed without an answer.

Cause: the HTTP library reads a body with a transfer coding that it doesn't know until the connection ends, prefers Transfer-Encoding to Content-Length and accepts repeated lengths. The host took what the library returned.

Change: Connection::send, through which all answers are read, checks the head: one decimal length, or `chunked` alone, or neither. Otherwise the attempt counts as lost (it may have run), its connection is closed and its endpoint avoided; E0191 tells why.

--- a/components/protocol/src/lib.rs
+++ b/components/protocol/src/lib.rs
@@ -3,6 +3,7 @@
 //! Received bytes are untrusted: a truncated, oversized or unknown message, or
 //! one of another version, decodes to an error and never causes a panic.
 
+pub mod answer_head;
 pub mod claim;
 pub mod config_record;
 pub mod crash_report;
--- /dev/null
+++ b/components/protocol/tests/answer_heads.rs
@@ -0,0 +1,59 @@
+//! Which heads of answers tell where the body ends.
+
+use http::{HeaderMap, HeaderName, HeaderValue};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use protocol::answer_head::{InvalidHead, check};
+use rstest::rstest;
+
+fn headers(fields: &[(&str, &str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in fields {
+        let name = HeaderName::try_from(*name).expect("a valid name");
+        headers.append(name, HeaderValue::try_from(*value).expect("a valid value"));
+    }
+    headers
+}
+
+#[rstest]
+#[case(&[])]
+#[case(&[("content-length", "0")])]
+#[case(&[("content-length", "005")])]
+#[case(&[("transfer-encoding", "chunked")])]
+#[case(&[("transfer-encoding", "Chunked")])]
+fn valid_framing(#[case] fields: &[(&str, &str)]) {
+    assert_eq!(check(&headers(fields)), Ok(()));
+}
+
+/// A body that isn't framed as its head says must not reach a caller.
+#[rstest]
+#[case(&[("content-length", "")], InvalidHead::Length)]
+#[case(&[("content-length", "+5")], InvalidHead::Length)]
+#[case(&[("content-length", "5, 5")], InvalidHead::Length)]
+#[case(&[("content-length", "5"), ("content-length", "5")], InvalidHead::Length)]
+#[case(&[("transfer-encoding", "chunke")], InvalidHead::Encoding)]
+#[case(&[("transfer-encoding", "gzip, chunked")], InvalidHead::Encoding)]
+#[case(&[("transfer-encoding", "chunked"), ("transfer-encoding", "chunked")], InvalidHead::Encoding)]
+#[case(&[("transfer-encoding", "chunked"), ("content-length", "5")], InvalidHead::Ambiguous)]
+fn invalid_framing(#[case] fields: &[(&str, &str)], #[case] error: InvalidHead) {
+    assert_eq!(check(&headers(fields)), Err(error));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Any byte that is added to a valid coding or length must be noticed.
+    #[test]
+    fn spoilt_value(at in 0_usize..8, byte in 0x21_u8..0x7f) {
+        let mut coding = b"chunked".to_vec();
+        coding.insert(at.min(coding.len()), byte);
+        let mut spoilt = HeaderMap::new();
+        spoilt.insert("transfer-encoding", HeaderValue::from_bytes(&coding).expect("printable"));
+        prop_assert_eq!(check(&spoilt), Err(InvalidHead::Encoding));
+        let mut length = b"15".to_vec();
+        length.insert(at.min(length.len()), byte);
+        spoilt.clear();
+        spoilt.insert("content-length", HeaderValue::from_bytes(&length).expect("printable"));
+        prop_assert_eq!(check(&spoilt).is_ok(), byte.is_ascii_digit());
+    }
+}
--- a/components/transport/src/edge/call.rs
+++ b/components/transport/src/edge/call.rs
@@ -408,7 +408,7 @@
         let (fault, failure) = match error {
             SendError::Unsent => (Fault::Unreachable, Failure::NotRun),
             SendError::Expired => (Fault::Silent, Failure::MayHaveRun),
-            SendError::Broken(_) => (Fault::Broken, Failure::MayHaveRun),
+            SendError::Broken(_) | SendError::Invalid(_) => (Fault::Broken, Failure::MayHaveRun),
             SendError::Body(e) => (Fault::BodyCutLate(e), Failure::MayHaveRun),
         };
         FailedAttempt {
--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -352,6 +352,13 @@
                 witness.ended(&ending);
                 ending
             }
+            Err(RequestError::Invalid(error)) => {
+                self.gateway.log_invalid(self, key, error);
+                self.gateway.record_outcome(key, Outcome::Broken);
+                let ending = AttemptEnd::Lost("the answer is invalid");
+                witness.ended(&ending);
+                ending
+            }
         }
     }
 
--- a/components/transport/src/gateway/forward.rs
+++ b/components/transport/src/gateway/forward.rs
@@ -140,7 +140,7 @@
                 self.mark_not_run();
                 return Forwarded::Unavailable;
             }
-            Err(RequestError::Sent(error)) => {
+            Err(error @ (RequestError::Sent(_) | RequestError::Invalid(_))) => {
                 log::info!("E0163 helper-lost address={} error={error}", helper.address);
                 self.note_failure(helper, Failure::Unreachable);
                 return Forwarded::Ended(AttemptEnd::Lost(
--- a/components/transport/src/gateway/request_log.rs
+++ b/components/transport/src/gateway/request_log.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
+use protocol::answer_head::InvalidHead;
 use state::{EndpointKey, Moment};
 
 use super::Gateway;
@@ -124,6 +125,20 @@
         );
     }
 
+    /// Logs that the head of an endpoint's answer is invalid.
+    pub(super) fn log_invalid(&self, attempt: &Attempt<'_>, key: EndpointKey, error: InvalidHead) {
+        if !self.request_log.borrow_mut().try_line(clock::now()) {
+            return;
+        }
+        let registry = self.registry.borrow();
+        let endpoint = registry.get(key).map(|s| &s.endpoint);
+        log::info!(
+            "E0191 answer-invalid id={} instance={} error={error}",
+            id(&attempt.parts.headers),
+            endpoint.map_or("-", |e| e.instance.as_str())
+        );
+    }
+
     /// Logs that a request is retried or hedged.
     pub(super) fn log_retry(&self, headers: &HeaderMap, why: &str, arrived: Moment) {
         let now = clock::now();
--- a/components/transport/src/store.rs
+++ b/components/transport/src/store.rs
@@ -84,7 +84,7 @@
                     )
             }
             StoreError::Forgotten(_) | StoreError::Conflict => true,
-            StoreError::Wire(RequestError::Sent(_))
+            StoreError::Wire(RequestError::Sent(_) | RequestError::Invalid(_))
             | StoreError::Cut(_)
             | StoreError::Silent { .. }
             | StoreError::TooLarge
--- a/components/transport/src/upstream/connection.rs
+++ b/components/transport/src/upstream/connection.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use protocol::answer_head::{self, InvalidHead};
 use socket2::{SockRef, TcpKeepalive};
 use state::fleet::AnswerHistory;
 use state::{EndpointKey, Moment};
@@ -76,6 +77,9 @@
     /// The connection broke after a part of the request may have been sent.
     #[error("the connection broke after the request was sent: {0}")]
     Sent(hyper::Error),
+    /// The head of the answer is invalid; the request may have run.
+    #[error("the answer is invalid: {0}")]
+    Invalid(InvalidHead),
 }
 
 /// A connection with its HTTP driver, polled by the task of the call that uses it.
@@ -170,7 +174,8 @@
     ///
     /// # Errors
     ///
-    /// Returns whether any part of the request may have been sent.
+    /// Returns whether any part of the request may have been sent. A connection whose answer is
+    /// invalid must not be used again.
     pub async fn send(
         &mut self,
         request: Request<RequestBody>,
@@ -184,10 +189,12 @@
         })
         .await;
         self.counts.allow_reads(MAX_FUTILE_BYTES);
-        result.map_err(|e| match self.counts.written() == before {
+        let answer = result.map_err(|e| match self.counts.written() == before {
             true => RequestError::Unsent,
             false => RequestError::Sent(e.into_error()),
-        })
+        })?;
+        answer_head::check(answer.headers()).map_err(RequestError::Invalid)?;
+        Ok(answer)
     }
 
     /// Returns the bytes that the connection has carried so far.
--- a/components/transport/src/upstream/exchange.rs
+++ b/components/transport/src/upstream/exchange.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
+use protocol::answer_head::InvalidHead;
 use state::{EndpointKey, Moment};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -54,6 +55,9 @@
     /// The connection broke after a part of the request may have been sent.
     #[error("the connection to the backend server broke: {0}")]
     Broken(hyper::Error),
+    /// The head of the answer is invalid.
+    #[error("the backend server's answer is invalid: {0}")]
+    Invalid(InvalidHead),
     /// Reading the caller's body failed while forwarding it.
     #[error("reading the caller's body failed: {0}")]
     Body(BodyError),
@@ -110,6 +114,10 @@
                 Err(SendError::Unsent)
             }
             Some(Err(RequestError::Sent(e))) => Err(self.broken(e)),
+            Some(Err(RequestError::Invalid(e))) => {
+                self.end(Ending::Broken);
+                Err(SendError::Invalid(e))
+            }
             None => {
                 self.abandon();
                 Err(SendError::Expired)
