upstream: an answer without a valid final status is no answer

What callers saw: an endpoint's 101, 600, 700 or 999 as the answer to their request, and a signed 204 or 304 without a body where the endpoint had sent one, so that its status was spoilt.

Cause: the HTTP library passes on each status of three digits from 101 and from 200, reads no body behind 204 and 304 whatever the head announces, and takes 101 for an agreed change of the protocol. The host took these for answers.

Change: the check of heads wants a status from 200 to 599, no announced body with 204, and 304 only for a conditional request. A 204 is passed on without a length, which RFC 9110 forbids there; bodyless_answers now asks for that.

--- a/components/protocol/src/answer_head.rs
+++ b/components/protocol/src/answer_head.rs
@@ -1,16 +1,33 @@
-//! Checks that the head of an HTTP/1.1 answer tells where its body ends.
+//! Checks that the head of an HTTP/1.1 answer is valid and tells where its body ends.
 //!
 //! The HTTP library is lenient: it reads a body with an unknown transfer coding until the
-//! connection ends, and takes one of several contradicting fields. What a faulty endpoint sends
-//! would then reach callers as a complete answer with another body than the endpoint's.
+//! connection ends, takes one of several contradicting fields, and accepts status codes that no
+//! final answer has. What a faulty endpoint sends would then reach callers as a complete answer
+//! with another body than the endpoint's.
 
-use http::HeaderMap;
-use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use std::ops::RangeInclusive;
+
+use http::header::{
+    CONTENT_LENGTH, HeaderName, HeaderValue, IF_MODIFIED_SINCE, IF_NONE_MATCH, TRANSFER_ENCODING,
+};
+use http::{HeaderMap, StatusCode};
 use thiserror::Error;
 
+/// The status codes of final answers (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Why an answer can't be used, although the HTTP library has read its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum InvalidHead {
+    /// The status code is not one of a final answer.
+    #[error("its status {} is not one of a final answer", .0.as_u16())]
+    Status(StatusCode),
+    /// The status says that the answer has no body, and a field announces one.
+    #[error("its status is 204, and it announces a body")]
+    Unexpected,
+    /// The answer refers to a copy that the request didn't name.
+    #[error("its status is 304, and the request was not conditional")]
+    Unconditional,
     /// The length is not given by one decimal number.
     #[error("its Content-Length is not one number")]
     Length,
@@ -22,14 +39,40 @@
     Ambiguous,
 }
 
-/// Checks the head of a final answer.
+/// Returns whether a request allows its answer to have the status 304.
+pub fn is_conditional(request: &HeaderMap) -> bool {
+    request.contains_key(IF_NONE_MATCH) || request.contains_key(IF_MODIFIED_SINCE)
+}
+
+/// Checks the head of the answer to a request, which [`is_conditional`] or not.
 ///
 /// An answer without a length and a transfer coding ends with its connection, which is valid.
 ///
 /// # Errors
 ///
 /// Returns why the answer can't be used.
-pub fn check(headers: &HeaderMap) -> Result<(), InvalidHead> {
+pub fn check(
+    status: StatusCode,
+    headers: &HeaderMap,
+    is_conditional: bool,
+) -> Result<(), InvalidHead> {
+    check_framing(headers)?;
+    match status {
+        StatusCode::NO_CONTENT if announces_body(headers) => Err(InvalidHead::Unexpected),
+        StatusCode::NOT_MODIFIED if !is_conditional => Err(InvalidHead::Unconditional),
+        status if FINAL_STATUSES.contains(&status.as_u16()) => Ok(()),
+        status => Err(InvalidHead::Status(status)),
+    }
+}
+
+/// Returns whether a valid head announces a body.
+fn announces_body(headers: &HeaderMap) -> bool {
+    let length = headers.get(CONTENT_LENGTH).map(HeaderValue::as_bytes);
+    let is_empty = length.is_none_or(|digits| digits.iter().all(|d| *d == b'0'));
+    !is_empty || headers.contains_key(TRANSFER_ENCODING)
+}
+
+fn check_framing(headers: &HeaderMap) -> Result<(), InvalidHead> {
     let length = single(headers, &CONTENT_LENGTH).ok_or(InvalidHead::Length)?;
     let encoding = single(headers, &TRANSFER_ENCODING).ok_or(InvalidHead::Encoding)?;
     match (length, encoding) {
--- a/components/protocol/tests/answer_heads.rs
+++ b/components/protocol/tests/answer_heads.rs
@@ -1,6 +1,6 @@
 //! Which heads of answers tell where the body ends.
 
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use protocol::answer_head::{InvalidHead, check};
@@ -22,7 +22,7 @@
 #[case(&[("transfer-encoding", "chunked")])]
 #[case(&[("transfer-encoding", "Chunked")])]
 fn valid_framing(#[case] fields: &[(&str, &str)]) {
-    assert_eq!(check(&headers(fields)), Ok(()));
+    assert_eq!(check(StatusCode::OK, &headers(fields), false), Ok(()));
 }
 
 /// A body that isn't framed as its head says must not reach a caller.
@@ -36,7 +36,33 @@
 #[case(&[("transfer-encoding", "chunked"), ("transfer-encoding", "chunked")], InvalidHead::Encoding)]
 #[case(&[("transfer-encoding", "chunked"), ("content-length", "5")], InvalidHead::Ambiguous)]
 fn invalid_framing(#[case] fields: &[(&str, &str)], #[case] error: InvalidHead) {
-    assert_eq!(check(&headers(fields)), Err(error));
+    assert_eq!(check(StatusCode::OK, &headers(fields), false), Err(error));
+}
+
+/// A status that no final answer has, or that contradicts the fields, must not reach a caller.
+#[test]
+fn final_statuses() {
+    for code in 100..=999 {
+        let status = StatusCode::from_u16(code).expect("three digits");
+        let is_valid = check(status, &headers(&[]), false).is_ok();
+        assert_eq!(
+            is_valid,
+            (200..=599).contains(&code) && code != 304,
+            "{code}"
+        );
+        let with_length = headers(&[("content-length", "5")]);
+        let is_valid = check(status, &with_length, true).is_ok();
+        assert_eq!(
+            is_valid,
+            (200..=599).contains(&code) && code != 204,
+            "{code}"
+        );
+    }
+    let empty = headers(&[("content-length", "0")]);
+    assert_eq!(check(StatusCode::NO_CONTENT, &empty, false), Ok(()));
+    let chunked = headers(&[("transfer-encoding", "chunked")]);
+    let error = Err(InvalidHead::Unexpected);
+    assert_eq!(check(StatusCode::NO_CONTENT, &chunked, false), error);
 }
 
 proptest! {
@@ -49,11 +75,11 @@
         coding.insert(at.min(coding.len()), byte);
         let mut spoilt = HeaderMap::new();
         spoilt.insert("transfer-encoding", HeaderValue::from_bytes(&coding).expect("printable"));
-        prop_assert_eq!(check(&spoilt), Err(InvalidHead::Encoding));
+        prop_assert_eq!(check(StatusCode::OK, &spoilt, false), Err(InvalidHead::Encoding));
         let mut length = b"15".to_vec();
         length.insert(at.min(length.len()), byte);
         spoilt.clear();
         spoilt.insert("content-length", HeaderValue::from_bytes(&length).expect("printable"));
-        prop_assert_eq!(check(&spoilt).is_ok(), byte.is_ascii_digit());
+        prop_assert_eq!(check(StatusCode::OK, &spoilt, false).is_ok(), byte.is_ascii_digit());
     }
 }
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::Response;
 use hyper::body::{Body, Incoming};
-use hyper::header::{EXPECT, HOST};
+use hyper::header::{CONTENT_LENGTH, EXPECT, HOST};
 use hyper::http::request::Parts;
+use hyper::{Response, StatusCode};
 use protocol::forwarded_request;
 use state::fleet::fingerprint::{Content, Fingerprints};
 use state::fleet::placement::{self, Refusal};
@@ -607,6 +607,9 @@
 
 fn forward_answer(gateway: &Rc<Gateway>, answer: Answer, source: Source) -> Response<AnswerBody> {
     let mut headers = answer.headers();
+    if answer.parts.status == StatusCode::NO_CONTENT {
+        headers.remove(CONTENT_LENGTH);
+    }
     if let Source::Host = source {
         tell_leaving(&answer, &mut headers);
     }
--- a/components/transport/src/upstream/connection.rs
+++ b/components/transport/src/upstream/connection.rs
@@ -182,6 +182,7 @@
     ) -> Result<Response<Incoming>, RequestError> {
         let before = self.counts.written();
         self.counts.allow_reads(MAX_FUTILE_BYTES);
+        let is_conditional = answer_head::is_conditional(request.headers());
         let mut answer = pin!(self.sender.try_send_request(request));
         let result = poll_fn(|cx| {
             self.drive(cx);
@@ -193,7 +194,8 @@
             true => RequestError::Unsent,
             false => RequestError::Sent(e.into_error()),
         })?;
-        answer_head::check(answer.headers()).map_err(RequestError::Invalid)?;
+        answer_head::check(answer.status(), answer.headers(), is_conditional)
+            .map_err(RequestError::Invalid)?;
         Ok(answer)
     }
 
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -192,6 +192,7 @@
         values("content-length").as_slice(),
         values("transfer-encoding").as_slice(),
     ) {
+        ([_, ..], _) if status == 204 => return invalid("an answer without a body has a length"),
         (_, _) if has_no_body && body.is_empty() => String::new(),
         (_, _) if has_no_body => return invalid("bytes follow an answer without a body"),
         ([length], []) if length.parse() == Ok(body.len()) => body.to_owned(),
@@ -405,6 +406,84 @@
     assert_rejected(&answers).await;
 }
 
+/// An answer without a valid final status is no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_status() {
+    let lines = [
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 000",
+        "HTTP/1.1 001 OK",
+        "HTTP/1.1 099 OK",
+        "HTTP/1.1 101 OK",
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade",
+        "HTTP/1.1 600 OK",
+        "HTTP/1.1 700 OK",
+        "HTTP/1.1 999 OK",
+        "HTTP/1.1 1000 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 2 OK",
+        "HTTP/1.1  OK",
+        "HTTP/1.1 OK",
+        "HTTP/1.1 -200 OK",
+        "HTTP/1.1 +200 OK",
+        "HTTP/1.1 2x0 OK",
+        "HTTP/1.1 0200 OK",
+        "HTTP/1.1 200OK",
+        "HTTP/1.1  200 OK",
+        "HTTP/1.1\t200 OK",
+        "HTTP/1.1 200\tOK",
+        "HTTP/1.1 200 O\u{0}K",
+        "HTTP/1.1 200 O\u{1}K",
+        "HTTP/1.1 200 O\u{7f}K",
+        "HTTP/1.1 200 O\rK",
+        "HTTP/1.1 200 OK\r",
+        "HTTP/1.1 200 OK\n",
+        "HTTP/1.1",
+        "HTTP/1.2 200 OK",
+        "HTTP/2.0 200 OK",
+        "HTTP/2 200 OK",
+        "HTTP/0.9 200 OK",
+        "HTTP/11 200 OK",
+        "HTTP/1. 200 OK",
+        "HTTP/1 200 OK",
+        "HTTP/1.1.1 200 OK",
+        "http/1.1 200 OK",
+        "HTTPS/1.1 200 OK",
+        "XHTTP/1.1 200 OK",
+        "ICY 200 OK",
+        " HTTP/1.1 200 OK",
+        "HTTP /1.1 200 OK",
+        "200 OK",
+        "",
+        "\u{0}HTTP/1.1 200 OK",
+    ];
+    let answers: Vec<String> = lines
+        .iter()
+        .map(|line| answer(line, "Content-Length: 5", BODY))
+        .collect();
+    assert_rejected(&answers).await;
+}
+
+/// An answer whose status has no body must not announce one, nor come unasked.
+#[tokio::test(flavor = "multi_thread")]
+async fn contradicted_status() {
+    let answers = [
+        answer("HTTP/1.1 204 No Content", "Content-Length: 5", BODY),
+        answer("HTTP/1.1 204 No Content", "Content-Length: 5", ""),
+        answer(
+            "HTTP/1.1 204 No Content",
+            "Transfer-Encoding: chunked",
+            "0\r\n\r\n",
+        ),
+        answer("HTTP/1.1 204 No Content", "Content-Length: x", ""),
+        // No request of the test is conditional.
+        answer("HTTP/1.1 304 Not Modified", "Content-Length: 5", BODY),
+        answer("HTTP/1.1 304 Not Modified", "X: a", ""),
+    ];
+    assert_rejected(&answers).await;
+}
+
 /// Answers without a body must be passed on with a valid head.
 #[tokio::test(flavor = "multi_thread")]
 async fn bodyless_answers() {
