gateway: an answer is judged by the fields that its caller gets

What callers saw (nobody has reported it): 200 without the endpoint's signature (MIXED) or without an Attempt-Id, where the endpoint's Connection field listed them; two Attempt-Id fields; an empty or a double signature.

Cause: a host looked for id and signature, then removed the fields that Connection lists, and looked at the first of several fields only.

From another host an unsigned 2xx or 3xx is no rejection of that host's.

--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -107,6 +107,7 @@
 
 /// An endpoint's answer.
 pub(super) struct Answer {
+    /// The head, with its end-to-end fields only.
     pub parts: AnswerParts,
     /// The endpoint; none if the answer came through another host.
     pub endpoint: Option<EndpointKey>,
@@ -483,11 +484,12 @@
     fn answered(
         &self,
         key: EndpointKey,
-        parts: AnswerParts,
+        mut parts: AnswerParts,
         (start, rest): (Bytes, Option<RemainingBody>),
         (sent, slowdown): (Moment, f64),
     ) -> AttemptEnd {
         self.gateway.record_load(key, &parts.headers);
+        remove_hop_by_hop(&mut parts.headers);
         let answer = Answer {
             parts,
             endpoint: Some(key),
@@ -500,7 +502,7 @@
         self.classify(Box::new(answer))
     }
 
-    /// Classifies an answer.
+    /// Classifies an answer by its end-to-end fields, which are all that its caller gets.
     pub(super) fn classify(&self, answer: Box<Answer>) -> AttemptEnd {
         let headers = &answer.parts.headers;
         match answer.parts.status {
@@ -517,6 +519,9 @@
                 self.mark_not_run();
                 AttemptEnd::Rejected("another endpoint is there")
             }
+            _ if !platform::headers::names_attempt(&self.parts.headers, headers) => {
+                AttemptEnd::Lost(FOREIGN_ANSWER)
+            }
             _ if !platform::headers::is_signed(headers) => {
                 AttemptEnd::Lost("the answer is not signed")
             }
@@ -567,12 +572,3 @@
         self.gateway.record_outcome(key, outcome);
     }
 }
-
-impl Answer {
-    /// Returns the answer's headers to be sent to the caller.
-    pub fn headers(&self) -> HeaderMap {
-        let mut headers = self.parts.headers.clone();
-        remove_hop_by_hop(&mut headers);
-        headers
-    }
-}
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -606,7 +606,7 @@
 }
 
 fn forward_answer(gateway: &Rc<Gateway>, answer: Answer, source: Source) -> Response<AnswerBody> {
-    let mut headers = answer.headers();
+    let mut headers = answer.parts.headers.clone();
     if answer.parts.status == StatusCode::NO_CONTENT {
         headers.remove(CONTENT_LENGTH);
     }
--- a/components/transport/src/gateway/forward.rs
+++ b/components/transport/src/gateway/forward.rs
@@ -24,6 +24,7 @@
 use super::attempt::{Answer, Attempt, AttemptEnd, BufferedBody, FOREIGN_ANSWER, buffer_body};
 use super::{Gateway, Stage};
 use crate::clock;
+use crate::edge::headers::remove_hop_by_hop;
 use crate::upstream::connection::RequestError;
 use crate::upstream::{Connection, RequestBody};
 
@@ -184,6 +185,7 @@
             Ok(BufferedBody::Partial(start, rest)) => (start, Some(rest)),
             Err(_) => return AttemptEnd::Lost("the answer broke off"),
         };
+        remove_hop_by_hop(&mut parts.headers);
         let answer = Box::new(Answer {
             parts,
             endpoint: None,
@@ -202,7 +204,7 @@
     /// Classifies the other host's own answer.
     fn classify_denial(&self, answer: Box<Answer>) -> AttemptEnd {
         let status = answer.parts.status;
-        if status.is_server_error() && !platform::headers::promises_not_run(status) {
+        if !status.is_client_error() && !platform::headers::promises_not_run(status) {
             return AttemptEnd::Lost("the other host got no answer");
         }
         self.mark_not_run();
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -676,6 +676,30 @@
     assert_rejected(&answers).await;
 }
 
+/// The fields that identify an answer must say the same on each line, and be passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_identity() {
+    let heads = [
+        "Attempt-Id: ID\r\nAttempt-Id: other\r\nServer-Signature: s",
+        "Attempt-Id: other\r\nAttempt-Id: ID\r\nServer-Signature: s",
+        "Attempt-Id: ID, other\r\nServer-Signature: s",
+        "Attempt-Id: ID\r\nAttempt-Id: ID\r\nServer-Signature: s",
+        "Attempt-Id: ID\r\nServer-Signature: s\r\nServer-Signature: s",
+        "Attempt-Id: ID\r\nServer-Signature: s\r\nServer-Signature: t",
+        "Attempt-Id: ID\r\nServer-Signature:",
+        "Attempt-Id: ID\r\nServer-Signature: s\r\nConnection: server-signature",
+        "Attempt-Id: ID\r\nServer-Signature: s\r\nConnection: close, Server-Signature",
+        "Attempt-Id: ID\r\nServer-Signature: s\r\nConnection: attempt-id",
+        "Attempt-Id\u{1}: ID\r\nServer-Signature: s",
+        "Attempt-Id: ID\r\nServer Signature: s",
+    ];
+    let answers: Vec<String> = heads
+        .iter()
+        .map(|head| format!("HTTP/1.1 200 OK\r\n{head}\r\nContent-Length: 5\r\n\r\n{BODY}"))
+        .collect();
+    assert_rejected(&answers).await;
+}
+
 /// Valid answers must be passed on, however unusual they are.
 #[tokio::test(flavor = "multi_thread")]
 async fn unusual_answers() {
