--- a/components/transport/tests/answers.rs
+++ b/components/transport/tests/answers.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use rstest::rstest;
 use support::{Answer, EdgeServer, Reply, ScriptedServer, field, get, ok, post};
 use tokio::io::AsyncWriteExt;
 
@@ -85,6 +86,28 @@
     );
 }
 
+/// An answer whose head is malformed must not be relayed, and the call must not run twice.
+#[rstest]
+#[case::coding("HTTP/1.1 200 OK\r\ntransfer-encoding: chunke\r\n\r\n5\r\nhalls\r\n0\r\n\r\n")]
+#[case::length("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 5\r\n\r\nhalls")]
+#[case::both("HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n")]
+#[case::status("HTTP/1.1 000 OK\r\ncontent-length: 5\r\n\r\nhalls")]
+#[case::unknown_status("HTTP/1.1 600 OK\r\ncontent-length: 5\r\n\r\nhalls")]
+#[case::protocol("HTTP/1.1 101 Switching Protocols\r\ncontent-length: 5\r\n\r\nhalls")]
+#[case::line("HTTP/1.1 200 OK\r\na: b\n\ncontent-length: 5\r\n\r\nhalls")]
+#[case::name("HTTP/1.1 200 OK\r\ncontent-length : 5\r\n\r\nhalls")]
+#[tokio::test]
+async fn malformed_head(#[case] reply: &str) {
+    let server = ScriptedServer::always(Reply::Close(reply.into())).await;
+    let edge_server = EdgeServer::start(&[&server]).await;
+    let answer = edge_server.call(&post("/hallboard/deposits", "12")).await;
+    assert_eq!(
+        (answer.status(), answer.outcome().as_str()),
+        (502, "unknown")
+    );
+    assert_eq!(server.requests().len(), 1);
+}
+
 /// Hop-by-hop fields and those that `Connection` lists must not be forwarded:
 /// they apply to one connection only.
 #[tokio::test]
--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -1,6 +1,6 @@
 //! An endpoint that writes its answers as raw bytes, so that they may break HTTP's rules.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -81,6 +81,7 @@
 pub struct RawEndpoint {
     pub address: SocketAddr,
     received: Arc<Mutex<Vec<ReceivedRequest>>>,
+    refused: Arc<Mutex<Option<IpAddr>>>,
 }
 
 impl RawEndpoint {
@@ -108,10 +109,18 @@
         let address = listener.local_addr().expect("the listener has an address");
         let received = Arc::new(Mutex::new(Vec::new()));
         let shared = Arc::clone(&received);
+        let refused = Arc::new(Mutex::new(None));
+        let shared_refused = Arc::clone(&refused);
         let script: Arc<Script> = Arc::new(script);
         tokio::spawn(async move {
             let mut connection = 0;
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Ok((stream, peer)) = listener.accept().await {
+                let refused = *shared_refused
+                    .lock()
+                    .expect("no test panics with the lock held");
+                if refused == Some(peer.ip()) {
+                    continue;
+                }
                 let (reader, writer) = stream.into_split();
                 let opened = Connection {
                     connection,
@@ -128,7 +137,20 @@
                 connection += 1;
             }
         });
-        RawEndpoint { address, received }
+        RawEndpoint {
+            address,
+            received,
+            refused,
+        }
+    }
+
+    /// Closes new connections from this address.
+    pub fn refuse(&self, source: IpAddr) {
+        let mut refused = self
+            .refused
+            .lock()
+            .expect("no test panics with the lock held");
+        *refused = Some(source);
     }
 
     /// Writes the endpoint's record into the store.
@@ -138,8 +160,13 @@
 
     /// Writes the endpoint's record into the store, as this instance.
     pub fn register_as(&self, instance: &str, store: &Store, service: &str) {
+        self.register_version("v1", instance, store, service);
+    }
+
+    /// Writes the endpoint's record into the store, as this instance and version.
+    pub fn register_version(&self, version: &str, instance: &str, store: &Store, service: &str) {
         let entry = format!(
-            r#"{{"service":"{service}","address":"{}","zone":"here","version":"v1","slots":6,"state":"ready","warmupRemainingS":0,"sequence":1,"born":1}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"here","version":"{version}","slots":6,"state":"ready","warmupRemainingS":0,"sequence":1,"born":1}}"#,
             self.address
         );
         store.put("keyed.servers", instance, Some(&entry));
