gateway: a planned stop ends each request with an answer

Cause: a host took requests for 2.6 s after SIGTERM whatever they last, told endpoints the client's whole time, and ended with the connections open. A connection opened while it closes was closed unread if its request came a moment later than the connection.

Change: drain_end tells until when requests are awaited, 250 ms before the end of the grace as before. A request whose route's usual work doesn't fit is rejected as not run, before it is sent and while it waits; endpoints get at most the time that is left; at the end what is left is answered, 503 or 502, and the process ends when that is written, 100 ms before the grace. A connection opened while the host closes has 500 ms for its request.

--- a/components/transport/src/gateway/attempt.rs
+++ b/components/transport/src/gateway/attempt.rs
@@ -103,6 +103,8 @@
     Quarantined(Duration),
     /// The request's API key was revoked while the request waited.
     Revoked,
+    /// This host stops before the request's usual work would end.
+    Stopping,
 }
 
 /// An endpoint's answer.
@@ -252,7 +254,8 @@
             | AttemptEnd::Unsent(_)
             | AttemptEnd::Refused(_)
             | AttemptEnd::Quarantined(_)
-            | AttemptEnd::Revoked => return,
+            | AttemptEnd::Revoked
+            | AttemptEnd::Stopping => return,
         };
         self.note(answer);
     }
@@ -295,6 +298,9 @@
     /// the endpoint stops and a late answer can't be taken for the answer to another
     /// request.
     pub async fn run(&self, body: RequestBody) -> AttemptEnd {
+        if self.gateway.stops_before(self.request.service_time) {
+            return AttemptEnd::Stopping;
+        }
         let (key, connection) = match self.gateway.select_endpoint(self).await {
             Ok(found) => found,
             Err(Refusal::Unreachable) if !self.origin.is_forwarded => {
@@ -388,7 +394,8 @@
         let endpoint = &registry.get(key)?.endpoint;
         let mut request = self.request_with(body)?;
         let headers = request.headers_mut();
-        let left = clock::now().until(self.request.deadline);
+        let deadline = self.gateway.work_deadline(self.request.deadline);
+        let left = clock::now().until(deadline);
         platform::headers::set_request_headers(headers, &endpoint.instance, left);
         platform::headers::set_account(headers, self.caller.name.as_deref());
         Some(request)
@@ -567,7 +574,8 @@
             | AttemptEnd::Unsent(_)
             | AttemptEnd::Refused(_)
             | AttemptEnd::Quarantined(_)
-            | AttemptEnd::Revoked => return,
+            | AttemptEnd::Revoked
+            | AttemptEnd::Stopping => return,
         };
         self.gateway.record_outcome(key, outcome);
     }
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -89,6 +89,7 @@
     Refused(Refusal),
     Quarantined(Duration),
     Revoked,
+    Stopping,
 }
 
 type PendingAttempt<'a> = Pin<Box<dyn Future<Output = AttemptEnd> + 'a>>;
@@ -98,6 +99,8 @@
     Ended(AttemptEnd),
     HedgeDue,
     Expired,
+    /// This host stops before the request can end.
+    Stopping,
 }
 
 /// Handles one request, and returns the answer for the caller.
@@ -365,7 +368,11 @@
         };
         let mut hedge = self.hedge_at(replay.is_some());
         loop {
-            match self.next(&mut pending, hedge, attempt.loss).await {
+            let work = match attempt.may_have_run.get() {
+                0 => attempt.request.service_time,
+                _ => Duration::ZERO,
+            };
+            match self.next(&mut pending, hedge, attempt.loss, work).await {
                 Event::Ended(AttemptEnd::Answered(answer) | AttemptEnd::Denied(answer)) => {
                     return Ok(answer);
                 }
@@ -397,6 +404,11 @@
                     let delay = self.retry_after(progress.last);
                     return progress.expire(attempt.may_have_run.get(), delay);
                 }
+                // An endpoint has got the request meanwhile.
+                Event::Stopping
+                    if attempt.may_have_run.get() > 0
+                        && !self.gateway.stops_before(Duration::ZERO) => {}
+                Event::Stopping => return progress.interrupt(attempt.may_have_run.get()),
             }
         }
     }
@@ -454,13 +466,14 @@
         (at + service_time <= self.route.objective).then(|| self.arrived + at)
     }
 
-    /// Waits for an attempt to end, for the hedge time, the loss of an attempt's data centre or
-    /// the deadline.
+    /// Waits for an attempt to end, for the hedge time, the loss of an attempt's data centre, the
+    /// deadline, or this host's stop before `work` could end.
     async fn next(
         &self,
         pending: &mut Vec<PendingAttempt<'_>>,
         hedge: Option<Moment>,
         loss: Option<&Notify>,
+        work: Duration,
     ) -> Event {
         let ended = poll_fn(|cx| {
             for at in 0..pending.len() {
@@ -478,6 +491,7 @@
             biased;
             ending = ended => Event::Ended(ending),
             () = sleep_until(deadline) => Event::Expired,
+            () = self.gateway.stopping(work) => Event::Stopping,
             () = notified(loss) => Event::HedgeDue,
             () = sleep_until(hedge_at.unwrap_or(deadline)), if hedge_at.is_some() => Event::HedgeDue,
         }
@@ -490,9 +504,12 @@
     fn may_retry(&self, progress: &mut Progress, may_have_run: u32) -> bool {
         match progress.last {
             _ if may_have_run > 0 && !self.may_run_again() => return false,
-            Some(LastFailure::Refused(_) | LastFailure::Quarantined(_) | LastFailure::Revoked) => {
-                return false;
-            }
+            Some(
+                LastFailure::Refused(_)
+                | LastFailure::Quarantined(_)
+                | LastFailure::Revoked
+                | LastFailure::Stopping,
+            ) => return false,
             _ if self.gateway.quarantine_left(self.fingerprints).is_some() => return false,
             Some(LastFailure::Unsent(_)) => {
                 let allowed = progress.unsent < MAX_UNSENT_ATTEMPTS;
@@ -546,6 +563,7 @@
             AttemptEnd::Refused(refusal) => LastFailure::Refused(refusal),
             AttemptEnd::Quarantined(left) => LastFailure::Quarantined(left),
             AttemptEnd::Revoked => LastFailure::Revoked,
+            AttemptEnd::Stopping => LastFailure::Stopping,
         });
     }
 
@@ -560,6 +578,7 @@
             Some(LastFailure::Failed) => "the endpoint failed",
             Some(LastFailure::Quarantined(_)) => "it crashed endpoints before",
             Some(LastFailure::Revoked) => "its API key was revoked",
+            Some(LastFailure::Stopping) => "this host is stopping",
             Some(LastFailure::Refused(_)) | None => "no endpoint was found",
         }
     }
@@ -573,6 +592,15 @@
         }
     }
 
+    /// Returns the final answer of a request that can't end before this host stops.
+    fn interrupt(self, may_have_run: u32) -> Result<Box<Answer>, Denial> {
+        match self.failure {
+            Some(answer) => Ok(answer),
+            None if may_have_run > 0 => Err(Denial::Unknown("this host is stopping")),
+            None => Err(Denial::Stopping),
+        }
+    }
+
     /// Returns the final answer of a request that is not retried.
     ///
     /// "Not run" is only reported if every endpoint that received the request said so.
@@ -585,6 +613,7 @@
             _ if may_have_run > 0 => Denial::Unknown("an earlier attempt may have run"),
             Some(LastFailure::Quarantined(left)) => Denial::Quarantined(left),
             Some(LastFailure::Revoked) => Denial::UnknownKey,
+            Some(LastFailure::Stopping) => Denial::Stopping,
             Some(LastFailure::Refused(refusal)) => not_run(refusal, delay),
             Some(LastFailure::Rejected(reason) | LastFailure::Unsent(reason)) => {
                 Denial::NotRun(reason, delay)
--- a/components/transport/src/gateway/forward.rs
+++ b/components/transport/src/gateway/forward.rs
@@ -227,7 +227,8 @@
     fn forwarded_request(&self, body: RequestBody) -> Option<Request<RequestBody>> {
         let mut request = self.request_with(body)?;
         let headers = request.headers_mut();
-        let left = clock::now().until(self.request.deadline);
+        let deadline = self.gateway.work_deadline(self.request.deadline);
+        let left = clock::now().until(deadline);
         platform::headers::set_time_remaining(headers, left);
         forwarded_request::set_caller(headers, self.origin.caller);
         Some(request)
--- a/components/transport/src/gateway/mod.rs
+++ b/components/transport/src/gateway/mod.rs
@@ -186,6 +186,8 @@
     site_size: Cell<usize>,
     random: RefCell<SmallRng>,
     stage: watch::Sender<Stage>,
+    /// Until when requests are awaited during the shutdown.
+    drain_end: Cell<Option<Moment>>,
     /// The number of open connections from callers.
     callers: Cell<usize>,
     /// The number of pipelined requests that were started early.
@@ -309,6 +311,7 @@
             site_size: Cell::new(1),
             random: RefCell::new(random),
             stage: watch::Sender::new(Stage::Serving),
+            drain_end: Cell::new(None),
             callers: Cell::new(0),
             ahead: Cell::new(0),
             request_log: RefCell::default(),
--- a/components/transport/src/gateway/server.rs
+++ b/components/transport/src/gateway/server.rs
@@ -25,6 +25,10 @@
 /// The pause after a connection could not be accepted, as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long a connection that is opened during the shutdown may take to send its request, which
+/// is rejected.
+const LATE_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The smallest buffer size that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -138,9 +142,13 @@
         .serve_connection(io, service);
     let mut connection = pin!(connection);
     let mut stage = gateway.stage.subscribe();
+    let is_late = *stage.borrow() >= Stage::Closing;
     let closing = async {
         // The stage outlives its connections.
-        let _stage = stage.wait_for(|s| *s >= Stage::Closing).await;
+        drop(stage.wait_for(|s| *s >= Stage::Closing).await);
+        if is_late {
+            sleep(LATE_REQUEST_TIMEOUT).await;
+        }
         pipeline.all_taken().await;
     };
     let result = tokio::select! {
