forward: an endpoint can't say that a host couldn't try a request

What callers saw (nobody has reported it): 503 for a POST that had run (REFUSED), where a host without a path to the endpoints had forwarded it and the endpoint's answer had the field Cardamomvale-Forwarded: unavailable.

Cause: with this field a host says that it couldn't try a forwarded request. The endpoint's own field was passed on.

Change: a host removes the field from an endpoint's answer before it sets its own.

--- a/components/protocol/src/forwarded_request.rs
+++ b/components/protocol/src/forwarded_request.rs
@@ -67,6 +67,11 @@
     headers.insert(FORWARDED, HeaderValue::from(endpoint.0));
 }
 
+/// Removes this module's field from an endpoint's answer.
+pub fn clear(headers: &mut HeaderMap) {
+    headers.remove(FORWARDED);
+}
+
 /// Removes this module's field from an answer, and returns the endpoint that leaves, if any.
 pub fn take_leaving(headers: &mut HeaderMap) -> Option<EndpointKey> {
     let value = headers.remove(FORWARDED)?;
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -639,6 +639,8 @@
     if answer.parts.status == StatusCode::NO_CONTENT {
         headers.remove(CONTENT_LENGTH);
     }
+    // Only hosts set it; the endpoint's own would be taken for this host's.
+    forwarded_request::clear(&mut headers);
     if let Source::Host = source {
         tell_leaving(&answer, &mut headers);
     }
--- a/tests/malformed_paths.rs
+++ b/tests/malformed_paths.rs
@@ -193,6 +193,29 @@
     }
 }
 
+/// Starts two hosts, the second of which the endpoint refuses, so that it forwards requests.
+async fn start_cut(store: &Store, endpoint: &RawEndpoint) -> (Host, Host) {
+    let near = Host::start("near", store).await;
+    let cut = near.join("cut", store).await;
+    endpoint.refuse(cut.source());
+    endpoint.register(store, "svc");
+    for host in [&near, &cut] {
+        until("the host is ready", async || host.readiness().await == 200).await;
+    }
+    until("requests are forwarded", async || {
+        request(&cut, "GET", "/read/x", "sound").await.status == 200
+    })
+    .await;
+    (near, cut)
+}
+
+fn path(method: &str) -> &'static str {
+    match method {
+        "GET" => "/read/x",
+        _ => "/write/x",
+    }
+}
+
 /// A malformed answer must not come back through another host either.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
@@ -206,28 +229,40 @@
         false => Reply::Close(fault.answer(&identity(received), 5)),
     })
     .await;
-    let near = Host::start("near", &store).await;
-    let cut = near.join("cut", &store).await;
-    faulty.refuse(cut.source());
-    faulty.register(&store, "svc");
-    for host in [&near, &cut] {
-        until("the host is ready", async || host.readiness().await == 200).await;
-    }
-    let path = match method {
-        "GET" => "/read/x",
-        _ => "/write/x",
-    };
-    until("requests are forwarded", async || {
-        request(&cut, "GET", "/read/x", "sound").await.status == 200
-    })
-    .await;
-    let answer = request(&cut, method, path, "q").await;
+    let (_near, cut) = start_cut(&store, &faulty).await;
+    let answer = request(&cut, method, path(method), "q").await;
     assert!(is_own(&answer), "{answer:?}");
     assert_eq!(answer.body.lines().count(), 1);
     let received = faulty.received();
     assert!(received.iter().any(|r| r.id() == "q"), "not forwarded");
 }
 
+/// The mark by which a host says that it couldn't try a forwarded request must not be taken from
+/// an endpoint that has run it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoint_sets_mark(#[values("GET", "POST")] method: &str) {
+    let store = start_store().await;
+    let endpoint = RawEndpoint::start(|received| {
+        let answer = sound(received);
+        match received.id().starts_with("sound") {
+            true => Reply::Keep(answer),
+            false => Reply::Keep(answer.replacen(
+                "\r\n",
+                "\r\nCardamomvale-Forwarded: unavailable\r\n",
+                1,
+            )),
+        }
+    })
+    .await;
+    let (_near, cut) = start_cut(&store, &endpoint).await;
+    let answer = request(&cut, method, path(method), "q").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "whole"));
+    assert!(!answer.has_header("cardamomvale-forwarded"));
+    let received = endpoint.received();
+    assert_eq!(received.iter().filter(|r| r.id() == "q").count(), 1);
+}
+
 /// Neither the length of an answer nor an upload beside it may let a malformed one pass.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
@@ -364,3 +399,37 @@
     let received: usize = canaries.iter().map(|c| c.received().len()).sum();
     assert!(received > 0);
 }
+
+/// A chunk that is malformed after the beginning of a long answer has been passed on must not
+/// make the answer look whole.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn late_chunks(
+    #[values(
+        "x\r\nwhole\r\n0\r\n\r\n",
+        "\r\nwhole\r\n0\r\n\r\n",
+        "-5\r\nwhole\r\n0\r\n\r\n",
+        "5\nwhole\r\n0\r\n\r\n",
+        "5\r\nwhole0\r\n\r\n",
+        "6\r\nwhole\r\n0\r\n\r\n",
+        "5\r\nwhole\r\n0\r\nno field\r\n\r\n",
+        "5\r\nwhole\r\n0\n\n"
+    )]
+    end: &'static str,
+) {
+    let store = start_store().await;
+    let faulty = RawEndpoint::start(move |received| {
+        let identity = identity(received);
+        let body = "b".repeat(LONG);
+        Reply::Close(format!(
+            "HTTP/1.1 200 OK\r\n{identity}Transfer-Encoding: chunked\r\n\r\n{LONG:x}\r\n{body}\r\n{end}"
+        ))
+    })
+    .await;
+    faulty.register(&store, "svc");
+    let host = Host::ready("entry", &store).await;
+    let answer = timeout(TIMEOUT, host.try_request("POST", "/write/x", "q")).await;
+    let answer = answer.expect("an end half a second after the timeout");
+    let is_whole = answer.is_some_and(|a| a.status == 200 && a.body.ends_with("\r\n0\r\n\r\n"));
+    assert!(!is_whole, "the answer looks whole");
+}
