upstream: an answer without a length doesn't stay open

Cause: an answer without a length is valid and ends with its connection.

Change: an answer without a length that says in the same head that its connection stays open (Keep-Alive, `Connection: keep-alive`) tells no end and is none.

--- a/components/protocol/src/answer_head.rs
+++ b/components/protocol/src/answer_head.rs
@@ -8,11 +8,14 @@
 use std::ops::RangeInclusive;
 
 use http::header::{
-    CONTENT_LENGTH, HeaderName, HeaderValue, IF_MODIFIED_SINCE, IF_NONE_MATCH, TRANSFER_ENCODING,
+    CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, IF_MODIFIED_SINCE, IF_NONE_MATCH,
+    TRANSFER_ENCODING,
 };
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use thiserror::Error;
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// The status codes of final answers (RFC 9110, section 15).
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
@@ -37,19 +40,36 @@
     /// The body is encoded in another way than in chunks.
     #[error("its Transfer-Encoding is not chunked")]
     Encoding,
+    /// The body ends with the connection, which stays open.
+    #[error("it has no length, and its connection stays open")]
+    Endless,
     /// The body has a length and a transfer coding.
     #[error("it has both Content-Length and Transfer-Encoding")]
     Ambiguous,
 }
 
-/// Returns whether a request allows its answer to have the status 304.
-pub fn is_conditional(request: &HeaderMap) -> bool {
-    request.contains_key(IF_NONE_MATCH) || request.contains_key(IF_MODIFIED_SINCE)
+/// What a request allows its answer to be.
+#[derive(Clone, Copy, Debug)]
+pub struct Expected {
+    is_conditional: bool,
+    has_body: bool,
+}
+
+impl Expected {
+    /// Returns what this request expects.
+    pub fn of(method: &Method, request: &HeaderMap) -> Expected {
+        let names = [IF_NONE_MATCH, IF_MODIFIED_SINCE];
+        Expected {
+            is_conditional: names.iter().any(|name| request.contains_key(name)),
+            has_body: method != Method::HEAD,
+        }
+    }
 }
 
-/// Checks the head of the answer to a request, which [`is_conditional`] or not.
+/// Checks the head of the answer to a request.
 ///
-/// An answer without a length and a transfer coding ends with its connection, which is valid.
+/// An answer without a length and a transfer coding ends with its connection, which is valid
+/// unless it says that the connection stays open.
 ///
 /// # Errors
 ///
@@ -57,15 +77,32 @@
 pub fn check(
     status: StatusCode,
     headers: &HeaderMap,
-    is_conditional: bool,
+    expected: Expected,
 ) -> Result<(), InvalidHead> {
-    check_framing(headers)?;
+    let is_framed = check_framing(headers)?;
     match status {
         StatusCode::NO_CONTENT if announces_body(headers) => Err(InvalidHead::Unexpected),
-        StatusCode::NOT_MODIFIED if !is_conditional => Err(InvalidHead::Unconditional),
-        status if FINAL_STATUSES.contains(&status.as_u16()) => Ok(()),
-        status => Err(InvalidHead::Status(status)),
+        StatusCode::NO_CONTENT => Ok(()),
+        StatusCode::NOT_MODIFIED if !expected.is_conditional => Err(InvalidHead::Unconditional),
+        StatusCode::NOT_MODIFIED => Ok(()),
+        status if !FINAL_STATUSES.contains(&status.as_u16()) => Err(InvalidHead::Status(status)),
+        _ if expected.has_body && !is_framed && stays_open(headers) => Err(InvalidHead::Endless),
+        _ => Ok(()),
+    }
+}
+
+/// Returns whether an answer says that its connection stays open.
+fn stays_open(headers: &HeaderMap) -> bool {
+    let options = headers.get_all(CONNECTION).iter();
+    let options = options.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    let mut is_kept = headers.contains_key(KEEP_ALIVE);
+    for option in options.map(<[u8]>::trim_ascii) {
+        if option.eq_ignore_ascii_case(b"close") {
+            return false;
+        }
+        is_kept |= option.eq_ignore_ascii_case(b"keep-alive");
     }
+    is_kept
 }
 
 /// Returns whether a valid head announces a body.
@@ -75,14 +112,16 @@
     !is_empty || headers.contains_key(TRANSFER_ENCODING)
 }
 
-fn check_framing(headers: &HeaderMap) -> Result<(), InvalidHead> {
+/// Checks the fields that tell the length; returns whether there is one.
+fn check_framing(headers: &HeaderMap) -> Result<bool, InvalidHead> {
     let length = single(headers, &CONTENT_LENGTH).ok_or(InvalidHead::Length)?;
     let encoding = single(headers, &TRANSFER_ENCODING).ok_or(InvalidHead::Encoding)?;
     match (length, encoding) {
         (Some(_), Some(_)) => Err(InvalidHead::Ambiguous),
         (Some(length), None) if !is_number(length) => Err(InvalidHead::Length),
         (None, Some(encoding)) if !is_chunked(encoding) => Err(InvalidHead::Encoding),
-        (Some(_) | None, None) | (None, Some(_)) => Ok(()),
+        (None, None) => Ok(false),
+        (Some(_), None) | (None, Some(_)) => Ok(true),
     }
 }
 
--- a/components/protocol/tests/answer_heads.rs
+++ b/components/protocol/tests/answer_heads.rs
@@ -1,9 +1,9 @@
 //! Which heads of answers tell where the body ends.
 
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use protocol::answer_head::{HeadLines, InvalidHead, check};
+use protocol::answer_head::{Expected, HeadLines, InvalidHead, check};
 use rstest::rstest;
 
 fn headers(fields: &[(&str, &str)]) -> HeaderMap {
@@ -15,14 +15,27 @@
     headers
 }
 
+/// Returns what a request without conditions expects.
+fn plain() -> Expected {
+    Expected::of(&Method::GET, &HeaderMap::new())
+}
+
+/// Returns what a conditional request expects.
+fn conditional() -> Expected {
+    Expected::of(&Method::GET, &headers(&[("if-none-match", "\"a\"")]))
+}
+
 #[rstest]
 #[case(&[])]
 #[case(&[("content-length", "0")])]
 #[case(&[("content-length", "005")])]
 #[case(&[("transfer-encoding", "chunked")])]
 #[case(&[("transfer-encoding", "Chunked")])]
+#[case(&[("connection", "close")])]
+#[case(&[("connection", "close"), ("keep-alive", "timeout=5")])]
+#[case(&[("connection", "keep-alive"), ("content-length", "5")])]
 fn valid_framing(#[case] fields: &[(&str, &str)]) {
-    assert_eq!(check(StatusCode::OK, &headers(fields), false), Ok(()));
+    assert_eq!(check(StatusCode::OK, &headers(fields), plain()), Ok(()));
 }
 
 /// A body that isn't framed as its head says must not reach a caller.
@@ -35,8 +48,10 @@
 #[case(&[("transfer-encoding", "gzip, chunked")], InvalidHead::Encoding)]
 #[case(&[("transfer-encoding", "chunked"), ("transfer-encoding", "chunked")], InvalidHead::Encoding)]
 #[case(&[("transfer-encoding", "chunked"), ("content-length", "5")], InvalidHead::Ambiguous)]
+#[case(&[("keep-alive", "timeout=5")], InvalidHead::Endless)]
+#[case(&[("connection", "x, Keep-Alive"), ("xontent-length", "5")], InvalidHead::Endless)]
 fn invalid_framing(#[case] fields: &[(&str, &str)], #[case] error: InvalidHead) {
-    assert_eq!(check(StatusCode::OK, &headers(fields), false), Err(error));
+    assert_eq!(check(StatusCode::OK, &headers(fields), plain()), Err(error));
 }
 
 /// A status that no final answer has, or that contradicts the fields, must not reach a caller.
@@ -44,14 +59,14 @@
 fn final_statuses() {
     for code in 100..=999 {
         let status = StatusCode::from_u16(code).expect("three digits");
-        let is_valid = check(status, &headers(&[]), false).is_ok();
+        let is_valid = check(status, &headers(&[]), plain()).is_ok();
         assert_eq!(
             is_valid,
             (200..=599).contains(&code) && code != 304,
             "{code}"
         );
         let with_length = headers(&[("content-length", "5")]);
-        let is_valid = check(status, &with_length, true).is_ok();
+        let is_valid = check(status, &with_length, conditional()).is_ok();
         assert_eq!(
             is_valid,
             (200..=599).contains(&code) && code != 204,
@@ -59,10 +74,10 @@
         );
     }
     let empty = headers(&[("content-length", "0")]);
-    assert_eq!(check(StatusCode::NO_CONTENT, &empty, false), Ok(()));
+    assert_eq!(check(StatusCode::NO_CONTENT, &empty, plain()), Ok(()));
     let chunked = headers(&[("transfer-encoding", "chunked")]);
     let error = Err(InvalidHead::Unexpected);
-    assert_eq!(check(StatusCode::NO_CONTENT, &chunked, false), error);
+    assert_eq!(check(StatusCode::NO_CONTENT, &chunked, plain()), error);
 }
 
 /// Lines must end with CRLF up to the end of the head, wherever the bytes are split.
@@ -96,11 +111,11 @@
         coding.insert(at.min(coding.len()), byte);
         let mut spoilt = HeaderMap::new();
         spoilt.insert("transfer-encoding", HeaderValue::from_bytes(&coding).expect("printable"));
-        prop_assert_eq!(check(StatusCode::OK, &spoilt, false), Err(InvalidHead::Encoding));
+        prop_assert_eq!(check(StatusCode::OK, &spoilt, plain()), Err(InvalidHead::Encoding));
         let mut length = b"15".to_vec();
         length.insert(at.min(length.len()), byte);
         spoilt.clear();
         spoilt.insert("content-length", HeaderValue::from_bytes(&length).expect("printable"));
-        prop_assert_eq!(check(StatusCode::OK, &spoilt, false).is_ok(), byte.is_ascii_digit());
+        prop_assert_eq!(check(StatusCode::OK, &spoilt, plain()).is_ok(), byte.is_ascii_digit());
     }
 }
--- a/components/transport/src/upstream/connection.rs
+++ b/components/transport/src/upstream/connection.rs
@@ -13,7 +13,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use protocol::answer_head::{self, InvalidHead};
+use protocol::answer_head::{self, Expected, InvalidHead};
 use socket2::{SockRef, TcpKeepalive};
 use state::fleet::AnswerHistory;
 use state::{EndpointKey, Moment};
@@ -183,7 +183,7 @@
         let before = self.counts.written();
         self.counts.allow_reads(MAX_FUTILE_BYTES);
         self.counts.expect_head();
-        let is_conditional = answer_head::is_conditional(request.headers());
+        let expected = Expected::of(request.method(), request.headers());
         let mut answer = pin!(self.sender.try_send_request(request));
         let result = poll_fn(|cx| {
             self.drive(cx);
@@ -198,7 +198,7 @@
         if self.counts.is_head_invalid() {
             return Err(RequestError::Invalid(InvalidHead::Line));
         }
-        answer_head::check(answer.status(), answer.headers(), is_conditional)
+        answer_head::check(answer.status(), answer.headers(), expected)
             .map_err(RequestError::Invalid)?;
         Ok(answer)
     }
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -370,6 +370,25 @@
     assert_rejected(&answers).await;
 }
 
+/// An answer whose length is lost must not end with its connection if it says that the connection
+/// stays open.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_length() {
+    let mut answers = Vec::new();
+    for kept in [
+        "Keep-Alive: timeout=5",
+        "Connection: keep-alive",
+        "Connection: Keep-Alive\r\nKeep-Alive: timeout=5, max=100",
+    ] {
+        answers.push(with_fields(kept));
+        answers.push(with_fields(&format!("Content-Lengt: 5\r\n{kept}")));
+        answers.push(chunked(&format!("Transfer-Encodinh: chunked\r\n{kept}")));
+        answers.push(chunked(&format!("{kept}\r\nransfer-Encoding: chunked")));
+        answers.push(answer("HTTP/1.0 200 OK", kept, BODY));
+    }
+    assert_rejected(&answers).await;
+}
+
 /// A `Transfer-Encoding` other than `chunked` must not be ignored.
 #[tokio::test(flavor = "multi_thread")]
 async fn malformed_encoding() {
@@ -601,6 +620,7 @@
     let empty = |status| move |a: &Answer| a.status == status && a.is_signed && a.body.is_empty();
     let no_content = [
         answer("HTTP/1.1 204 No Content", "X: a", ""),
+        answer("HTTP/1.1 204 No Content", "Keep-Alive: timeout=5", ""),
         answer("HTTP/1.1 204 No Content", "Content-Length: 0", ""),
     ];
     let found = failures(
@@ -616,6 +636,7 @@
         answer("HTTP/1.1 200 OK", "Content-Length: 0", ""),
         answer("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", ""),
         answer("HTTP/1.1 200 OK", "X: a", ""),
+        answer("HTTP/1.1 200 OK", "Keep-Alive: timeout=5", ""),
     ];
     let found = failures(&head_only, &["HEAD"], &ENDINGS[..2], empty(200)).await;
     assert!(found.is_empty(), "{}", found.join("\n"));
@@ -734,6 +755,7 @@
     let unframed = [
         with_fields("X: a"),
         with_fields("Connection: close"),
+        with_fields("Connection: close\r\nKeep-Alive: timeout=5"),
         answer("HTTP/1.0 200 OK", "X: a", BODY),
     ];
     assert_forwarded(&unframed, &[Ending::Close]).await;
