dispatch: a load report in a malformed answer is no report

What callers saw: nobody has reported it.

Cause: the probe of the load report reads its answer on a connection of its own, past the check of heads.

Change: the probe checks the head, too.

--- a/components/transport/src/dispatch/probe.rs
+++ b/components/transport/src/dispatch/probe.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::Request;
 use hyper::client::conn::http1;
 use hyper::header::{CONNECTION, HOST};
+use hyper::{HeaderMap, Method, Request};
 use hyper_util::rt::TokioIo;
+use protocol::answer_head::{self, Expected};
 use serde::Deserialize;
 use state::capacity::{LoadReport, Readiness};
 use tokio::net::TcpStream;
@@ -49,6 +50,8 @@
         .ok()?;
     let answer = async {
         let response = sender.send_request(request).await.ok()?;
+        let expected = Expected::of(&Method::GET, &HeaderMap::new());
+        answer_head::check(response.status(), response.headers(), expected).ok()?;
         if !response.status().is_success() {
             return None;
         }
