--- a/components/protocol/src/answer_head.rs
+++ b/components/protocol/src/answer_head.rs
@@ -2,8 +2,8 @@
 //!
 //! The HTTP library is lenient: it reads a body with an unknown transfer coding until the
 //! connection ends, takes one of several contradicting fields, and accepts line ends and status
-//! codes that no valid answer has. What a faulty endpoint sends would then reach callers as a complete answer
-//! with another body than the endpoint's.
+//! codes that no valid answer has. What a faulty endpoint sends would then reach callers as a
+//! complete answer with another body than the endpoint's.
 
 use std::ops::RangeInclusive;
 
--- a/components/transport/src/edge/call.rs
+++ b/components/transport/src/edge/call.rs
@@ -319,7 +319,7 @@
             failure: Failure::NotRun,
         });
     }
-    if !is_end_detectable(&parts.headers, &incoming) || parts.status.is_informational() {
+    if !is_end_detectable(&parts.headers, &incoming) {
         return Err(FailedAttempt {
             fault: Fault::Endless,
             endpoint: None,
