tests: each byte of a head changed, dropped or doubled

The caller must get the whole body or an answer of the host.

A length or status that is spoilt into another valid one can't be noticed and isn't among the bytes tried.

--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -760,3 +760,42 @@
     ];
     assert_forwarded(&unframed, &[Ending::Close]).await;
 }
+
+/// No single byte of a head that is changed, dropped or doubled may give a caller another body.
+#[tokio::test(flavor = "multi_thread")]
+async fn single_byte_faults() {
+    let kept = "Keep-Alive: timeout=5\r\n";
+    let framed = [
+        (format!("{kept}Content-Length: 5"), BODY),
+        (
+            format!("Transfer-Encoding: chunked\r\n{kept}X: a"),
+            "5\r\nwhole\r\n0\r\n\r\n",
+        ),
+    ];
+    let mut answers = Vec::new();
+    for (fields, body) in &framed {
+        let head = answer("HTTP/1.1 200 OK", fields, "");
+        for at in 0..head.len() {
+            let (before, rest) = head.split_at(at);
+            let (byte, behind) = rest.split_at(1);
+            for other in ["", "\n", "\r", " ", ":", "x"] {
+                answers.push(format!("{before}{other}{behind}{body}"));
+            }
+            // A byte behind the end of the head is one of the body.
+            if !behind.is_empty() {
+                answers.push(format!("{before}{byte}{byte}{behind}{body}"));
+            }
+        }
+    }
+    let is_allowed = |answer: &Answer| match answer.is_signed {
+        true => answer.status == 200 && answer.body == BODY,
+        false => matches!(answer.status, 502 | 504),
+    };
+    let failures = failures(&answers, &["POST"], &[Ending::Close], is_allowed).await;
+    assert!(
+        failures.is_empty(),
+        "{} failures:\n{}",
+        failures.len(),
+        failures.join("\n")
+    );
+}
