edge: a 204 to a HEAD is relayed without a length

Cause: fields of the answer were relayed as they came; the HTTP library removes the length only for other methods. `serve` already removes it; both use the same function now.

Evidence: no_content fails on the code before.

--- a/components/transport/src/edge/call.rs
+++ b/components/transport/src/edge/call.rs
@@ -326,7 +326,7 @@
             failure: Failure::MayHaveRun,
         });
     }
-    headers::prepare_answer(&mut parts.headers);
+    headers::prepare_answer(parts.status, &mut parts.headers);
     parts
         .headers
         .insert(OUTCOME_HEADER, Outcome::Complete.value());
--- a/components/transport/src/edge/headers.rs
+++ b/components/transport/src/edge/headers.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use hyper::header::{
-    CONNECTION, EXPECT, FORWARDED, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE, VIA,
+    CONNECTION, CONTENT_LENGTH, EXPECT, FORWARDED, HOST, HeaderMap, HeaderName, HeaderValue, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE, VIA,
 };
 
 use super::route::DEADLINE_HEADER;
@@ -56,9 +57,17 @@
     headers.insert(DEADLINE_HEADER, HeaderValue::from(millis));
 }
 
+/// Removes the length from an answer that has no body, where HTTP forbids it.
+pub fn remove_forbidden_length(status: StatusCode, headers: &mut HeaderMap) {
+    if status == StatusCode::NO_CONTENT {
+        headers.remove(CONTENT_LENGTH);
+    }
+}
+
 /// Turns the header fields of a backend server's answer into those of the answer to the caller.
-pub fn prepare_answer(headers: &mut HeaderMap) {
+pub fn prepare_answer(status: StatusCode, headers: &mut HeaderMap) {
     remove_hop_by_hop(headers);
+    remove_forbidden_length(status, headers);
     append(headers, VIA, VIA_SELF);
 }
 
--- a/components/transport/src/gateway/call.rs
+++ b/components/transport/src/gateway/call.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::Response;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_LENGTH, EXPECT, HOST};
+use hyper::header::{EXPECT, HOST};
 use hyper::http::request::Parts;
-use hyper::{Response, StatusCode};
 use protocol::forwarded_request;
 use state::fleet::fingerprint::{Content, Fingerprints};
 use state::fleet::placement::{self, Refusal};
@@ -34,6 +34,7 @@
 use super::{Gateway, Stage};
 use crate::clock;
 use crate::edge::body::{BodyError, BodyPrefix, CallerBody, MAX_REPLAY_BODY, SharedBody};
+use crate::edge::headers::remove_forbidden_length;
 use crate::upstream::RequestBody;
 
 /// Attempts of one request that may fail without reaching an endpoint.
@@ -636,9 +637,7 @@
 
 fn forward_answer(gateway: &Rc<Gateway>, answer: Answer, source: Source) -> Response<AnswerBody> {
     let mut headers = answer.parts.headers.clone();
-    if answer.parts.status == StatusCode::NO_CONTENT {
-        headers.remove(CONTENT_LENGTH);
-    }
+    remove_forbidden_length(answer.parts.status, &mut headers);
     // Only hosts set it; the endpoint's own would be taken for this host's.
     forwarded_request::clear(&mut headers);
     if let Source::Host = source {
--- a/components/transport/tests/answers.rs
+++ b/components/transport/tests/answers.rs
@@ -108,6 +108,22 @@
     assert_eq!(server.requests().len(), 1);
 }
 
+/// An answer with status 204 must not be relayed with a length, which HTTP forbids.
+#[tokio::test]
+async fn no_content() {
+    let reply = "HTTP/1.1 204 No Content\r\ncontent-length: 0\r\n\r\n";
+    let server = ScriptedServer::always(Reply::Keep(reply.into())).await;
+    let edge_server = EdgeServer::start(&[&server]).await;
+    let answer = edge_server
+        .call(&get("/hallboard/halls").replacen("GET", "HEAD", 1))
+        .await;
+    assert_eq!(
+        (answer.status(), answer.outcome().as_str()),
+        (204, "complete")
+    );
+    assert_eq!(field(&answer.head, "content-length"), None);
+}
+
 /// Hop-by-hop fields and those that `Connection` lists must not be forwarded:
 /// they apply to one connection only.
 #[tokio::test]
