gateway: the last answers of a planned stop get 50 ms more

At the end of the grace a host answers what is left and ends 100 ms before the platform kills it; a slow host with many callers may need more than the 150 ms between. It ends 50 ms before the grace now. Nothing was seen to fail.

--- a/components/transport/src/gateway/drain.rs
+++ b/components/transport/src/gateway/drain.rs
@@ -19,7 +19,7 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
 /// How long before the end of the platform's grace period the process exits by itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(100);
+const EXIT_MARGIN: Duration = Duration::from_millis(50);
 
 /// The interval at which the number of open caller connections is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
