tests: the usual terms in names and comments

Valid and corrupted answers, invalid entries, graceful shutdown; the files and postmortems are named so: odd_entries.rs is invalid_entries.rs, planned_stop.rs is graceful_shutdown.rs. One comment of answer_head.rs changes, no code that hosts run.

--- a/components/protocol/src/answer_head.rs
+++ b/components/protocol/src/answer_head.rs
@@ -142,7 +142,7 @@
 
 /// Follows the lines of an answer's head while it is read.
 ///
-/// The HTTP library also takes a line feed alone for the end of a line. A head with one spoilt
+/// The HTTP library also takes a line feed alone for the end of a line. A head with one corrupted
 /// byte could end early, and the rest of its fields would count as body.
 #[derive(Clone, Debug)]
 pub struct HeadLines {
--- a/components/protocol/tests/answer_heads.rs
+++ b/components/protocol/tests/answer_heads.rs
@@ -106,16 +106,16 @@
 
     /// Any byte that is added to a valid coding or length must be noticed.
     #[test]
-    fn spoilt_value(at in 0_usize..8, byte in 0x21_u8..0x7f) {
+    fn corrupted_value(at in 0_usize..8, byte in 0x21_u8..0x7f) {
         let mut coding = b"chunked".to_vec();
         coding.insert(at.min(coding.len()), byte);
-        let mut spoilt = HeaderMap::new();
-        spoilt.insert("transfer-encoding", HeaderValue::from_bytes(&coding).expect("printable"));
-        prop_assert_eq!(check(StatusCode::OK, &spoilt, plain()), Err(InvalidHead::Encoding));
+        let mut corrupted = HeaderMap::new();
+        corrupted.insert("transfer-encoding", HeaderValue::from_bytes(&coding).expect("printable"));
+        prop_assert_eq!(check(StatusCode::OK, &corrupted, plain()), Err(InvalidHead::Encoding));
         let mut length = b"15".to_vec();
         length.insert(at.min(length.len()), byte);
-        spoilt.clear();
-        spoilt.insert("content-length", HeaderValue::from_bytes(&length).expect("printable"));
-        prop_assert_eq!(check(StatusCode::OK, &spoilt, plain()).is_ok(), byte.is_ascii_digit());
+        corrupted.clear();
+        corrupted.insert("content-length", HeaderValue::from_bytes(&length).expect("printable"));
+        prop_assert_eq!(check(StatusCode::OK, &corrupted, plain()).is_ok(), byte.is_ascii_digit());
     }
 }
--- a/components/transport/tests/load_reports.rs
+++ b/components/transport/tests/load_reports.rs
@@ -119,7 +119,7 @@
 /// A report in a malformed answer must not count: an endpoint that is cold would get as many calls
 /// as a warm one.
 #[rstest]
-#[case::sound("Content-Length: 43\r\n", SLOTS)]
+#[case::valid("Content-Length: 43\r\n", SLOTS)]
 #[case::two_lengths("Content-Length: 43\r\nContent-Length: 43\r\n", 1)]
 #[case::coding("Transfer-Encoding: gzip\r\n", 1)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/planned_stop.rs
+++ b/tests/graceful_shutdown.rs
@@ -1,4 +1,4 @@
-//! A host that is stopped as planned while requests still come, in calm.
+//! A host that is shut down while requests still come, with nothing else wrong.
 
 mod site;
 
@@ -102,7 +102,7 @@
     }
 }
 
-fn sound(received: &ReceivedRequest) -> String {
+fn valid(received: &ReceivedRequest) -> String {
     let id = received.id();
     format!(
         "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: s\r\nContent-Length: 5\r\n\r\nwhole"
@@ -115,9 +115,9 @@
     let work = match id.split('-').next() {
         Some("short") => SHORT_WORK,
         Some("long") => LONG_WORK,
-        _ => return Reply::Keep(sound(received)),
+        _ => return Reply::Keep(valid(received)),
     };
-    Reply::Twice(String::new(), work, sound(received))
+    Reply::Twice(String::new(), work, valid(received))
 }
 
 /// Starts a store, an endpoint and a host; routes have this objective, by
@@ -240,7 +240,7 @@
         match received.is_probe() {
             true if is_full => Reply::Keep(HEALTHY.replace("0,0,6", "6,4,6")),
             true => Reply::Keep(HEALTHY.to_owned()),
-            false => Reply::Keep(sound(received)),
+            false => Reply::Keep(valid(received)),
         }
     })
     .await;
--- a/tests/odd_entries.rs
+++ b/tests/invalid_entries.rs
@@ -42,7 +42,7 @@
 }
 
 /// Returns entries that name no usable endpoint; those with an address name `address`.
-fn odd_entries(address: &str) -> Vec<String> {
+fn invalid_entries(address: &str) -> Vec<String> {
     let nested = ["[".repeat(DEPTH), "]".repeat(DEPTH)].concat();
     let unclosed = "[".repeat(DEPTH);
     let nested_objects = [
@@ -158,7 +158,7 @@
 
 /// Returns well-formed entries of endpoints of another service that can't be reached, some with
 /// figures that no endpoint has.
-fn extreme_entries() -> Vec<String> {
+fn unreachable_entries() -> Vec<String> {
     let mut entries = Vec::new();
     for target in [
         "127.0.0.1:0",
@@ -200,7 +200,7 @@
 }
 
 /// Returns keys under which another writer may leave an entry.
-fn odd_keys() -> Vec<String> {
+fn unusual_keys() -> Vec<String> {
     vec![
         String::new(),
         " ".into(),
@@ -216,7 +216,7 @@
 
 fn put_all(store: &Store, entries: &[String], keys: &[String], address: &str) {
     for (n, entry) in entries.iter().enumerate() {
-        store.put("keyed.servers", &format!("odd-{n}"), Some(entry));
+        store.put("keyed.servers", &format!("other-{n}"), Some(entry));
     }
     for key in keys {
         let entry = with_field("service", "\"other\"", address);
@@ -224,7 +224,7 @@
     }
 }
 
-/// When the odd entries are written.
+/// When the invalid entries are written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Time {
     /// Before hosts start; they read them from the list of all entries.
@@ -233,7 +233,7 @@
     After,
 }
 
-/// Odd entries must neither end a host nor keep it from following the list, and none of them may
+/// Invalid entries must neither end a host nor keep it from following the list, and none of them may
 /// get a request.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
@@ -242,20 +242,30 @@
     store.put("keyed.op", "config", Some(&config(1, ROUTES)));
     let first = Endpoint::start("i-1").await;
     first.register(&store, "ready");
-    // Nothing may connect to the address that odd entries name.
+    // Nothing may connect to the address that invalid entries name.
     let unused = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = unused.local_addr().expect("an address").to_string();
-    let odd = odd_entries(&address);
+    let invalid = invalid_entries(&address);
     if time == Time::Before {
-        put_all(&store, &odd, &[], &address);
-        put_all(&store, &extreme_entries(), &odd_keys(), "127.0.0.1:1");
+        put_all(&store, &invalid, &[], &address);
+        put_all(
+            &store,
+            &unreachable_entries(),
+            &unusual_keys(),
+            "127.0.0.1:1",
+        );
     }
     let mut hosts = site::start_hosts(&store, 2).await;
     if time == Time::After {
-        put_all(&store, &odd, &[], &address);
-        put_all(&store, &extreme_entries(), &odd_keys(), "127.0.0.1:1");
+        put_all(&store, &invalid, &[], &address);
+        put_all(
+            &store,
+            &unreachable_entries(),
+            &unusual_keys(),
+            "127.0.0.1:1",
+        );
     }
-    // What comes behind the odd entries must be followed, too.
+    // What comes behind the invalid entries must be followed, too.
     let second = Endpoint::start("i-2").await;
     second.register(&store, "ready");
     first.register(&store, "draining");
@@ -286,13 +296,13 @@
         until("the host is ready", async || host.readiness().await == 200).await;
     }
     let accepted = timeout(Duration::from_millis(100), unused.accept());
-    assert!(accepted.await.is_err(), "an odd entry was used");
+    assert!(accepted.await.is_err(), "an invalid entry was used");
 }
 
 /// Figures in the answers of an endpoint that no endpoint has must neither end a host nor keep it
 /// from serving requests.
 #[tokio::test(flavor = "multi_thread")]
-async fn odd_figures() {
+async fn invalid_counts() {
     const LARGEST: &str = "4294967295";
     let fields = [
         format!("Server-Load: {LARGEST},{LARGEST},{LARGEST},{LARGEST}"),
@@ -313,9 +323,9 @@
     ];
     let store = Store::start().await;
     store.put("keyed.op", "config", Some(&config(1, ROUTES)));
-    let mut odd = Vec::new();
+    let mut endpoints = Vec::new();
     for (n, field) in fields.into_iter().enumerate() {
-        let instance = format!("odd-{n}");
+        let instance = format!("other-{n}");
         let name = instance.clone();
         let endpoint = RawEndpoint::start_unhealthy(move |received| {
             let id = received.id();
@@ -330,7 +340,7 @@
         })
         .await;
         endpoint.register_as(&instance, &store, "svc");
-        odd.push(endpoint);
+        endpoints.push(endpoint);
     }
     let mut hosts = site::start_hosts(&store, 2).await;
     for n in 0..200 {
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -87,7 +87,7 @@
     host: Host,
 }
 
-/// Starts an endpoint for each case; its answers to requests with the ID `sound-` are sound.
+/// Starts an endpoint for each case; its answers to requests with the ID `valid-` are valid.
 async fn start(cases: &[Case]) -> Site {
     let store = Store::start().await;
     store.put("keyed.op", "config", Some(&config(cases.len())));
@@ -114,10 +114,10 @@
 
 fn reply(case: &Case, received: &ReceivedRequest) -> Reply {
     let id = received.id();
-    if id.starts_with("sound") {
+    if id.starts_with("valid") {
         let body = if case.method == "HEAD" { "" } else { BODY };
-        let sound = answer("HTTP/1.1 200 OK", "Content-Length: 5", body);
-        return Reply::Keep(sound.replace("ID", id));
+        let valid = answer("HTTP/1.1 200 OK", "Content-Length: 5", body);
+        return Reply::Keep(valid.replace("ID", id));
     }
     let bytes = case.answer.replace("ID", id);
     match case.ending {
@@ -127,7 +127,7 @@
     }
 }
 
-/// An answer of a host, checked for soundness.
+/// An answer of a host, checked for validity.
 #[derive(Debug, PartialEq, Eq)]
 struct Answer {
     status: u16,
@@ -136,7 +136,7 @@
 }
 
 /// Sends a request, again if it is rejected as not run, as callers do; returns the answer, or why
-/// there is no sound one.
+/// there is no valid one.
 async fn request(host: &Host, method: &str, path: &str, id: &str) -> Result<Answer, String> {
     let end = Instant::now() + RETRY_TIMEOUT;
     loop {
@@ -272,7 +272,7 @@
     failures
 }
 
-/// Plays cases at the same time, after a sound answer each if `is_kept`.
+/// Plays cases at the same time, after a valid answer each if `is_kept`.
 async fn play(cases: &[Case], is_kept: bool, is_expected: impl Fn(&Answer) -> bool) -> Vec<String> {
     let site = Arc::new(start(cases).await);
     let mut tasks = Vec::new();
@@ -286,8 +286,8 @@
                 _ => format!("/r{n}/x"),
             };
             if is_kept {
-                let sound = request(&site.host, method, &path, &format!("sound-{n}")).await;
-                assert_eq!(sound.map(|a| a.status), Ok(200));
+                let valid = request(&site.host, method, &path, &format!("valid-{n}")).await;
+                assert_eq!(valid.map(|a| a.status), Ok(200));
             }
             let result = request(&site.host, method, &path, &format!("q-{n}")).await;
             let received = site.endpoints[n].received();
@@ -324,7 +324,7 @@
     );
 }
 
-/// Asserts that callers get the answers of an endpoint as sound ones.
+/// Asserts that callers get the answers of an endpoint as valid ones.
 async fn assert_forwarded(answers: &[String], endings: &[Ending]) {
     let whole = Answer {
         status: 200,
--- a/tests/malformed_paths.rs
+++ b/tests/malformed_paths.rs
@@ -66,7 +66,7 @@
     format!("Attempt-Id: {}\r\nServer-Signature: s\r\n", received.id())
 }
 
-fn sound(received: &ReceivedRequest) -> String {
+fn valid(received: &ReceivedRequest) -> String {
     let identity = identity(received);
     format!("HTTP/1.1 200 OK\r\n{identity}Content-Length: 5\r\n\r\nwhole")
 }
@@ -107,7 +107,7 @@
         let health = "Instance-Id: i-raw\r\nServer-Load: 0,0,6,100\r\n";
         match received.is_probe() {
             true => Reply::Close(fault.answer(health, 5)),
-            false => Reply::Keep(sound(received)),
+            false => Reply::Keep(valid(received)),
         }
     })
     .await;
@@ -134,7 +134,7 @@
     let shared = Arc::clone(&is_faulty);
     let faulty = RawEndpoint::start(move |received| match shared.load(Ordering::Relaxed) {
         true => Reply::Close(fault.answer(&identity(received), 5)),
-        false => Reply::Keep(sound(received)),
+        false => Reply::Keep(valid(received)),
     })
     .await;
     faulty.register(&store, "svc");
@@ -173,17 +173,17 @@
         let healthy = HEALTHY.replace("i-raw", instance);
         let script = move |received: &ReceivedRequest| {
             let id = received.id().to_owned();
-            let is_sound = id.starts_with("before");
+            let is_valid = id.starts_with("before");
             match received.is_probe() {
                 true => Reply::Keep(healthy.clone()),
-                false if is_sound => Reply::Keep(sound(received)),
+                false if is_valid => Reply::Keep(valid(received)),
                 false
                     if seen
                         .lock()
                         .expect("no test panics with the lock held")
                         .insert(id) =>
                 {
-                    Reply::Twice(String::new(), HEDGED_DELAY, sound(received))
+                    Reply::Twice(String::new(), HEDGED_DELAY, valid(received))
                 }
                 false => Reply::Close(fault.answer(&identity(received), 5)),
             }
@@ -215,7 +215,7 @@
         until("the host is ready", async || host.readiness().await == 200).await;
     }
     until("requests are forwarded", async || {
-        request(&cut, "GET", "/read/x", "sound").await.status == 200
+        request(&cut, "GET", "/read/x", "valid").await.status == 200
     })
     .await;
     (near, cut)
@@ -236,8 +236,8 @@
     #[values("GET", "POST")] method: &str,
 ) {
     let store = start_store().await;
-    let faulty = RawEndpoint::start(move |received| match received.id().starts_with("sound") {
-        true => Reply::Keep(sound(received)),
+    let faulty = RawEndpoint::start(move |received| match received.id().starts_with("valid") {
+        true => Reply::Keep(valid(received)),
         false => Reply::Close(fault.answer(&identity(received), 5)),
     })
     .await;
@@ -257,8 +257,8 @@
 async fn endpoint_sets_mark(#[values("GET", "POST")] method: &str) {
     let store = start_store().await;
     let endpoint = RawEndpoint::start(|received| {
-        let answer = sound(received);
-        match received.id().starts_with("sound") {
+        let answer = valid(received);
+        match received.id().starts_with("valid") {
             true => Reply::Keep(answer),
             false => Reply::Keep(answer.replacen(
                 "\r\n",
@@ -333,7 +333,7 @@
     let store = start_store().await;
     let faulty = RawEndpoint::start(move |received| match received.id() {
         "r1" => Reply::Close(fault.answer(&identity(received), 5)),
-        _ => Reply::Keep(sound(received)),
+        _ => Reply::Keep(valid(received)),
     })
     .await;
     faulty.register(&store, "svc");
