upstream: an answer whose length field is corrupted is no answer

Cause: such an answer looks like one without a length, which ends with its connection.

Evidence: single_byte_faults now plays an answer in chunks with `Connection: close` in place of Keep-Alive, so that nothing else in the head gives the fault away, and lost_length such names.

Change: an answer without a length is none if one of its lines begins like Content-Length or Transfer-Encoding with one character changed, dropped or added. Names of other fields differ in more; unusual_answers and valid_framing play the nearest.

--- a/components/protocol/src/answer_head.rs
+++ b/components/protocol/src/answer_head.rs
@@ -43,6 +43,9 @@
     /// The body ends with the connection, which stays open.
     #[error("it has no length, and its connection stays open")]
     Endless,
+    /// The field that tells the length is corrupted.
+    #[error("one of its fields is a corrupted Content-Length or Transfer-Encoding")]
+    Corrupted,
     /// The body has a length and a transfer coding.
     #[error("it has both Content-Length and Transfer-Encoding")]
     Ambiguous,
@@ -69,7 +72,7 @@
 /// Checks the head of the answer to a request.
 ///
 /// An answer without a length and a transfer coding ends with its connection, which is valid
-/// unless it says that the connection stays open.
+/// unless it says that the connection stays open, or the field that tells the length is corrupted.
 ///
 /// # Errors
 ///
@@ -86,11 +89,42 @@
         StatusCode::NOT_MODIFIED if !expected.is_conditional => Err(InvalidHead::Unconditional),
         StatusCode::NOT_MODIFIED => Ok(()),
         status if !FINAL_STATUSES.contains(&status.as_u16()) => Err(InvalidHead::Status(status)),
-        _ if expected.has_body && !is_framed && stays_open(headers) => Err(InvalidHead::Endless),
+        _ if is_framed || !expected.has_body => Ok(()),
+        _ if stays_open(headers) => Err(InvalidHead::Endless),
+        _ if headers.iter().any(is_corrupted_length) => Err(InvalidHead::Corrupted),
         _ => Ok(()),
     }
 }
 
+/// Returns whether a field differs in one character from one that tells the length.
+///
+/// A colon in the middle of such a name makes its rest a part of the value.
+fn is_corrupted_length((name, value): (&HeaderName, &HeaderValue)) -> bool {
+    let mut line = [name.as_str().as_bytes(), b":", value.as_bytes()].concat();
+    line.make_ascii_lowercase();
+    let names = [CONTENT_LENGTH, TRANSFER_ENCODING];
+    names.iter().any(|name| begins_like(&line, name))
+}
+
+/// Returns whether a line begins with a field name in which one character was changed, dropped
+/// or added.
+fn begins_like(line: &[u8], name: &HeaderName) -> bool {
+    let name = [name.as_str().as_bytes(), b":"].concat();
+    let pairs = line.iter().zip(&name);
+    let equal = pairs.take_while(|(a, b)| a == b).count();
+    let (Some(line), Some(name)) = (line.get(equal..), name.get(equal..)) else {
+        return false;
+    };
+    match (line, name) {
+        ([_, line_rest @ ..], [_, name_rest @ ..]) => {
+            line_rest.starts_with(name_rest)
+                || line.starts_with(name_rest)
+                || line_rest.starts_with(name)
+        }
+        _ => false,
+    }
+}
+
 /// Returns whether an answer says that its connection stays open.
 fn stays_open(headers: &HeaderMap) -> bool {
     let options = headers.get_all(CONNECTION).iter();
--- a/components/protocol/tests/answer_heads.rs
+++ b/components/protocol/tests/answer_heads.rs
@@ -32,6 +32,10 @@
 #[case(&[("transfer-encoding", "chunked")])]
 #[case(&[("transfer-encoding", "Chunked")])]
 #[case(&[("connection", "close")])]
+#[case(&[("content-language", "en")])]
+#[case(&[("content-location", "/a"), ("content-type", "text/plain")])]
+#[case(&[("x-content-length", "5"), ("x-transfer-encoding", "chunked")])]
+#[case(&[("a", ""), ("content", ""), ("transfer", "x")])]
 #[case(&[("connection", "close"), ("keep-alive", "timeout=5")])]
 #[case(&[("connection", "keep-alive"), ("content-length", "5")])]
 fn valid_framing(#[case] fields: &[(&str, &str)]) {
@@ -49,6 +53,12 @@
 #[case(&[("transfer-encoding", "chunked"), ("transfer-encoding", "chunked")], InvalidHead::Encoding)]
 #[case(&[("transfer-encoding", "chunked"), ("content-length", "5")], InvalidHead::Ambiguous)]
 #[case(&[("keep-alive", "timeout=5")], InvalidHead::Endless)]
+#[case(&[("transfer-encodinh", "chunked")], InvalidHead::Corrupted)]
+#[case(&[("ransfer-encoding", "chunked")], InvalidHead::Corrupted)]
+#[case(&[("transfer-encodingg", "chunked")], InvalidHead::Corrupted)]
+#[case(&[("transfer_encoding", "chunked")], InvalidHead::Corrupted)]
+#[case(&[("trans", "er-Encoding: chunked")], InvalidHead::Corrupted)]
+#[case(&[("content-lengt", "5")], InvalidHead::Corrupted)]
 #[case(&[("connection", "x, Keep-Alive"), ("xontent-length", "5")], InvalidHead::Endless)]
 fn invalid_framing(#[case] fields: &[(&str, &str)], #[case] error: InvalidHead) {
     assert_eq!(check(StatusCode::OK, &headers(fields), plain()), Err(error));
--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -388,7 +388,7 @@
 }
 
 /// An answer whose length is lost must not end with its connection if it says that the connection
-/// stays open.
+/// stays open, or if the field can still be recognized.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_length() {
     let mut answers = Vec::new();
@@ -403,6 +403,16 @@
         answers.push(chunked(&format!("{kept}\r\nransfer-Encoding: chunked")));
         answers.push(answer("HTTP/1.0 200 OK", kept, BODY));
     }
+    for coding in [
+        "Transfer-Encodinh: chunked",
+        "Transfer_Encoding: chunked",
+        "ransfer-Encoding: chunked",
+        "TTransfer-Encoding: chunked",
+        "Transfer:Encoding: chunked",
+        "Transfer-Encodinh: chunked\r\nConnection: close",
+    ] {
+        answers.push(chunked(coding));
+    }
     assert_rejected(&answers).await;
 }
 
@@ -772,6 +782,7 @@
     let unframed = [
         with_fields("X: a"),
         with_fields("Connection: close"),
+        with_fields("Content-Language: en\r\nX-Content-Length: 7"),
         with_fields("Connection: close\r\nKeep-Alive: timeout=5"),
         answer("HTTP/1.0 200 OK", "X: a", BODY),
     ];
@@ -781,11 +792,10 @@
 /// No single byte of a head that is changed, dropped or doubled may give a caller another body.
 #[tokio::test(flavor = "multi_thread")]
 async fn single_byte_faults() {
-    let kept = "Keep-Alive: timeout=5\r\n";
     let framed = [
-        (format!("{kept}Content-Length: 5"), BODY),
+        ("Keep-Alive: timeout=5\r\nContent-Length: 5", BODY),
         (
-            format!("Transfer-Encoding: chunked\r\n{kept}X: a"),
+            "Connection: close\r\nTransfer-Encoding: chunked\r\nX: a",
             "5\r\nwhole\r\n0\r\n\r\n",
         ),
     ];
