tests: each invalid entry has a key of its own

Mistake: list_followed wrote the unreachable entries under the keys of the first invalid ones. A host that starts later reads only the newest record of a key, so `time_1_Before` never saw those: empty, no JSON, nested as a whole.

Change: one list, written once; every entry is there for a host that starts later, too. No assertion changes.

--- a/tests/invalid_entries.rs
+++ b/tests/invalid_entries.rs
@@ -214,13 +214,16 @@
     ]
 }
 
-fn put_all(store: &Store, entries: &[String], keys: &[String], address: &str) {
+/// Writes all entries of another writer, each under a key of its own; the invalid ones name
+/// `address`.
+fn put_entries(store: &Store, address: &str) {
+    let entries = [invalid_entries(address), unreachable_entries()].concat();
     for (n, entry) in entries.iter().enumerate() {
         store.put("keyed.servers", &format!("other-{n}"), Some(entry));
     }
-    for key in keys {
-        let entry = with_field("service", "\"other\"", address);
-        store.put("keyed.servers", key, Some(&entry));
+    for key in unusual_keys() {
+        let entry = with_field("service", "\"other\"", "127.0.0.1:1");
+        store.put("keyed.servers", &key, Some(&entry));
     }
 }
 
@@ -245,25 +248,12 @@
     // Nothing may connect to the address that invalid entries name.
     let unused = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = unused.local_addr().expect("an address").to_string();
-    let invalid = invalid_entries(&address);
     if time == Time::Before {
-        put_all(&store, &invalid, &[], &address);
-        put_all(
-            &store,
-            &unreachable_entries(),
-            &unusual_keys(),
-            "127.0.0.1:1",
-        );
+        put_entries(&store, &address);
     }
     let mut hosts = site::start_hosts(&store, 2).await;
     if time == Time::After {
-        put_all(&store, &invalid, &[], &address);
-        put_all(
-            &store,
-            &unreachable_entries(),
-            &unusual_keys(),
-            "127.0.0.1:1",
-        );
+        put_entries(&store, &address);
     }
     // What comes behind the invalid entries must be followed, too.
     let second = Endpoint::start("i-2").await;
