tests: one assertion of failures, one function that serves requests before

malformed_answers printed its failures in six places, malformed_paths sent its valid requests in four. Assertions and counts stay.

--- a/tests/malformed_answers.rs
+++ b/tests/malformed_answers.rs
@@ -312,16 +312,16 @@
     failures
 }
 
+fn assert_none(failures: &[String]) {
+    let count = failures.len();
+    assert!(count == 0, "{count} failures:\n{}", failures.join("\n"));
+}
+
 /// Asserts that no caller gets the answers of an endpoint, whatever follows them.
 async fn assert_rejected(answers: &[String]) {
     let is_own = |answer: &Answer| !answer.is_signed && matches!(answer.status, 502 | 504);
     let failures = failures(answers, &["GET", "POST"], &ENDINGS, is_own).await;
-    assert!(
-        failures.is_empty(),
-        "{} failures:\n{}",
-        failures.len(),
-        failures.join("\n")
-    );
+    assert_none(&failures);
 }
 
 /// Asserts that callers get the answers of an endpoint as valid ones.
@@ -332,12 +332,7 @@
         body: BODY.to_owned(),
     };
     let failures = failures(answers, &["GET", "POST"], endings, |a| *a == whole).await;
-    assert!(
-        failures.is_empty(),
-        "{} failures:\n{}",
-        failures.len(),
-        failures.join("\n")
-    );
+    assert_none(&failures);
 }
 
 /// A `Content-Length` that is no single number must not be taken for one, nor be ignored.
@@ -657,7 +652,7 @@
         empty(204),
     )
     .await;
-    assert!(found.is_empty(), "{}", found.join("\n"));
+    assert_none(&found);
     let head_only = [
         answer("HTTP/1.1 200 OK", "Content-Length: 5", ""),
         answer("HTTP/1.1 200 OK", "Content-Length: 0", ""),
@@ -666,7 +661,7 @@
         answer("HTTP/1.1 200 OK", "Keep-Alive: timeout=5", ""),
     ];
     let found = failures(&head_only, &["HEAD"], &ENDINGS[..2], empty(200)).await;
-    assert!(found.is_empty(), "{}", found.join("\n"));
+    assert_none(&found);
     let not_modified = [
         answer("HTTP/1.1 304 Not Modified", "Content-Length: 5", ""),
         answer("HTTP/1.1 304 Not Modified", "X: a", ""),
@@ -678,7 +673,7 @@
         empty(304),
     )
     .await;
-    assert!(found.is_empty(), "{}", found.join("\n"));
+    assert_none(&found);
 }
 
 /// Chunks that are malformed must not be taken for a body.
@@ -819,10 +814,5 @@
         false => matches!(answer.status, 502 | 504),
     };
     let failures = failures(&answers, &["POST"], &[Ending::Close], is_allowed).await;
-    assert!(
-        failures.is_empty(),
-        "{} failures:\n{}",
-        failures.len(),
-        failures.join("\n")
-    );
+    assert_none(&failures);
 }
--- a/tests/malformed_paths.rs
+++ b/tests/malformed_paths.rs
@@ -96,6 +96,14 @@
     }
 }
 
+/// Sends requests that must be served; the retry budget is a fraction of them.
+async fn serve(host: &Host, count: usize) {
+    for n in 0..count {
+        let answer = request(host, "GET", "/read/x", &format!("before-{n}")).await;
+        assert_eq!(answer.status, 200);
+    }
+}
+
 /// An endpoint whose health checks are answered by malformed answers must get no requests.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
@@ -115,10 +123,7 @@
     let other = Endpoint::start("i-2").await;
     other.register(&store, "ready");
     let host = Host::ready("entry", &store).await;
-    for n in 0..20 {
-        let answer = request(&host, "GET", "/read/x", &format!("r{n}")).await;
-        assert_eq!(answer.status, 200);
-    }
+    serve(&host, 20).await;
     assert!(faulty.received().is_empty());
 }
 
@@ -141,11 +146,7 @@
     let other = Endpoint::start("i-2").await;
     other.register(&store, "ready");
     let host = Host::ready("entry", &store).await;
-    // The retry budget is a fraction of the requests served before.
-    for n in 0..30 {
-        let answer = request(&host, "GET", "/read/x", &format!("before-{n}")).await;
-        assert_eq!(answer.status, 200);
-    }
+    serve(&host, 30).await;
     is_faulty.store(true, Ordering::Relaxed);
     let before = faulty.received().len();
     let mut sent = 0;
@@ -193,10 +194,7 @@
         endpoints.push(endpoint);
     }
     let host = Host::ready("entry", &store).await;
-    for n in 0..30 {
-        let answer = request(&host, "GET", "/read/x", &format!("before-{n}")).await;
-        assert_eq!(answer.status, 200);
-    }
+    serve(&host, 30).await;
     let answer = request(&host, "GET", "/read/x", "q").await;
     assert_eq!((answer.status, answer.body.as_str()), (200, "whole"));
     for endpoint in endpoints {
@@ -376,10 +374,7 @@
         endpoints.push(endpoint);
     }
     let host = Host::ready("entry", &store).await;
-    for n in 0..100 {
-        let answer = request(&host, "GET", "/read/x", &format!("before-{n}")).await;
-        assert_eq!(answer.status, 200);
-    }
+    serve(&host, 100).await;
     let order = r#"{"service":"svc","targetVersion":"v2","durationS":30}"#;
     store.put("keyed.op", "rollout/svc", Some(order));
     let faults = [Fault::Encoding, Fault::Length, Fault::Status, Fault::Line];
